--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Shortcuts; CMake does the work. See CONTRIBUTING.md.
+PACKAGES = build-essential cmake ninja-build pkg-config clang-format \
+	clang-tidy cppcheck libevent-dev libglib2.0-dev libjson-glib-dev \
+	libprotobuf-c-dev libxxhash-dev libcmocka-dev
+
+.PHONY: demo check lint bench build deps format
+all: build
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update && \
+	DEBIAN_FRONTEND=noninteractive apt-get install -y $(PACKAGES); }
+
+build: deps
+	cmake --preset release
+	cmake --build --preset release
+
+demo: build
+	demo/run
+
+check: deps
+	cmake --preset sanitize
+	cmake --build --preset sanitize
+	ctest --preset sanitize
+
+lint: deps
+	ci/lint
+
+bench: build
+	bench/run
+
+format:
+	git ls-files '*.c' '*.h' | grep -v pb-c | xargs clang-format -i
--- /dev/null
+++ b/cli/client.h
@@ -0,0 +1,44 @@
+/*
+ * Blocking calls to an entry's HTTP interface, for the command line.
+ */
+#ifndef BH_CLI_CLIENT_H
+#define BH_CLI_CLIENT_H
+
+#include "platform/http_client.h"
+
+#include <json-glib/json-glib.h>
+
+/**
+ * struct cli_context - options that every command shares
+ * @entry: "IP:PORT" of an entry
+ */
+typedef struct cli_context {
+	struct event_base *base;
+	char *entry;
+	char *token_file;
+	gboolean json;
+	gint64 revision;
+	char *authorization;
+} cli_context_t;
+
+/**
+ * struct cli_reply - an answer; @body is NULL when it is no JSON object
+ */
+typedef struct cli_reply {
+	unsigned status;
+	char *text;
+	JsonObject *body;
+} cli_reply_t;
+
+void cli_call(cli_context_t *cli, enum evhttp_cmd_type method, const char *path,
+	      const char *if_match, const char *body, cli_reply_t *out);
+void cli_reply_clear(cli_reply_t *reply);
+
+/**
+ * cli_print_failure() - say what went wrong
+ *
+ * Return: the process's exit code.
+ */
+int cli_print_failure(const cli_reply_t *reply);
+
+#endif
--- /dev/null
+++ b/cli/status.c
@@ -0,0 +1,131 @@
+#include "cli/status.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define POLL_US 500000
+#define TOP_US	1000000
+
+static const char *text(JsonObject *o, const char *name)
+{
+	return json_object_get_string_member_with_default(o, name, "");
+}
+
+static gint64 number(JsonObject *o, const char *name)
+{
+	return json_object_get_int_member_with_default(o, name, 0);
+}
+
+static gboolean flag(JsonObject *o, const char *name)
+{
+	return json_object_get_boolean_member_with_default(o, name, FALSE);
+}
+
+static const char *endpoint_state(JsonObject *o)
+{
+	if (flag(o, "draining"))
+		return "draining";
+	if (flag(o, "ejected"))
+		return "ejected";
+	return flag(o, "usable") ? "up" : "lost";
+}
+
+static void print_endpoint(JsonObject *o)
+{
+	printf("%-16s %-14s %-10s %-9s %5lld %7lld %6lld %11lld %9.2f\n",
+	       text(o, "service"), text(o, "agent"), text(o, "zone"),
+	       endpoint_state(o), (long long)number(o, "slots"),
+	       (long long)number(o, "running"), (long long)number(o, "queued"),
+	       (long long)number(o, "outstanding"),
+	       (double)number(o, "service_us") / 1000);
+}
+
+static void print_status(JsonObject *o)
+{
+	JsonArray *endpoints = json_object_get_array_member(o, "endpoints");
+
+	printf("entry %s in %s%s: %lld requests in flight, configuration "
+	       "revision %lld\n",
+	       text(o, "entry"), text(o, "zone"),
+	       flag(o, "draining") ? " (draining)" : "",
+	       (long long)number(o, "in_flight"),
+	       (long long)number(o, "config_revision"));
+	printf("%-16s %-14s %-10s %-9s %5s %7s %6s %11s %9s\n", "SERVICE",
+	       "AGENT", "ZONE", "STATE", "SLOTS", "RUNNING", "QUEUED",
+	       "OUTSTANDING", "SLOT MS");
+	for (guint i = 0; i < json_array_get_length(endpoints); i++)
+		print_endpoint(json_array_get_object_element(endpoints, i));
+}
+
+int cli_status(cli_context_t *cli, char **args)
+{
+	cli_reply_t reply;
+	int status = EXIT_SUCCESS;
+
+	(void)args;
+	cli_call(cli, EVHTTP_REQ_GET, "/v1/status", NULL, NULL, &reply);
+	if (reply.status != 200 || !reply.body)
+		status = cli_print_failure(&reply);
+	else if (cli->json)
+		puts(reply.text);
+	else
+		print_status(reply.body);
+	cli_reply_clear(&reply);
+	return status;
+}
+
+int cli_top(cli_context_t *cli, char **args)
+{
+	for (;;) {
+		int status;
+
+		printf("\033[H\033[2J");
+		status = cli_status(cli, args);
+		if (status != EXIT_SUCCESS)
+			return status;
+		fflush(stdout);
+		usleep(TOP_US);
+	}
+}
+
+static gint64 print_progress(JsonObject *job)
+{
+	static const char *const open_states[] = {"pending", "starting",
+						  "running", "frozen"};
+	JsonObject *counts = json_object_get_object_member(job, "status");
+	g_autoptr(GList) states = json_object_get_members(counts);
+	gint64 open = 0;
+
+	for (GList *l = states; l; l = l->next)
+		printf("%s %lld  ", (char *)l->data,
+		       (long long)number(counts, l->data));
+	putchar('\n');
+	fflush(stdout);
+	for (size_t i = 0; i < G_N_ELEMENTS(open_states); i++)
+		open += number(counts, open_states[i]);
+	return open;
+}
+
+int cli_watch(cli_context_t *cli, char **args)
+{
+	g_autofree char *path = g_strdup_printf("/v1/jobs/%s", args[0]);
+	gint64 open = 1;
+
+	while (open > 0) {
+		cli_reply_t reply;
+		int status = EXIT_SUCCESS;
+
+		cli_call(cli, EVHTTP_REQ_GET, path, NULL, NULL, &reply);
+		if (reply.status == 200 && reply.body)
+			open = print_progress(reply.body);
+		else
+			status = cli_print_failure(&reply);
+		cli_reply_clear(&reply);
+		if (status != EXIT_SUCCESS)
+			return status;
+		if (open > 0)
+			usleep(POLL_US);
+	}
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/core/attempt.h
@@ -0,0 +1,27 @@
+/*
+ * One try of a request at one endpoint. Its sequence, with the entry's
+ * incarnation, is the request id that the agent knows.
+ */
+#ifndef BH_CORE_ATTEMPT_H
+#define BH_CORE_ATTEMPT_H
+
+#include "core/peer.h"
+
+typedef struct bh_request bh_request_t;
+
+/**
+ * struct bh_attempt - linked into its endpoint, its peer and its request
+ * @peer_incarnation: of the agent when the frame was sent
+ */
+struct bh_attempt {
+	TAILQ_ENTRY(bh_attempt) in_endpoint;
+	TAILQ_ENTRY(bh_attempt) in_peer;
+	TAILQ_ENTRY(bh_attempt) in_request;
+	uint64_t seq;
+	uint64_t peer_incarnation;
+	bh_request_t *request;
+	bh_endpoint_t *endpoint;
+	bh_usec_t sent_at;
+};
+
+#endif
--- /dev/null
+++ b/core/bucket.h
@@ -0,0 +1,35 @@
+/*
+ * Token bucket: limits a rate with a bounded burst.
+ */
+#ifndef BH_CORE_BUCKET_H
+#define BH_CORE_BUCKET_H
+
+#include "core/types.h"
+
+typedef struct bh_bucket {
+	double rate;  /* tokens a second */
+	double burst; /* most tokens kept */
+	double tokens;
+	bh_usec_t updated;
+} bh_bucket_t;
+
+void bh_bucket_init(bh_bucket_t *b, double rate, double burst, bh_usec_t now);
+
+/**
+ * bh_bucket_take() - take tokens if there are enough
+ *
+ * Return: false when fewer than @n tokens are left; none is taken then.
+ */
+bool bh_bucket_take(bh_bucket_t *b, double n, bh_usec_t now);
+
+/**
+ * bh_bucket_put() - add tokens, up to the burst
+ */
+void bh_bucket_put(bh_bucket_t *b, double n);
+
+/**
+ * bh_bucket_wait() - time until one token is there
+ */
+bh_usec_t bh_bucket_wait(const bh_bucket_t *b);
+
+#endif
--- /dev/null
+++ b/core/cell.c
@@ -0,0 +1,1208 @@
+#include "core/cell.h"
+
+/* Clocks of two hosts drift apart by less than this over a lease or term. */
+#define DRIFT_SHARE	20
+#define RETRY_US	(100 * BH_USEC_PER_MS)
+#define RENEW_SHARE	3
+#define LEARN_SMOOTHING 0.2
+#define NONCES_MAX	16
+
+typedef struct bh_job bh_job_t;
+typedef struct bh_task bh_task_t;
+typedef struct bh_member bh_member_t;
+
+/**
+ * enum bh_phase - where the leader is with a task
+ * @PHASE_PLACING: decided, not journalled yet
+ * @PHASE_PLACED: journalled; the start is ordered until it is reported
+ * @PHASE_STOPPING: cancelled; the stop is ordered until it is reported
+ * @PHASE_ENDING: outcome known, not journalled yet
+ */
+typedef enum bh_phase {
+	PHASE_PENDING,
+	PHASE_PLACING,
+	PHASE_PLACED,
+	PHASE_RUNNING,
+	PHASE_STOPPING,
+	PHASE_ENDING,
+	PHASE_ENDED,
+} bh_phase_t;
+
+struct bh_task {
+	TAILQ_ENTRY(bh_task) in_job;
+	TAILQ_ENTRY(bh_task) in_member;
+	TAILQ_ENTRY(bh_task) in_dirty;
+	bh_job_t *job;
+	bh_member_t *member;
+	char *id;
+	bh_phase_t phase;
+	uint32_t epoch;
+	bool is_dirty;
+	bool is_in_batch;
+	bool is_reported;
+	bh_outcome_t outcome;
+	const char *reason;
+	uint64_t progress_ms;
+	uint64_t done_unix_ms;
+	uint64_t started_unix_ms;
+	uint32_t evictions;
+	uint32_t start_failures;
+	uint32_t used_cpu_milli;
+	uint32_t used_mem_mb;
+};
+
+typedef TAILQ_HEAD(bh_tasks, bh_task) bh_tasks_t;
+
+struct bh_job {
+	TAILQ_ENTRY(bh_job) link;
+	char *name;
+	char *tenant;
+	bh_job_spec_t spec;
+	bh_task_t **tasks;
+	bh_tasks_t pending;
+	double learned_run_ms;
+	bh_usec_t seen_at;
+};
+
+typedef TAILQ_HEAD(bh_jobs, bh_job) bh_jobs_t;
+
+/**
+ * struct bh_member - an agent and its worker
+ * @granted_at: when a reply last extended leases there
+ * @term_seen: highest term that it reported
+ */
+struct bh_member {
+	char *name;
+	uint64_t incarnation;
+	uint64_t report_seq;
+	uint64_t term_seen;
+	bh_usec_t heard_at;
+	bh_usec_t granted_at;
+	bh_resources_t capacity;
+	bh_resources_t reserved;
+	bh_resources_t used;
+	bh_tasks_t tasks;
+	uint32_t n_tasks;
+	uint32_t rank;
+	uint32_t start_failures;
+	bh_usec_t quarantined_until;
+	bool has_reported;
+	bool needs_push;
+};
+
+typedef enum bh_commit_state {
+	COMMIT_IDLE,
+	COMMIT_IN_FLIGHT,
+	COMMIT_UNCLEAR, /* waiting to read the row back */
+	COMMIT_READING,
+	COMMIT_RETRY,
+} bh_commit_state_t;
+
+/* One sending of the commit under way. */
+typedef struct bh_try {
+	uint64_t nonce;
+	bh_usec_t sent_at;
+} bh_try_t;
+
+struct bh_cell {
+	const bh_cell_ops_t *ops;
+	void *ctx;
+	bh_cell_config_t config;
+	const bh_place_ops_t *placement;
+	GRand *rand;
+	bh_cell_role_t role;
+	int64_t unix_offset_ms;
+
+	/* the cell row */
+	uint64_t version;
+	uint64_t term;
+	uint64_t seen_version;
+	bh_usec_t seen_at;
+	bh_usec_t read_at;
+	bool is_reading;
+	bool is_resigning;
+	bool is_retired;
+	bh_usec_t valid_until;
+	bh_usec_t led_at;
+
+	/* the commit under way */
+	bh_commit_state_t commit_state;
+	bh_usec_t commit_sent_at;
+	bh_usec_t retry_at;
+	bh_usec_t committed_at;
+	bh_try_t tries[NONCES_MAX];
+	uint32_t n_tries;
+	GPtrArray *batch;
+	GArray *rows;
+
+	bh_tasks_t dirty;
+	bh_jobs_t jobs;
+	GHashTable *jobs_by_name;
+	GHashTable *tasks;
+	GHashTable *members;
+	bh_cell_counters_t counters;
+};
+
+static const char *const outcome_names[BH_OUTCOME_COUNT] = {
+	"none",	   "delivered", "late",	     "expired",
+	"not-run", "unknown",	"cancelled",
+};
+
+static bh_usec_t with_drift(bh_usec_t span)
+{
+	return span + span / DRIFT_SHARE;
+}
+
+static uint64_t unix_ms(const bh_cell_t *c, bh_usec_t now)
+{
+	return (uint64_t)(now / BH_USEC_PER_MS + c->unix_offset_ms);
+}
+
+static void mark_dirty(bh_cell_t *c, bh_task_t *t)
+{
+	if (t->is_dirty)
+		return;
+	t->is_dirty = true;
+	TAILQ_INSERT_TAIL(&c->dirty, t, in_dirty);
+}
+
+static void set_phase(bh_task_t *t, bh_phase_t phase)
+{
+	if (t->phase == PHASE_PENDING)
+		TAILQ_REMOVE(&t->job->pending, t, in_job);
+	t->phase = phase;
+	if (phase == PHASE_PENDING)
+		TAILQ_INSERT_TAIL(&t->job->pending, t, in_job);
+}
+
+static void take_place(bh_task_t *t, bh_member_t *m)
+{
+	t->member = m;
+	t->is_reported = false;
+	bh_resources_add(&m->reserved, &t->job->spec.need);
+	TAILQ_INSERT_TAIL(&m->tasks, t, in_member);
+	m->n_tasks++;
+}
+
+static void leave_place(bh_task_t *t)
+{
+	bh_member_t *m = t->member;
+
+	if (!m)
+		return;
+	bh_resources_sub(&m->reserved, &t->job->spec.need);
+	TAILQ_REMOVE(&m->tasks, t, in_member);
+	m->n_tasks--;
+	t->member = NULL;
+}
+
+static void end_task(bh_cell_t *c, bh_task_t *t, bh_outcome_t outcome,
+		     const char *reason)
+{
+	leave_place(t);
+	t->outcome = outcome;
+	t->reason = reason;
+	set_phase(t, PHASE_ENDING);
+	mark_dirty(c, t);
+}
+
+/* The task runs nowhere any more; it may be placed again. */
+static void requeue(bh_cell_t *c, bh_task_t *t)
+{
+	leave_place(t);
+	set_phase(t, PHASE_PENDING);
+	mark_dirty(c, t);
+}
+
+static void evict(bh_cell_t *c, bh_task_t *t)
+{
+	if (t->phase == PHASE_STOPPING) {
+		end_task(c, t, BH_OUTCOME_CANCELLED, "cancelled");
+		return;
+	}
+	if (!t->job->spec.is_idempotent) {
+		end_task(c, t, BH_OUTCOME_UNKNOWN, "its worker was lost");
+		return;
+	}
+	t->evictions++;
+	c->counters.evictions++;
+	requeue(c, t);
+}
+
+static void learn_run(bh_task_t *t)
+{
+	bh_job_t *job = t->job;
+	double ran = (double)t->done_unix_ms - (double)t->started_unix_ms;
+
+	if (t->started_unix_ms == 0 || ran <= 0 || t->evictions > 0)
+		return;
+	job->learned_run_ms +=
+		job->learned_run_ms > 0
+			? LEARN_SMOOTHING * (ran - job->learned_run_ms)
+			: ran;
+}
+
+static void finish(bh_cell_t *c, bh_task_t *t, const bh_task_info_t *info)
+{
+	const bh_job_spec_t *spec = &t->job->spec;
+
+	t->progress_ms = info->progress_ms;
+	t->done_unix_ms = info->done_unix_ms;
+	t->member->start_failures = 0;
+	learn_run(t);
+	if (spec->is_standing && !spec->is_cancelled) {
+		t->progress_ms = 0;
+		requeue(c, t);
+		return;
+	}
+	if (spec->deadline_unix_ms && t->done_unix_ms > spec->deadline_unix_ms)
+		end_task(c, t, BH_OUTCOME_LATE, "ended after the deadline");
+	else
+		end_task(c, t, BH_OUTCOME_DELIVERED, "");
+}
+
+static void note_start_failure(bh_cell_t *c, bh_member_t *m, bh_usec_t now)
+{
+	c->counters.start_failures++;
+	m->start_failures++;
+	if (m->start_failures < BH_QUARANTINE_FAILURES)
+		return;
+	c->counters.quarantines++;
+	m->quarantined_until = now + BH_QUARANTINE_US;
+}
+
+static void start_failed(bh_cell_t *c, bh_task_t *t, bh_usec_t now)
+{
+	note_start_failure(c, t->member, now);
+	t->start_failures++;
+	if (t->start_failures >= BH_START_FAILURES_MAX)
+		end_task(c, t, BH_OUTCOME_NOT_RUN, "every start failed");
+	else
+		requeue(c, t);
+}
+
+static void task_reported(bh_cell_t *c, bh_task_t *t,
+			  const bh_task_info_t *info, bh_usec_t now)
+{
+	t->is_reported = true;
+	t->used_cpu_milli = info->used_cpu_milli;
+	t->used_mem_mb = info->used_mem_mb;
+	t->progress_ms = MAX(t->progress_ms, info->progress_ms);
+	switch (info->state) {
+	case BH_TASK_DONE:
+		finish(c, t, info);
+		break;
+	case BH_TASK_FAILED:
+		if (t->phase == PHASE_STOPPING)
+			end_task(c, t, BH_OUTCOME_CANCELLED, "cancelled");
+		else
+			start_failed(c, t, now);
+		break;
+	case BH_TASK_STOPPED:
+		evict(c, t);
+		break;
+	case BH_TASK_RUNNING:
+	case BH_TASK_FROZEN:
+		t->member->start_failures = 0;
+		if (t->phase == PHASE_PLACED)
+			set_phase(t, PHASE_RUNNING);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool is_here(const bh_task_t *t, const bh_member_t *m, uint32_t epoch)
+{
+	return t && t->member == m && t->epoch == epoch &&
+	       t->phase >= PHASE_PLACED && t->phase <= PHASE_STOPPING;
+}
+
+static void add_order(GArray *orders, bh_order_kind_t kind, char *id,
+		      uint32_t epoch)
+{
+	bh_order_t o = {.kind = kind, .id = id, .epoch = epoch};
+
+	g_array_append_val(orders, o);
+}
+
+/*
+ * What a member reports and the journal does not place there: a living stray
+ * is stopped, an ended one is forgotten once its end is journalled.
+ */
+static void order_stray(bh_cell_t *c, GArray *orders,
+			const bh_task_info_t *info, const bh_task_t *t)
+{
+	if (info->state < BH_TASK_DONE) {
+		c->counters.strays_stopped++;
+		add_order(orders, BH_ORDER_STOP, info->id, info->epoch);
+		return;
+	}
+	if (!t || (!t->is_dirty && !t->is_in_batch))
+		add_order(orders, BH_ORDER_FORGET, info->id, info->epoch);
+}
+
+static void order_start(GArray *orders, const bh_task_t *t)
+{
+	bh_order_t o = {
+		.kind = BH_ORDER_START,
+		.id = t->id,
+		.epoch = t->epoch,
+		.need = t->job->spec.need,
+		.run_ms = t->job->spec.run_ms,
+		.progress_ms = t->progress_ms,
+	};
+
+	g_array_append_val(orders, o);
+}
+
+/* Tasks journalled on the member that its report does not list. */
+static void order_missing(bh_cell_t *c, bh_member_t *m, GArray *orders)
+{
+	bh_task_t *t;
+	bh_task_t *next;
+
+	TAILQ_FOREACH_SAFE(t, &m->tasks, in_member, next) {
+		if (t->is_reported)
+			continue;
+		if (t->phase == PHASE_PLACED)
+			order_start(orders, t);
+		else if (m->term_seen >= c->term &&
+			 (t->phase == PHASE_RUNNING ||
+			  t->phase == PHASE_STOPPING))
+			evict(c, t);
+	}
+}
+
+static void send_orders(bh_cell_t *c, bh_member_t *m, GArray *orders,
+			bh_usec_t now)
+{
+	bh_msg_t msg = {
+		.type = BH_MSG_ORDERS,
+		.incarnation = m->incarnation,
+		.seq = m->report_seq,
+		.term = c->term,
+		.lease_ms = (uint64_t)(c->config.lease_us / BH_USEC_PER_MS),
+		.orders = (bh_order_t *)(void *)orders->data,
+		.n_orders = orders->len,
+	};
+
+	m->granted_at = now;
+	m->needs_push = false;
+	c->ops->send(c->ctx, m->name, &msg);
+}
+
+static void push_starts(bh_cell_t *c, bh_usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, c->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_autoptr(GArray) orders = NULL;
+		bh_member_t *m = value;
+		bh_task_t *t;
+
+		if (!m->needs_push || !m->has_reported)
+			continue;
+		orders = g_array_new(FALSE, FALSE, sizeof(bh_order_t));
+		TAILQ_FOREACH(t, &m->tasks, in_member) {
+			if (t->phase == PHASE_PLACED && !t->is_reported)
+				order_start(orders, t);
+		}
+		send_orders(c, m, orders, now);
+	}
+}
+
+static bh_member_t *member_get(bh_cell_t *c, const char *name, bh_usec_t now)
+{
+	bh_member_t *m = g_hash_table_lookup(c->members, name);
+
+	if (m || g_hash_table_size(c->members) >= BH_CELL_MEMBERS_MAX)
+		return m;
+	m = g_new0(bh_member_t, 1);
+	m->name = g_strdup(name);
+	m->rank = g_hash_table_size(c->members);
+	m->heard_at = now;
+	m->granted_at = now;
+	TAILQ_INIT(&m->tasks);
+	g_hash_table_insert(c->members, m->name, m);
+	return m;
+}
+
+static void member_free(void *data)
+{
+	bh_member_t *m = data;
+
+	g_free(m->name);
+	g_free(m);
+}
+
+static void task_free(void *data)
+{
+	bh_task_t *t = data;
+
+	g_free(t->id);
+	g_free(t);
+}
+
+static void job_free(bh_job_t *job)
+{
+	g_free(job->tasks);
+	g_free(job->name);
+	g_free(job->tenant);
+	g_free(job);
+}
+
+static void forget_all(bh_cell_t *c)
+{
+	bh_job_t *job;
+
+	TAILQ_INIT(&c->dirty);
+	g_ptr_array_set_size(c->batch, 0);
+	g_array_set_size(c->rows, 0);
+	g_hash_table_remove_all(c->tasks);
+	g_hash_table_remove_all(c->members);
+	g_hash_table_remove_all(c->jobs_by_name);
+	while ((job = TAILQ_FIRST(&c->jobs)) != NULL) {
+		TAILQ_REMOVE(&c->jobs, job, link);
+		job_free(job);
+	}
+	c->commit_state = COMMIT_IDLE;
+	c->n_tries = 0;
+}
+
+static bh_usec_t jittered(bh_cell_t *c, bh_usec_t span)
+{
+	return (bh_usec_t)((double)span *
+			   g_rand_double_range(c->rand, 0.75, 1.25));
+}
+
+static void follow(bh_cell_t *c, bh_usec_t now)
+{
+	c->role = BH_CELL_FOLLOWER;
+	c->read_at = now + jittered(c, c->config.term_us / RENEW_SHARE);
+	c->is_reading = false;
+	c->is_resigning = false;
+	forget_all(c);
+}
+
+static void fill_row(const bh_task_t *t, bh_task_row_t *row)
+{
+	static const bh_task_state_t states[] = {
+		[PHASE_PENDING] = BH_TASK_PENDING,
+		[PHASE_PLACING] = BH_TASK_STARTING,
+		[PHASE_PLACED] = BH_TASK_STARTING,
+		[PHASE_RUNNING] = BH_TASK_RUNNING,
+		[PHASE_STOPPING] = BH_TASK_RUNNING,
+		[PHASE_ENDING] = BH_TASK_DONE,
+		[PHASE_ENDED] = BH_TASK_DONE,
+	};
+
+	memset(row, 0, sizeof(*row));
+	row->id = t->id;
+	row->state = states[t->phase];
+	row->epoch = t->epoch;
+	row->worker = t->member ? t->member->name : "";
+	row->outcome = t->outcome;
+	row->reason = t->reason ? t->reason : "";
+	row->progress_ms = t->progress_ms;
+	row->done_unix_ms = t->done_unix_ms;
+	row->evictions = t->evictions;
+}
+
+static void fill_batch(bh_cell_t *c)
+{
+	bh_task_t *t;
+
+	while (c->rows->len < BH_JOURNAL_ROWS_MAX &&
+	       (t = TAILQ_FIRST(&c->dirty)) != NULL) {
+		bh_task_row_t row;
+
+		TAILQ_REMOVE(&c->dirty, t, in_dirty);
+		t->is_dirty = false;
+		t->is_in_batch = true;
+		fill_row(t, &row);
+		g_array_append_val(c->rows, row);
+		g_ptr_array_add(c->batch, t);
+	}
+}
+
+static uint64_t new_nonce(bh_cell_t *c)
+{
+	return (uint64_t)g_rand_int(c->rand) << 32 | g_rand_int(c->rand);
+}
+
+static void send_commit(bh_cell_t *c, uint64_t term, bh_usec_t now)
+{
+	bh_cell_commit_t commit = {
+		.version = c->version,
+		.term = term,
+		.nonce = new_nonce(c),
+		.is_resigning = c->is_resigning,
+		.n_rows = c->rows->len,
+		.rows = (bh_task_row_t *)(void *)c->rows->data,
+	};
+
+	c->tries[c->n_tries++ % NONCES_MAX] = (bh_try_t){commit.nonce, now};
+	c->commit_sent_at = now;
+	c->commit_state = COMMIT_IN_FLIGHT;
+	c->counters.commits++;
+	c->counters.commit_rows += commit.n_rows;
+	c->ops->commit(c->ctx, &commit);
+}
+
+static const bh_try_t *find_try(const bh_cell_t *c, uint64_t nonce)
+{
+	for (uint32_t i = 0; i < MIN(c->n_tries, NONCES_MAX); i++) {
+		if (c->tries[i].nonce == nonce)
+			return &c->tries[i];
+	}
+	return NULL;
+}
+
+static void journalled(bh_cell_t *c, bh_task_t *t)
+{
+	t->is_in_batch = false;
+	if (t->is_dirty)
+		return;
+	if (t->phase == PHASE_PLACING) {
+		set_phase(t, PHASE_PLACED);
+		t->member->needs_push = true;
+	} else if (t->phase == PHASE_ENDING) {
+		set_phase(t, PHASE_ENDED);
+		c->counters.outcomes[t->outcome]++;
+	}
+}
+
+static void batch_done(bh_cell_t *c, uint64_t version, bh_usec_t sent_at,
+		       bh_usec_t now)
+{
+	c->version = version;
+	c->commit_state = COMMIT_IDLE;
+	c->committed_at = now;
+	c->valid_until = sent_at + c->config.term_us;
+	c->n_tries = 0;
+	for (guint i = 0; i < c->batch->len; i++)
+		journalled(c, g_ptr_array_index(c->batch, i));
+	g_ptr_array_set_size(c->batch, 0);
+	g_array_set_size(c->rows, 0);
+	if (c->role == BH_CELL_LEADING && now < c->valid_until)
+		push_starts(c, now);
+}
+
+static void won(bh_cell_t *c, uint64_t version, bh_usec_t sent_at,
+		bh_usec_t now)
+{
+	c->term++;
+	c->counters.terms++;
+	c->role = BH_CELL_LOADING;
+	batch_done(c, version, sent_at, now);
+	c->ops->load(c->ctx);
+}
+
+static void commit_ok(bh_cell_t *c, uint64_t version, bh_usec_t sent_at,
+		      bh_usec_t now)
+{
+	if (c->is_resigning) {
+		c->is_retired = true;
+		follow(c, now);
+	} else if (c->role == BH_CELL_ACQUIRING) {
+		won(c, version, sent_at, now);
+	} else {
+		batch_done(c, version, sent_at, now);
+	}
+}
+
+static void read_row(bh_cell_t *c)
+{
+	c->is_reading = true;
+	c->ops->read(c->ctx);
+}
+
+/* The row tells whether the commit of unclear outcome took effect. */
+static void resolve_commit(bh_cell_t *c, const bh_cell_row_t *row,
+			   bh_usec_t now)
+{
+	const bh_try_t *landed = row ? find_try(c, row->nonce) : NULL;
+
+	if (!row) {
+		c->commit_state = COMMIT_UNCLEAR;
+		c->retry_at = now + RETRY_US;
+	} else if (row->version && landed) {
+		commit_ok(c, row->version, landed->sent_at, now);
+	} else if (row->version != c->version) {
+		c->counters.conflicts++;
+		follow(c, now);
+	} else {
+		c->commit_state = COMMIT_RETRY;
+		c->retry_at = now + jittered(c, RETRY_US);
+	}
+}
+
+static bool is_leaderless(const bh_cell_t *c, const bh_cell_row_t *row,
+			  bh_usec_t now)
+{
+	return row->version == 0 || !row->holder || !*row->holder ||
+	       now - c->seen_at >= with_drift(c->config.term_us);
+}
+
+static void consider_leading(bh_cell_t *c, const bh_cell_row_t *row,
+			     bh_usec_t now)
+{
+	if (row->version != c->seen_version || c->seen_at == 0) {
+		c->seen_version = row->version;
+		c->seen_at = now;
+	}
+	if (!is_leaderless(c, row, now))
+		return;
+	c->role = BH_CELL_ACQUIRING;
+	c->version = row->version;
+	c->term = row->term;
+	c->n_tries = 0;
+	send_commit(c, row->term + 1, now);
+}
+
+static void continue_commit(bh_cell_t *c, bh_usec_t now)
+{
+	if (now < c->retry_at)
+		return;
+	if (c->commit_state == COMMIT_UNCLEAR) {
+		c->commit_state = COMMIT_READING;
+		read_row(c);
+	} else if (c->commit_state == COMMIT_RETRY) {
+		send_commit(
+			c, c->role == BH_CELL_ACQUIRING ? c->term + 1 : c->term,
+			now);
+	}
+}
+
+static bool is_commit_due(const bh_cell_t *c, bh_usec_t now)
+{
+	if (c->is_resigning)
+		return true;
+	if (now - c->committed_at >= c->config.term_us / RENEW_SHARE)
+		return true;
+	return !TAILQ_EMPTY(&c->dirty) &&
+	       now - c->commit_sent_at >= c->config.journal_us;
+}
+
+static uint64_t expected_run_ms(const bh_job_t *job)
+{
+	return job->learned_run_ms > 0 ? (uint64_t)job->learned_run_ms
+				       : job->spec.run_ms;
+}
+
+static bool is_too_late(const bh_cell_t *c, const bh_task_t *t, bh_usec_t now)
+{
+	uint64_t run_ms = expected_run_ms(t->job);
+	uint64_t left = run_ms > t->progress_ms ? run_ms - t->progress_ms : 0;
+	uint64_t deadline = t->job->spec.deadline_unix_ms;
+
+	return deadline && unix_ms(c, now) + left > deadline;
+}
+
+static bool is_open(const bh_cell_t *c, const bh_member_t *m, bh_usec_t now)
+{
+	return m->has_reported && m->quarantined_until <= now &&
+	       now - m->heard_at < c->config.lease_us / 2;
+}
+
+static uint32_t same_job_count(const bh_member_t *m, const bh_job_t *job)
+{
+	const bh_task_t *t;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member)
+		n += t->job == job;
+	return n;
+}
+
+static bh_member_t *choose_member(bh_cell_t *c, const bh_job_t *job,
+				  bh_usec_t now)
+{
+	bh_member_t *best = NULL;
+	double best_cost = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, c->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bh_member_t *m = value;
+		bh_place_worker_t w;
+		double cost;
+
+		if (!is_open(c, m, now) ||
+		    !bh_resources_fit(&job->spec.need, &m->reserved,
+				      &m->capacity))
+			continue;
+		w.capacity = m->capacity;
+		w.reserved = m->reserved;
+		w.used = m->used;
+		w.n_tasks = m->n_tasks;
+		w.n_same_job = same_job_count(m, job);
+		w.rank = m->rank;
+		cost = c->placement->cost(&w, &job->spec.need);
+		if (!best || cost < best_cost ||
+		    (cost == best_cost && m->rank < best->rank)) {
+			best = m;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+static bool fits_nowhere(const bh_cell_t *c, const bh_job_t *job)
+{
+	const bh_resources_t none = {0};
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, c->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bh_member_t *m = value;
+
+		if (bh_resources_fit(&job->spec.need, &none, &m->capacity))
+			return false;
+	}
+	return g_hash_table_size(c->members) > 0;
+}
+
+static void end_pending(bh_cell_t *c, bh_job_t *job, bh_outcome_t outcome,
+			const char *reason)
+{
+	while (!TAILQ_EMPTY(&job->pending))
+		end_task(c, TAILQ_FIRST(&job->pending), outcome, reason);
+}
+
+static bool is_unplaceable(const bh_cell_t *c, const bh_job_t *job,
+			   bh_usec_t now)
+{
+	return now - MAX(c->led_at, job->seen_at) >= BH_UNPLACEABLE_AFTER_US &&
+	       fits_nowhere(c, job);
+}
+
+static void place_job(bh_cell_t *c, bh_job_t *job, bh_usec_t now)
+{
+	bh_task_t *t;
+
+	while ((t = TAILQ_FIRST(&job->pending)) != NULL) {
+		bh_member_t *m;
+
+		if (is_too_late(c, t, now)) {
+			end_task(c, t, BH_OUTCOME_EXPIRED,
+				 "cannot finish before its deadline");
+			continue;
+		}
+		m = choose_member(c, job, now);
+		if (!m) {
+			if (is_unplaceable(c, job, now))
+				end_pending(c, job, BH_OUTCOME_NOT_RUN,
+					    "fits no worker of the cell");
+			return;
+		}
+		t->epoch++;
+		t->started_unix_ms = unix_ms(c, now);
+		set_phase(t, PHASE_PLACING);
+		take_place(t, m);
+		mark_dirty(c, t);
+		c->counters.placed++;
+	}
+}
+
+static void place_all(bh_cell_t *c, bh_usec_t now)
+{
+	bh_job_t *job;
+
+	TAILQ_FOREACH(job, &c->jobs, link) {
+		if (!TAILQ_EMPTY(&job->pending))
+			place_job(c, job, now);
+	}
+}
+
+/* Every lease that any term gave there has lapsed. */
+static bool is_member_lost(const bh_cell_t *c, const bh_member_t *m,
+			   bh_usec_t now)
+{
+	return now - MAX(m->granted_at, c->led_at) >=
+	       with_drift(c->config.lease_us);
+}
+
+static void check_members(bh_cell_t *c, bh_usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, c->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bh_member_t *m = value;
+		bh_task_t *t;
+		bh_task_t *next;
+
+		if (!is_member_lost(c, m, now))
+			continue;
+		m->has_reported = false;
+		TAILQ_FOREACH_SAFE(t, &m->tasks, in_member, next) {
+			if (t->phase != PHASE_PLACING)
+				evict(c, t);
+		}
+	}
+}
+
+static void cancel_task(bh_cell_t *c, bh_task_t *t)
+{
+	switch (t->phase) {
+	case PHASE_PENDING:
+	case PHASE_PLACING:
+		if (!t->is_in_batch || t->phase == PHASE_PENDING)
+			end_task(c, t, BH_OUTCOME_CANCELLED, "cancelled");
+		else
+			set_phase(t, PHASE_STOPPING);
+		break;
+	case PHASE_PLACED:
+	case PHASE_RUNNING:
+		set_phase(t, PHASE_STOPPING);
+		break;
+	default:
+		break;
+	}
+}
+
+static void job_insert(bh_cell_t *c, bh_job_t *job)
+{
+	bh_job_t *other;
+
+	TAILQ_FOREACH(other, &c->jobs, link) {
+		if (other->spec.priority < job->spec.priority) {
+			TAILQ_INSERT_BEFORE(other, job, link);
+			return;
+		}
+	}
+	TAILQ_INSERT_TAIL(&c->jobs, job, link);
+}
+
+static bh_job_t *job_new(bh_cell_t *c, const bh_job_spec_t *spec, bh_usec_t now)
+{
+	bh_job_t *job = g_new0(bh_job_t, 1);
+
+	job->name = g_strdup(spec->name);
+	job->tenant = g_strdup(spec->tenant);
+	job->spec = *spec;
+	job->spec.name = job->name;
+	job->spec.tenant = job->tenant;
+	job->seen_at = now;
+	job->tasks = g_new0(bh_task_t *, spec->n_tasks);
+	TAILQ_INIT(&job->pending);
+	for (uint32_t i = 0; i < spec->n_tasks; i++) {
+		bh_task_t *t = g_new0(bh_task_t, 1);
+
+		t->job = job;
+		t->id = g_strdup_printf("%s/%u", job->name, i);
+		job->tasks[i] = t;
+		TAILQ_INSERT_TAIL(&job->pending, t, in_job);
+		g_hash_table_insert(c->tasks, t->id, t);
+	}
+	g_hash_table_insert(c->jobs_by_name, job->name, job);
+	job_insert(c, job);
+	return job;
+}
+
+static void job_cancel(bh_cell_t *c, bh_job_t *job)
+{
+	job->spec.is_cancelled = true;
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+		cancel_task(c, job->tasks[i]);
+}
+
+static void sum_usage(bh_member_t *m)
+{
+	const bh_task_t *t;
+
+	memset(&m->used, 0, sizeof(m->used));
+	TAILQ_FOREACH(t, &m->tasks, in_member) {
+		m->used.cpu_milli += t->used_cpu_milli;
+		m->used.mem_mb += t->used_mem_mb;
+	}
+}
+
+static bool is_old_report(const bh_member_t *m, const bh_msg_t *report)
+{
+	if (report->incarnation != m->incarnation)
+		return report->incarnation < m->incarnation;
+	return report->seq <= m->report_seq;
+}
+
+static void take_report(bh_cell_t *c, bh_member_t *m, const bh_msg_t *report,
+			GArray *orders, bh_usec_t now)
+{
+	bh_task_t *t;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member)
+		t->is_reported = false;
+	for (size_t i = 0; i < report->n_tasks; i++) {
+		const bh_task_info_t *info = &report->tasks[i];
+
+		t = g_hash_table_lookup(c->tasks, info->id);
+		if (!is_here(t, m, info->epoch)) {
+			order_stray(c, orders, info, t);
+			continue;
+		}
+		task_reported(c, t, info, now);
+		if (t->phase == PHASE_STOPPING)
+			add_order(orders, BH_ORDER_STOP, info->id, info->epoch);
+	}
+	order_missing(c, m, orders);
+	sum_usage(m);
+}
+
+const char *bh_outcome_name(bh_outcome_t outcome)
+{
+	return outcome_names[outcome];
+}
+
+bh_cell_t *bh_cell_new(const bh_cell_config_t *config, const bh_cell_ops_t *ops,
+		       void *ctx, bh_usec_t now)
+{
+	bh_cell_t *c = g_new0(bh_cell_t, 1);
+
+	c->ops = ops;
+	c->ctx = ctx;
+	c->config = *config;
+	c->placement = bh_place_find(config->placement);
+	c->rand = g_rand_new_with_seed(config->seed);
+	c->batch = g_ptr_array_new();
+	c->rows = g_array_new(FALSE, FALSE, sizeof(bh_task_row_t));
+	c->jobs_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	c->tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, task_free);
+	c->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   member_free);
+	TAILQ_INIT(&c->dirty);
+	TAILQ_INIT(&c->jobs);
+	c->read_at = now;
+	return c;
+}
+
+void bh_cell_free(bh_cell_t *c)
+{
+	forget_all(c);
+	g_ptr_array_free(c->batch, TRUE);
+	g_array_free(c->rows, TRUE);
+	g_hash_table_destroy(c->jobs_by_name);
+	g_hash_table_destroy(c->tasks);
+	g_hash_table_destroy(c->members);
+	g_rand_free(c->rand);
+	g_free(c);
+}
+
+void bh_cell_set_unix_ms(bh_cell_t *c, uint64_t unix_ms_now, bh_usec_t now)
+{
+	c->unix_offset_ms = (int64_t)unix_ms_now - now / BH_USEC_PER_MS;
+}
+
+void bh_cell_row_read(bh_cell_t *c, const bh_cell_row_t *row, bh_usec_t now)
+{
+	if (!c->is_reading)
+		return;
+	c->is_reading = false;
+	if (c->role != BH_CELL_FOLLOWER) {
+		if (c->commit_state == COMMIT_READING)
+			resolve_commit(c, row, now);
+		return;
+	}
+	c->read_at = now + jittered(c, c->config.term_us / RENEW_SHARE);
+	if (row && !c->is_retired)
+		consider_leading(c, row, now);
+}
+
+void bh_cell_committed(bh_cell_t *c, uint64_t nonce, bh_commit_status_t status,
+		       uint64_t version, bh_usec_t now)
+{
+	if (c->commit_state != COMMIT_IN_FLIGHT || c->n_tries == 0 ||
+	    c->tries[(c->n_tries - 1) % NONCES_MAX].nonce != nonce)
+		return;
+	switch (status) {
+	case BH_COMMIT_OK:
+		commit_ok(c, version, c->commit_sent_at, now);
+		break;
+	case BH_COMMIT_REFUSED:
+		c->commit_state = COMMIT_RETRY;
+		c->retry_at = now + jittered(c, RETRY_US);
+		break;
+	case BH_COMMIT_UNKNOWN:
+	case BH_COMMIT_CONFLICT:
+		c->counters.unclear_commits += status == BH_COMMIT_UNKNOWN;
+		c->commit_state = COMMIT_UNCLEAR;
+		c->retry_at = now;
+		continue_commit(c, now);
+		break;
+	}
+}
+
+void bh_cell_job(bh_cell_t *c, const bh_job_spec_t *spec, bh_usec_t now)
+{
+	bh_job_t *job = g_hash_table_lookup(c->jobs_by_name, spec->name);
+
+	if (c->role < BH_CELL_LOADING)
+		return;
+	if (!job) {
+		if (g_hash_table_size(c->tasks) + spec->n_tasks >
+		    BH_CELL_TASKS_MAX)
+			return;
+		job = job_new(c, spec, now);
+	}
+	job->spec.deadline_unix_ms = spec->deadline_unix_ms;
+	if (spec->is_cancelled && c->role == BH_CELL_LEADING)
+		job_cancel(c, job);
+	job->spec.is_cancelled = spec->is_cancelled;
+}
+
+void bh_cell_job_deleted(bh_cell_t *c, const char *name)
+{
+	bh_job_t *job = g_hash_table_lookup(c->jobs_by_name, name);
+
+	if (job)
+		job_cancel(c, job);
+}
+
+void bh_cell_task_row(bh_cell_t *c, const bh_task_row_t *row)
+{
+	bh_task_t *t = g_hash_table_lookup(c->tasks, row->id);
+	bh_member_t *m;
+
+	if (!t || c->role != BH_CELL_LOADING)
+		return;
+	t->epoch = row->epoch;
+	t->progress_ms = row->progress_ms;
+	t->evictions = row->evictions;
+	t->done_unix_ms = row->done_unix_ms;
+	if (row->state == BH_TASK_PENDING)
+		return;
+	if (row->state == BH_TASK_DONE) {
+		t->outcome = row->outcome;
+		set_phase(t, PHASE_ENDED);
+		return;
+	}
+	m = member_get(c, row->worker, c->led_at);
+	if (!m)
+		return;
+	c->counters.adopted++;
+	set_phase(t, PHASE_PLACED);
+	take_place(t, m);
+}
+
+void bh_cell_loaded(bh_cell_t *c, bool is_ok, bh_usec_t now)
+{
+	bh_job_t *job;
+
+	if (c->role != BH_CELL_LOADING)
+		return;
+	if (!is_ok) {
+		c->ops->load(c->ctx);
+		return;
+	}
+	c->role = BH_CELL_LEADING;
+	c->led_at = now;
+	TAILQ_FOREACH(job, &c->jobs, link) {
+		if (job->spec.is_cancelled)
+			job_cancel(c, job);
+	}
+}
+
+void bh_cell_report(bh_cell_t *c, const bh_msg_t *report, bh_usec_t now)
+{
+	g_autoptr(GArray) orders = NULL;
+	bh_member_t *m;
+
+	if (c->role != BH_CELL_LEADING || now >= c->valid_until)
+		return;
+	m = member_get(c, report->name, now);
+	if (!m || is_old_report(m, report))
+		return;
+	m->incarnation = report->incarnation;
+	m->report_seq = report->seq;
+	m->term_seen = report->term;
+	m->capacity = report->capacity;
+	m->heard_at = now;
+	m->has_reported = true;
+	orders = g_array_new(FALSE, FALSE, sizeof(bh_order_t));
+	take_report(c, m, report, orders, now);
+	send_orders(c, m, orders, now);
+}
+
+void bh_cell_heard(bh_cell_t *c, bh_usec_t now)
+{
+	if (c->role != BH_CELL_FOLLOWER)
+		return;
+	c->read_at = now + jittered(c, c->config.term_us);
+	c->seen_at = 0;
+}
+
+void bh_cell_tick(bh_cell_t *c, bh_usec_t now)
+{
+	if (c->role == BH_CELL_FOLLOWER) {
+		if (!c->is_reading && !c->is_retired && now >= c->read_at)
+			read_row(c);
+		return;
+	}
+	if (c->commit_state != COMMIT_IDLE)
+		continue_commit(c, now);
+	if (c->role == BH_CELL_ACQUIRING)
+		return;
+	if (now >= c->valid_until) {
+		follow(c, now);
+		return;
+	}
+	if (c->role == BH_CELL_LEADING) {
+		check_members(c, now);
+		place_all(c, now);
+	}
+	if (c->commit_state == COMMIT_IDLE && is_commit_due(c, now)) {
+		fill_batch(c);
+		send_commit(c, c->term, now);
+	}
+}
+
+void bh_cell_resign(bh_cell_t *c)
+{
+	if (c->role >= BH_CELL_LOADING)
+		c->is_resigning = true;
+	else
+		c->is_retired = true;
+}
+
+bh_cell_role_t bh_cell_role(const bh_cell_t *c)
+{
+	return c->role;
+}
+
+uint64_t bh_cell_term(const bh_cell_t *c)
+{
+	return c->term;
+}
+
+const bh_cell_counters_t *bh_cell_counters(const bh_cell_t *c)
+{
+	return &c->counters;
+}
+
+size_t bh_cell_members(const bh_cell_t *c)
+{
+	return g_hash_table_size(c->members);
+}
+
+size_t bh_cell_tasks_in(const bh_cell_t *c, bh_task_state_t state)
+{
+	GHashTableIter iter;
+	void *value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, c->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bh_task_row_t row;
+
+		fill_row(value, &row);
+		n += row.state == state;
+	}
+	return n;
+}
--- /dev/null
+++ b/core/entry.h
@@ -0,0 +1,182 @@
+/*
+ * The entry's decisions: admit a request, route it, retry it by its verdict,
+ * find out what became of it when a connection falls silent, answer once.
+ *
+ * Not thread-safe; one owner calls in, with the time. The callbacks of
+ * struct bh_entry_ops must not call back into the entry.
+ */
+#ifndef BH_CORE_ENTRY_H
+#define BH_CORE_ENTRY_H
+
+#include "core/attempt.h"
+#include "core/route.h"
+#include "core/tenant.h"
+#include "core/wheel.h"
+
+typedef struct bh_entry bh_entry_t;
+
+/**
+ * struct bh_result - what a caller is told
+ * @status: HTTP status, the runner's own when the verdict is BH_RAN
+ * @retry_after: with status 429
+ */
+typedef struct bh_result {
+	bh_verdict_t verdict;
+	bh_reason_t reason;
+	uint32_t status;
+	GBytes *body;
+	bh_usec_t retry_after;
+} bh_result_t;
+
+/**
+ * struct bh_request_params - a caller's request
+ * @deadline: absolute, on the entry's clock
+ * @key: idempotency key or NULL
+ * @user: the owner's, handed back with the answer
+ */
+typedef struct bh_request_params {
+	const char *service;
+	const char *tenant;
+	bh_class_t cls;
+	bh_usec_t deadline;
+	bool idempotent;
+	const char *key;
+	GBytes *body;
+	void *user;
+} bh_request_params_t;
+
+/**
+ * struct bh_entry_ops - what the entry wants done
+ * @send: give a message to the peer's connection
+ * @dial: open a connection of the peer's current generation
+ * @hangup: close the peer's connection
+ * @respond: answer the caller; called exactly once for each request
+ * @claim: claim the request's key before dispatch; NULL without keys
+ * @settle: write the outcome of a claimed request
+ */
+typedef struct bh_entry_ops {
+	void (*send)(void *ctx, bh_peer_t *peer, const bh_msg_t *msg);
+	void (*dial)(void *ctx, bh_peer_t *peer);
+	void (*hangup)(void *ctx, bh_peer_t *peer);
+	void (*respond)(void *ctx, void *user, const bh_result_t *result);
+	void (*claim)(void *ctx, bh_request_t *request);
+	void (*settle)(void *ctx, bh_request_t *request,
+		       const bh_result_t *result);
+} bh_entry_ops_t;
+
+/**
+ * struct bh_entry_config - settings of the entry's decisions
+ * @retry_share: retries and hedges allowed per first attempt
+ * @hedge_quantile: of a service's latency after which idempotent work is
+ *	sent a second time; 0 switches hedging off
+ */
+typedef struct bh_entry_config {
+	const char *zone;
+	const char *policy;
+	uint64_t incarnation;
+	uint32_t seed;
+	uint32_t max_attempts;
+	uint32_t max_in_flight;
+	double retry_share;
+	double hedge_quantile;
+	bh_tenant_limits_t tenant_defaults;
+} bh_entry_config_t;
+
+/* Heartbeats on each connection, and when it counts as silent. */
+#define BH_PING_US	   (250 * BH_USEC_PER_MS)
+#define BH_LINK_SILENCE_US (1000 * BH_USEC_PER_MS)
+#define BH_DIAL_TIMEOUT_US (1000 * BH_USEC_PER_MS)
+#define BH_REDIAL_US	   (100 * BH_USEC_PER_MS)
+#define BH_REDIAL_MAX_US   (2000 * BH_USEC_PER_MS)
+#define BH_PAUSE_US	   (500 * BH_USEC_PER_MS)
+#define BH_RETRY_BURST	   20.0
+#define BH_RETRY_MIN_RATE  2.0
+#define BH_HEDGE_MIN_COUNT 100
+#define BH_HEDGE_MIN_US	   (2 * BH_USEC_PER_MS)
+
+typedef struct bh_entry_counters {
+	uint64_t requests;
+	uint64_t attempts;
+	uint64_t retries;
+	uint64_t hedges;
+	uint64_t hedges_won;
+	uint64_t retries_denied;
+	uint64_t asks;
+	uint64_t silent_links;
+	uint64_t stale_announcements;
+	uint64_t late_answers;
+	uint64_t corrupt_answers;
+	uint64_t pauses;
+	uint64_t refusals[BH_REASON_COUNT];
+	uint64_t verdicts[BH_RAN + 1];
+} bh_entry_counters_t;
+
+bh_entry_t *bh_entry_new(const bh_entry_config_t *config,
+			 const bh_entry_ops_t *ops, void *ctx, bh_usec_t now);
+
+/**
+ * bh_entry_free() - release everything; unanswered requests get no answer
+ */
+void bh_entry_free(bh_entry_t *entry);
+
+bh_peers_t *bh_entry_peers(bh_entry_t *entry);
+bh_tenants_t *bh_entry_tenants(bh_entry_t *entry);
+const bh_entry_counters_t *bh_entry_counters(const bh_entry_t *entry);
+
+/**
+ * bh_entry_submit() - take in a caller's request
+ *
+ * The answer may come during the call.
+ */
+void bh_entry_submit(bh_entry_t *entry, const bh_request_params_t *params,
+		     bh_usec_t now);
+
+/**
+ * bh_entry_claimed() - the outcome of a claim
+ * @result: NULL when the key is now the request's; else the answer
+ */
+void bh_entry_claimed(bh_entry_t *entry, bh_request_t *request,
+		      const bh_result_t *result, bh_usec_t now);
+
+/**
+ * bh_entry_settled() - the outcome of a claimed request is written
+ */
+void bh_entry_settled(bh_entry_t *entry, bh_request_t *request);
+
+const char *bh_request_key(const bh_request_t *request);
+const char *bh_request_tenant(const bh_request_t *request);
+const char *bh_request_service(const bh_request_t *request);
+GBytes *bh_request_body(const bh_request_t *request);
+bh_usec_t bh_request_deadline(const bh_request_t *request);
+uint64_t bh_request_number(const bh_request_t *request);
+
+void bh_entry_announce(bh_entry_t *entry, const bh_msg_t *msg, bh_usec_t now);
+
+/**
+ * bh_entry_link_up() - the agent's HELLO arrived on the newest connection
+ */
+void bh_entry_link_up(bh_entry_t *entry, bh_peer_t *peer, const bh_msg_t *hello,
+		      bh_usec_t now);
+
+/**
+ * bh_entry_link_down() - a connection broke or could not be made
+ * @is_refused: nobody listens there, so the agent's process is gone
+ */
+void bh_entry_link_down(bh_entry_t *entry, bh_peer_t *peer, bool is_refused,
+			bh_usec_t now);
+
+void bh_entry_msg(bh_entry_t *entry, bh_peer_t *peer, const bh_msg_t *msg,
+		  bh_usec_t now);
+
+/**
+ * bh_entry_tick() - do what is due; call it every few milliseconds
+ */
+void bh_entry_tick(bh_entry_t *entry, bh_usec_t now);
+
+/**
+ * bh_entry_drain() - refuse new requests from now on
+ */
+void bh_entry_drain(bh_entry_t *entry);
+size_t bh_entry_in_flight(const bh_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,58 @@
+#include "core/place.h"
+
+#define SAME_JOB_COST 0.05
+
+static double share(uint32_t used, uint32_t need, uint32_t capacity)
+{
+	return capacity ? ((double)used + need) / capacity : 0;
+}
+
+/* The fullest of the three resources decides. */
+static double fullest(const bh_resources_t *used, const bh_resources_t *need,
+		      const bh_resources_t *capacity)
+{
+	double cpu =
+		share(used->cpu_milli, need->cpu_milli, capacity->cpu_milli);
+	double mem = share(used->mem_mb, need->mem_mb, capacity->mem_mb);
+	double accel = share(used->accel, need->accel, capacity->accel);
+
+	return MAX(cpu, MAX(mem, accel));
+}
+
+static double cost_first_fit(const bh_place_worker_t *w,
+			     const bh_resources_t *need)
+{
+	(void)need;
+	return w->rank;
+}
+
+static double cost_least_loaded(const bh_place_worker_t *w,
+				const bh_resources_t *need)
+{
+	return fullest(&w->reserved, need, &w->capacity);
+}
+
+/* Measured use counts beside the declared sizes, which are often far off. */
+static double cost_spread(const bh_place_worker_t *w,
+			  const bh_resources_t *need)
+{
+	double declared = fullest(&w->reserved, need, &w->capacity);
+	double measured = fullest(&w->used, need, &w->capacity);
+
+	return MAX(declared, measured) + SAME_JOB_COST * w->n_same_job;
+}
+
+static const bh_place_ops_t policies[] = {
+	{"spread", cost_spread},
+	{"first-fit", cost_first_fit},
+	{"least-loaded", cost_least_loaded},
+};
+
+const bh_place_ops_t *bh_place_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+		if (strcmp(policies[i].name, name) == 0)
+			return &policies[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/core/taskhost.h
@@ -0,0 +1,98 @@
+/*
+ * The agent's decisions about tasks of its worker. Orders come only in reply
+ * to a report, and a lease counts from the moment that report was sent, so the
+ * worker's lease always ends before the leader believes it does; no clocks
+ * have to agree. An order of a lower term, or one that arrives after its own
+ * lease, changes nothing.
+ *
+ * Not thread-safe; the callbacks must not call back into the task host.
+ */
+#ifndef BH_CORE_TASKHOST_H
+#define BH_CORE_TASKHOST_H
+
+#include "core/ledger.h"
+
+#define BH_REPORTS_KEPT	  64
+#define BH_HOST_TASKS_MAX 4096
+
+typedef struct bh_taskhost bh_taskhost_t;
+
+/**
+ * struct bh_host_task - a task as its worker lists it, or as ordered
+ * @lease_until: monotonic, shared by agent and worker of one host
+ */
+typedef struct bh_host_task {
+	char *id;
+	uint32_t epoch;
+	bh_task_state_t state;
+	bh_resources_t need;
+	uint64_t run_ms;
+	uint64_t progress_ms;
+	uint64_t done_unix_ms;
+	uint32_t used_cpu_milli;
+	uint32_t used_mem_mb;
+	bh_usec_t lease_until;
+	bh_usec_t started_at;
+	uint64_t since_report;
+	bool is_stopping;
+	bool is_unlisted;
+} bh_host_task_t;
+
+/**
+ * struct bh_taskhost_ops - calls to the worker runtime
+ * @renew: extend the leases of all tasks given to @until
+ */
+typedef struct bh_taskhost_ops {
+	void (*start)(void *ctx, const bh_host_task_t *task);
+	void (*stop)(void *ctx, const bh_host_task_t *task);
+	void (*forget)(void *ctx, const bh_host_task_t *task);
+	void (*throttle)(void *ctx, const bh_host_task_t *task,
+			 uint32_t permille);
+	void (*renew)(void *ctx, GPtrArray *tasks, bh_usec_t until);
+} bh_taskhost_ops_t;
+
+typedef struct bh_taskhost_counters {
+	uint64_t starts;
+	uint64_t stops;
+	uint64_t stale_orders;
+	uint64_t refused_full;
+	uint64_t refused_epoch;
+} bh_taskhost_counters_t;
+
+bh_taskhost_t *bh_taskhost_new(const char *name, uint64_t incarnation,
+			       const bh_taskhost_ops_t *ops, void *ctx);
+void bh_taskhost_free(bh_taskhost_t *host);
+
+/**
+ * bh_taskhost_listing() - the worker's own list; the first makes it ready
+ * @asked_at: when the list was asked for
+ */
+void bh_taskhost_listing(bh_taskhost_t *host, const bh_resources_t *capacity,
+			 const bh_host_task_t *tasks, size_t n,
+			 bh_usec_t asked_at);
+
+/**
+ * bh_taskhost_started() - the worker's reply to a start
+ * @is_ok: false when the worker refused, so that nothing runs
+ */
+void bh_taskhost_started(bh_taskhost_t *host, const char *id, uint32_t epoch,
+			 bool is_ok, bh_usec_t now);
+
+/**
+ * bh_taskhost_orders() - a leader's reply to a report
+ */
+void bh_taskhost_orders(bh_taskhost_t *host, const bh_msg_t *msg,
+			bh_usec_t now);
+
+/**
+ * bh_taskhost_report() - fill the next report
+ *
+ * Return: false while the worker's list is not known.
+ */
+bool bh_taskhost_report(bh_taskhost_t *host, bh_msg_t *msg, bh_usec_t now);
+
+uint64_t bh_taskhost_term(const bh_taskhost_t *host);
+const bh_ledger_t *bh_taskhost_ledger(const bh_taskhost_t *host);
+const bh_taskhost_counters_t *bh_taskhost_counters(const bh_taskhost_t *host);
+
+#endif
--- /dev/null
+++ b/daemon/metrics.h
@@ -0,0 +1,24 @@
+/*
+ * Text exposition of counters and histograms.
+ */
+#ifndef BH_DAEMON_METRICS_H
+#define BH_DAEMON_METRICS_H
+
+#include "core/agent.h"
+#include "core/cell.h"
+#include "core/entry.h"
+#include "core/taskhost.h"
+
+void bh_metrics_entry(GString *out, bh_entry_t *entry);
+void bh_metrics_agent(GString *out, const bh_agent_t *agent);
+void bh_metrics_taskhost(GString *out, const bh_taskhost_t *host);
+void bh_metrics_cell(GString *out, const bh_cell_t *cell);
+
+/**
+ * bh_metrics_value() - one sample
+ * @labels: such as "tenant=\"a\"", or NULL
+ */
+void bh_metrics_value(GString *out, const char *name, const char *labels,
+		      double value);
+
+#endif
--- /dev/null
+++ b/daemon/runtime.h
@@ -0,0 +1,65 @@
+/*
+ * What the parts of a process share: the event loop, the settings, the log,
+ * the clock and the process's identity. Passed down, never global.
+ */
+#ifndef BH_DAEMON_RUNTIME_H
+#define BH_DAEMON_RUNTIME_H
+
+#include "core/types.h"
+#include "daemon/log.h"
+#include "daemon/settings.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <json-glib/json-glib.h>
+
+/**
+ * struct bh_runtime - a process
+ * @incarnation: start time, unix microseconds; grows with each life
+ */
+typedef struct bh_runtime {
+	struct event_base *base;
+	const bh_settings_t *settings;
+	bh_log_t log;
+	uint64_t incarnation;
+} bh_runtime_t;
+
+/**
+ * bh_runtime_now() - monotonic time, microseconds
+ */
+bh_usec_t bh_runtime_now(void);
+uint64_t bh_runtime_unix_ms(void);
+
+/**
+ * bh_runtime_every() - call back at an interval
+ *
+ * Return: an event to be freed by event_free().
+ */
+struct event *bh_runtime_every(bh_runtime_t *rt, int64_t interval_ms,
+			       event_callback_fn cb, void *arg);
+
+/**
+ * bh_http_listen() - an HTTP server with this process's limits
+ *
+ * Return: NULL, after a log line, when the address is taken.
+ */
+struct evhttp *bh_http_listen(bh_runtime_t *rt, const char *address,
+			      void (*cb)(struct evhttp_request *, void *),
+			      void *arg);
+
+/**
+ * bh_http_reply_json() - send a JSON document; it is freed
+ */
+void bh_http_reply_json(struct evhttp_request *req, int status,
+			JsonObject *body);
+void bh_http_reply_error(struct evhttp_request *req, int status,
+			 const char *reason);
+void bh_http_reply_text(struct evhttp_request *req, int status,
+			const char *type, const char *text);
+
+/**
+ * bh_http_body() - the request's body; NULL when it is empty
+ */
+GBytes *bh_http_body(struct evhttp_request *req);
+
+#endif
--- /dev/null
+++ b/daemon/settings.c
@@ -0,0 +1,352 @@
+#include "daemon/settings.h"
+
+#include <arpa/inet.h>
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+G_DEFINE_QUARK(bh - settings - error - quark, bh_settings_error)
+
+#define AT(field) offsetof(bh_settings_t, field)
+#define TEXT(f, fallback, help)                                                \
+	{                                                                      \
+#f, BH_OPTION_TEXT, AT(f), "", fallback, 0, 0, NULL, help      \
+	}
+#define CHOICE(f, fallback, range, help)                                       \
+	{                                                                      \
+#f, BH_OPTION_CHOICE, AT(f), "", fallback, 0, 0, range, help   \
+	}
+#define ADDRESS(f, fallback, help)                                             \
+	{                                                                      \
+#f, BH_OPTION_ADDRESS, AT(f), "", fallback, 0, 0, NULL, help   \
+	}
+#define INT(f, unit, fallback, min, max, help)                                 \
+	{                                                                      \
+#f, BH_OPTION_INT, AT(f), unit, fallback, min, max, NULL, help \
+	}
+#define NUMBER(f, unit, fallback, min, max, help)                              \
+	{                                                                      \
+#f, BH_OPTION_NUMBER, AT(f), unit, fallback, min, max, NULL,   \
+			help                                                   \
+	}
+
+static const bh_option_t options[] = {
+	CHOICE(role, NULL, "entry|agent", "what this process is"),
+	TEXT(name, NULL, "unique name of this process"),
+	TEXT(zone, NULL, "availability zone that it stands in"),
+	TEXT(region, "\"default\"", "region of the availability zone"),
+	TEXT(cell, "\"cell-1\"",
+	     "cell of the worker; for an entry, where new "
+	     "jobs go"),
+	ADDRESS(listen_http, NULL,
+		"HTTP: callers at an entry, the runners at an agent"),
+	ADDRESS(listen_operators, "\"\"",
+		"HTTP for operators; empty: together with callers"),
+	ADDRESS(listen_frames, NULL,
+		"frames between processes, TCP and UDP; others reach it here"),
+	ADDRESS(table, NULL, "the platform's table service"),
+	ADDRESS(worker, "\"\"", "the worker runtime; agents only"),
+	TEXT(entries, "\"\"",
+	     "frame addresses of entries known beforehand, comma-separated"),
+	TEXT(token_file, "\"\"",
+	     "file with the operators' bearer token; empty: none is asked"),
+	CHOICE(log_level, "\"info\"", "error|warn|info|debug",
+	       "least urgent level that is written"),
+	CHOICE(log_format, "\"text\"", "text|json", "form of log lines"),
+	CHOICE(policy, "\"expected-wait\"",
+	       "expected-wait|round-robin|least-outstanding",
+	       "routing policy of an entry"),
+	INT(max_body_bytes, "B", "1048576", 1024, 1048576,
+	    "largest request or record body"),
+	INT(max_in_flight, "requests", "4096", 1, 1000000,
+	    "requests without an answer at an entry"),
+	INT(max_connections, "connections", "2048", 1, 65536,
+	    "open connections of callers at an entry"),
+	INT(http_timeout_ms, "ms", "60000", 100, 3600000,
+	    "time an HTTP connection may be idle or half sent"),
+	INT(max_attempts, "attempts", "3", 1, 10,
+	    "attempts at one request, hedges included"),
+	INT(default_deadline_ms, "ms", "10000", 1, 3600000,
+	    "deadline of a request that names none"),
+	INT(drain_grace_ms, "ms", "1000", 0, 60000,
+	    "from SIGTERM, time that new work is still taken while the "
+	    "balancer learns of it"),
+	INT(drain_limit_ms, "ms", "30000", 100, 3600000,
+	    "most time that a shutdown waits for work in flight"),
+	INT(announce_ms, "ms", "1000", 100, 1500,
+	    "interval of an agent's announcements"),
+	INT(poll_ms, "ms", "2000", 100, 60000,
+	    "interval of polling the table service for changes"),
+	INT(report_ms, "ms", "500", 50, 10000,
+	    "interval of an agent's reports to its cell's leader"),
+	INT(lease_ms, "ms", "30000", 500, 3600000,
+	    "lease of a task at its worker"),
+	INT(term_ms, "ms", "6000", 500, 600000,
+	    "term of a cell's leader without renewal"),
+	INT(journal_ms, "ms", "200", 10, 10000,
+	    "interval of the leader's journal commits"),
+	INT(key_commit_ms, "ms", "5", 1, 1000,
+	    "time that idempotency keys wait for others to share a commit"),
+	INT(tenant_max_in_flight, "requests", "1024", 1, 1000000,
+	    "default limit of a tenant's requests without an answer, per "
+	    "entry"),
+	NUMBER(tenant_rate, "requests/s", "100000", 0.1, 1000000,
+	       "default rate limit of a tenant, per entry"),
+	NUMBER(tenant_burst, "requests", "10000", 1, 1000000,
+	       "default burst of a tenant, per entry"),
+	NUMBER(retry_share, "ratio", "0.1", 0, 1,
+	       "retries and hedges allowed per request"),
+	NUMBER(hedge_quantile, "quantile", "0.95", 0, 0.9999,
+	       "of a service's latency, after which idempotent work is sent "
+	       "a second time; 0: never"),
+};
+
+static const bh_option_t *option_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+		if (strcmp(options[i].name, name) == 0)
+			return &options[i];
+	}
+	return NULL;
+}
+
+static const char *type_name(bh_option_type_t type)
+{
+	static const char *const names[] = {"text", "choice", "IP:PORT",
+					    "integer", "number"};
+
+	return names[type];
+}
+
+static char *allowed(const bh_option_t *o)
+{
+	switch (o->type) {
+	case BH_OPTION_CHOICE:
+		return g_strdup(o->range);
+	case BH_OPTION_INT:
+	case BH_OPTION_NUMBER:
+		return g_strdup_printf("%g to %g", o->min, o->max);
+	case BH_OPTION_ADDRESS:
+		return g_strdup("an IP number and a port, such as "
+				"192.0.2.1:7000");
+	default:
+		return g_strdup("a non-empty text of at most 255 bytes");
+	}
+}
+
+static gboolean fail_value(const bh_option_t *o, JsonNode *node, GError **err)
+{
+	g_autofree char *value = json_to_string(node, FALSE);
+	g_autofree char *range = allowed(o);
+
+	g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_VALUE,
+		    "%s: %s is not allowed; expected %s, %s", o->name, value,
+		    type_name(o->type), range);
+	return FALSE;
+}
+
+static gboolean is_choice(const char *range, const char *word)
+{
+	g_auto(GStrv) words = g_strsplit(range, "|", -1);
+
+	return g_strv_contains((const char *const *)words, word);
+}
+
+static gboolean is_valid_text(const bh_option_t *o, const char *text)
+{
+	g_autofree char *ip = NULL;
+	uint16_t port;
+
+	if (*text == 0)
+		return o->fallback && strcmp(o->fallback, "\"\"") == 0;
+	if (strlen(text) > 255)
+		return FALSE;
+	if (o->type == BH_OPTION_CHOICE)
+		return is_choice(o->range, text);
+	if (o->type == BH_OPTION_ADDRESS)
+		return bh_address_parse(text, &ip, &port);
+	return TRUE;
+}
+
+static gboolean set_text(bh_settings_t *s, const bh_option_t *o, JsonNode *node,
+			 GError **err)
+{
+	char **field = (char **)((char *)s + o->offset);
+
+	if (!JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != G_TYPE_STRING ||
+	    !is_valid_text(o, json_node_get_string(node)))
+		return fail_value(o, node, err);
+	g_free(*field);
+	*field = json_node_dup_string(node);
+	return TRUE;
+}
+
+static gboolean set_number(bh_settings_t *s, const bh_option_t *o,
+			   JsonNode *node, GError **err)
+{
+	GType type = JSON_NODE_HOLDS_VALUE(node)
+			     ? json_node_get_value_type(node)
+			     : G_TYPE_INVALID;
+	double value;
+
+	if (type != G_TYPE_INT64 &&
+	    (type != G_TYPE_DOUBLE || o->type == BH_OPTION_INT))
+		return fail_value(o, node, err);
+	value = json_node_get_double(node);
+	if (!(value >= o->min && value <= o->max))
+		return fail_value(o, node, err);
+	if (o->type == BH_OPTION_INT)
+		*(int64_t *)((char *)s + o->offset) = json_node_get_int(node);
+	else
+		*(double *)((char *)s + o->offset) = value;
+	return TRUE;
+}
+
+static gboolean set_option(bh_settings_t *s, const bh_option_t *o,
+			   JsonNode *node, GError **err)
+{
+	if (o->type == BH_OPTION_INT || o->type == BH_OPTION_NUMBER)
+		return set_number(s, o, node, err);
+	return set_text(s, o, node, err);
+}
+
+static gboolean set_default(bh_settings_t *s, const bh_option_t *o,
+			    GError **err)
+{
+	JsonNode *node = json_from_string(o->fallback, err);
+	gboolean ok = node && set_option(s, o, node, err);
+
+	g_clear_pointer(&node, json_node_unref);
+	return ok;
+}
+
+static gboolean check_unknown(JsonObject *object, GError **err)
+{
+	g_autoptr(GList) members = json_object_get_members(object);
+
+	for (GList *l = members; l; l = l->next) {
+		if (option_find(l->data))
+			continue;
+		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_UNKNOWN,
+			    "%s: no option has this name", (char *)l->data);
+		return FALSE;
+	}
+	return TRUE;
+}
+
+static gboolean fill(bh_settings_t *s, JsonObject *object, GError **err)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+		const bh_option_t *o = &options[i];
+		JsonNode *node = json_object_get_member(object, o->name);
+
+		if (node) {
+			if (!set_option(s, o, node, err))
+				return FALSE;
+		} else if (!o->fallback) {
+			g_set_error(err, BH_SETTINGS_ERROR,
+				    BH_SETTINGS_ERROR_MISSING,
+				    "%s: required but missing (%s)", o->name,
+				    o->help);
+			return FALSE;
+		} else if (!set_default(s, o, err)) {
+			return FALSE;
+		}
+	}
+	return TRUE;
+}
+
+const bh_option_t *bh_options(size_t *count)
+{
+	*count = G_N_ELEMENTS(options);
+	return options;
+}
+
+bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err)
+{
+	g_autoptr(JsonParser) parser = json_parser_new_immutable();
+	g_autoptr(GError) cause = NULL;
+	bh_settings_t *s;
+	JsonNode *root;
+
+	if (!json_parser_load_from_data(parser, text, len, &cause)) {
+		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_SYNTAX,
+			    "not JSON: %s", cause->message);
+		return NULL;
+	}
+	root = json_parser_get_root(parser);
+	if (!root || !JSON_NODE_HOLDS_OBJECT(root)) {
+		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_SYNTAX,
+			    "settings are not a JSON object");
+		return NULL;
+	}
+	s = g_new0(bh_settings_t, 1);
+	if (check_unknown(json_node_get_object(root), err) &&
+	    fill(s, json_node_get_object(root), err))
+		return s;
+	bh_settings_free(s);
+	return NULL;
+}
+
+bh_settings_t *bh_settings_load(const char *path, GError **err)
+{
+	g_autoptr(GError) cause = NULL;
+	g_autofree char *text = NULL;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &cause)) {
+		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_READ,
+			    "%s", cause->message);
+		return NULL;
+	}
+	return bh_settings_parse(text, (gssize)len, err);
+}
+
+void bh_settings_free(bh_settings_t *s)
+{
+	if (!s)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+		if (options[i].type <= BH_OPTION_ADDRESS)
+			g_free(*(char **)((char *)s + options[i].offset));
+	}
+	g_free(s);
+}
+
+char *bh_options_markdown(void)
+{
+	GString *s = g_string_new("| option | type | unit | default | range | "
+				  "meaning |\n|---|---|---|---|---|---|\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+		const bh_option_t *o = &options[i];
+		g_autofree char *range = allowed(o);
+		g_auto(GStrv) words = g_strsplit(range, "|", -1);
+		g_autofree char *cell = g_strjoinv(", ", words);
+
+		g_string_append_printf(s, "| `%s` | %s | %s | %s | %s | %s |\n",
+				       o->name, type_name(o->type), o->unit,
+				       o->fallback ? o->fallback : "required",
+				       cell, o->help);
+	}
+	return g_string_free(s, FALSE);
+}
+
+gboolean bh_address_parse(const char *text, char **ip, uint16_t *port)
+{
+	const char *colon = strrchr(text, ':');
+	unsigned char raw[sizeof(struct in6_addr)];
+	g_autofree char *host = NULL;
+	guint64 number;
+
+	if (!colon)
+		return FALSE;
+	host = g_strndup(text, (gsize)(colon - text));
+	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL))
+		return FALSE;
+	if (inet_pton(AF_INET, host, raw) != 1)
+		return FALSE;
+	*ip = g_steal_pointer(&host);
+	*port = (uint16_t)number;
+	return TRUE;
+}
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,112 @@
+/*
+ * Settings of borageholdd: a JSON object, checked against a table of options.
+ */
+#ifndef BH_DAEMON_SETTINGS_H
+#define BH_DAEMON_SETTINGS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define BH_SETTINGS_ERROR (bh_settings_error_quark())
+
+typedef enum bh_settings_error {
+	BH_SETTINGS_ERROR_READ,
+	BH_SETTINGS_ERROR_SYNTAX,
+	BH_SETTINGS_ERROR_UNKNOWN,
+	BH_SETTINGS_ERROR_VALUE,
+	BH_SETTINGS_ERROR_MISSING,
+} bh_settings_error_t;
+
+GQuark bh_settings_error_quark(void);
+
+typedef enum bh_option_type {
+	BH_OPTION_TEXT,
+	BH_OPTION_CHOICE,  /* one of the words in the range */
+	BH_OPTION_ADDRESS, /* IP:PORT */
+	BH_OPTION_INT,
+	BH_OPTION_NUMBER,
+} bh_option_type_t;
+
+/**
+ * struct bh_settings - values by option; texts are owned
+ */
+typedef struct bh_settings {
+	char *role;
+	char *name;
+	char *zone;
+	char *region;
+	char *cell;
+	char *listen_http;
+	char *listen_operators;
+	char *listen_frames;
+	char *table;
+	char *worker;
+	char *entries;
+	char *log_level;
+	char *log_format;
+	char *policy;
+	char *token_file;
+	int64_t max_body_bytes;
+	int64_t max_in_flight;
+	int64_t max_connections;
+	int64_t http_timeout_ms;
+	int64_t max_attempts;
+	int64_t default_deadline_ms;
+	int64_t drain_grace_ms;
+	int64_t drain_limit_ms;
+	int64_t announce_ms;
+	int64_t poll_ms;
+	int64_t report_ms;
+	int64_t lease_ms;
+	int64_t term_ms;
+	int64_t journal_ms;
+	int64_t key_commit_ms;
+	int64_t tenant_max_in_flight;
+	double tenant_rate;
+	double tenant_burst;
+	double retry_share;
+	double hedge_quantile;
+} bh_settings_t;
+
+/**
+ * struct bh_option - one row of the table of options
+ * @fallback: default as JSON text; NULL when the option is required
+ * @range: words of a choice, separated by "|"
+ */
+typedef struct bh_option {
+	const char *name;
+	bh_option_type_t type;
+	size_t offset;
+	const char *unit;
+	const char *fallback;
+	double min;
+	double max;
+	const char *range;
+	const char *help;
+} bh_option_t;
+
+const bh_option_t *bh_options(size_t *count);
+
+/**
+ * bh_settings_load() - read and check a settings file
+ *
+ * Return: NULL with @err naming the key, its value and what is allowed.
+ */
+bh_settings_t *bh_settings_load(const char *path, GError **err);
+bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err);
+void bh_settings_free(bh_settings_t *settings);
+
+/**
+ * bh_options_markdown() - the table of options as docs/settings.md shows it
+ */
+char *bh_options_markdown(void);
+
+/**
+ * bh_address_parse() - split "IP:PORT"
+ * @ip: newly allocated
+ *
+ * Return: false when the text is not a number address with a port.
+ */
+gboolean bh_address_parse(const char *text, char **ip, uint16_t *port);
+
+#endif
