--- a/core/agent.c
+++ b/core/agent.c
@@ -22,6 +22,7 @@
 	uint32_t queued;
 	double service_us;
 	bh_work_list_t queues[BH_CLASS_COUNT]; /* by deadline */
+	bh_work_list_t calls;		       /* running */
 };
 
 typedef enum bh_work_state {
@@ -143,6 +144,12 @@
 	w->runner->queued--;
 }
 
+static void work_leave_runner(bh_work_t *w)
+{
+	TAILQ_REMOVE(&w->runner->calls, w, in_queue);
+	w->runner->running--;
+}
+
 /* The entry settled this id; what still runs loses its reader. */
 static void work_forget(bh_agent_t *agent, bh_work_t *w)
 {
@@ -237,6 +244,7 @@
 	w->state = BH_WORK_RUNNING;
 	w->started_at = now;
 	w->runner->running++;
+	TAILQ_INSERT_TAIL(&w->runner->calls, w, in_queue);
 	agent->ops->call(agent->ctx, w);
 }
 
@@ -474,8 +482,8 @@
 	agent->ops->send(agent->ctx, conn, &hello);
 }
 
-static void runner_update(bh_runner_t *r, const bh_runner_info_t *info,
-			  bh_usec_t now)
+static void runner_update(const bh_agent_t *agent, bh_runner_t *r,
+			  const bh_runner_info_t *info, bh_usec_t now)
 {
 	if (g_strcmp0(r->address, info->address) != 0) {
 		g_free(r->address);
@@ -483,7 +491,11 @@
 	}
 	r->incarnation = info->incarnation;
 	r->seq = info->seq;
+	/* Runs of an agent before us hold slots that we must not use. */
 	r->slots = MIN(info->slots, info->connections);
+	r->slots -= MIN(r->slots, info->orphans);
+	if (info->agent != agent->incarnation)
+		r->slots = 0;
 	r->draining = info->draining;
 	r->is_suspect = false;
 	r->heard_at = now;
@@ -496,11 +508,26 @@
 	r->service = g_strdup(service);
 	for (int i = 0; i < BH_CLASS_COUNT; i++)
 		TAILQ_INIT(&r->queues[i]);
+	TAILQ_INIT(&r->calls);
 	TAILQ_INSERT_TAIL(&agent->runners, r, link);
 	agent->n_runners++;
 	return r;
 }
 
+/* Calls under way have lost their readers by now. */
+static void runner_free(bh_agent_t *agent, bh_runner_t *r)
+{
+	while (!TAILQ_EMPTY(&r->calls)) {
+		bh_work_t *w = TAILQ_FIRST(&r->calls);
+
+		work_leave_runner(w);
+		work_free(agent, w);
+	}
+	g_free(r->service);
+	g_free(r->address);
+	g_free(r);
+}
+
 static void refuse_queue(bh_agent_t *agent, bh_runner_t *r, bh_reason_t reason)
 {
 	for (int cls = 0; cls < BH_CLASS_COUNT; cls++) {
@@ -532,7 +559,7 @@
 	bh_runner_t *r = w->runner;
 	double run_us = (double)(now - w->started_at);
 
-	r->running--;
+	work_leave_runner(w);
 	r->service_us += r->service_us > 0
 				 ? SERVICE_SMOOTHING * (run_us - r->service_us)
 				 : run_us;
@@ -560,9 +587,7 @@
 		bh_runner_t *r = TAILQ_FIRST(&agent->runners);
 
 		TAILQ_REMOVE(&agent->runners, r, link);
-		g_free(r->service);
-		g_free(r->address);
-		g_free(r);
+		runner_free(agent, r);
 	}
 	g_free(agent);
 }
@@ -582,7 +607,7 @@
 	} else if (info->incarnation == r->incarnation && info->seq <= r->seq) {
 		return false;
 	}
-	runner_update(r, info, now);
+	runner_update(agent, r, info, now);
 	dispatch(agent, r, now);
 	return true;
 }
@@ -647,7 +672,7 @@
 {
 	bh_runner_t *r = w->runner;
 
-	r->running--;
+	work_leave_runner(w);
 	r->is_suspect = true;
 	work_settle(agent, w, is_sent ? BH_MAYBE_RUN : BH_NOT_RUN,
 		    BH_REASON_RUNNER_LOST);
--- a/core/agent.h
+++ b/core/agent.h
@@ -50,6 +50,8 @@
 
 /**
  * struct bh_runner_info - what a runner announces to its agent
+ * @agent: incarnation of the agent that answered its last announcement
+ * @orphans: runs begun by other incarnations; they still hold slots
  */
 typedef struct bh_runner_info {
 	const char *service;
@@ -58,6 +60,8 @@
 	uint64_t seq;
 	uint32_t slots;
 	uint32_t connections;
+	uint64_t agent;
+	uint32_t orphans;
 	bool draining;
 } bh_runner_info_t;
 
--- a/core/reason.c
+++ b/core/reason.c
@@ -57,6 +57,10 @@
 				  "the idempotency key belongs to a request "
 				  "with another body",
 				  422},
+	[BH_REASON_ANSWER_UNKEPT] = {"answer-unkept",
+				     "it ran before with this idempotency key; "
+				     "its answer was too large to keep",
+				     409},
 };
 
 const char *bh_reason_name(bh_reason_t reason)
--- a/core/reason.h
+++ b/core/reason.h
@@ -26,6 +26,7 @@
 	BH_REASON_KEY_IN_USE,
 	BH_REASON_KEY_UNKNOWN,
 	BH_REASON_KEY_REUSED,
+	BH_REASON_ANSWER_UNKEPT,
 	BH_REASON_COUNT,
 } bh_reason_t;
 
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -83,13 +83,16 @@
 {
 	bh_agent_role_t *role = ctx;
 	runner_call_t *call = g_new0(runner_call_t, 1);
+	g_autofree char *agent = g_strdup_printf("%" G_GUINT64_FORMAT,
+						 role->rt->incarnation);
 	g_autofree char *id =
 		g_strdup_printf("%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
 				bh_work_entry(work), bh_work_seq(work));
 	bh_http_call_t http = {
 		.method = EVHTTP_REQ_POST,
 		.path = "/run",
-		.headers = {{"Boragehold-Request-Id", id}},
+		.headers = {{"Boragehold-Request-Id", id},
+			    {"Boragehold-Agent", agent}},
 		.body = bh_work_body(work),
 		.timeout_us =
 			role->rt->settings->http_timeout_ms * BH_USEC_PER_MS,
@@ -138,6 +141,10 @@
 		o, "slots", 0);
 	info->connections = (uint32_t)json_object_get_int_member_with_default(
 		o, "connections", 0);
+	info->agent = (uint64_t)json_object_get_int_member_with_default(
+		o, "agent", 0);
+	info->orphans = (uint32_t)json_object_get_int_member_with_default(
+		o, "orphans", 0);
 	info->draining = json_object_get_boolean_member_with_default(
 		o, "draining", FALSE);
 	if (*info->service == 0 || strlen(info->service) > 63)
@@ -173,9 +180,13 @@
 		bh_http_reply_error(req, 400, wrong);
 	} else if (bh_agent_runner_announce(role->core, &info,
 					    bh_runtime_now())) {
+		JsonObject *o = json_object_new();
+
 		if (info.draining)
 			announce(role);
-		bh_http_reply_json(req, 200, json_object_new());
+		json_object_set_int_member(o, "agent",
+					   (gint64)role->rt->incarnation);
+		bh_http_reply_json(req, 200, o);
 	} else {
 		bh_http_reply_error(req, 409, "the announcement is stale");
 	}
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -1,6 +1,7 @@
 #include "daemon/entry.h"
 #include "core/entry.h"
 #include "daemon/conn.h"
+#include "daemon/keys.h"
 #include "daemon/metrics.h"
 #include "daemon/records.h"
 #include "daemon/udp.h"
@@ -22,6 +23,7 @@
 	bh_udp_t *udp;
 	bh_table_t *table;
 	bh_records_t *records;
+	bh_keys_t *keys;
 	struct event *tick;
 	struct event *poll;
 	struct event *registration;
@@ -192,11 +194,49 @@
 		bh_conn_set_user(peer->user, peer);
 }
 
+static void op_claim(void *ctx, bh_request_t *request)
+{
+	bh_entry_role_t *role = ctx;
+	bh_claims_t *claims = bh_keys_claims(role->keys);
+	bh_usec_t now = bh_runtime_now();
+
+	bh_claims_claim(claims, request, now);
+	bh_claims_tick(claims, now);
+}
+
+static void op_settle(void *ctx, bh_request_t *request, const bh_result_t *res)
+{
+	bh_entry_role_t *role = ctx;
+
+	bh_claims_settle(bh_keys_claims(role->keys), request, res);
+}
+
 static const bh_entry_ops_t core_ops = {
 	.send = op_send,
 	.dial = op_dial,
 	.hangup = op_hangup,
 	.respond = op_respond,
+	.claim = op_claim,
+	.settle = op_settle,
+};
+
+static void on_claimed(void *ctx, bh_request_t *request, const bh_result_t *res)
+{
+	bh_entry_role_t *role = ctx;
+
+	bh_entry_claimed(role->core, request, res, bh_runtime_now());
+}
+
+static void on_settled(void *ctx, bh_request_t *request)
+{
+	bh_entry_role_t *role = ctx;
+
+	bh_entry_settled(role->core, request);
+}
+
+static const bh_keys_ops_t keys_ops = {
+	.claimed = on_claimed,
+	.settled = on_settled,
 };
 
 static const char *header(struct evhttp_request *req, const char *name)
@@ -266,6 +306,7 @@
 	GString *out = g_string_new(NULL);
 
 	bh_metrics_entry(out, role->core);
+	bh_metrics_claims(out, bh_keys_claims(role->keys));
 	bh_metrics_value(out, "boragehold_table_writes_total", NULL,
 			 (double)bh_table_writes(role->table));
 	bh_metrics_value(out, "boragehold_table_reads_total", NULL,
@@ -418,6 +459,7 @@
 	(void)fd;
 	(void)what;
 	bh_entry_tick(role->core, bh_runtime_now());
+	bh_claims_tick(bh_keys_claims(role->keys), bh_runtime_now());
 }
 
 static void on_entries(void *user, const bh_table_reply_t *reply)
@@ -536,7 +578,8 @@
 	if (spent < s->drain_grace_ms * BH_USEC_PER_MS)
 		return;
 	bh_entry_drain(role->core);
-	if (bh_entry_in_flight(role->core) == 0 ||
+	if ((bh_entry_in_flight(role->core) == 0 &&
+	     bh_claims_pending(bh_keys_claims(role->keys)) == 0) ||
 	    spent >= s->drain_limit_ms * BH_USEC_PER_MS) {
 		struct timeval flush = {0, 50000};
 
@@ -608,6 +651,7 @@
 	role->rt = rt;
 	role->core = core_new(role);
 	role->table = bh_table_new(rt->base, rt->settings->table);
+	role->keys = bh_keys_new(rt, role->table, &keys_ops, role);
 	role->records = bh_records_new(rt, role->table, &records_ops, role);
 	role->other_entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -675,6 +719,7 @@
 	bh_udp_close(role->udp);
 	bh_records_free(role->records);
 	bh_table_free(role->table);
+	bh_keys_free(role->keys);
 	bh_entry_free(role->core);
 	g_hash_table_destroy(role->other_entries);
 	g_free(role->token);
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -10,6 +10,11 @@
 		"boragehold_entry_" #f "_total",                               \
 			offsetof(bh_entry_counters_t, f)                       \
 	}
+#define CLAIMS(f)                                                              \
+	{                                                                      \
+		"boragehold_keys_" #f "_total",                                \
+			offsetof(bh_claims_counters_t, f)                      \
+	}
 #define AGENT(f)                                                               \
 	{                                                                      \
 		"boragehold_agent_" #f "_total",                               \
@@ -33,6 +38,11 @@
 	ENTRY(late_answers), ENTRY(corrupt_answers), ENTRY(pauses),
 };
 
+static const bh_counter_row_t claims_rows[] = {
+	CLAIMS(claims),	   CLAIMS(commits), CLAIMS(commit_rows),
+	CLAIMS(conflicts), CLAIMS(unclear), CLAIMS(replayed),
+};
+
 static const bh_counter_row_t agent_rows[] = {
 	AGENT(admitted),	  AGENT(queued),     AGENT(displaced),
 	AGENT(expired),		  AGENT(duplicates), AGENT(tombstones),
@@ -151,6 +161,14 @@
 		add_tenant(out, value);
 }
 
+void bh_metrics_claims(GString *out, const bh_claims_t *claims)
+{
+	add_counters(out, claims_rows, G_N_ELEMENTS(claims_rows),
+		     bh_claims_counters(claims));
+	bh_metrics_value(out, "boragehold_keys_pending", NULL,
+			 (double)bh_claims_pending(claims));
+}
+
 void bh_metrics_agent(GString *out, const bh_agent_t *agent)
 {
 	const bh_agent_counters_t *c = bh_agent_counters(agent);
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -6,10 +6,12 @@
 
 #include "core/agent.h"
 #include "core/cell.h"
+#include "core/claims.h"
 #include "core/entry.h"
 #include "core/taskhost.h"
 
 void bh_metrics_entry(GString *out, bh_entry_t *entry);
+void bh_metrics_claims(GString *out, const bh_claims_t *claims);
 void bh_metrics_agent(GString *out, const bh_agent_t *agent);
 void bh_metrics_taskhost(GString *out, const bh_taskhost_t *host);
 void bh_metrics_cell(GString *out, const bh_cell_t *cell);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -84,8 +84,9 @@
 	    "term of a cell's leader without renewal"),
 	INT(journal_ms, "ms", "200", 10, 10000,
 	    "interval of the leader's journal commits"),
-	INT(key_commit_ms, "ms", "5", 1, 1000,
-	    "time that idempotency keys wait for others to share a commit"),
+	INT(key_commit_ms, "ms", "20", 1, 1000,
+	    "least time between commits of idempotency keys; those that come "
+	    "meanwhile share the next"),
 	INT(tenant_max_in_flight, "requests", "1024", 1, 1000000,
 	    "default limit of a tenant's requests without an answer, per "
 	    "entry"),
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -20,6 +20,8 @@
 	GRand *rand;
 	int64_t incarnation;
 	int64_t seq;
+	int64_t agent_incarnation;
+	GList *open_runs;
 	int slots;
 	int connections;
 	int service_us;
@@ -35,6 +37,7 @@
 	runner_t *runner;
 	struct evhttp_request *req;
 	GBytes *body;
+	int64_t agent;
 } run_t;
 
 static void log_line(runner_t *r, const char *what, const char *id,
@@ -61,6 +64,7 @@
 	evhttp_send_reply(run->req, 200, "OK", buf);
 	evbuffer_free(buf);
 	run->runner->running--;
+	run->runner->open_runs = g_list_remove(run->runner->open_runs, run);
 	if (run->body)
 		g_bytes_unref(run->body);
 	g_free(run);
@@ -87,14 +91,17 @@
 	runner_t *r = ctx;
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	size_t len = evbuffer_get_length(in);
-	const char *id = evhttp_find_header(
-		evhttp_request_get_input_headers(req), "Boragehold-Request-Id");
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *id = evhttp_find_header(headers, "Boragehold-Request-Id");
+	const char *agent = evhttp_find_header(headers, "Boragehold-Agent");
 	run_t *run = g_new0(run_t, 1);
 	int64_t us = draw_service_us(r);
 	struct timeval delay = {us / 1000000, us % 1000000};
 
 	run->runner = r;
 	run->req = req;
+	run->agent = agent ? g_ascii_strtoll(agent, NULL, 10) : 0;
+	r->open_runs = g_list_prepend(r->open_runs, run);
 	run->body = g_bytes_new(evbuffer_pullup(in, -1), len);
 	r->runs++;
 	r->running++;
@@ -127,19 +134,50 @@
 	standin_reply(req, 200, o);
 }
 
+static int count_orphans(const runner_t *r)
+{
+	int n = 0;
+
+	for (GList *l = r->open_runs; l; l = l->next)
+		n += ((run_t *)l->data)->agent != r->agent_incarnation;
+	return n;
+}
+
+static void announce(runner_t *r);
+
+/* A new agent must know at once which slots are taken by runs of the old. */
 static void on_announced(void *user, const bh_http_reply_t *reply)
 {
-	(void)user;
-	(void)reply;
+	runner_t *r = user;
+	JsonNode *node = NULL;
+	int64_t agent = 0;
+
+	if (reply->status == 200 && reply->body) {
+		g_autofree char *text =
+			g_strndup(g_bytes_get_data(reply->body, NULL),
+				  g_bytes_get_size(reply->body));
+
+		node = json_from_string(text, NULL);
+	}
+	if (node && JSON_NODE_HOLDS_OBJECT(node))
+		agent = json_object_get_int_member_with_default(
+			json_node_get_object(node), "agent", 0);
+	g_clear_pointer(&node, json_node_unref);
+	if (agent == 0 || agent == r->agent_incarnation)
+		return;
+	r->agent_incarnation = agent;
+	announce(r);
 }
 
 static void announce(runner_t *r)
 {
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"incarnation\":%lld,"
-		"\"seq\":%lld,\"slots\":%d,\"connections\":%d,\"draining\":%s}",
+		"\"seq\":%lld,\"slots\":%d,\"connections\":%d,\"agent\":%lld,"
+		"\"orphans\":%d,\"draining\":%s}",
 		r->service, r->address, (long long)r->incarnation,
 		(long long)++r->seq, r->slots, r->connections,
+		(long long)r->agent_incarnation, count_orphans(r),
 		r->is_draining ? "true" : "false");
 	GBytes *body = g_bytes_new_take(text, strlen(text));
 	bh_http_call_t call = {
@@ -149,7 +187,7 @@
 		.timeout_us = 1000000,
 	};
 
-	bh_http_send(r->agent, &call, on_announced, NULL);
+	bh_http_send(r->agent, &call, on_announced, r);
 	g_bytes_unref(body);
 }
 
