Routing: cheapest endpoint of the zone, queues weighed, foreign load smoothed

A killed runner left 5102 of 79492 requests unanswered: its agent's refusals counted as success and used up the retry budget. They now mark it as gone.

--- a/cli/load.c
+++ b/cli/load.c
@@ -8,7 +8,6 @@
 
 #define EXIT_USAGE	 2
 #define ANSWER_MAX_BYTES (2u << 20)
-#define PACE_US		 500
 #define BALANCER_TRIES	 3
 
 typedef struct load load_t;
@@ -100,7 +99,8 @@
 {
 	load_t *l = r->load;
 	bh_verdict_t verdict = parse_verdict(reply);
-	bool is_good = verdict == BH_RAN && reply->status == 200;
+	bool is_good = reply->status == 200 &&
+		       (verdict == BH_RAN || l->opt.path);
 
 	count_status(l, reply->status);
 	if (reply->status == 0)
@@ -130,8 +130,7 @@
 	record_outcome(r, reply, now_us() - r->due);
 	g_free(r->body);
 	g_free(r);
-	if (++l->answered == l->opt.count)
-		event_base_loopbreak(l->cli->base);
+	l->answered++;
 }
 
 static void send_request(load_request_t *r)
@@ -184,13 +183,6 @@
 	}
 }
 
-static void on_pace(evutil_socket_t fd, short what, void *arg)
-{
-	(void)fd;
-	(void)what;
-	send_due(arg);
-}
-
 static double ms(bh_usec_t us)
 {
 	return (double)us / 1000;
@@ -352,16 +344,15 @@
 
 static void run(load_t *l)
 {
-	struct timeval pace = {0, PACE_US};
-	struct event *timer =
-		event_new(l->cli->base, -1, EV_PERSIST, on_pace, l);
 	double seconds;
 
 	l->started = now_us();
 	l->next_at = l->started;
-	event_add(timer, &pace);
-	event_base_dispatch(l->cli->base);
-	event_free(timer);
+	/* Spin: a timer's slack would show as latency. */
+	while (l->answered < l->opt.count) {
+		send_due(l);
+		event_base_loop(l->cli->base, EVLOOP_NONBLOCK);
+	}
 	seconds = (double)(now_us() - l->started) / 1e6;
 	if (l->cli->json)
 		print_json(l, seconds);
--- a/core/agent.c
+++ b/core/agent.c
@@ -56,6 +56,7 @@
  * struct bh_client - an entry's life
  * @generation: of its newest connection
  * @floor: every id below is settled and forgotten
+ * @in_flight: its works that are queued or running
  */
 struct bh_client {
 	TAILQ_ENTRY(bh_client) link;
@@ -64,6 +65,7 @@
 	uint64_t generation;
 	uint64_t floor;
 	bh_usec_t heard_at;
+	uint32_t in_flight;
 	GHashTable *works;
 	bh_work_list_t list;
 };
@@ -155,6 +157,8 @@
 {
 	TAILQ_REMOVE(&w->client->list, w, in_client);
 	g_hash_table_remove(w->client->works, &w->seq);
+	if (w->state < BH_WORK_DONE)
+		w->client->in_flight--;
 	w->client = NULL;
 	if (w->state == BH_WORK_RUNNING)
 		return;
@@ -195,14 +199,18 @@
 	if (!w->client || !w->client->conn)
 		return;
 	memset(&w->answer.load, 0, sizeof(w->answer.load));
-	if (w->runner)
+	if (w->runner) {
 		runner_load(agent, w->runner, &w->answer.load);
+		w->answer.load.yours = w->client->in_flight;
+	}
 	agent->ops->send(agent->ctx, w->client->conn, &w->answer);
 }
 
 static void work_settle(bh_agent_t *agent, bh_work_t *w, bh_verdict_t verdict,
 			bh_reason_t reason)
 {
+	if (w->client)
+		w->client->in_flight--;
 	w->state = BH_WORK_DONE;
 	if (w->body)
 		g_bytes_unref(w->body);
@@ -236,6 +244,7 @@
 	else
 		TAILQ_INSERT_HEAD(&c->list, w, in_client);
 	g_hash_table_insert(c->works, &w->seq, w);
+	c->in_flight++;
 	return w;
 }
 
@@ -435,6 +444,8 @@
 	};
 
 	bh_agent_announcement(agent, &pong);
+	for (size_t i = 0; i < pong.n_endpoints; i++)
+		pong.endpoints[i].load.yours = c->in_flight;
 	agent->ops->send(agent->ctx, c->conn, &pong);
 	bh_msg_clear(&pong);
 }
--- a/core/agent.h
+++ b/core/agent.h
@@ -113,6 +113,8 @@
 
 /**
  * bh_agent_announcement() - fill the endpoints of an announcement
+ *
+ * It goes to all entries alike, so it does not say what is whose.
  */
 void bh_agent_announcement(const bh_agent_t *agent, bh_msg_t *msg);
 const bh_agent_counters_t *bh_agent_counters(const bh_agent_t *agent);
--- a/core/entry.c
+++ b/core/entry.c
@@ -310,6 +310,14 @@
 	finish(e, r, &res, now);
 }
 
+/* It takes nothing until its agent says otherwise. */
+static bool is_endpoint_gone(bh_reason_t reason)
+{
+	return reason == BH_REASON_DRAINING ||
+	       reason == BH_REASON_RUNNER_LOST ||
+	       reason == BH_REASON_NO_ENDPOINT;
+}
+
 static void on_answer(bh_entry_t *e, bh_peer_t *peer, const bh_msg_t *msg,
 		      bh_usec_t now)
 {
@@ -321,14 +329,17 @@
 		return;
 	}
 	if (msg->load.slots)
-		bh_endpoint_report(a->endpoint, &msg->load, now);
-	if (msg->reason == BH_REASON_DRAINING)
+		bh_endpoint_report(a->endpoint, &msg->load, true, now);
+	if (is_endpoint_gone(msg->reason))
 		a->endpoint->report.draining = true;
 	if (msg->verdict == BH_RAN) {
 		attempt_answered(e, a, msg, now);
 		return;
 	}
-	bh_route_result(a->endpoint, msg->verdict == BH_NOT_RUN, now);
+	bh_route_result(a->endpoint,
+			msg->verdict == BH_NOT_RUN &&
+				!is_endpoint_gone(msg->reason),
+			now);
 	attempt_failed(e, a, msg->verdict, msg->reason, now);
 }
 
@@ -346,7 +357,7 @@
 			if (strcmp(msg->endpoints[i].service,
 				   ep->service->name) == 0)
 				bh_endpoint_report(ep, &msg->endpoints[i].load,
-						   now);
+						   true, now);
 		}
 	}
 }
@@ -470,7 +481,9 @@
 	r->hedge_at = BH_NEVER;
 	arm_timer(e, r);
 	ep = bh_route_pick(e->route, service, r->last_endpoint, now);
-	if (!ep || ep == r->last_endpoint || !may_try_again(e, r, now))
+	/* A hedge that takes a slot from others makes their tail longer. */
+	if (!ep || ep == r->last_endpoint || !bh_endpoint_has_free_slot(ep) ||
+	    !may_try_again(e, r, now))
 		return;
 	e->counters.hedges++;
 	attempt_start(e, r, ep, now);
--- a/core/msg.h
+++ b/core/msg.h
@@ -31,6 +31,7 @@
  * @running: slots in use
  * @queued: requests waiting for a slot
  * @service_us: smoothed time a request holds a slot, microseconds
+ * @yours: of @running and @queued, those of the entry that is told
  * @draining: takes no new work
  */
 typedef struct bh_load {
@@ -38,6 +39,7 @@
 	uint32_t running;
 	uint32_t queued;
 	uint32_t service_us;
+	uint32_t yours;
 	bool draining;
 } bh_load_t;
 
--- a/core/peer.c
+++ b/core/peer.c
@@ -1,6 +1,7 @@
 #include "core/peer.h"
 
-#define SERVICE_SMOOTHING 0.2
+#define SERVICE_SMOOTHING 0.05
+#define FOREIGN_SMOOTHING 0.001
 
 struct bh_peers {
 	char *zone;
@@ -112,7 +113,7 @@
 		ep = endpoint_find(peer, info->service);
 		if (!ep)
 			ep = endpoint_add(peers, peer, info->service, now);
-		bh_endpoint_report(ep, &info->load, now);
+		bh_endpoint_report(ep, &info->load, false, now);
 	}
 }
 
@@ -217,13 +218,19 @@
 	peer_free(peer);
 }
 
-void bh_endpoint_report(bh_endpoint_t *ep, const bh_load_t *load, bh_usec_t now)
+void bh_endpoint_report(bh_endpoint_t *ep, const bh_load_t *load, bool is_ours,
+			bh_usec_t now)
 {
 	uint32_t in_flight = load->running + load->queued;
 
 	ep->report = *load;
-	ep->foreign =
-		in_flight > ep->outstanding ? in_flight - ep->outstanding : 0;
+	if (is_ours && in_flight >= load->yours) {
+		double theirs = in_flight - load->yours;
+
+		/* A queue as it was seconds ago says nothing about now. */
+		theirs = MIN(theirs, load->slots);
+		ep->foreign += FOREIGN_SMOOTHING * (theirs - ep->foreign);
+	}
 	if (load->service_us && ep->observed_at == ep->joined_at) {
 		ep->service_us = load->service_us;
 		ep->observed_at = now;
@@ -236,6 +243,11 @@
 	ep->observed_at = now;
 }
 
+bool bh_endpoint_has_free_slot(const bh_endpoint_t *ep)
+{
+	return ep->outstanding + ep->foreign < ep->report.slots;
+}
+
 bool bh_endpoint_is_usable(const bh_endpoint_t *ep, bh_usec_t now)
 {
 	return ep->peer->link_state == BH_LINK_UP && !ep->report.draining &&
--- a/core/peer.h
+++ b/core/peer.h
@@ -31,7 +31,8 @@
 
 /**
  * struct bh_endpoint - one back end: a service's runner beside an agent
- * @foreign: requests of other entries that the last report implies
+ * @foreign: smoothed count of other entries' requests there; reports lag, so
+ *	it stands for their usual share and not for this moment
  * @outstanding: our own requests without an answer
  * @service_us: smoothed slot time, our own observation or the report
  * @attempts: our unanswered attempts, the oldest first
@@ -43,7 +44,7 @@
 	bh_peer_t *peer;
 	bh_service_t *service;
 	bh_load_t report;
-	uint32_t foreign;
+	double foreign;
 	uint32_t outstanding;
 	double service_us;
 	bh_usec_t observed_at;
@@ -135,8 +136,9 @@
 
 /**
  * bh_endpoint_report() - take in a load report
+ * @is_ours: whether it says how many of the requests are ours
  */
-void bh_endpoint_report(bh_endpoint_t *ep, const bh_load_t *load,
+void bh_endpoint_report(bh_endpoint_t *ep, const bh_load_t *load, bool is_ours,
 			bh_usec_t now);
 
 /**
@@ -144,6 +146,10 @@
  */
 void bh_endpoint_observe(bh_endpoint_t *ep, uint32_t run_us, bh_usec_t now);
 
+/**
+ * bh_endpoint_has_free_slot() - whether a request would probably not wait
+ */
+bool bh_endpoint_has_free_slot(const bh_endpoint_t *ep);
 bool bh_endpoint_is_usable(const bh_endpoint_t *ep, bh_usec_t now);
 
 #endif
--- a/core/route.c
+++ b/core/route.c
@@ -3,7 +3,9 @@
 
 #include <math.h>
 
-#define RAMP_TRIES 3
+#define OVERDUE_FACTOR 5
+/* One more in a queue also delays those that come after it. */
+#define QUEUE_WEIGHT 2
 
 static bool is_candidate(const bh_endpoint_t *ep, const bh_endpoint_t *avoid,
 			 bh_usec_t now)
@@ -51,10 +53,12 @@
 	double slots = MAX(ep->report.slots, 1);
 	double ahead = (double)ep->outstanding + ep->foreign + 1 - slots;
 	double wait_us = ahead > 0 ? ahead * service_us / slots : 0;
-	double expected = wait_us + service_us;
+	double expected =
+		ep->peer->rtt_us + QUEUE_WEIGHT * wait_us + service_us;
+	double oldest = oldest_age_us(ep, now);
 
-	/* An attempt still unanswered tells more than any smoothed figure. */
-	return ep->peer->rtt_us + MAX(expected, oldest_age_us(ep, now));
+	/* An attempt overdue by far tells more than any smoothed figure. */
+	return oldest > OVERDUE_FACTOR * expected ? oldest : expected;
 }
 
 /* A newcomer's chance grows linearly over its ramp. */
@@ -69,28 +73,35 @@
 	       0.1 + 0.9 * (double)age / BH_ENDPOINT_RAMP_US;
 }
 
-static bh_endpoint_t *draw(bh_route_t *route, bh_service_t *service,
-			   bool is_local, const bh_endpoint_t *avoid,
-			   bh_usec_t now)
+static bh_endpoint_t *cheapest(bh_route_t *route, bh_service_t *service,
+			       bool is_local, const bh_endpoint_t *avoid,
+			       bh_usec_t now)
 {
+	bh_endpoint_t *best = NULL;
+	bh_endpoint_t *ramping = NULL;
+	double best_us = 0;
 	guint n = service->by_index->len;
 	guint start = (guint)g_rand_int_range(route->rand, 0, (gint32)n);
-	bh_endpoint_t *fallback = NULL;
-	int tries = 0;
 
-	for (guint i = 0; i < n && tries < RAMP_TRIES; i++) {
+	for (guint i = 0; i < n; i++) {
 		bh_endpoint_t *ep =
 			g_ptr_array_index(service->by_index, (start + i) % n);
+		double cost_us;
 
 		if (ep->peer->is_local_zone != is_local ||
 		    !is_candidate(ep, avoid, now))
 			continue;
-		if (passes_ramp(route, ep, now))
-			return ep;
-		fallback = ep;
-		tries++;
+		if (!passes_ramp(route, ep, now)) {
+			ramping = ep;
+			continue;
+		}
+		cost_us = bh_route_expected_us(ep, now);
+		if (!best || cost_us < best_us) {
+			best = ep;
+			best_us = cost_us;
+		}
 	}
-	return fallback;
+	return best ? best : ramping;
 }
 
 static bh_endpoint_t *better(bh_endpoint_t *a, bh_endpoint_t *b, bh_usec_t now)
@@ -101,33 +112,19 @@
 									   : a;
 }
 
-static bh_endpoint_t *best_of_two(bh_route_t *route, bh_service_t *service,
-				  bool is_local, const bh_endpoint_t *avoid,
-				  bh_usec_t now)
-{
-	bh_endpoint_t *a = draw(route, service, is_local, avoid, now);
-	bh_endpoint_t *b;
-
-	if (!a)
-		return NULL;
-	b = draw(route, service, is_local, avoid, now);
-	return better(a, b, now);
-}
-
 static bh_endpoint_t *pick_expected_wait(bh_route_t *route,
 					 bh_service_t *service,
 					 const bh_endpoint_t *avoid,
 					 bh_usec_t now)
 {
-	bh_endpoint_t *local = best_of_two(route, service, true, avoid, now);
+	bh_endpoint_t *local = cheapest(route, service, true, avoid, now);
 	bh_endpoint_t *remote;
 
 	/* Stay in the zone while nobody waits there. */
-	if (local &&
-	    local->outstanding + local->foreign < local->report.slots &&
+	if (local && bh_endpoint_has_free_slot(local) &&
 	    oldest_age_us(local, now) <= 2 * local->service_us)
 		return local;
-	remote = best_of_two(route, service, false, avoid, now);
+	remote = cheapest(route, service, false, avoid, now);
 	return better(local, remote, now);
 }
 
--- a/standins/common.c
+++ b/standins/common.c
@@ -38,6 +38,17 @@
 	evhttp_send_error(req, HTTP_NOTFOUND, NULL);
 }
 
+struct event_base *standin_precise_base(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 int64_t standin_now_us(void)
 {
 	struct timespec ts;
--- a/standins/common.h
+++ b/standins/common.h
@@ -20,6 +20,10 @@
 	standin_handler_t handler;
 } standin_route_t;
 
+/**
+ * standin_precise_base() - an event loop with timers finer than 1 ms
+ */
+struct event_base *standin_precise_base(void);
 int64_t standin_now_us(void);
 int64_t standin_unix_ms(void);
 
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -268,7 +268,7 @@
 		return 2;
 	signal(SIGPIPE, SIG_IGN);
 	r.is_exponential = exponential;
-	r.base = event_base_new();
+	r.base = standin_precise_base();
 	r.rand = g_rand_new_with_seed((guint32)r.incarnation);
 	r.log = log_path ? fopen(log_path, "a") : NULL;
 	r.agent = bh_http_pool_new(r.base, agent, 4096);
--- a/tests/world.c
+++ b/tests/world.c
@@ -1,7 +1,9 @@
 #include "tests/world.h"
 
+#include <math.h>
 #include <stdlib.h>
 
+#define LOADS_KEPT	 2048
 #define TICK_US		 (2 * BH_USEC_PER_MS)
 #define ANNOUNCE_US	 (1000 * BH_USEC_PER_MS)
 #define RUNNER_US	 (500 * BH_USEC_PER_MS)
@@ -65,6 +67,7 @@
 	EVENT_STORE_REPLY,
 	EVENT_STORE_READ,
 	EVENT_STORE_READ_REPLY,
+	EVENT_ARRIVAL,
 } event_kind_t;
 
 /* An established connection of one generation. */
@@ -141,6 +144,7 @@
 	bool is_alive;
 	bool is_draining;
 	bh_usec_t frozen_until;
+	bh_load_t loads[LOADS_KEPT]; /* sampled each tick */
 } world_agent_t;
 
 typedef struct world_runner {
@@ -161,8 +165,8 @@
 	uint64_t next_life;
 	GSequence *events;
 	world_entry_t entries[WORLD_ENTRIES];
-	world_agent_t agents[WORLD_AGENTS];
-	world_runner_t runners[WORLD_AGENTS];
+	world_agent_t agents[WORLD_AGENTS_MAX];
+	world_runner_t runners[WORLD_AGENTS_MAX];
 	GPtrArray *conns;
 	GPtrArray *calls;
 	GHashTable *rows; /* the table service: key to bh_claim_row_t */
@@ -178,6 +182,11 @@
 	world_fault_t store_fault;
 	bh_usec_t store_fault_until;
 	int slots_exceeded;
+	double load_rate;
+	bh_usec_t load_budget;
+	uint64_t load_life;
+	void (*on_answer)(void *ctx, const world_call_t *call);
+	void *on_answer_ctx;
 };
 
 static const bh_entry_ops_t entry_ops;
@@ -293,9 +302,16 @@
 	return NULL;
 }
 
-static bh_usec_t transit_us(world_t *w)
+static char *zone_name(const world_t *w, int index)
 {
-	bh_usec_t us = WORLD_DELAY_US;
+	return g_strdup_printf("zone-%d", index % w->config.n_zones);
+}
+
+static bh_usec_t transit_us(world_t *w, int entry, int agent)
+{
+	bool is_local = entry % w->config.n_zones == agent % w->config.n_zones;
+	bh_usec_t us =
+		is_local ? w->config.local_delay_us : w->config.remote_delay_us;
 
 	if (w->now < w->delay_until)
 		us += EXTRA_DELAY_US;
@@ -305,9 +321,9 @@
 }
 
 /* Frames of a connection keep their order, unless reordering is injected. */
-static bh_usec_t arrival(world_t *w, bh_usec_t *last)
+static bh_usec_t arrival(world_t *w, const world_conn_t *c, bh_usec_t *last)
 {
-	bh_usec_t at = w->now + transit_us(w);
+	bh_usec_t at = w->now + transit_us(w, c->entry, c->agent);
 
 	if (w->now >= w->reorder_until)
 		at = MAX(at, *last);
@@ -315,6 +331,41 @@
 	return at;
 }
 
+static void sample_load(world_t *w, world_agent_t *a)
+{
+	bh_load_t *slot = &a->loads[w->now / TICK_US % LOADS_KEPT];
+	bh_msg_t msg = {0};
+
+	bh_agent_announcement(a->core, &msg);
+	if (msg.n_endpoints)
+		*slot = msg.endpoints[0].load;
+	bh_msg_clear(&msg);
+}
+
+/* Figures lag; that a runner is gone or draining is known at once. */
+static void replace_load(bh_load_t *load, const bh_load_t *old)
+{
+	bool draining = load->draining;
+
+	*load = *old;
+	load->draining = draining;
+}
+
+/* What an entry is told of the load is older by the lag. */
+static void make_stale(const world_t *w, int agent, bh_msg_t *msg)
+{
+	bh_usec_t at = MAX(w->now - w->config.report_lag_us, 0);
+	const bh_load_t *old =
+		&w->agents[agent].loads[at / TICK_US % LOADS_KEPT];
+
+	if (!w->config.report_lag_us || !old->slots)
+		return;
+	if (msg->load.slots)
+		replace_load(&msg->load, old);
+	for (size_t i = 0; i < msg->n_endpoints; i++)
+		replace_load(&msg->endpoints[i].load, old);
+}
+
 static void deliver(world_t *w, world_conn_t *c, event_kind_t kind,
 		    const bh_msg_t *msg)
 {
@@ -322,8 +373,9 @@
 
 	for (int i = 0; i < copies; i++) {
 		bh_usec_t at =
-			arrival(w, kind == EVENT_TO_AGENT ? &c->last_to_agent
-							  : &c->last_to_entry);
+			arrival(w, c,
+				kind == EVENT_TO_AGENT ? &c->last_to_agent
+						       : &c->last_to_entry);
 		event_t *ev;
 
 		if (kind == EVENT_TO_AGENT && c->is_stalled_to_agent)
@@ -331,6 +383,8 @@
 		ev = post(w, kind, at);
 		ev->conn = c;
 		bh_msg_copy(&ev->msg, msg);
+		if (kind == EVENT_TO_ENTRY)
+			make_stale(w, c->agent, &ev->msg);
 	}
 }
 
@@ -424,7 +478,10 @@
 	call->has_own_answer = is_answer_to(call, res->body);
 	trace(w, "entry-%d answers %d verdict=%s reason=%s", e->index, call->id,
 	      bh_verdict_name(res->verdict), bh_reason_name(res->reason));
-	strike_if_due(w, STEP_ENTRY_ANSWERS, e->index, call->id % WORLD_AGENTS);
+	if (w->on_answer)
+		w->on_answer(w->on_answer_ctx, call);
+	strike_if_due(w, STEP_ENTRY_ANSWERS, e->index,
+		      call->id % w->config.n_agents);
 }
 
 static void op_claim(void *ctx, bh_request_t *request)
@@ -680,6 +737,15 @@
 	return g_ptr_array_index(w->calls, (guint)id);
 }
 
+static bh_usec_t draw_service_us(world_t *w, const world_runner_t *r)
+{
+	double us = (double)r->service_us;
+
+	if (w->config.is_exponential)
+		us *= -log(1 - g_rand_double(w->rand));
+	return (bh_usec_t)us;
+}
+
 static void runner_call(world_t *w, run_t *run)
 {
 	world_runner_t *r = &w->runners[run->runner];
@@ -692,10 +758,10 @@
 	call->runs++;
 	run->runner_life = r->life;
 	g_ptr_array_add(r->runs, run);
-	if (r->runs->len > WORLD_SLOTS)
+	if (r->runs->len > w->config.slots)
 		w->slots_exceeded++;
 	trace(w, "runner-%d runs %d", run->runner, call->id);
-	post(w, EVENT_RUN_DONE, w->now + r->service_us)->run = run;
+	post(w, EVENT_RUN_DONE, w->now + draw_service_us(w, r))->run = run;
 	strike_if_due(w, STEP_RUNNER_CALLED, call->entry, run->agent);
 }
 
@@ -749,7 +815,7 @@
 		.service = WORLD_SERVICE,
 		.address = "runner",
 		.incarnation = r->life,
-		.slots = WORLD_SLOTS,
+		.slots = w->config.slots,
 		.connections = 64,
 	};
 
@@ -772,7 +838,7 @@
 	if (!a->is_alive)
 		return;
 	msg.name = g_strdup_printf("%c", 'a' + index);
-	msg.zone = g_strdup(index == 0 ? "zone-a" : "zone-b");
+	msg.zone = zone_name(w, index);
 	msg.address = g_strdup("address");
 	msg.incarnation = a->life;
 	msg.seq = ++a->announce_seq;
@@ -782,9 +848,10 @@
 
 		if (w->now < w->drop_announcements_until)
 			continue;
-		ev = post(w, EVENT_ANNOUNCE, w->now + transit_us(w));
+		ev = post(w, EVENT_ANNOUNCE, w->now + transit_us(w, i, index));
 		ev->entry = i;
 		bh_msg_copy(&ev->msg, &msg);
+		make_stale(w, index, &ev->msg);
 	}
 	bh_msg_clear(&msg);
 }
@@ -794,15 +861,16 @@
 static void entry_start(world_t *w, int index)
 {
 	world_entry_t *e = &w->entries[index];
+	g_autofree char *zone = zone_name(w, index);
 	bh_entry_config_t config = {
-		.zone = index == 0 ? "zone-a" : "zone-b",
+		.zone = zone,
 		.policy = w->config.policy ? w->config.policy : "expected-wait",
 		.seed = w->config.seed + (uint32_t)index,
 		.max_attempts = 3,
-		.max_in_flight = 1000,
+		.max_in_flight = 100000,
 		.retry_share = 0.1,
 		.hedge_quantile = w->config.hedge_quantile,
-		.tenant_defaults = {100000, 10000, 1000},
+		.tenant_defaults = {1000000, 100000, 100000},
 	};
 
 	e->world = w;
@@ -970,10 +1038,14 @@
 		bh_entry_tick(e->core, w->now);
 		bh_claims_tick(e->claims, w->now);
 	}
-	for (int i = 0; i < WORLD_AGENTS; i++) {
-		if (w->agents[i].is_alive &&
-		    w->now >= w->agents[i].frozen_until)
-			bh_agent_tick(w->agents[i].core, w->now);
+	for (int i = 0; i < w->config.n_agents; i++) {
+		world_agent_t *a = &w->agents[i];
+
+		if (!a->is_alive || w->now < a->frozen_until)
+			continue;
+		bh_agent_tick(a->core, w->now);
+		if (w->config.report_lag_us)
+			sample_load(w, a);
 	}
 	post(w, EVENT_TICK, w->now + TICK_US);
 }
@@ -1077,6 +1149,16 @@
 	post(w, EVENT_RUNNER_TIMER, w->now + RUNNER_US)->agent = agent;
 }
 
+static void arrive(world_t *w)
+{
+	double gap_us = -log(1 - g_rand_double(w->rand)) / w->load_rate * 1e6;
+	int n = (int)w->calls->len;
+
+	post(w, EVENT_ARRIVAL, w->now + (bh_usec_t)gap_us)->life = w->load_life;
+	world_call(w, n % WORLD_ENTRIES, true, NULL,
+		   (bh_class_t)(n % BH_CLASS_COUNT), w->load_budget);
+}
+
 static void handle(world_t *w, event_t *ev)
 {
 	switch (ev->kind) {
@@ -1141,6 +1223,10 @@
 	case EVENT_STORE_READ_REPLY:
 		store_read_reply(w, ev->store);
 		break;
+	case EVENT_ARRIVAL:
+		if (ev->life == w->load_life)
+			arrive(w);
+		break;
 	}
 }
 
@@ -1178,11 +1264,26 @@
 	event_free(ev);
 }
 
+static void set_defaults(world_config_t *config)
+{
+	if (!config->n_agents)
+		config->n_agents = WORLD_AGENTS;
+	if (!config->n_zones)
+		config->n_zones = 2;
+	if (!config->slots)
+		config->slots = WORLD_SLOTS;
+	if (!config->local_delay_us) {
+		config->local_delay_us = WORLD_DELAY_US;
+		config->remote_delay_us = WORLD_DELAY_US;
+	}
+}
+
 world_t *world_new(const world_config_t *config)
 {
 	world_t *w = g_new0(world_t, 1);
 
 	w->config = *config;
+	set_defaults(&w->config);
 	w->rand = g_rand_new_with_seed(config->seed);
 	w->now = BH_USEC_PER_SEC;
 	w->next_life = 1;
@@ -1191,7 +1292,7 @@
 	w->calls = g_ptr_array_new_with_free_func(call_free);
 	w->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
-	for (int i = 0; i < WORLD_AGENTS; i++) {
+	for (int i = 0; i < w->config.n_agents; i++) {
 		w->runners[i].runs = g_ptr_array_new();
 		runner_start(w, i);
 		agent_start(w, i);
@@ -1215,7 +1316,7 @@
 		bh_entry_free(w->entries[i].core);
 		bh_claims_free(w->entries[i].claims);
 	}
-	for (int i = 0; i < WORLD_AGENTS; i++) {
+	for (int i = 0; i < w->config.n_agents; i++) {
 		bh_agent_free(w->agents[i].core);
 		g_ptr_array_free(w->runners[i].runs, TRUE);
 	}
@@ -1297,7 +1398,8 @@
 	}
 	bh_entry_submit(e->core, &p, w->now);
 	g_bytes_unref(p.body);
-	strike_if_due(w, STEP_ENTRY_ACCEPTS, entry, call->id % WORLD_AGENTS);
+	strike_if_due(w, STEP_ENTRY_ACCEPTS, entry,
+		      call->id % w->config.n_agents);
 	return call;
 }
 
@@ -1392,6 +1494,22 @@
 	w->runners[runner].service_us = service_us;
 }
 
+void world_set_load(world_t *w, double rate, bh_usec_t budget)
+{
+	w->load_rate = rate;
+	w->load_budget = budget;
+	w->load_life++;
+	if (rate > 0)
+		post(w, EVENT_ARRIVAL, w->now)->life = w->load_life;
+}
+
+void world_on_answer(world_t *w, void (*cb)(void *, const world_call_t *),
+		     void *ctx)
+{
+	w->on_answer = cb;
+	w->on_answer_ctx = ctx;
+}
+
 bh_entry_t *world_entry(world_t *w, int entry)
 {
 	return w->entries[entry].core;
--- a/tests/world.h
+++ b/tests/world.h
@@ -12,11 +12,13 @@
 
 #include <stdio.h>
 
-#define WORLD_ENTRIES  2
-#define WORLD_AGENTS   3
-#define WORLD_SERVICE  "roster"
-#define WORLD_SLOTS    4
-#define WORLD_DELAY_US 1000
+#define WORLD_ENTRIES	 2
+#define WORLD_AGENTS	 3
+#define WORLD_AGENTS_MAX 16
+#define WORLD_SERVICE	 "roster"
+#define WORLD_SLOTS	 4
+#define WORLD_DELAY_US	 1000
+#define WORLD_ZONES_MAX	 8
 
 typedef struct world world_t;
 
@@ -90,6 +92,11 @@
  * struct world_config - what to build
  * @service_us: slot time of every runner
  * @trace: where the session is written, or NULL
+ * @n_agents: agents, each with a runner; 0 for WORLD_AGENTS
+ * @n_zones: availability zones, dealt out in turn; 0 for two
+ * @local_delay_us: one way inside a zone; 0 for WORLD_DELAY_US everywhere
+ * @report_lag_us: by this much the loads are older that an entry is told
+ * @is_exponential: slot times are drawn, with service_us as their mean
  */
 typedef struct world_config {
 	uint32_t seed;
@@ -97,6 +104,13 @@
 	const char *policy;
 	double hedge_quantile;
 	FILE *trace;
+	int n_agents;
+	int n_zones;
+	uint32_t slots;
+	bh_usec_t local_delay_us;
+	bh_usec_t remote_delay_us;
+	bh_usec_t report_lag_us;
+	bool is_exponential;
 } world_config_t;
 
 world_t *world_new(const world_config_t *config);
@@ -129,6 +143,20 @@
 void world_drain_entry(world_t *world, int entry);
 void world_set_service_us(world_t *world, int runner, bh_usec_t service_us);
 
+/**
+ * world_set_load() - begin a stream of calls at random times
+ * @rate: calls a second over all entries; 0 ends it
+ * @budget: deadline of each call
+ */
+void world_set_load(world_t *world, double rate, bh_usec_t budget);
+
+/**
+ * world_on_answer() - hear of each answered call
+ */
+void world_on_answer(world_t *world,
+		     void (*cb)(void *ctx, const world_call_t *call),
+		     void *ctx);
+
 bh_entry_t *world_entry(world_t *world, int entry);
 bh_agent_t *world_agent(world_t *world, int agent);
 GPtrArray *world_calls(world_t *world);
--- a/wire/frame.c
+++ b/wire/frame.c
@@ -37,6 +37,7 @@
 	w->queued = l->queued;
 	w->service_us = l->service_us;
 	w->draining = l->draining;
+	w->yours = l->yours;
 }
 
 static void load_from_wire(const Wire__Load *w, bh_load_t *l)
@@ -48,6 +49,7 @@
 	l->queued = w->queued;
 	l->service_us = w->service_us;
 	l->draining = w->draining;
+	l->yours = w->yours;
 }
 
 static void resources_to_wire(const bh_resources_t *r, Wire__Resources *w)
--- a/wire/frame.pb-c.c
+++ b/wire/frame.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &wire__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__load__field_descriptors[6] =
 {
   {
     "slots",
@@ -339,6 +339,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yours",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Load, yours),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__load__field_indices_by_name[] = {
   4,   /* field[4] = draining */
@@ -346,11 +358,12 @@
   1,   /* field[1] = running */
   3,   /* field[3] = service_us */
   0,   /* field[0] = slots */
+  5,   /* field[5] = yours */
 };
 static const ProtobufCIntRange wire__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__load__descriptor =
 {
@@ -360,7 +373,7 @@
   "Wire__Load",
   "wire",
   sizeof(Wire__Load),
-  5,
+  6,
   wire__load__field_descriptors,
   wire__load__field_indices_by_name,
   1,  wire__load__number_ranges,
--- a/wire/frame.pb-c.h
+++ b/wire/frame.pb-c.h
@@ -36,10 +36,11 @@
   uint32_t queued;
   uint32_t service_us;
   protobuf_c_boolean draining;
+  uint32_t yours;
 };
 #define WIRE__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wire__Endpoint
