--- a/cli/load.c
+++ b/cli/load.c
@@ -99,8 +99,8 @@
 {
 	load_t *l = r->load;
 	bh_verdict_t verdict = parse_verdict(reply);
-	bool is_good = reply->status == 200 &&
-		       (verdict == BH_RAN || l->opt.path);
+	bool is_good =
+		reply->status == 200 && (verdict == BH_RAN || l->opt.path);
 
 	count_status(l, reply->status);
 	if (reply->status == 0)
--- a/core/cell.c
+++ b/core/cell.c
@@ -40,6 +40,10 @@
 	bool is_dirty;
 	bool is_in_batch;
 	bool is_reported;
+	bool is_adopted;       /* placed by a former leader */
+	uint64_t ordered_life; /* member's incarnation that the start went to */
+	uint64_t ordered_in;   /* number of the last orders with the start */
+	bh_usec_t ordered_at;
 	bh_outcome_t outcome;
 	const char *reason;
 	uint64_t progress_ms;
@@ -69,13 +73,16 @@
 /**
  * struct bh_member - an agent and its worker
  * @granted_at: when a reply last extended leases there
- * @term_seen: highest term that it reported
+ * @term_seen: highest term whose orders it took in
+ * @orders_sent: orders sent to it in this term; @orders_seen: those taken in
  */
 struct bh_member {
 	char *name;
 	uint64_t incarnation;
 	uint64_t report_seq;
 	uint64_t term_seen;
+	uint64_t orders_sent;
+	uint64_t orders_seen;
 	bh_usec_t heard_at;
 	bh_usec_t granted_at;
 	bh_resources_t capacity;
@@ -179,6 +186,10 @@
 {
 	t->member = m;
 	t->is_reported = false;
+	t->is_adopted = false;
+	t->ordered_life = 0;
+	t->ordered_in = 0;
+	t->ordered_at = 0;
 	bh_resources_add(&m->reserved, &t->job->spec.need);
 	TAILQ_INSERT_TAIL(&m->tasks, t, in_member);
 	m->n_tasks++;
@@ -342,7 +353,7 @@
 		add_order(orders, BH_ORDER_FORGET, info->id, info->epoch);
 }
 
-static void order_start(GArray *orders, const bh_task_t *t)
+static void order_start(GArray *orders, bh_task_t *t, bh_usec_t now)
 {
 	bh_order_t o = {
 		.kind = BH_ORDER_START,
@@ -353,23 +364,52 @@
 		.progress_ms = t->progress_ms,
 	};
 
+	t->ordered_life = t->member->incarnation;
+	t->ordered_in = t->member->orders_sent + 1;
+	t->ordered_at = now;
 	g_array_append_val(orders, o);
 }
 
+/*
+ * Whether a task that the member does not list cannot run there, now or later.
+ * The agent lists a task from the moment that it takes its start in. Of an
+ * agent's former life, a start may still be under way to the worker, which
+ * refuses it once the lease is over.
+ */
+static bool is_certainly_absent(const bh_cell_t *c, const bh_task_t *t,
+				bh_usec_t now)
+{
+	const bh_member_t *m = t->member;
+
+	if (m->term_seen < c->term)
+		return false;
+	if (t->ordered_life == m->incarnation)
+		return m->orders_seen >= t->ordered_in;
+	return now - MAX(t->ordered_at, c->led_at) >=
+	       with_drift(c->config.lease_us);
+}
+
+/* Never ordered by this leader to this life of the member, so never there. */
+static bool may_order_start(const bh_task_t *t)
+{
+	return t->phase == PHASE_PLACED && !t->is_adopted &&
+	       (t->ordered_life == 0 ||
+		t->ordered_life == t->member->incarnation);
+}
+
 /* Tasks journalled on the member that its report does not list. */
-static void order_missing(bh_cell_t *c, bh_member_t *m, GArray *orders)
+static void order_missing(bh_cell_t *c, bh_member_t *m, GArray *orders,
+			  bh_usec_t now)
 {
 	bh_task_t *t;
 	bh_task_t *next;
 
 	TAILQ_FOREACH_SAFE(t, &m->tasks, in_member, next) {
-		if (t->is_reported)
+		if (t->is_reported || t->phase == PHASE_PLACING)
 			continue;
-		if (t->phase == PHASE_PLACED)
-			order_start(orders, t);
-		else if (m->term_seen >= c->term &&
-			 (t->phase == PHASE_RUNNING ||
-			  t->phase == PHASE_STOPPING))
+		if (may_order_start(t))
+			order_start(orders, t, now);
+		else if (is_certainly_absent(c, t, now))
 			evict(c, t);
 	}
 }
@@ -382,6 +422,7 @@
 		.incarnation = m->incarnation,
 		.seq = m->report_seq,
 		.term = c->term,
+		.generation = ++m->orders_sent,
 		.lease_ms = (uint64_t)(c->config.lease_us / BH_USEC_PER_MS),
 		.orders = (bh_order_t *)(void *)orders->data,
 		.n_orders = orders->len,
@@ -407,8 +448,8 @@
 			continue;
 		orders = g_array_new(FALSE, FALSE, sizeof(bh_order_t));
 		TAILQ_FOREACH(t, &m->tasks, in_member) {
-			if (t->phase == PHASE_PLACED && !t->is_reported)
-				order_start(orders, t);
+			if (!t->is_reported && may_order_start(t))
+				order_start(orders, t, now);
 		}
 		send_orders(c, m, orders, now);
 	}
@@ -951,7 +992,7 @@
 		if (t->phase == PHASE_STOPPING)
 			add_order(orders, BH_ORDER_STOP, info->id, info->epoch);
 	}
-	order_missing(c, m, orders);
+	order_missing(c, m, orders, now);
 	sum_usage(m);
 }
 
@@ -1089,6 +1130,7 @@
 	c->counters.adopted++;
 	set_phase(t, PHASE_PLACED);
 	take_place(t, m);
+	t->is_adopted = true;
 }
 
 void bh_cell_loaded(bh_cell_t *c, bool is_ok, bh_usec_t now)
@@ -1122,6 +1164,7 @@
 	m->incarnation = report->incarnation;
 	m->report_seq = report->seq;
 	m->term_seen = report->term;
+	m->orders_seen = report->term == c->term ? report->generation : 0;
 	m->capacity = report->capacity;
 	m->heard_at = now;
 	m->has_reported = true;
--- a/core/msg.h
+++ b/core/msg.h
@@ -105,7 +105,8 @@
  * struct bh_msg - one message; which fields count depends on @type
  * @incarnation: random number of the sending process's life
  * @entry: incarnation of the entry that numbered the request
- * @generation: of the connection; an agent serves only the newest
+ * @generation: of the connection; an agent serves only the newest. Of orders,
+ *	their number in the leader's term; of a report, the last one taken in
  * @seq: request sequence, announcement sequence or report sequence
  * @floor: every request of the entry below this sequence is settled
  * @budget_us: time left until the deadline; relative, so that clocks of
--- a/core/taskhost.c
+++ b/core/taskhost.c
@@ -7,6 +7,8 @@
 	uint64_t incarnation;
 	uint64_t term;
 	uint64_t report_seq;
+	uint64_t orders_term; /* of the last orders that arrived */
+	uint64_t orders_seen; /* their number in that term */
 	bh_usec_t sent_at[BH_REPORTS_KEPT];
 	bh_ledger_t *ledger;
 	GHashTable *tasks;
@@ -288,6 +290,10 @@
 	bh_usec_t lease_until =
 		sent_at + (bh_usec_t)msg->lease_ms * BH_USEC_PER_MS;
 
+	if (msg->term >= h->orders_term) {
+		h->orders_term = msg->term;
+		h->orders_seen = msg->generation;
+	}
 	if (is_stale(h, msg, sent_at, lease_until, now)) {
 		h->counters.stale_orders++;
 		return;
@@ -311,7 +317,8 @@
 	msg->name = g_strdup(h->name);
 	msg->incarnation = h->incarnation;
 	msg->seq = h->report_seq;
-	msg->term = h->term;
+	msg->term = h->orders_term;
+	msg->generation = h->orders_seen;
 	msg->capacity = *bh_ledger_capacity(h->ledger);
 	msg->tasks = g_new0(bh_task_info_t, g_hash_table_size(h->tasks));
 	g_hash_table_iter_init(&iter, h->tasks);
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -83,8 +83,8 @@
 {
 	bh_agent_role_t *role = ctx;
 	runner_call_t *call = g_new0(runner_call_t, 1);
-	g_autofree char *agent = g_strdup_printf("%" G_GUINT64_FORMAT,
-						 role->rt->incarnation);
+	g_autofree char *agent =
+		g_strdup_printf("%" G_GUINT64_FORMAT, role->rt->incarnation);
 	g_autofree char *id =
 		g_strdup_printf("%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
 				bh_work_entry(work), bh_work_seq(work));
