--- a/core/cell.c
+++ b/core/cell.c
@@ -1,11 +1,17 @@
 #include "core/cell.h"
+#include "core/interfere.h"
 
 /* Clocks of two hosts drift apart by less than this over a lease or term. */
-#define DRIFT_SHARE	20
-#define RETRY_US	(100 * BH_USEC_PER_MS)
-#define RENEW_SHARE	3
-#define LEARN_SMOOTHING 0.2
-#define NONCES_MAX	16
+#define DRIFT_SHARE	 20
+#define RETRY_US	 (100 * BH_USEC_PER_MS)
+#define RENEW_SHARE	 3
+#define LEARN_SMOOTHING	 0.2
+#define NONCES_MAX	 16
+#define THROTTLE_REPEATS 3
+/* Run times that must be left before the deadline for a job to wait. */
+#define WAIT_RUNS	4
+#define DEADLINE_MARGIN 2
+#define URGENT_PRIORITY BH_CLASS_COUNT
 
 typedef struct bh_job bh_job_t;
 typedef struct bh_task bh_task_t;
@@ -53,19 +59,34 @@
 	uint32_t start_failures;
 	uint32_t used_cpu_milli;
 	uint32_t used_mem_mb;
+	uint32_t permille;     /* throttle that it should have */
+	uint32_t throttle_due; /* replies that still carry it */
+	bool is_moving;	       /* stopped to run elsewhere */
 };
 
 typedef TAILQ_HEAD(bh_tasks, bh_task) bh_tasks_t;
 
+/**
+ * struct bh_account - a tenant's share of the cell
+ * @quota_cpu_milli: 0 for no limit
+ */
+typedef struct bh_account {
+	uint64_t quota_cpu_milli;
+	uint64_t held_cpu_milli;
+} bh_account_t;
+
 struct bh_job {
 	TAILQ_ENTRY(bh_job) link;
 	char *name;
 	char *tenant;
+	char *family;
 	bh_job_spec_t spec;
+	bh_account_t *account;
 	bh_task_t **tasks;
 	bh_tasks_t pending;
 	double learned_run_ms;
 	bh_usec_t seen_at;
+	bool is_stuck; /* found no place in this round */
 };
 
 typedef TAILQ_HEAD(bh_jobs, bh_job) bh_jobs_t;
@@ -93,6 +114,12 @@
 	uint32_t rank;
 	uint32_t start_failures;
 	bh_usec_t quarantined_until;
+	GHashTable *services; /* service name to its last slowdown */
+	GArray *neighbours;   /* bh_neighbour_t of all tasks placed there */
+	bh_usec_t changed_at; /* last change of what runs there */
+	bh_usec_t steered_at; /* last throttle, release or move */
+	bh_usec_t slow_since;
+	bh_usec_t calm_since;
 	bool has_reported;
 	bool needs_push;
 };
@@ -147,6 +174,8 @@
 	GHashTable *jobs_by_name;
 	GHashTable *tasks;
 	GHashTable *members;
+	GHashTable *accounts; /* tenant to bh_account_t */
+	bh_interfere_t *interfere;
 	bh_cell_counters_t counters;
 };
 
@@ -182,6 +211,27 @@
 		TAILQ_INSERT_TAIL(&t->job->pending, t, in_job);
 }
 
+static double cpus_of(const bh_task_t *t)
+{
+	return t->job->spec.need.cpu_milli / 1000.0 * t->permille / 1000;
+}
+
+static void add_neighbour(bh_member_t *m, const bh_task_t *t, double cpus)
+{
+	bh_neighbour_t fresh = {t->job->family, cpus};
+
+	for (guint i = 0; i < m->neighbours->len; i++) {
+		bh_neighbour_t *n =
+			&g_array_index(m->neighbours, bh_neighbour_t, i);
+
+		if (strcmp(n->family, fresh.family) == 0) {
+			n->cpus = MAX(n->cpus + cpus, 0);
+			return;
+		}
+	}
+	g_array_append_val(m->neighbours, fresh);
+}
+
 static void take_place(bh_task_t *t, bh_member_t *m)
 {
 	t->member = m;
@@ -190,7 +240,11 @@
 	t->ordered_life = 0;
 	t->ordered_in = 0;
 	t->ordered_at = 0;
+	t->permille = 1000;
+	t->is_moving = false;
+	add_neighbour(m, t, cpus_of(t));
 	bh_resources_add(&m->reserved, &t->job->spec.need);
+	t->job->account->held_cpu_milli += t->job->spec.need.cpu_milli;
 	TAILQ_INSERT_TAIL(&m->tasks, t, in_member);
 	m->n_tasks++;
 }
@@ -201,7 +255,9 @@
 
 	if (!m)
 		return;
+	add_neighbour(m, t, -cpus_of(t));
 	bh_resources_sub(&m->reserved, &t->job->spec.need);
+	t->job->account->held_cpu_milli -= t->job->spec.need.cpu_milli;
 	TAILQ_REMOVE(&m->tasks, t, in_member);
 	m->n_tasks--;
 	t->member = NULL;
@@ -466,6 +522,9 @@
 	m->rank = g_hash_table_size(c->members);
 	m->heard_at = now;
 	m->granted_at = now;
+	m->neighbours = g_array_new(FALSE, FALSE, sizeof(bh_neighbour_t));
+	m->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&m->tasks);
 	g_hash_table_insert(c->members, m->name, m);
 	return m;
@@ -475,6 +534,8 @@
 {
 	bh_member_t *m = data;
 
+	g_hash_table_destroy(m->services);
+	g_array_free(m->neighbours, TRUE);
 	g_free(m->name);
 	g_free(m);
 }
@@ -492,6 +553,7 @@
 	g_free(job->tasks);
 	g_free(job->name);
 	g_free(job->tenant);
+	g_free(job->family);
 	g_free(job);
 }
 
@@ -505,6 +567,7 @@
 	g_hash_table_remove_all(c->tasks);
 	g_hash_table_remove_all(c->members);
 	g_hash_table_remove_all(c->jobs_by_name);
+	g_hash_table_remove_all(c->accounts);
 	while ((job = TAILQ_FIRST(&c->jobs)) != NULL) {
 		TAILQ_REMOVE(&c->jobs, job, link);
 		job_free(job);
@@ -759,9 +822,66 @@
 	return n;
 }
 
+static double neighbours_slowdown(const bh_cell_t *c, const bh_member_t *m,
+				  const char *service)
+{
+	double slowdown = 1;
+
+	for (guint i = 0; i < m->neighbours->len; i++) {
+		const bh_neighbour_t *n =
+			&g_array_index(m->neighbours, bh_neighbour_t, i);
+
+		if (n->cpus > 0)
+			slowdown += n->cpus * bh_interfere_expect(c->interfere,
+								  service,
+								  n->family);
+	}
+	return slowdown;
+}
+
+/*
+ * Slowdown that the worst-off service of the worker is expected to have with
+ * the task beside it. What is measured lags, so the sum over all that was
+ * placed counts as well.
+ */
+static double expected_slowdown(const bh_cell_t *c, const bh_member_t *m,
+				const bh_job_t *job)
+{
+	double cpus = job->spec.need.cpu_milli / 1000.0;
+	double worst = 1;
+	GHashTableIter iter;
+	void *name;
+	void *measured;
+
+	if (!c->placement->is_steering)
+		return 1;
+	g_hash_table_iter_init(&iter, m->services);
+	while (g_hash_table_iter_next(&iter, &name, &measured)) {
+		double now = MAX(neighbours_slowdown(c, m, name),
+				 *(double *)measured);
+
+		worst = MAX(worst,
+			    now + cpus * bh_interfere_expect(c->interfere, name,
+							     job->family));
+	}
+	return worst;
+}
+
+/* A job waits for a quiet worker as long as its deadline leaves room. */
+static bool can_wait(const bh_cell_t *c, const bh_job_t *job, bh_usec_t now)
+{
+	uint64_t deadline = job->spec.deadline_unix_ms;
+
+	if (job->spec.priority >= URGENT_PRIORITY)
+		return false;
+	return deadline == 0 ||
+	       unix_ms(c, now) + WAIT_RUNS * expected_run_ms(job) < deadline;
+}
+
 static bh_member_t *choose_member(bh_cell_t *c, const bh_job_t *job,
 				  bh_usec_t now)
 {
+	bool may_wait = c->placement->is_steering && can_wait(c, job, now);
 	bh_member_t *best = NULL;
 	double best_cost = 0;
 	GHashTableIter iter;
@@ -783,6 +903,9 @@
 		w.n_tasks = m->n_tasks;
 		w.n_same_job = same_job_count(m, job);
 		w.rank = m->rank;
+		w.slowdown = expected_slowdown(c, m, job);
+		if (w.slowdown > BH_SLOWDOWN_HIGH && may_wait)
+			continue;
 		cost = c->placement->cost(&w, &job->spec.need);
 		if (!best || cost < best_cost ||
 		    (cost == best_cost && m->rank < best->rank)) {
@@ -823,42 +946,82 @@
 	       fits_nowhere(c, job);
 }
 
-static void place_job(bh_cell_t *c, bh_job_t *job, bh_usec_t now)
+static void place_task(bh_cell_t *c, bh_task_t *t, bh_member_t *m,
+		       bh_usec_t now)
+{
+	t->epoch++;
+	t->started_unix_ms = unix_ms(c, now);
+	set_phase(t, PHASE_PLACING);
+	take_place(t, m);
+	m->changed_at = now;
+	mark_dirty(c, t);
+	c->counters.placed++;
+}
+
+/* Return: whether a task of the job found a place. */
+static bool place_one(bh_cell_t *c, bh_job_t *job, bh_usec_t now)
 {
 	bh_task_t *t;
+	bh_member_t *m;
+
+	while ((t = TAILQ_FIRST(&job->pending)) != NULL &&
+	       is_too_late(c, t, now))
+		end_task(c, t, BH_OUTCOME_EXPIRED,
+			 "cannot finish before its deadline");
+	if (!t)
+		return false;
+	m = choose_member(c, job, now);
+	if (m)
+		place_task(c, t, m, now);
+	else if (is_unplaceable(c, job, now))
+		end_pending(c, job, BH_OUTCOME_NOT_RUN,
+			    "fits no worker of the cell");
+	return m != NULL;
+}
+
+static bool is_within_quota(const bh_job_t *job)
+{
+	const bh_account_t *a = job->account;
 
-	while ((t = TAILQ_FIRST(&job->pending)) != NULL) {
-		bh_member_t *m;
+	return a->quota_cpu_milli == 0 ||
+	       a->held_cpu_milli + job->spec.need.cpu_milli <=
+		       a->quota_cpu_milli;
+}
+
+static double share_of(const bh_job_t *job)
+{
+	const bh_account_t *a = job->account;
+	double quota = a->quota_cpu_milli ? (double)a->quota_cpu_milli : 1e9;
+
+	return (double)a->held_cpu_milli / quota;
+}
 
-		if (is_too_late(c, t, now)) {
-			end_task(c, t, BH_OUTCOME_EXPIRED,
-				 "cannot finish before its deadline");
+/* Urgent jobs first; among equals the tenant that holds least of its quota. */
+static bh_job_t *next_job(bh_cell_t *c)
+{
+	bh_job_t *best = NULL;
+	bh_job_t *job;
+
+	TAILQ_FOREACH(job, &c->jobs, link) {
+		if (best && job->spec.priority < best->spec.priority)
+			break;
+		if (job->is_stuck || TAILQ_EMPTY(&job->pending) ||
+		    !is_within_quota(job))
 			continue;
-		}
-		m = choose_member(c, job, now);
-		if (!m) {
-			if (is_unplaceable(c, job, now))
-				end_pending(c, job, BH_OUTCOME_NOT_RUN,
-					    "fits no worker of the cell");
-			return;
-		}
-		t->epoch++;
-		t->started_unix_ms = unix_ms(c, now);
-		set_phase(t, PHASE_PLACING);
-		take_place(t, m);
-		mark_dirty(c, t);
-		c->counters.placed++;
+		if (!best || share_of(job) < share_of(best))
+			best = job;
 	}
+	return best;
 }
 
 static void place_all(bh_cell_t *c, bh_usec_t now)
 {
 	bh_job_t *job;
 
-	TAILQ_FOREACH(job, &c->jobs, link) {
-		if (!TAILQ_EMPTY(&job->pending))
-			place_job(c, job, now);
-	}
+	TAILQ_FOREACH(job, &c->jobs, link)
+		job->is_stuck = false;
+	while ((job = next_job(c)) != NULL)
+		job->is_stuck = !place_one(c, job, now);
 }
 
 /* Every lease that any term gave there has lapsed. */
@@ -922,6 +1085,17 @@
 	TAILQ_INSERT_TAIL(&c->jobs, job, link);
 }
 
+static bh_account_t *account_of(bh_cell_t *c, const char *tenant)
+{
+	bh_account_t *account = g_hash_table_lookup(c->accounts, tenant);
+
+	if (!account) {
+		account = g_new0(bh_account_t, 1);
+		g_hash_table_insert(c->accounts, g_strdup(tenant), account);
+	}
+	return account;
+}
+
 static bh_job_t *job_new(bh_cell_t *c, const bh_job_spec_t *spec, bh_usec_t now)
 {
 	bh_job_t *job = g_new0(bh_job_t, 1);
@@ -931,7 +1105,10 @@
 	job->spec = *spec;
 	job->spec.name = job->name;
 	job->spec.tenant = job->tenant;
+	job->family = g_strdup(spec->family ? spec->family : spec->name);
+	job->spec.family = job->family;
 	job->seen_at = now;
+	job->account = account_of(c, spec->tenant);
 	job->tasks = g_new0(bh_task_t *, spec->n_tasks);
 	TAILQ_INIT(&job->pending);
 	for (uint32_t i = 0; i < spec->n_tasks; i++) {
@@ -966,6 +1143,192 @@
 	}
 }
 
+static void collect_neighbours(const bh_member_t *m, GArray *out)
+{
+	const bh_task_t *t;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member) {
+		bh_neighbour_t n = {t->job->family, 0};
+
+		if (t->phase != PHASE_RUNNING)
+			continue;
+		n.cpus = cpus_of(t);
+		for (guint i = 0; i < out->len; i++) {
+			bh_neighbour_t *seen =
+				&g_array_index(out, bh_neighbour_t, i);
+
+			if (strcmp(seen->family, n.family) == 0) {
+				seen->cpus += n.cpus;
+				n.cpus = 0;
+				break;
+			}
+		}
+		if (n.cpus > 0)
+			g_array_append_val(out, n);
+	}
+}
+
+/* What was measured before the last change says nothing of now. */
+static bool is_settled(const bh_member_t *m, bh_usec_t now)
+{
+	return now - m->changed_at >= BH_STEER_SETTLE_US;
+}
+
+static double watch_services(bh_cell_t *c, bh_member_t *m,
+			     const bh_msg_t *report, bh_usec_t now)
+{
+	g_autoptr(GArray) jobs =
+		g_array_new(FALSE, FALSE, sizeof(bh_neighbour_t));
+	double worst = 1;
+
+	collect_neighbours(m, jobs);
+	for (size_t i = 0; i < report->n_endpoints; i++) {
+		const bh_endpoint_info_t *ep = &report->endpoints[i];
+		double slowdown;
+
+		if (ep->load.service_us == 0)
+			continue;
+		slowdown = bh_interfere_slowdown(c->interfere, ep->service,
+						 ep->load.service_us);
+		g_hash_table_replace(m->services, g_strdup(ep->service),
+				     g_memdup2(&slowdown, sizeof(slowdown)));
+		worst = MAX(worst, slowdown);
+		if (is_settled(m, now))
+			bh_interfere_learn(c->interfere, ep->service,
+					   (bh_neighbour_t *)(void *)jobs->data,
+					   jobs->len, slowdown);
+	}
+	return worst;
+}
+
+/* Whether it still ends in time if it is throttled, run times being far off. */
+static bool can_afford_throttle(const bh_cell_t *c, const bh_task_t *t,
+				bh_usec_t now)
+{
+	uint64_t run_ms = expected_run_ms(t->job);
+	uint64_t left = run_ms > t->progress_ms ? run_ms - t->progress_ms : 0;
+	uint64_t deadline = t->job->spec.deadline_unix_ms;
+
+	left = MAX(left, run_ms / 2) * 1000 / BH_THROTTLE_PERMILLE;
+	return deadline == 0 ||
+	       unix_ms(c, now) + DEADLINE_MARGIN * left < deadline;
+}
+
+/* The running task that harms the services most, among those at @permille. */
+static bh_task_t *worst_neighbour(const bh_cell_t *c, const bh_member_t *m,
+				  uint32_t permille, bh_usec_t now)
+{
+	bh_task_t *worst = NULL;
+	double worst_harm = 0;
+	bh_task_t *t;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member) {
+		GHashTableIter iter;
+		void *service;
+		double harm = 0;
+
+		if (t->phase != PHASE_RUNNING || t->is_moving ||
+		    t->permille != permille || !can_afford_throttle(c, t, now))
+			continue;
+		g_hash_table_iter_init(&iter, m->services);
+		while (g_hash_table_iter_next(&iter, &service, NULL))
+			harm += bh_interfere_expect(c->interfere, service,
+						    t->job->family) *
+				t->job->spec.need.cpu_milli;
+		if (!worst || harm > worst_harm) {
+			worst = t;
+			worst_harm = harm;
+		}
+	}
+	return worst;
+}
+
+static void throttle(bh_member_t *m, bh_task_t *t, uint32_t permille,
+		     bh_usec_t now)
+{
+	add_neighbour(m, t, -cpus_of(t));
+	t->permille = permille;
+	add_neighbour(m, t, cpus_of(t));
+	t->throttle_due = THROTTLE_REPEATS;
+	m->changed_at = now;
+	m->steered_at = now;
+}
+
+/* Throttle one neighbour more; once all are throttled, move the worst. */
+static void relieve(bh_cell_t *c, bh_member_t *m, bh_usec_t now)
+{
+	bh_task_t *t = worst_neighbour(c, m, 1000, now);
+
+	if (t) {
+		c->counters.throttles++;
+		throttle(m, t, BH_THROTTLE_PERMILLE, now);
+		return;
+	}
+	t = worst_neighbour(c, m, BH_THROTTLE_PERMILLE, now);
+	if (!t || !t->job->spec.is_idempotent)
+		return;
+	c->counters.moves++;
+	t->is_moving = true;
+	m->steered_at = now;
+}
+
+static void release(bh_member_t *m, bh_usec_t now)
+{
+	bh_task_t *t;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member) {
+		if (t->permille == 1000 || t->is_moving)
+			continue;
+		throttle(m, t, 1000, now);
+		return;
+	}
+}
+
+static void release_urgent(bh_cell_t *c, bh_member_t *m, bh_usec_t now)
+{
+	bh_task_t *t;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member) {
+		if (t->permille < 1000 && !can_afford_throttle(c, t, now))
+			throttle(m, t, 1000, now);
+	}
+}
+
+static void steer(bh_cell_t *c, bh_member_t *m, double slowdown, bh_usec_t now)
+{
+	release_urgent(c, m, now);
+	if (slowdown < BH_SLOWDOWN_HIGH)
+		m->slow_since = now;
+	if (slowdown > BH_SLOWDOWN_CALM)
+		m->calm_since = now;
+	if (!c->placement->is_steering ||
+	    now - m->steered_at < BH_STEER_SETTLE_US)
+		return;
+	if (now - m->slow_since >= BH_STEER_SETTLE_US / 4)
+		relieve(c, m, now);
+	else if (now - m->calm_since >= BH_STEER_RELEASE_US)
+		release(m, now);
+}
+
+static void order_steering(bh_member_t *m, GArray *orders)
+{
+	bh_task_t *t;
+
+	TAILQ_FOREACH(t, &m->tasks, in_member) {
+		bh_order_t o = {.kind = BH_ORDER_THROTTLE,
+				.id = t->id,
+				.epoch = t->epoch,
+				.permille = t->permille};
+
+		if (t->is_moving && t->phase == PHASE_RUNNING)
+			add_order(orders, BH_ORDER_STOP, t->id, t->epoch);
+		if (t->throttle_due == 0)
+			continue;
+		t->throttle_due--;
+		g_array_append_val(orders, o);
+	}
+}
+
 static bool is_old_report(const bh_member_t *m, const bh_msg_t *report)
 {
 	if (report->incarnation != m->incarnation)
@@ -994,6 +1357,8 @@
 	}
 	order_missing(c, m, orders, now);
 	sum_usage(m);
+	steer(c, m, watch_services(c, m, report, now), now);
+	order_steering(m, orders);
 }
 
 const char *bh_outcome_name(bh_outcome_t outcome)
@@ -1018,6 +1383,9 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, task_free);
 	c->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   member_free);
+	c->accounts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->interfere = bh_interfere_new();
 	TAILQ_INIT(&c->dirty);
 	TAILQ_INIT(&c->jobs);
 	c->read_at = now;
@@ -1032,6 +1400,8 @@
 	g_hash_table_destroy(c->jobs_by_name);
 	g_hash_table_destroy(c->tasks);
 	g_hash_table_destroy(c->members);
+	g_hash_table_destroy(c->accounts);
+	bh_interfere_free(c->interfere);
 	g_rand_free(c->rand);
 	g_free(c);
 }
@@ -1098,6 +1468,11 @@
 	job->spec.is_cancelled = spec->is_cancelled;
 }
 
+void bh_cell_quota(bh_cell_t *c, const char *tenant, uint64_t cpu_milli)
+{
+	account_of(c, tenant)->quota_cpu_milli = cpu_milli;
+}
+
 void bh_cell_job_deleted(bh_cell_t *c, const char *name)
 {
 	bh_job_t *job = g_hash_table_lookup(c->jobs_by_name, name);
--- a/core/cell.h
+++ b/core/cell.h
@@ -38,6 +38,8 @@
 
 /**
  * struct bh_job_spec - a job, service or watcher as the cell runs it
+ * @family: of jobs that behave alike, such as the nightly runs of one program;
+ *	NULL for the name
  * @deadline_unix_ms: 0 when there is none
  * @is_idempotent: lost work may run again
  * @is_standing: a task that ended is started again (watchers)
@@ -46,6 +48,7 @@
 typedef struct bh_job_spec {
 	const char *name;
 	const char *tenant;
+	const char *family;
 	uint32_t n_tasks;
 	bh_resources_t need;
 	uint64_t run_ms;
@@ -132,8 +135,15 @@
 #define BH_QUARANTINE_FAILURES	3
 #define BH_QUARANTINE_US	(10 * BH_USEC_PER_SEC)
 #define BH_UNPLACEABLE_AFTER_US (5 * BH_USEC_PER_SEC)
-#define BH_CELL_MEMBERS_MAX	256
-#define BH_CELL_TASKS_MAX	65536
+/* A service this much slower than usual has its neighbours throttled. */
+#define BH_SLOWDOWN_HIGH     1.25
+#define BH_SLOWDOWN_CALM     1.10
+#define BH_THROTTLE_PERMILLE 250
+/* Longer than usage reports lag. */
+#define BH_STEER_SETTLE_US  (4 * BH_USEC_PER_SEC)
+#define BH_STEER_RELEASE_US (15 * BH_USEC_PER_SEC)
+#define BH_CELL_MEMBERS_MAX 256
+#define BH_CELL_TASKS_MAX   65536
 
 typedef struct bh_cell_counters {
 	uint64_t commits;
@@ -147,6 +157,8 @@
 	uint64_t strays_stopped;
 	uint64_t start_failures;
 	uint64_t quarantines;
+	uint64_t throttles;
+	uint64_t moves;
 	uint64_t outcomes[BH_OUTCOME_COUNT];
 } bh_cell_counters_t;
 
@@ -177,6 +189,11 @@
  * bh_cell_job() - a job record, new or changed; also while loading
  */
 void bh_cell_job(bh_cell_t *cell, const bh_job_spec_t *spec, bh_usec_t now);
+/**
+ * bh_cell_quota() - processors that a tenant's tasks may hold in the cell
+ * @cpu_milli: 0 for no limit
+ */
+void bh_cell_quota(bh_cell_t *cell, const char *tenant, uint64_t cpu_milli);
 void bh_cell_job_deleted(bh_cell_t *cell, const char *name);
 
 /**
--- a/core/place.c
+++ b/core/place.c
@@ -1,6 +1,7 @@
 #include "core/place.h"
 
-#define SAME_JOB_COST 0.05
+#define SAME_JOB_COST 0.02
+#define SLOWDOWN_COST 4.0
 
 static double share(uint32_t used, uint32_t need, uint32_t capacity)
 {
@@ -32,20 +33,24 @@
 	return fullest(&w->reserved, need, &w->capacity);
 }
 
-/* Measured use counts beside the declared sizes, which are often far off. */
-static double cost_spread(const bh_place_worker_t *w,
-			  const bh_resources_t *need)
+/*
+ * Measured use counts beside the declared sizes, which are often far off; a
+ * worker whose services would suffer counts as fuller than it is.
+ */
+static double cost_interference(const bh_place_worker_t *w,
+				const bh_resources_t *need)
 {
 	double declared = fullest(&w->reserved, need, &w->capacity);
 	double measured = fullest(&w->used, need, &w->capacity);
 
-	return MAX(declared, measured) + SAME_JOB_COST * w->n_same_job;
+	return MAX(declared, measured) + SAME_JOB_COST * w->n_same_job +
+	       SLOWDOWN_COST * (w->slowdown - 1);
 }
 
 static const bh_place_ops_t policies[] = {
-	{"spread", cost_spread},
-	{"first-fit", cost_first_fit},
-	{"least-loaded", cost_least_loaded},
+	{"interference", true, cost_interference},
+	{"first-fit", false, cost_first_fit},
+	{"least-loaded", false, cost_least_loaded},
 };
 
 const bh_place_ops_t *bh_place_find(const char *name)
--- a/core/place.h
+++ b/core/place.h
@@ -12,6 +12,7 @@
  * @reserved: declared sizes of what is placed there
  * @used: as last reported
  * @rank: order in which workers joined
+ * @slowdown: expected of the worst-off service beside the task; 1 is none
  */
 typedef struct bh_place_worker {
 	bh_resources_t capacity;
@@ -20,21 +21,24 @@
 	uint32_t n_tasks;
 	uint32_t n_same_job;
 	uint32_t rank;
+	double slowdown;
 } bh_place_worker_t;
 
 /**
  * struct bh_place_ops - a placement policy
+ * @is_steering: whether the leader throttles and moves against interference
  * @cost: of putting @need on the worker; the lowest cost wins
  */
 typedef struct bh_place_ops {
 	const char *name;
+	bool is_steering;
 	double (*cost)(const bh_place_worker_t *worker,
 		       const bh_resources_t *need);
 } bh_place_ops_t;
 
 /**
  * bh_place_find() - a policy by its name
- * @name: "spread", "first-fit" or "least-loaded"
+ * @name: "interference", "first-fit" or "least-loaded"
  */
 const bh_place_ops_t *bh_place_find(const char *name);
 
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -563,6 +563,7 @@
 		return;
 	if (!bh_taskhost_report(role->host, &msg, now))
 		return;
+	bh_agent_announcement(role->core, &msg);
 	if (is_own_cell(role))
 		bh_cell_report(bh_leader_cell(role->leader), &msg, now);
 	else
--- a/daemon/leader.c
+++ b/daemon/leader.c
@@ -166,6 +166,17 @@
 	bh_table_commit(l->table, txn, on_committed, call);
 }
 
+static void take_quota(bh_leader_t *l, const char *tenant, const char *text)
+{
+	bh_record_t *record =
+		text ? bh_record_parse(BH_RECORD_TENANT, text, -1, NULL) : NULL;
+
+	if (record || !text)
+		bh_cell_quota(l->cell, tenant,
+			      record ? (uint64_t)record->quota_cpu_milli : 0);
+	bh_record_free(record);
+}
+
 static void take_record(bh_leader_t *l, const bh_row_t *row)
 {
 	g_auto(GStrv) path = g_strsplit(row->key, "/", 3);
@@ -173,8 +184,11 @@
 	bh_record_kind_t kind;
 	bh_job_spec_t spec = {0};
 
-	if (g_strv_length(path) != 3 || !bh_record_kind_parse(path[1], &kind) ||
-	    (kind != BH_RECORD_JOB && kind != BH_RECORD_WATCHER))
+	if (g_strv_length(path) != 3 || !bh_record_kind_parse(path[1], &kind))
+		return;
+	if (kind == BH_RECORD_TENANT)
+		take_quota(l, path[2], row->value);
+	if (kind != BH_RECORD_JOB && kind != BH_RECORD_WATCHER)
 		return;
 	if (!row->value) {
 		bh_cell_job_deleted(l->cell, path[2]);
@@ -185,6 +199,7 @@
 		return;
 	spec.name = path[2];
 	spec.tenant = record->tenant;
+	spec.family = record->family;
 	spec.n_tasks = (uint32_t)record->tasks;
 	spec.need = record->need;
 	spec.run_ms = (uint64_t)record->run_ms;
@@ -330,7 +345,7 @@
 	bh_leader_t *l = g_new0(bh_leader_t, 1);
 	const bh_settings_t *s = rt->settings;
 	bh_cell_config_t config = {
-		.placement = "spread",
+		.placement = "interference",
 		.lease_us = s->lease_ms * BH_USEC_PER_MS,
 		.term_us = s->term_ms * BH_USEC_PER_MS,
 		.journal_us = s->journal_ms * BH_USEC_PER_MS,
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -58,7 +58,8 @@
 	CELL(commits),	       CELL(commit_rows), CELL(conflicts),
 	CELL(unclear_commits), CELL(terms),	  CELL(placed),
 	CELL(evictions),       CELL(adopted),	  CELL(strays_stopped),
-	CELL(start_failures),  CELL(quarantines),
+	CELL(start_failures),  CELL(quarantines), CELL(throttles),
+	CELL(moves),
 };
 
 static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
--- a/tests/cellworld.c
+++ b/tests/cellworld.c
@@ -1,17 +1,20 @@
 #include "tests/cellworld.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-#define TICK_US		 (5 * BH_USEC_PER_MS)
-#define POLL_US		 (500 * BH_USEC_PER_MS)
-#define NET_US		 (2 * BH_USEC_PER_MS)
-#define WORKER_US	 (1 * BH_USEC_PER_MS)
-#define STORE_US	 (2 * BH_USEC_PER_MS)
-#define STORE_SLOW_US	 (700 * BH_USEC_PER_MS)
-#define STORE_TIMEOUT_US (2 * BH_USEC_PER_SEC)
-#define RESTART_US	 (2 * BH_USEC_PER_SEC)
-#define ORDER_DELAY_US	 (1500 * BH_USEC_PER_MS)
-#define EPOCH_UNIX_MS	 1000000
+#define SLOWDOWNS_KEPT	   1024
+#define SLOWDOWN_SAMPLE_US (100 * BH_USEC_PER_MS)
+#define TICK_US		   (5 * BH_USEC_PER_MS)
+#define POLL_US		   (500 * BH_USEC_PER_MS)
+#define NET_US		   (2 * BH_USEC_PER_MS)
+#define WORKER_US	   (1 * BH_USEC_PER_MS)
+#define STORE_US	   (2 * BH_USEC_PER_MS)
+#define STORE_SLOW_US	   (700 * BH_USEC_PER_MS)
+#define STORE_TIMEOUT_US   (2 * BH_USEC_PER_SEC)
+#define RESTART_US	   (2 * BH_USEC_PER_SEC)
+#define ORDER_DELAY_US	   (1500 * BH_USEC_PER_MS)
+#define EPOCH_UNIX_MS	   1000000
 
 const char *const cell_step_names[CELL_STEP_COUNT] = {
 	"job-accepted",	 "commit-sent", "commit-applied", "commit-answered",
@@ -36,6 +39,8 @@
 	bh_usec_t lease_until;
 	bh_task_state_t state;
 	uint64_t done_unix_ms;
+	uint32_t permille;
+	double per_cpu; /* slowdown that it causes */
 } work_t;
 
 typedef struct agent {
@@ -57,12 +62,14 @@
 	uint64_t records_seen;
 	GHashTable *works; /* the worker: outlives the agent */
 	bool fails_starts;
+	double slowdowns[SLOWDOWNS_KEPT]; /* one a tick */
 } agent_t;
 
 typedef struct job {
 	char *name;
 	bh_job_spec_t spec;
 	uint64_t revision;
+	double per_cpu;
 } job_t;
 
 /* What the log knows of a task. */
@@ -72,6 +79,7 @@
 	int dones;
 	uint64_t first_done_unix_ms;
 	bh_usec_t first_start;
+	bh_usec_t most_progress_us;
 	bh_outcome_t outcome;
 } task_log_t;
 
@@ -87,6 +95,7 @@
 	EVENT_STOP,
 	EVENT_FORGET,
 	EVENT_RENEW,
+	EVENT_THROTTLE,
 	EVENT_LISTED,
 	EVENT_RESTART,
 } event_kind_t;
@@ -133,6 +142,8 @@
 	bh_usec_t armed_duration;
 	bool has_struck;
 	char *broken;
+	bh_hist_t slowdown;
+	bh_usec_t wasted;
 };
 
 static const bh_cell_ops_t cell_ops;
@@ -319,6 +330,7 @@
 					 work->id, work->epoch));
 	if (log->starts++ == 0)
 		log->first_start = w->now;
+	w->wasted += MAX(log->most_progress_us - work->progress_us, 0);
 	if (!job->spec.is_idempotent && log->starts > 1)
 		broke(w, g_strdup_printf("%s is not idempotent and was "
 					 "started %d times",
@@ -342,6 +354,13 @@
 	trace(w, "%s ends %s epoch=%u", a->name, work->id, work->epoch);
 }
 
+static void note_progress(cellworld_t *w, const work_t *work)
+{
+	task_log_t *log = log_of(w, work->id);
+
+	log->most_progress_us = MAX(log->most_progress_us, work->progress_us);
+}
+
 /* The worker beside an agent. */
 
 static void worker_tick(cellworld_t *w, agent_t *a)
@@ -367,9 +386,11 @@
 			trace(w, "%s freezes %s", a->name, work->id);
 			continue;
 		}
-		work->progress_us += TICK_US;
-		if (work->progress_us < work->run_us)
+		work->progress_us += TICK_US * work->permille / 1000;
+		if (work->progress_us < work->run_us) {
+			note_progress(w, work);
 			continue;
+		}
 		log_done(w, a, work);
 		ended++;
 	}
@@ -377,6 +398,49 @@
 		strike_if_due(w, CELL_STEP_DONE, a->index);
 }
 
+/* The same for each start of a task, whatever its worker. */
+static bh_usec_t real_run_us(const cellworld_t *w, const work_t *work)
+{
+	double spread = w->config.run_spread;
+	GRand *rand;
+	double factor;
+
+	if (spread <= 1)
+		return work->run_us;
+	rand = g_rand_new_with_seed(g_str_hash(work->id));
+	factor = pow(spread, g_rand_double_range(rand, -1, 1));
+	g_rand_free(rand);
+	return (bh_usec_t)((double)work->run_us * factor);
+}
+
+/* Isolation guards give a service its processors; caches and memory are shared.
+ */
+static double slowdown_now(const cellworld_t *w, agent_t *a)
+{
+	double slowdown = 1;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, a->works);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const work_t *work = value;
+
+		if (is_active(work, w->now))
+			slowdown += work->per_cpu * work->need.cpu_milli /
+				    1000.0 * work->permille / 1000.0;
+	}
+	return slowdown;
+}
+
+static void sample_slowdown(cellworld_t *w, agent_t *a)
+{
+	double slowdown = slowdown_now(w, a);
+
+	a->slowdowns[w->now / TICK_US % SLOWDOWNS_KEPT] = slowdown;
+	if (w->now % SLOWDOWN_SAMPLE_US == 0)
+		bh_hist_add(&w->slowdown, (bh_usec_t)(slowdown * 1000));
+}
+
 static void worker_start(cellworld_t *w, agent_t *a, event_t *ev)
 {
 	work_t *work = g_steal_pointer(&ev->work);
@@ -391,6 +455,9 @@
 	}
 	reply->is_ok = true;
 	work->state = BH_TASK_RUNNING;
+	work->permille = 1000;
+	work->per_cpu = job_of(w, work->id)->per_cpu;
+	work->run_us = real_run_us(w, work);
 	g_hash_table_replace(a->works, work->id, work);
 	log_start(w, a, work);
 	strike_if_due(w, CELL_STEP_STARTED, a->index);
@@ -421,6 +488,14 @@
 		g_hash_table_remove(a->works, work->id);
 }
 
+static void worker_throttle(agent_t *a, event_t *ev)
+{
+	work_t *work = find_work(a, ev);
+
+	if (work)
+		work->permille = ev->work->permille;
+}
+
 static void worker_renew(cellworld_t *w, agent_t *a, event_t *ev)
 {
 	work_t *work = find_work(a, ev);
@@ -492,9 +567,7 @@
 static void op_throttle(void *ctx, const bh_host_task_t *task,
 			uint32_t permille)
 {
-	(void)ctx;
-	(void)task;
-	(void)permille;
+	post_worker(ctx, EVENT_THROTTLE, task)->work->permille = permille;
 }
 
 static void op_renew(void *ctx, GPtrArray *tasks, bh_usec_t until)
@@ -731,6 +804,23 @@
 
 /* Agents. */
 
+/* Measurements are old by the lag when they are reported. */
+static void add_service(cellworld_t *w, const agent_t *a, bh_msg_t *msg)
+{
+	bh_usec_t at = MAX(w->now - w->config.usage_lag_us, 0);
+	double slowdown = a->slowdowns[at / TICK_US % SLOWDOWNS_KEPT];
+
+	if (slowdown < 1)
+		return;
+	msg->n_endpoints = 1;
+	msg->endpoints = g_new0(bh_endpoint_info_t, 1);
+	msg->endpoints[0].service = g_strdup("roster");
+	msg->endpoints[0].load.slots = 8;
+	msg->endpoints[0].load.service_us =
+		(uint32_t)(CELL_SERVICE_US * slowdown *
+			   g_rand_double_range(w->rand, 0.97, 1.03));
+}
+
 static void send_report(cellworld_t *w, agent_t *a)
 {
 	int leader = bh_cell_role(a->cell) == BH_CELL_LEADING
@@ -747,6 +837,7 @@
 		bh_msg_clear(&msg);
 		return;
 	}
+	add_service(w, a, &msg);
 	ev = post(w, EVENT_REPORT, leader, w->now + NET_US);
 	ev->msg = msg;
 	strike_if_due(w, CELL_STEP_REPORTED, a->index);
@@ -756,7 +847,8 @@
 {
 	agent_t *a = &w->agents[index];
 	bh_cell_config_t config = {
-		.placement = "spread",
+		.placement = w->config.placement ? w->config.placement
+						 : "interference",
 		.lease_us = w->config.lease_us,
 		.term_us = w->config.term_us,
 		.journal_us = w->config.journal_us,
@@ -825,7 +917,8 @@
 static bool is_for_worker(event_kind_t kind)
 {
 	return kind == EVENT_START || kind == EVENT_STOP ||
-	       kind == EVENT_FORGET || kind == EVENT_RENEW;
+	       kind == EVENT_FORGET || kind == EVENT_RENEW ||
+	       kind == EVENT_THROTTLE;
 }
 
 static void take_orders(cellworld_t *w, agent_t *a, const bh_msg_t *msg)
@@ -884,6 +977,9 @@
 	case EVENT_RENEW:
 		worker_renew(w, a, ev);
 		break;
+	case EVENT_THROTTLE:
+		worker_throttle(a, ev);
+		break;
 	default:
 		break;
 	}
@@ -914,6 +1010,7 @@
 {
 	for (int i = 0; i < w->config.n_agents; i++) {
 		worker_tick(w, &w->agents[i]);
+		sample_slowdown(w, &w->agents[i]);
 		agent_tick(w, &w->agents[i]);
 	}
 }
@@ -1061,9 +1158,11 @@
 	return -1;
 }
 
-static void lose_host(cellworld_t *w, int agent)
+static void lose_host(cellworld_t *w, int agent, bool is_replaced)
 {
-	agent_kill(w, agent);
+	if (is_replaced)
+		agent_kill(w, agent);
+	w->agents[agent].is_alive = false;
 	g_hash_table_remove_all(w->agents[agent].works);
 }
 
@@ -1081,7 +1180,7 @@
 		agent_kill(w, agent);
 		break;
 	case CELL_FAULT_LOSE_HOST:
-		lose_host(w, agent);
+		lose_host(w, agent, duration >= 0);
 		break;
 	case CELL_FAULT_FREEZE_LEADER:
 		w->agents[leader].frozen_until = until;
@@ -1165,6 +1264,32 @@
 	return log && log->starts ? log->first_start : 0;
 }
 
+void cellworld_interfere(cellworld_t *w, const char *name, double per_cpu)
+{
+	for (guint i = 0; i < w->jobs->len; i++) {
+		job_t *job = g_ptr_array_index(w->jobs, i);
+
+		if (strcmp(job->name, name) == 0)
+			job->per_cpu = per_cpu;
+	}
+}
+
+const bh_hist_t *cellworld_slowdown(const cellworld_t *w)
+{
+	return &w->slowdown;
+}
+
+bh_usec_t cellworld_wasted(const cellworld_t *w)
+{
+	return w->wasted;
+}
+
+void cellworld_reset_stats(cellworld_t *w)
+{
+	memset(&w->slowdown, 0, sizeof(w->slowdown));
+	w->wasted = 0;
+}
+
 static char *check_task(cellworld_t *w, const job_t *job, uint32_t index)
 {
 	g_autofree char *id = g_strdup_printf("%s/%u", job->name, index);
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -9,9 +9,12 @@
 #include "core/cell.h"
 #include "core/taskhost.h"
 
+#include "core/hist.h"
+
 #include <stdio.h>
 
 #define CELL_AGENTS_MAX 32
+#define CELL_SERVICE_US 1000
 
 typedef struct cellworld cellworld_t;
 
@@ -53,6 +56,13 @@
 extern const char *const cell_step_names[CELL_STEP_COUNT];
 extern const char *const cell_fault_names[CELL_FAULT_COUNT];
 
+/**
+ * struct cellworld_config - what to build
+ * @placement: policy, NULL for "interference"
+ * @usage_lag_us: age of what a report says of the services
+ * @run_spread: real run times are the declared ones times a random factor
+ *	between 1/spread and spread; 0 or 1 for exact
+ */
 typedef struct cellworld_config {
 	uint32_t seed;
 	int n_agents;
@@ -61,6 +71,9 @@
 	bh_usec_t term_us;
 	bh_usec_t journal_us;
 	bh_usec_t report_us;
+	const char *placement;
+	bh_usec_t usage_lag_us;
+	double run_spread;
 	FILE *trace;
 } cellworld_config_t;
 
@@ -78,6 +91,10 @@
 
 void cellworld_arm(cellworld_t *world, cell_step_t step, int nth,
 		   cell_fault_t fault, bh_usec_t duration);
+/**
+ * cellworld_inject() - strike now
+ * @duration: of what passes; below 0 a lost host is not replaced
+ */
 void cellworld_inject(cellworld_t *world, cell_fault_t fault, int agent,
 		      bh_usec_t duration);
 bool cellworld_has_struck(const cellworld_t *world);
@@ -91,6 +108,21 @@
 uint64_t cellworld_commits(const cellworld_t *world);
 bh_usec_t cellworld_first_start(const cellworld_t *world, const char *id);
 
+/**
+ * cellworld_interfere() - let a job's tasks slow the services beside them
+ * @per_cpu: slowdown per processor
+ */
+void cellworld_interfere(cellworld_t *world, const char *job, double per_cpu);
+
+/**
+ * cellworld_slowdown() - slowdown of all services over time, in thousandths
+ */
+const bh_hist_t *cellworld_slowdown(const cellworld_t *world);
+
+/* Work that was done again after an eviction or a loss. */
+bh_usec_t cellworld_wasted(const cellworld_t *world);
+void cellworld_reset_stats(cellworld_t *world);
+
 /**
  * cellworld_check() - what must always hold, and that every task has ended
  *
--- a/wire/record.c
+++ b/wire/record.c
@@ -35,6 +35,7 @@
 	{"tenant", RUNNABLE, KIND(JOB) | KIND(WATCHER), FIELD_TEXT, AT(tenant),
 	 0, 0, false},
 	{"cell", RUNNABLE, 0, FIELD_TEXT, AT(cell), 0, 0, false},
+	{"family", RUNNABLE, 0, FIELD_TEXT, AT(family), 0, 0, false},
 	{"class", RUNNABLE, 0, FIELD_CLASS, AT(cls), 0, 0, false},
 	{"tasks", KIND(JOB), KIND(JOB), FIELD_INT, AT(tasks), 1, 10000, false},
 	{"replicas", KIND(SERVICE), 0, FIELD_INT, AT(tasks), 0, 10000, false},
@@ -263,6 +264,7 @@
 		return;
 	g_free(r->tenant);
 	g_free(r->cell);
+	g_free(r->family);
 	json_node_unref(r->json);
 	g_free(r);
 }
--- a/wire/record.h
+++ b/wire/record.h
@@ -42,6 +42,7 @@
 	int64_t schema_version;
 	char *tenant;
 	char *cell;
+	char *family;
 	bh_class_t cls;
 	int64_t tasks;
 	bh_resources_t need;
