--- /dev/null
+++ b/core/cell_impl.h
@@ -0,0 +1,243 @@
+/*
+ * What the files of a cell share; nobody else includes this.
+ *
+ * cell.c	life, records, members that are lost
+ * cell_term.c	the cell row and the journal's commits
+ * cell_task.c	the phases of a task
+ * cell_orders.c	reports in, orders out
+ * cell_place.c	which task goes where
+ * cell_steer.c	throttling and moving against interference
+ */
+#ifndef BH_CORE_CELL_IMPL_H
+#define BH_CORE_CELL_IMPL_H
+
+#include "core/cell.h"
+#include "core/interfere.h"
+
+/* Clocks of two hosts drift apart by less than this over a lease or term. */
+#define DRIFT_SHARE	 20
+#define RETRY_US	 (100 * BH_USEC_PER_MS)
+#define RENEW_SHARE	 3
+#define LEARN_SMOOTHING	 0.2
+#define NONCES_MAX	 16
+#define THROTTLE_REPEATS 3
+/* Run times that must be left before the deadline for a job to wait. */
+#define WAIT_RUNS	4
+#define DEADLINE_MARGIN 2
+#define URGENT_PRIORITY BH_CLASS_COUNT
+
+typedef struct bh_job bh_job_t;
+typedef struct bh_task bh_task_t;
+typedef struct bh_member bh_member_t;
+
+/**
+ * enum bh_phase - where the leader is with a task
+ * @PHASE_PLACING: decided, not journalled yet
+ * @PHASE_PLACED: journalled; the start is ordered until it is reported
+ * @PHASE_STOPPING: cancelled; the stop is ordered until it is reported
+ * @PHASE_ENDING: outcome known, not journalled yet
+ */
+typedef enum bh_phase {
+	PHASE_PENDING,
+	PHASE_PLACING,
+	PHASE_PLACED,
+	PHASE_RUNNING,
+	PHASE_STOPPING,
+	PHASE_ENDING,
+	PHASE_ENDED,
+} bh_phase_t;
+
+struct bh_task {
+	TAILQ_ENTRY(bh_task) in_job;
+	TAILQ_ENTRY(bh_task) in_member;
+	TAILQ_ENTRY(bh_task) in_dirty;
+	bh_job_t *job;
+	bh_member_t *member;
+	char *id;
+	bh_phase_t phase;
+	uint32_t epoch;
+	bool is_dirty;
+	bool is_in_batch;
+	bool is_reported;
+	bool is_adopted;       /* placed by a former leader */
+	uint64_t ordered_life; /* member's incarnation that the start went to */
+	uint64_t ordered_in;   /* number of the last orders with the start */
+	bh_usec_t ordered_at;
+	bh_outcome_t outcome;
+	const char *reason;
+	uint64_t progress_ms;
+	uint64_t done_unix_ms;
+	uint64_t started_unix_ms;
+	uint32_t evictions;
+	uint32_t start_failures;
+	uint32_t used_cpu_milli;
+	uint32_t used_mem_mb;
+	uint32_t permille;     /* throttle that it should have */
+	uint32_t throttle_due; /* replies that still carry it */
+	bool is_moving;	       /* stopped to run elsewhere */
+};
+
+typedef TAILQ_HEAD(bh_tasks, bh_task) bh_tasks_t;
+
+/**
+ * struct bh_account - a tenant's share of the cell
+ * @quota_cpu_milli: 0 for no limit
+ */
+typedef struct bh_account {
+	uint64_t quota_cpu_milli;
+	uint64_t held_cpu_milli;
+} bh_account_t;
+
+struct bh_job {
+	TAILQ_ENTRY(bh_job) link;
+	char *name;
+	char *tenant;
+	char *family;
+	bh_job_spec_t spec;
+	bh_account_t *account;
+	bh_task_t **tasks;
+	bh_tasks_t pending;
+	double learned_run_ms;
+	bh_usec_t seen_at;
+	bool is_stuck; /* found no place in this round */
+};
+
+typedef TAILQ_HEAD(bh_jobs, bh_job) bh_jobs_t;
+
+/**
+ * struct bh_member - an agent and its worker
+ * @granted_at: when a reply last extended leases there
+ * @term_seen: highest term whose orders it took in
+ * @orders_sent: orders sent to it in this term; @orders_seen: those taken in
+ */
+struct bh_member {
+	char *name;
+	uint64_t incarnation;
+	uint64_t report_seq;
+	uint64_t term_seen;
+	uint64_t orders_sent;
+	uint64_t orders_seen;
+	bh_usec_t heard_at;
+	bh_usec_t granted_at;
+	bh_resources_t capacity;
+	bh_resources_t reserved;
+	bh_resources_t used;
+	bh_tasks_t tasks;
+	uint32_t n_tasks;
+	uint32_t rank;
+	uint32_t start_failures;
+	bh_usec_t quarantined_until;
+	GHashTable *services; /* service name to its last slowdown */
+	GArray *neighbours;   /* bh_neighbour_t of all tasks placed there */
+	bh_usec_t changed_at; /* last change of what runs there */
+	bh_usec_t steered_at; /* last throttle, release or move */
+	bh_usec_t slow_since;
+	bh_usec_t calm_since;
+	bool has_reported;
+	bool needs_push;
+};
+
+typedef enum bh_commit_state {
+	COMMIT_IDLE,
+	COMMIT_IN_FLIGHT,
+	COMMIT_UNCLEAR, /* waiting to read the row back */
+	COMMIT_READING,
+	COMMIT_RETRY,
+} bh_commit_state_t;
+
+/* One sending of the commit under way. */
+typedef struct bh_try {
+	uint64_t nonce;
+	bh_usec_t sent_at;
+} bh_try_t;
+
+struct bh_cell {
+	const bh_cell_ops_t *ops;
+	void *ctx;
+	bh_cell_config_t config;
+	const bh_place_ops_t *placement;
+	GRand *rand;
+	bh_cell_role_t role;
+	int64_t unix_offset_ms;
+
+	/* the cell row */
+	uint64_t version;
+	uint64_t term;
+	uint64_t seen_version;
+	bh_usec_t seen_at;
+	bh_usec_t read_at;
+	bool is_reading;
+	bool is_resigning;
+	bool is_retired;
+	bh_usec_t valid_until;
+	bh_usec_t led_at;
+
+	/* the commit under way */
+	bh_commit_state_t commit_state;
+	bh_usec_t commit_sent_at;
+	bh_usec_t retry_at;
+	bh_usec_t committed_at;
+	bh_try_t tries[NONCES_MAX];
+	uint32_t n_tries;
+	GPtrArray *batch;
+	GArray *rows;
+
+	bh_tasks_t dirty;
+	bh_jobs_t jobs;
+	GHashTable *jobs_by_name;
+	GHashTable *tasks;
+	GHashTable *members;
+	GHashTable *accounts; /* tenant to bh_account_t */
+	bh_interfere_t *interfere;
+	bh_cell_counters_t counters;
+};
+
+/* cell_task.c */
+
+bh_usec_t cell_with_drift(bh_usec_t span);
+uint64_t cell_unix_ms(const bh_cell_t *c, bh_usec_t now);
+void cell_mark_dirty(bh_cell_t *c, bh_task_t *t);
+void cell_set_phase(bh_task_t *t, bh_phase_t phase);
+double cell_cpus_of(const bh_task_t *t);
+void cell_add_neighbour(bh_member_t *m, const bh_task_t *t, double cpus);
+void cell_take_place(bh_task_t *t, bh_member_t *m);
+void cell_end_task(bh_cell_t *c, bh_task_t *t, bh_outcome_t outcome,
+		   const char *reason);
+void cell_evict(bh_cell_t *c, bh_task_t *t);
+void cell_task_reported(bh_cell_t *c, bh_task_t *t, const bh_task_info_t *info,
+			bh_usec_t now);
+uint64_t cell_expected_run_ms(const bh_job_t *job);
+
+/* cell_orders.c */
+
+void cell_add_order(GArray *orders, bh_order_kind_t kind, char *id,
+		    uint32_t epoch);
+void cell_push_starts(bh_cell_t *c, bh_usec_t now);
+
+/* cell_term.c */
+
+void cell_follow(bh_cell_t *c, bh_usec_t now);
+void cell_fill_row(const bh_task_t *t, bh_task_row_t *row);
+void cell_fill_batch(bh_cell_t *c);
+void cell_send_commit(bh_cell_t *c, uint64_t term, bh_usec_t now);
+void cell_read_row(bh_cell_t *c);
+void cell_continue_commit(bh_cell_t *c, bh_usec_t now);
+bool cell_is_commit_due(const bh_cell_t *c, bh_usec_t now);
+
+/* cell_place.c */
+
+void cell_place_all(bh_cell_t *c, bh_usec_t now);
+
+/* cell_steer.c */
+
+double cell_watch_services(bh_cell_t *c, bh_member_t *m, const bh_msg_t *report,
+			   bh_usec_t now);
+void cell_steer(bh_cell_t *c, bh_member_t *m, double slowdown, bh_usec_t now);
+void cell_order_steering(bh_member_t *m, GArray *orders);
+
+/* cell.c */
+
+bh_member_t *cell_member_get(bh_cell_t *c, const char *name, bh_usec_t now);
+void cell_forget_all(bh_cell_t *c);
+
+#endif
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -162,7 +162,7 @@
 
 static void handle_announce(bh_agent_role_t *role, struct evhttp_request *req)
 {
-	GBytes *body = bh_http_body(req);
+	GBytes *body = bh_http_take_body(req);
 	bh_runner_info_t info = {0};
 	g_autofree char *text = NULL;
 	const char *wrong = "expected a JSON object";
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -299,7 +299,7 @@
 	caller->conn = evhttp_request_get_connection(req);
 	evhttp_connection_set_closecb(caller->conn, on_caller_gone, caller);
 	p.deadline += now;
-	p.body = bh_http_body(req);
+	p.body = bh_http_take_body(req);
 	p.user = caller;
 	bh_entry_submit(role->core, &p, now);
 	if (p.body)
--- a/daemon/records.c
+++ b/daemon/records.c
@@ -238,7 +238,7 @@
 		       bh_record_kind_t kind, const char *name)
 {
 	g_autoptr(GError) err = NULL;
-	GBytes *body = bh_http_body(req);
+	GBytes *body = bh_http_take_body(req);
 	gsize len = 0;
 	const char *text = body ? g_bytes_get_data(body, &len) : "";
 	bh_record_t *record = bh_record_parse(kind, text, (gssize)len, &err);
--- a/daemon/runtime.c
+++ b/daemon/runtime.c
@@ -116,16 +116,3 @@
 	json_object_set_string_member(body, "error", reason);
 	bh_http_reply_json(req, status, body);
 }
-
-GBytes *bh_http_body(struct evhttp_request *req)
-{
-	struct evbuffer *in = evhttp_request_get_input_buffer(req);
-	size_t len = evbuffer_get_length(in);
-	uint8_t *data;
-
-	if (len == 0)
-		return NULL;
-	data = g_malloc(len);
-	evbuffer_remove(in, data, len);
-	return g_bytes_new_take(data, len);
-}
--- a/daemon/runtime.h
+++ b/daemon/runtime.h
@@ -58,9 +58,4 @@
 void bh_http_reply_text(struct evhttp_request *req, int status,
 			const char *type, const char *text);
 
-/**
- * bh_http_body() - the request's body; NULL when it is empty
- */
-GBytes *bh_http_body(struct evhttp_request *req);
-
 #endif
--- a/tests/test.h
+++ b/tests/test.h
@@ -11,6 +11,21 @@
 
 #include <cmocka.h>
 
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
 #define MS(n) ((bh_usec_t)(n)*1000)
 
+/* Index of a step or fault named on a command line. */
+static inline int find_name(const char *const *names, int n, const char *name)
+{
+	for (int i = 0; i < n; i++) {
+		if (strcmp(names[i], name) == 0)
+			return i;
+	}
+	fprintf(stderr, "no such step or fault: %s\n", name);
+	exit(2);
+}
+
 #endif
--- a/tests/test_matrix_requests.c
+++ b/tests/test_matrix_requests.c
@@ -195,26 +195,17 @@
 	assert_int_equal(broken, 0);
 }
 
-static int find(const char *const *names, int n, const char *name)
-{
-	for (int i = 0; i < n; i++) {
-		if (strcmp(names[i], name) == 0)
-			return i;
-	}
-	fprintf(stderr, "no such step or fault: %s\n", name);
-	exit(2);
-}
-
 static int replay(char **argv)
 {
 	cell_t cell = {
-		.step = (world_step_t)find(world_step_names, STEP_COUNT,
-					   argv[1]),
-		.fault = (world_fault_t)find(world_fault_names, FAULT_COUNT,
-					     argv[2]),
-		.second = argv[4] ? (world_fault_t)find(world_fault_names,
-							FAULT_COUNT, argv[4])
-				  : FAULT_NONE,
+		.step = (world_step_t)find_name(world_step_names, STEP_COUNT,
+						argv[1]),
+		.fault = (world_fault_t)find_name(world_fault_names,
+						  FAULT_COUNT, argv[2]),
+		.second =
+			argv[4] ? (world_fault_t)find_name(world_fault_names,
+							   FAULT_COUNT, argv[4])
+				: FAULT_NONE,
 		.seed = (uint32_t)atoi(argv[3]),
 	};
 	bool has_struck;
--- a/tests/test_matrix_tasks.c
+++ b/tests/test_matrix_tasks.c
@@ -202,16 +202,6 @@
 	assert_int_equal(broken_runs, 0);
 }
 
-static int find(const char *const *names, int n, const char *name)
-{
-	for (int i = 0; i < n; i++) {
-		if (strcmp(names[i], name) == 0)
-			return i;
-	}
-	fprintf(stderr, "no such step or fault: %s\n", name);
-	exit(2);
-}
-
 static int replay(char **argv)
 {
 	g_autofree char *broken = NULL;
@@ -221,10 +211,10 @@
 		broken = run_random((uint32_t)atoi(argv[2]), stdout);
 	} else {
 		cell_t cell = {
-			.step = (cell_step_t)find(cell_step_names,
-						  CELL_STEP_COUNT, argv[1]),
-			.fault = (cell_fault_t)find(cell_fault_names,
-						    CELL_FAULT_COUNT, argv[2]),
+			.step = (cell_step_t)find_name(
+				cell_step_names, CELL_STEP_COUNT, argv[1]),
+			.fault = (cell_fault_t)find_name(
+				cell_fault_names, CELL_FAULT_COUNT, argv[2]),
 			.seed = (uint32_t)atoi(argv[3]),
 		};
 
