--- a/core/agent.c
+++ b/core/agent.c
@@ -709,6 +709,10 @@
 		refuse_queue(agent, r, BH_REASON_RUNNER_LOST);
 	}
 	TAILQ_FOREACH_SAFE(c, &agent->clients, link, next) {
+		if (c->conn && now - c->heard_at >= BH_CLIENT_SILENCE_US) {
+			agent->ops->close(agent->ctx, c->conn);
+			c->conn = NULL;
+		}
 		if (!c->conn && now - c->heard_at >= BH_CLIENT_FORGET_US)
 			client_free(agent, c);
 	}
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -33,7 +33,6 @@
 	CHOICE(role, NULL, "entry|agent", "what this process is"),
 	TEXT(name, NULL, "unique name of this process"),
 	TEXT(zone, NULL, "availability zone that it stands in"),
-	TEXT(region, "\"default\"", "region of the availability zone"),
 	TEXT(cell, "\"cell-1\"",
 	     "cell of the worker; for an entry, where new "
 	     "jobs go"),
@@ -61,8 +60,6 @@
 	    "largest request or record body"),
 	INT(max_in_flight, "requests", "4096", 1, 1000000,
 	    "requests without an answer at an entry"),
-	INT(max_connections, "connections", "2048", 1, 65536,
-	    "open connections of callers at an entry"),
 	INT(http_timeout_ms, "ms", "60000", 100, 3600000,
 	    "time an HTTP connection may be idle or half sent"),
 	INT(max_attempts, "attempts", "3", 1, 10,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -34,7 +34,6 @@
 	char *role;
 	char *name;
 	char *zone;
-	char *region;
 	char *cell;
 	char *listen_http;
 	char *listen_operators;
@@ -49,7 +48,6 @@
 	char *token_file;
 	int64_t max_body_bytes;
 	int64_t max_in_flight;
-	int64_t max_connections;
 	int64_t http_timeout_ms;
 	int64_t max_attempts;
 	int64_t default_deadline_ms;
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -268,6 +268,24 @@
 	assert_refused(f, 1, BH_REASON_RUNNER_LOST);
 }
 
+static void test_lost_entry_is_closed_then_forgotten(void **state)
+{
+	fake_t *f = *state;
+
+	request(f, &conn_a, 1, BH_CLASS_HIGH, MS(1000), 0);
+	done(f, 0, MS(3));
+	bh_agent_tick(f->agent, BH_CLIENT_SILENCE_US - 1);
+	assert_null(f->closed);
+	bh_agent_tick(f->agent, BH_CLIENT_SILENCE_US);
+	assert_ptr_equal(f->closed, &conn_a);
+	bh_agent_tick(f->agent, BH_CLIENT_FORGET_US);
+	assert_true(bh_agent_is_idle(f->agent));
+	/* A shutdown need not wait for its acknowledgements. */
+	hello(f, &conn_b, 2);
+	ask(f, &conn_b, 1);
+	assert_refused(f, 1, BH_REASON_NEVER_SEEN);
+}
+
 static void announce_orphans(fake_t *f, uint64_t seq, uint64_t agent,
 			     uint32_t orphans)
 {
@@ -329,6 +347,7 @@
 		TEST(test_failed_runner_is_not_called_again),
 		TEST(test_silent_runner_is_removed),
 		TEST(test_runs_of_a_former_agent_hold_their_slots),
+		TEST(test_lost_entry_is_closed_then_forgotten),
 		TEST(test_corrupt_body_is_refused),
 	};
 
