--- a/core/cell.h
+++ b/core/cell.h
@@ -137,6 +137,7 @@
 #define BH_UNPLACEABLE_AFTER_US (5 * BH_USEC_PER_SEC)
 /* A service this much slower than usual has its neighbours throttled. */
 #define BH_SLOWDOWN_HIGH     1.25
+#define BH_SLOWDOWN_MOVE     2.0
 #define BH_SLOWDOWN_CALM     1.10
 #define BH_THROTTLE_PERMILLE 250
 /* Longer than usage reports lag. */
--- a/core/cell_steer.c
+++ b/core/cell_steer.c
@@ -112,7 +112,8 @@
 }
 
 /* Throttle one neighbour more; once all are throttled, move the worst. */
-static void relieve(bh_cell_t *c, bh_member_t *m, bh_usec_t now)
+static void relieve(bh_cell_t *c, bh_member_t *m, double slowdown,
+		    bh_usec_t now)
 {
 	bh_task_t *t = worst_neighbour(c, m, 1000, now);
 
@@ -121,6 +122,9 @@
 		throttle(m, t, BH_THROTTLE_PERMILLE, now);
 		return;
 	}
+	/* An eviction costs more than a service somewhat slow. */
+	if (slowdown < BH_SLOWDOWN_MOVE)
+		return;
 	t = worst_neighbour(c, m, BH_THROTTLE_PERMILLE, now);
 	if (!t || !t->job->spec.is_idempotent)
 		return;
@@ -162,7 +166,7 @@
 	    now - m->steered_at < BH_STEER_SETTLE_US)
 		return;
 	if (now - m->slow_since >= BH_STEER_SETTLE_US / 4)
-		relieve(c, m, now);
+		relieve(c, m, slowdown, now);
 	else if (now - m->calm_since >= BH_STEER_RELEASE_US)
 		release(m, now);
 }
