Garbage on a connection is counted

Cause: garbage frames closed the connection without a trace; operators could not see that something else speaks to the port. Conclusion: both doors count.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -45,6 +45,7 @@
 	bh_usec_t reported_at;
 	uint64_t reported_changes;
 	uint64_t announce_seq;
+	uint64_t garbage_conns;
 	bool is_draining;
 	bh_usec_t drain_began;
 };
@@ -203,6 +204,8 @@
 	bh_metrics_agent(out, role->core);
 	bh_metrics_taskhost(out, role->host);
 	bh_metrics_cell(out, bh_leader_cell(role->leader));
+	bh_metrics_value(out, "boragehold_garbage_connections_total", NULL,
+			 (double)role->garbage_conns);
 	bh_metrics_value(out, "boragehold_table_writes_total", NULL,
 			 (double)bh_table_writes(role->table));
 	bh_metrics_value(out, "boragehold_table_reads_total", NULL,
@@ -353,6 +356,7 @@
 
 	(void)is_refused;
 	(void)error;
+	role->garbage_conns += bh_conn_is_garbage(conn);
 	g_hash_table_remove(role->conns, conn);
 	g_hash_table_foreach_remove(role->members, is_member_conn, conn);
 	bh_agent_conn_closed(role->core, conn, bh_runtime_now());
--- a/daemon/conn.c
+++ b/daemon/conn.c
@@ -16,6 +16,7 @@
 	GByteArray *scratch;
 	bool is_in_callback;
 	bool is_dead;
+	bool is_garbage;
 };
 
 static void conn_destroy(bh_conn_t *conn)
@@ -69,6 +70,7 @@
 	while (read_one(conn, in, &err))
 		;
 	conn->is_in_callback = false;
+	conn->is_garbage = err != NULL;
 	if (conn->is_dead)
 		conn_destroy(conn);
 	else if (err)
@@ -167,6 +169,11 @@
 	evbuffer_add(out, conn->scratch->data, conn->scratch->len);
 }
 
+bool bh_conn_is_garbage(const bh_conn_t *conn)
+{
+	return conn->is_garbage;
+}
+
 void bh_conn_set_user(bh_conn_t *conn, void *user)
 {
 	conn->user = user;
--- a/daemon/conn.h
+++ b/daemon/conn.h
@@ -50,6 +50,11 @@
  */
 void bh_conn_free(bh_conn_t *conn);
 void bh_conn_send(bh_conn_t *conn, const bh_msg_t *msg);
+
+/**
+ * bh_conn_is_garbage() - whether a frame that could not be read closed it
+ */
+bool bh_conn_is_garbage(const bh_conn_t *conn);
 void bh_conn_set_user(bh_conn_t *conn, void *user);
 void *bh_conn_user(const bh_conn_t *conn);
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -35,6 +35,7 @@
 	bh_usec_t requested_at;
 	bool is_draining;
 	bool is_registering;
+	uint64_t garbage_conns;
 	char *token;
 	GHashTable *other_entries; /* frame addresses, from the table */
 };
@@ -173,6 +174,7 @@
 	bh_entry_role_t *role = ctx;
 	bh_peer_t *peer = peer_of(role, conn);
 
+	role->garbage_conns += bh_conn_is_garbage(conn);
 	if (!peer)
 		return;
 	peer->user = NULL;
@@ -318,6 +320,8 @@
 			 (double)bh_table_reads(role->table));
 	bh_metrics_value(out, "boragehold_config_revision", NULL,
 			 (double)bh_records_revision(role->records));
+	bh_metrics_value(out, "boragehold_garbage_connections_total", NULL,
+			 (double)role->garbage_conns);
 	bh_metrics_value(out, "boragehold_garbage_datagrams_total", NULL,
 			 (double)bh_udp_garbage(role->udp));
 	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
