The leader tells its members the entries' addresses

Change: the leader reads it and sends it with its orders when a member's report names another hash; a member reads the store only while it hears no leader.

--- a/core/msg.c
+++ b/core/msg.c
@@ -44,6 +44,7 @@
 	g_free(msg->endpoints);
 	g_free(msg->tasks);
 	g_free(msg->orders);
+	g_strfreev(msg->entries);
 	g_free(msg->name);
 	g_free(msg->zone);
 	g_free(msg->address);
@@ -79,5 +80,6 @@
 	dst->tenant = g_strdup(src->tenant);
 	if (src->body)
 		g_bytes_ref(src->body);
+	dst->entries = g_strdupv(src->entries);
 	copy_arrays(dst, src);
 }
--- a/core/msg.h
+++ b/core/msg.h
@@ -111,6 +111,8 @@
  * @budget_us: time left until the deadline; relative, so that clocks of
  *	two hosts need not agree
  * @checksum: xxhash64 of @body
+ * @entries: frame addresses of the entries, NULL-terminated; in orders, when
+ *	the member's report named another @entries_hash
  */
 typedef struct bh_msg {
 	bh_msg_type_t type;
@@ -143,6 +145,8 @@
 	bh_task_info_t *tasks;
 	size_t n_orders;
 	bh_order_t *orders;
+	char **entries;
+	uint64_t entries_hash;
 } bh_msg_t;
 
 /**
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -38,6 +38,9 @@
 	GHashTable *members; /* member name to its connection, while leading */
 	GHashTable *pools;   /* runner address to its HTTP pool */
 	GHashTable *entries; /* entry name to bh_known_entry_t */
+	char **told_entries; /* addresses that the cell's leader sent */
+	uint64_t told_hash;
+	GHashTable *member_hashes; /* member to the hash that it reported */
 	char **fixed_entries;
 	bh_conn_t *to_leader;
 	char *leader_address;
@@ -231,8 +234,29 @@
 		bh_http_reply_error(req, 404, "no such path");
 }
 
+static bool is_own_cell(const bh_agent_role_t *role)
+{
+	return bh_cell_role(bh_leader_cell(role->leader)) == BH_CELL_LEADING;
+}
+
+/* Often enough that the leader is heard well within its term. */
+static bh_usec_t idle_report_us(const bh_agent_role_t *role)
+{
+	const bh_settings_t *s = role->rt->settings;
+
+	return MAX(s->report_ms, s->term_ms / IDLE_REPORTS_A_TERM) *
+	       BH_USEC_PER_MS;
+}
+
 /* Announcements to the entries. */
 
+static bool has_live_leader(const bh_agent_role_t *role, bh_usec_t now)
+{
+	return !is_own_cell(role) && role->leader_heard_at != 0 &&
+	       now - role->leader_heard_at <=
+		       MAX(LEADER_SILENCE_US, 2 * idle_report_us(role));
+}
+
 static void known_entry_free(void *data)
 {
 	bh_known_entry_t *known = data;
@@ -269,6 +293,9 @@
 
 	(void)fd;
 	(void)what;
+	/* Thousands of agents that read the same rows would fill the store. */
+	if (role->told_entries && has_live_leader(role, bh_runtime_now()))
+		return;
 	bh_table_list(role->table, "entry/", NULL, on_entries, role);
 }
 
@@ -278,13 +305,44 @@
 			       address);
 }
 
+static int compare_texts(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* In order, so that the same entries always have the same hash. */
+static char **listed_addresses(bh_agent_role_t *role, bh_usec_t now)
+{
+	GPtrArray *out = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, role->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bh_known_entry_t *known = value;
+
+		if (known->address && now - known->changed_at < ENTRY_STALE_US)
+			g_ptr_array_add(out, g_strdup(known->address));
+	}
+	g_ptr_array_sort(out, compare_texts);
+	g_ptr_array_add(out, NULL);
+	return (char **)g_ptr_array_free(out, FALSE);
+}
+
+/* What the leader told, while it lives; else what the store says. */
+static char **entry_addresses(bh_agent_role_t *role, bh_usec_t now)
+{
+	if (role->told_entries && has_live_leader(role, now))
+		return g_strdupv(role->told_entries);
+	return listed_addresses(role, now);
+}
+
 static void announce(bh_agent_role_t *role)
 {
 	const bh_settings_t *s = role->rt->settings;
 	bh_usec_t now = bh_runtime_now();
 	bh_msg_t msg = {.type = BH_MSG_ANNOUNCE};
-	GHashTableIter iter;
-	void *value;
+	g_auto(GStrv) addresses = NULL;
 
 	msg.name = g_strdup(s->name);
 	msg.zone = g_strdup(s->zone);
@@ -295,14 +353,10 @@
 	bh_agent_announcement(role->core, &msg);
 	for (char **fixed = role->fixed_entries; *fixed; fixed++)
 		bh_udp_send(role->udp, *fixed, &msg);
-	g_hash_table_iter_init(&iter, role->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const bh_known_entry_t *known = value;
-
-		if (known->address &&
-		    now - known->changed_at < ENTRY_STALE_US &&
-		    !is_fixed_entry(role, known->address))
-			bh_udp_send(role->udp, known->address, &msg);
+	addresses = entry_addresses(role, now);
+	for (char **at = addresses; *at; at++) {
+		if (!is_fixed_entry(role, *at))
+			bh_udp_send(role->udp, *at, &msg);
 	}
 	bh_msg_clear(&msg);
 }
@@ -330,6 +384,9 @@
 	if (!msg->name)
 		return;
 	g_hash_table_replace(role->members, g_strdup(msg->name), conn);
+	g_hash_table_replace(
+		role->member_hashes, g_strdup(msg->name),
+		g_memdup2(&msg->entries_hash, sizeof(msg->entries_hash)));
 	bh_cell_report(bh_leader_cell(role->leader), msg, bh_runtime_now());
 }
 
@@ -458,16 +515,16 @@
 
 /* Tasks: the leader's side. */
 
-static bool is_own_cell(const bh_agent_role_t *role)
-{
-	return bh_cell_role(bh_leader_cell(role->leader)) == BH_CELL_LEADING;
-}
-
 static void take_orders(bh_agent_role_t *role, const bh_msg_t *msg)
 {
 	bh_usec_t now = bh_runtime_now();
 
 	role->leader_heard_at = now;
+	if (msg->entries) {
+		g_strfreev(role->told_entries);
+		role->told_entries = g_strdupv(msg->entries);
+		role->told_hash = msg->entries_hash;
+	}
 	bh_cell_heard(bh_leader_cell(role->leader), now);
 	bh_taskhost_orders(role->host, msg, now);
 }
@@ -504,6 +561,29 @@
 	role->to_leader = NULL;
 }
 
+static uint64_t hash_addresses(char **addresses)
+{
+	g_autofree char *text = g_strjoinv(",", addresses);
+	g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+
+	return bh_body_checksum(bytes);
+}
+
+/* The list of entries goes along when the member does not have it yet. */
+static void send_to_member(bh_agent_role_t *role, bh_conn_t *conn,
+			   const char *member, const bh_msg_t *orders)
+{
+	g_auto(GStrv) entries = listed_addresses(role, bh_runtime_now());
+	const uint64_t *known =
+		g_hash_table_lookup(role->member_hashes, member);
+	bh_msg_t msg = *orders;
+
+	msg.entries_hash = hash_addresses(entries);
+	if (*entries && (!known || *known != msg.entries_hash))
+		msg.entries = entries;
+	bh_conn_send(conn, &msg);
+}
+
 static void leader_send(void *ctx, const char *member, const bh_msg_t *orders)
 {
 	bh_agent_role_t *role = ctx;
@@ -515,7 +595,7 @@
 	}
 	conn = g_hash_table_lookup(role->members, member);
 	if (conn)
-		bh_conn_send(conn, orders);
+		send_to_member(role, conn, member, orders);
 }
 
 static void leader_found(void *ctx, const char *address)
@@ -542,15 +622,6 @@
 		      role->rt->settings->listen_frames) != 0;
 }
 
-/* Often enough that the leader is heard well within its term. */
-static bh_usec_t idle_report_us(const bh_agent_role_t *role)
-{
-	const bh_settings_t *s = role->rt->settings;
-
-	return MAX(s->report_ms, s->term_ms / IDLE_REPORTS_A_TERM) *
-	       BH_USEC_PER_MS;
-}
-
 /* A leader reads every report in full, so one without news can wait. */
 static bool is_report_due(const bh_agent_role_t *role, bh_usec_t now)
 {
@@ -594,6 +665,7 @@
 	if (!bh_taskhost_report(role->host, &msg, now))
 		return;
 	bh_agent_announcement(role->core, &msg);
+	msg.entries_hash = role->told_hash;
 	if (is_own_cell(role))
 		bh_cell_report(bh_leader_cell(role->leader), &msg, now);
 	else
@@ -709,6 +781,8 @@
 					    pool_free);
 	role->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      known_entry_free);
+	role->member_hashes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	role->fixed_entries = g_strsplit(s->entries, ",", -1);
 	if (!open_sockets(role)) {
 		bh_agent_role_free(role);
@@ -763,6 +837,8 @@
 	g_hash_table_destroy(role->conns);
 	g_hash_table_destroy(role->members);
 	g_hash_table_destroy(role->entries);
+	g_hash_table_destroy(role->member_hashes);
+	g_strfreev(role->told_entries);
 	g_strfreev(role->fixed_entries);
 	g_free(role->leader_address);
 	g_free(role);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -36,6 +36,8 @@
 	msg->orders[0].id = g_strdup("job/2");
 	msg->orders[0].kind = BH_ORDER_THROTTLE;
 	msg->orders[0].permille = 250;
+	msg->entries = g_strsplit("10.0.0.1:1,10.0.0.2:1", ",", -1);
+	msg->entries_hash = 77;
 	msg->n_endpoints = 1;
 	msg->endpoints = g_new0(bh_endpoint_info_t, 1);
 	msg->endpoints[0].service = g_strdup("roster");
@@ -65,6 +67,7 @@
 	assert_string_equal(msg.tasks[0].id, "job/1");
 	assert_int_equal(msg.orders[0].permille, 250);
 	assert_int_equal(msg.load.yours, 4);
+	assert_string_equal(msg.entries[1], "10.0.0.2:1");
 	assert_int_equal(msg.checksum, bh_body_checksum(msg.body));
 	bh_frame_pack(&msg, again);
 	assert_int_equal(again->len, bytes->len);
--- a/wire/frame.c
+++ b/wire/frame.c
@@ -92,6 +92,9 @@
 	f->run_us = msg->run_us;
 	f->term = msg->term;
 	f->lease_ms = msg->lease_ms;
+	f->entries_hash = msg->entries_hash;
+	f->entries = msg->entries;
+	f->n_entries = msg->entries ? g_strv_length(msg->entries) : 0;
 }
 
 static void pack_endpoints(const bh_msg_t *msg, bh_pack_t *p, void **ptr)
@@ -221,12 +224,22 @@
 	msg->run_us = f->run_us;
 	msg->term = f->term;
 	msg->lease_ms = f->lease_ms;
+	msg->entries_hash = f->entries_hash;
 	if (f->body.len)
 		msg->body = g_bytes_new(f->body.data, f->body.len);
 	load_from_wire(f->load, &msg->load);
 	resources_from_wire(f->capacity, &msg->capacity);
 }
 
+static void unpack_entries(const Wire__Frame *f, bh_msg_t *msg)
+{
+	if (f->n_entries == 0)
+		return;
+	msg->entries = g_new0(char *, f->n_entries + 1);
+	for (size_t i = 0; i < f->n_entries; i++)
+		msg->entries[i] = g_strdup(f->entries[i]);
+}
+
 static void unpack_endpoints(const Wire__Frame *f, bh_msg_t *msg)
 {
 	msg->n_endpoints = f->n_endpoints;
@@ -314,6 +327,7 @@
 	unpack_endpoints(f, out);
 	unpack_tasks(f, out);
 	unpack_orders(f, out);
+	unpack_entries(f, out);
 	wire__frame__free_unpacked(f, NULL);
 	return true;
 }
--- a/wire/frame.pb-c.c
+++ b/wire/frame.pb-c.c
@@ -727,7 +727,7 @@
   (ProtobufCMessageInit) wire__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor wire__frame__field_descriptors[29] =
 {
   {
     "type",
@@ -1053,6 +1053,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__Frame, n_entries),
+    offsetof(Wire__Frame, entries),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_hash",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Frame, entries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__frame__field_indices_by_name[] = {
   8,   /* field[8] = address */
@@ -1062,6 +1086,8 @@
   18,   /* field[18] = checksum */
   11,   /* field[11] = cls */
   24,   /* field[24] = endpoints */
+  27,   /* field[27] = entries */
+  28,   /* field[28] = entries_hash */
   2,   /* field[2] = entry */
   5,   /* field[5] = floor */
   3,   /* field[3] = generation */
@@ -1086,7 +1112,7 @@
 static const ProtobufCIntRange wire__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor wire__frame__descriptor =
 {
@@ -1096,7 +1122,7 @@
   "Wire__Frame",
   "wire",
   sizeof(Wire__Frame),
-  27,
+  29,
   wire__frame__field_descriptors,
   wire__frame__field_indices_by_name,
   1,  wire__frame__number_ranges,
--- a/wire/frame.pb-c.h
+++ b/wire/frame.pb-c.h
@@ -131,10 +131,13 @@
   Wire__Task **tasks;
   size_t n_orders;
   Wire__Order **orders;
+  size_t n_entries;
+  char **entries;
+  uint64_t entries_hash;
 };
 #define WIRE__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__frame__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, NULL, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, NULL, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Wire__Load methods */
