Fewer heartbeats on idle connections

Change: one a second while no request is out; a connection is silent when nothing was heard for 1 s and a heartbeat is overdue by 0.75 s. Ruled out: no heartbeats when idle (the first request would pay for the discovery).

--- a/core/entry.c
+++ b/core/entry.c
@@ -403,7 +403,10 @@
 
 static void ping_if_due(bh_entry_t *e, bh_peer_t *peer, bh_usec_t now)
 {
-	if (peer->is_ping_unanswered || now - peer->ping_sent_at < BH_PING_US)
+	bool is_idle = TAILQ_EMPTY(&peer->attempts);
+	bh_usec_t interval = is_idle ? BH_PING_IDLE_US : BH_PING_US;
+
+	if (peer->is_ping_unanswered || now - peer->ping_sent_at < interval)
 		return;
 	peer->ping_sent_at = now;
 	peer->is_ping_unanswered = true;
@@ -419,11 +422,18 @@
 			   g_rand_double_range(e->rand, 0.5, 1));
 }
 
+static bool is_link_silent(const bh_peer_t *peer, bh_usec_t now)
+{
+	return peer->is_ping_unanswered &&
+	       now - peer->ping_sent_at >= BH_PING_OVERDUE_US &&
+	       now - peer->link_heard_at >= BH_LINK_SILENCE_US;
+}
+
 static void check_link(bh_entry_t *e, bh_peer_t *peer, bh_usec_t now)
 {
 	switch (peer->link_state) {
 	case BH_LINK_UP:
-		if (now - peer->link_heard_at >= BH_LINK_SILENCE_US) {
+		if (is_link_silent(peer, now)) {
 			e->counters.silent_links++;
 			hangup(e, peer);
 			dial(e, peer, now);
@@ -469,6 +479,7 @@
 	TAILQ_FOREACH(peer, bh_peers_list(e->peers), link) {
 		peer->heard_at += pause;
 		peer->link_heard_at += pause;
+		peer->ping_sent_at += pause;
 		peer->dial_at += pause;
 	}
 }
--- a/core/entry.h
+++ b/core/entry.h
@@ -82,7 +82,12 @@
 	bh_tenant_limits_t tenant_defaults;
 } bh_entry_config_t;
 
-/* Heartbeats on each connection, and when it counts as silent. */
+/*
+ * Heartbeats on each connection, fewer while no request is out there, and when
+ * it counts as silent: nothing was heard, and a heartbeat is overdue.
+ */
+#define BH_PING_IDLE_US	   (1000 * BH_USEC_PER_MS)
+#define BH_PING_OVERDUE_US (750 * BH_USEC_PER_MS)
 #define BH_PING_US	   (250 * BH_USEC_PER_MS)
 #define BH_LINK_SILENCE_US (1000 * BH_USEC_PER_MS)
 #define BH_DIAL_TIMEOUT_US (1000 * BH_USEC_PER_MS)
