Agents keep announcing through a long outage of the store

Change: rows age by the store's reads, not by the clock; after an outage all count as fresh again; the later word of leader and store holds. Ruled out: a longer age, which would only put it off. Conclusion: requests go on through an outage, also for an entry that restarts.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -40,6 +40,8 @@
 	GHashTable *entries; /* entry name to bh_known_entry_t */
 	char **told_entries; /* addresses that the cell's leader sent */
 	uint64_t told_hash;
+	bh_usec_t told_at;	   /* when the leader last vouched for them */
+	bh_usec_t entries_read_at; /* from the store */
 	GHashTable *member_hashes; /* member to the hash that it reported */
 	char **fixed_entries;
 	bh_conn_t *to_leader;
@@ -265,6 +267,16 @@
 	g_free(known);
 }
 
+static void renew_known(bh_agent_role_t *role, bh_usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, role->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((bh_known_entry_t *)value)->changed_at = now;
+}
+
 static void on_entries(void *user, const bh_table_reply_t *reply)
 {
 	bh_agent_role_t *role = user;
@@ -272,6 +284,10 @@
 
 	if (reply->status != BH_TABLE_OK)
 		return;
+	/* While the store was out nobody could rewrite a row. */
+	if (now - role->entries_read_at >= ENTRY_STALE_US / 2)
+		renew_known(role, now);
+	role->entries_read_at = now;
 	for (size_t i = 0; i < reply->n_rows; i++) {
 		const bh_row_t *row = &reply->rows[i];
 		bh_known_entry_t *known =
@@ -311,7 +327,7 @@
 }
 
 /* In order, so that the same entries always have the same hash. */
-static char **listed_addresses(bh_agent_role_t *role, bh_usec_t now)
+static char **listed_addresses(bh_agent_role_t *role)
 {
 	GPtrArray *out = g_ptr_array_new();
 	GHashTableIter iter;
@@ -321,7 +337,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const bh_known_entry_t *known = value;
 
-		if (known->address && now - known->changed_at < ENTRY_STALE_US)
+		if (known->address &&
+		    role->entries_read_at - known->changed_at < ENTRY_STALE_US)
 			g_ptr_array_add(out, g_strdup(known->address));
 	}
 	g_ptr_array_sort(out, compare_texts);
@@ -329,18 +346,17 @@
 	return (char **)g_ptr_array_free(out, FALSE);
 }
 
-/* What the leader told, while it lives; else what the store says. */
-static char **entry_addresses(bh_agent_role_t *role, bh_usec_t now)
+/* The later word of the leader's and the store's; neither may be there now. */
+static char **entry_addresses(bh_agent_role_t *role)
 {
-	if (role->told_entries && has_live_leader(role, now))
+	if (role->told_entries && role->told_at >= role->entries_read_at)
 		return g_strdupv(role->told_entries);
-	return listed_addresses(role, now);
+	return listed_addresses(role);
 }
 
 static void announce(bh_agent_role_t *role)
 {
 	const bh_settings_t *s = role->rt->settings;
-	bh_usec_t now = bh_runtime_now();
 	bh_msg_t msg = {.type = BH_MSG_ANNOUNCE};
 	g_auto(GStrv) addresses = NULL;
 
@@ -353,7 +369,7 @@
 	bh_agent_announcement(role->core, &msg);
 	for (char **fixed = role->fixed_entries; *fixed; fixed++)
 		bh_udp_send(role->udp, *fixed, &msg);
-	addresses = entry_addresses(role, now);
+	addresses = entry_addresses(role);
 	for (char **at = addresses; *at; at++) {
 		if (!is_fixed_entry(role, *at))
 			bh_udp_send(role->udp, *at, &msg);
@@ -520,6 +536,7 @@
 	bh_usec_t now = bh_runtime_now();
 
 	role->leader_heard_at = now;
+	role->told_at = now;
 	if (msg->entries) {
 		g_strfreev(role->told_entries);
 		role->told_entries = g_strdupv(msg->entries);
@@ -573,7 +590,7 @@
 static void send_to_member(bh_agent_role_t *role, bh_conn_t *conn,
 			   const char *member, const bh_msg_t *orders)
 {
-	g_auto(GStrv) entries = listed_addresses(role, bh_runtime_now());
+	g_auto(GStrv) entries = listed_addresses(role);
 	const uint64_t *known =
 		g_hash_table_lookup(role->member_hashes, member);
 	bh_msg_t msg = *orders;
