--- a/core/agent.c
+++ b/core/agent.c
@@ -775,17 +775,7 @@
 	return w->runner->address;
 }
 
-bh_runner_t *bh_work_runner(const bh_work_t *w)
-{
-	return w->runner;
-}
-
 GBytes *bh_work_body(const bh_work_t *w)
 {
 	return w->body;
 }
-
-bh_usec_t bh_work_deadline(const bh_work_t *w)
-{
-	return w->deadline;
-}
--- a/core/agent.h
+++ b/core/agent.h
@@ -124,8 +124,6 @@
 uint64_t bh_work_entry(const bh_work_t *work);
 uint64_t bh_work_seq(const bh_work_t *work);
 const char *bh_work_address(const bh_work_t *work);
-bh_runner_t *bh_work_runner(const bh_work_t *work);
 GBytes *bh_work_body(const bh_work_t *work);
-bh_usec_t bh_work_deadline(const bh_work_t *work);
 
 #endif
--- a/core/cell.c
+++ b/core/cell.c
@@ -343,24 +343,3 @@
 {
 	return &c->counters;
 }
-
-size_t bh_cell_members(const bh_cell_t *c)
-{
-	return g_hash_table_size(c->members);
-}
-
-size_t bh_cell_tasks_in(const bh_cell_t *c, bh_task_state_t state)
-{
-	GHashTableIter iter;
-	void *value;
-	size_t n = 0;
-
-	g_hash_table_iter_init(&iter, c->tasks);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		bh_task_row_t row;
-
-		cell_fill_row(value, &row);
-		n += row.state == state;
-	}
-	return n;
-}
--- a/core/cell.h
+++ b/core/cell.h
@@ -228,7 +228,5 @@
 bh_cell_role_t bh_cell_role(const bh_cell_t *cell);
 uint64_t bh_cell_term(const bh_cell_t *cell);
 const bh_cell_counters_t *bh_cell_counters(const bh_cell_t *cell);
-size_t bh_cell_members(const bh_cell_t *cell);
-size_t bh_cell_tasks_in(const bh_cell_t *cell, bh_task_state_t state);
 
 #endif
--- a/core/peer.c
+++ b/core/peer.c
@@ -164,11 +164,6 @@
 	return &peers->list;
 }
 
-GHashTable *bh_peers_services(bh_peers_t *peers)
-{
-	return peers->services;
-}
-
 bh_peer_t *bh_peers_find(bh_peers_t *peers, const char *name)
 {
 	return g_hash_table_lookup(peers->by_name, name);
--- a/core/peer.h
+++ b/core/peer.h
@@ -110,7 +110,6 @@
 bh_peers_t *bh_peers_new(const char *zone);
 void bh_peers_free(bh_peers_t *peers);
 bh_peer_list_t *bh_peers_list(bh_peers_t *peers);
-GHashTable *bh_peers_services(bh_peers_t *peers);
 bh_peer_t *bh_peers_find(bh_peers_t *peers, const char *name);
 bh_service_t *bh_peers_service(bh_peers_t *peers, const char *name);
 
--- a/core/taskhost.c
+++ b/core/taskhost.c
@@ -338,11 +338,6 @@
 	return h->changes;
 }
 
-uint64_t bh_taskhost_term(const bh_taskhost_t *h)
-{
-	return h->term;
-}
-
 const bh_ledger_t *bh_taskhost_ledger(const bh_taskhost_t *h)
 {
 	return h->ledger;
--- a/core/taskhost.h
+++ b/core/taskhost.h
@@ -12,8 +12,7 @@
 
 #include "core/ledger.h"
 
-#define BH_REPORTS_KEPT	  64
-#define BH_HOST_TASKS_MAX 4096
+#define BH_REPORTS_KEPT 64
 
 typedef struct bh_taskhost bh_taskhost_t;
 
@@ -95,7 +94,6 @@
  * bh_taskhost_changes() - grows with each change that a leader should hear of
  */
 uint64_t bh_taskhost_changes(const bh_taskhost_t *host);
-uint64_t bh_taskhost_term(const bh_taskhost_t *host);
 const bh_ledger_t *bh_taskhost_ledger(const bh_taskhost_t *host);
 const bh_taskhost_counters_t *bh_taskhost_counters(const bh_taskhost_t *host);
 
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -9,7 +9,6 @@
 #include <event2/listener.h>
 
 #define TICK_MS		    5
-#define ENTRIES_POLL_FACTOR 1
 #define IDLE_REPORTS_A_TERM 3
 #define DRAIN_CHECK_MS	    20
 #define ENTRY_STALE_US	    (60 * BH_USEC_PER_SEC)
@@ -250,13 +249,17 @@
 	       BH_USEC_PER_MS;
 }
 
+static bh_usec_t leader_silence_us(const bh_agent_role_t *role)
+{
+	return MAX(LEADER_SILENCE_US, 2 * idle_report_us(role));
+}
+
 /* Announcements to the entries. */
 
 static bool has_live_leader(const bh_agent_role_t *role, bh_usec_t now)
 {
 	return !is_own_cell(role) && role->leader_heard_at != 0 &&
-	       now - role->leader_heard_at <=
-		       MAX(LEADER_SILENCE_US, 2 * idle_report_us(role));
+	       now - role->leader_heard_at <= leader_silence_us(role);
 }
 
 static void known_entry_free(void *data)
@@ -649,8 +652,7 @@
 static void report_to_leader(bh_agent_role_t *role, const bh_msg_t *msg,
 			     bh_usec_t now)
 {
-	if (now - role->leader_heard_at >
-	    MAX(LEADER_SILENCE_US, 2 * idle_report_us(role))) {
+	if (now - role->leader_heard_at > leader_silence_us(role)) {
 		leader_hangup(role);
 		role->leader_heard_at = now;
 	}
@@ -770,8 +772,7 @@
 	role->timers[1] =
 		bh_runtime_every(role->rt, s->announce_ms, on_announce, role);
 	role->timers[2] =
-		bh_runtime_every(role->rt, s->poll_ms * ENTRIES_POLL_FACTOR,
-				 on_poll_entries, role);
+		bh_runtime_every(role->rt, s->poll_ms, on_poll_entries, role);
 	role->timers[3] =
 		bh_runtime_every(role->rt, s->report_ms, on_report, role);
 	role->timers[4] = bh_runtime_every(role->rt, s->poll_ms, on_poll, role);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -258,12 +258,6 @@
 	return TRUE;
 }
 
-const bh_option_t *bh_options(size_t *count)
-{
-	*count = G_N_ELEMENTS(options);
-	return options;
-}
-
 bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err)
 {
 	g_autoptr(JsonParser) parser = json_parser_new_immutable();
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -84,8 +84,6 @@
 	const char *help;
 } bh_option_t;
 
-const bh_option_t *bh_options(size_t *count);
-
 /**
  * bh_settings_load() - read and check a settings file
  *
