--- /dev/null
+++ b/daemon/hub.c
@@ -0,0 +1,662 @@
+#include "daemon/hub.h"
+#include "daemon/follow.h"
+#include "daemon/metrics.h"
+#include "daemon/tables.h"
+#include "platform/decode.h"
+
+#include <event2/listener.h>
+
+/* How long the store may hold the call for a new configuration. Together with
+ * the time-out a silent connection is noticed within about two seconds. */
+#define CONFIG_WAIT_MS 1300
+
+#define TICK_MS 100
+
+#define PING_EVERY_US (400 * BH_USEC_PER_MS)
+
+/* Both sides ping every 400 ms. */
+#define SILENT_AFTER_US (1300 * BH_USEC_PER_MS)
+
+#define REDIAL_US (200 * BH_USEC_PER_MS)
+
+/* Within a zone or two the leader answers in milliseconds; after this long the
+ * store is asked instead. */
+#define ASK_TIMEOUT_US (350 * BH_USEC_PER_MS)
+
+/* An answer of the store that is older does not prove that it is reached. */
+#define STORE_FRESH_MS 2200
+
+#define LOADS_MAX 16
+
+/* Refused connections in a row that show that a process has ended. */
+#define REFUSALS_GONE 2
+
+typedef struct question {
+	bh_hub_state_cb_t cb;
+	void *user;
+	bh_usec_t asked_at;
+} question_t;
+
+/* Another entry, connected to this one while this one leads. */
+typedef struct peer {
+	TAILQ_ENTRY(peer) entry;
+	bh_link_t *link;
+	uint64_t config_version;
+} peer_t;
+
+typedef TAILQ_HEAD(peers, peer) peers_t;
+
+struct bh_hub {
+	bh_runtime_t *rt;
+	bh_store_t *store;
+	bh_follow_t *operator_rows;
+	bh_config_t *config;
+	bh_config_t *old_config;
+	GBytes *config_text;
+	bh_term_t *term;
+	bh_sched_leader_t *leading;
+	bool is_lost;
+	struct evconnlistener *listener;
+	peers_t peers;
+	bh_link_t *link;
+	char *link_address;
+	bool link_is_open;
+	int refusals;
+	bh_usec_t dialled_at;
+	uint64_t leader_config;
+	uint64_t pushed_version;
+	GHashTable *questions;
+	uint64_t last_question;
+	bh_backlog_t loads[LOADS_MAX];
+	uint32_t n_loads;
+	bh_usec_t loads_at;
+	bh_usec_t pinged_at;
+	uint64_t terms_won;
+	struct event *tick;
+};
+
+static void push_config(bh_hub_t *hub, bh_link_t *link)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__ConfigPush push = BH__SCHED__CONFIG_PUSH__INIT;
+	gsize len;
+
+	push.version = hub->config->version;
+	push.text.data =
+		(uint8_t *)g_bytes_get_data(hub->config_text, &len);
+	push.text.len = len;
+	frame.body_case = BH__SCHED__FRAME__BODY_CONFIG;
+	frame.config = &push;
+	bh_link_send(link, &frame);
+}
+
+static void spread_config(bh_hub_t *hub)
+{
+	peer_t *peer;
+
+	TAILQ_FOREACH(peer, &hub->peers, entry)
+	{
+		if (peer->config_version < hub->config->version) {
+			push_config(hub, peer->link);
+			peer->config_version = hub->config->version;
+		}
+	}
+	if (hub->link_is_open && hub->leader_config &&
+	    hub->leader_config < hub->config->version) {
+		push_config(hub, hub->link);
+		hub->leader_config = hub->config->version;
+	}
+}
+
+static void take_config(bh_hub_t *hub, const void *text, size_t len,
+			const char *source)
+{
+	bh_config_t *config = bh_decode_config(text, len);
+	g_autofree char *version = NULL;
+
+	if (!config) {
+		bh_log_event(&hub->rt->log, BH_LOG_ERROR,
+			     "configuration cannot be read", "source", source,
+			     NULL);
+		return;
+	}
+	if (hub->config && config->version <= hub->config->version) {
+		bh_config_free(config);
+		return;
+	}
+	version = g_strdup_printf("%" G_GUINT64_FORMAT, config->version);
+	bh_log_event(&hub->rt->log, BH_LOG_INFO, "configuration", "version",
+		     version, "source", source, NULL);
+	bh_config_free(hub->old_config);
+	hub->old_config = hub->config;
+	hub->config = config;
+	if (hub->config_text)
+		g_bytes_unref(hub->config_text);
+	hub->config_text = g_bytes_new(text, len);
+	if (hub->leading)
+		bh_sched_leader_set_config(hub->leading, config);
+	spread_config(hub);
+}
+
+static void on_operator_row(void *ctx, const bh_store_row_t *row)
+{
+	if (strcmp(row->key, BH_KEY_OPERATOR_CONFIG) == 0 && !row->is_deleted)
+		take_config(ctx, row->value, row->len, "store");
+}
+
+static void on_operator_loaded(void *ctx)
+{
+	(void)ctx;
+}
+
+static const bh_follow_ops_t operator_ops = {on_operator_row,
+					     on_operator_loaded};
+
+static void send_ping(bh_hub_t *hub, bh_link_t *link)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+	Bh__Sched__QueueLoad rows[LOADS_MAX];
+	Bh__Sched__QueueLoad *refs[LOADS_MAX];
+
+	ping.term = bh_term_number(hub->term);
+	ping.config_version = hub->config ? hub->config->version : 0;
+	if (hub->leading) {
+		ping.renewed_ago_ms =
+			(uint64_t)bh_term_renewed_ago_ms(hub->term);
+		for (uint32_t i = 0; i < hub->n_loads; i++) {
+			bh__sched__queue_load__init(&rows[i]);
+			rows[i].priority = hub->loads[i].priority;
+			rows[i].wait_ms = hub->loads[i].wait_ms;
+			rows[i].wait_filler_ms = hub->loads[i].wait_filler_ms;
+			refs[i] = &rows[i];
+		}
+		ping.n_load = hub->n_loads;
+		ping.load = refs;
+	} else {
+		ping.renewed_ago_ms = (uint64_t)bh_follow_answered_ago_ms(
+			hub->operator_rows);
+	}
+	frame.body_case = BH__SCHED__FRAME__BODY_PING;
+	frame.ping = &ping;
+	bh_link_send(link, &frame);
+}
+
+/* The leader's side: what another entry sends. */
+
+static void answer(bh_link_t *link, uint64_t number, bh_job_state_t state,
+		   uint32_t pending)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__QueryReply reply = BH__SCHED__QUERY_REPLY__INIT;
+
+	reply.number = number;
+	reply.state = state;
+	reply.pending = pending;
+	frame.body_case = BH__SCHED__FRAME__BODY_REPLY;
+	frame.reply = &reply;
+	bh_link_send(link, &frame);
+}
+
+static void on_query(bh_hub_t *hub, bh_link_t *link,
+		     const Bh__Sched__Query *query)
+{
+	uint32_t pending = 0;
+
+	if (!hub->leading)
+		return;
+	if (*query->id)
+		answer(link, query->number,
+		       bh_sched_leader_state(hub->leading, query->id), 0);
+	else if (bh_sched_leader_pending(hub->leading, query->queue, &pending))
+		answer(link, query->number, BH_JOB_UNKNOWN, pending);
+}
+
+static void on_peer_ping(bh_hub_t *hub, peer_t *peer,
+			 const Bh__Sched__Ping *ping)
+{
+	peer->config_version = ping->config_version;
+	bh_term_heard(hub->term, ping->term);
+	if (hub->leading && ping->renewed_ago_ms < STORE_FRESH_MS)
+		bh_sched_leader_others_reach_store(hub->leading);
+	if (hub->config)
+		spread_config(hub);
+}
+
+static void on_peer_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
+{
+	bh_hub_t *hub = ctx;
+	peer_t *peer = bh_link_user(link);
+
+	switch (frame->body_case) {
+	case BH__SCHED__FRAME__BODY_QUERY:
+		on_query(hub, link, frame->query);
+		break;
+	case BH__SCHED__FRAME__BODY_JOB:
+		if (hub->leading)
+			bh_sched_leader_job(hub->leading, frame->job->job.data,
+					    frame->job->job.len);
+		break;
+	case BH__SCHED__FRAME__BODY_PING:
+		on_peer_ping(hub, peer, frame->ping);
+		break;
+	case BH__SCHED__FRAME__BODY_CONFIG:
+		take_config(hub, frame->config->text.data,
+			    frame->config->text.len, "entry");
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_peer_opened(void *ctx, bh_link_t *link)
+{
+	(void)ctx;
+	(void)link;
+}
+
+static void peer_drop(bh_hub_t *hub, peer_t *peer)
+{
+	TAILQ_REMOVE(&hub->peers, peer, entry);
+	g_free(peer);
+}
+
+static void on_peer_closed(void *ctx, bh_link_t *link, bool is_refused)
+{
+	(void)is_refused;
+	peer_drop(ctx, bh_link_user(link));
+}
+
+static const bh_link_ops_t peer_ops = {
+	.frame = on_peer_frame,
+	.opened = on_peer_opened,
+	.closed = on_peer_closed,
+};
+
+static void on_accepted(void *ctx, bh_link_t *link)
+{
+	bh_hub_t *hub = ctx;
+	peer_t *peer = g_new0(peer_t, 1);
+
+	peer->link = link;
+	bh_link_set_user(link, peer);
+	TAILQ_INSERT_TAIL(&hub->peers, peer, entry);
+}
+
+/* The follower's side: what the leader sends. */
+
+static void on_leader_ping(bh_hub_t *hub, const Bh__Sched__Ping *ping)
+{
+	hub->leader_config = MAX(ping->config_version, 1);
+	if (ping->term >= bh_term_number(hub->term))
+		bh_term_trust(hub->term, (int64_t)ping->renewed_ago_ms);
+	bh_term_heard(hub->term, ping->term);
+	hub->n_loads = (uint32_t)MIN(ping->n_load, LOADS_MAX);
+	hub->loads_at = bh_runtime_now();
+	for (uint32_t i = 0; i < hub->n_loads; i++) {
+		hub->loads[i].priority = ping->load[i]->priority;
+		hub->loads[i].wait_ms = ping->load[i]->wait_ms;
+		hub->loads[i].wait_filler_ms = ping->load[i]->wait_filler_ms;
+	}
+	if (hub->config)
+		spread_config(hub);
+}
+
+static void on_reply(bh_hub_t *hub, const Bh__Sched__QueryReply *reply)
+{
+	question_t *q = g_hash_table_lookup(hub->questions, &reply->number);
+	bh_hub_state_cb_t cb;
+	void *user;
+
+	if (!q)
+		return;
+	cb = q->cb;
+	user = q->user;
+	g_hash_table_remove(hub->questions, &reply->number);
+	cb(user, true, MIN(reply->state, BH_JOB_CANCELLED), reply->pending);
+}
+
+static void on_leader_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
+{
+	bh_hub_t *hub = ctx;
+
+	(void)link;
+	switch (frame->body_case) {
+	case BH__SCHED__FRAME__BODY_REPLY:
+		on_reply(hub, frame->reply);
+		break;
+	case BH__SCHED__FRAME__BODY_PING:
+		on_leader_ping(hub, frame->ping);
+		break;
+	case BH__SCHED__FRAME__BODY_CONFIG:
+		take_config(hub, frame->config->text.data,
+			    frame->config->text.len, "leader");
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_leader_opened(void *ctx, bh_link_t *link)
+{
+	bh_hub_t *hub = ctx;
+
+	hub->link_is_open = true;
+	hub->refusals = 0;
+	hub->leader_config = 0;
+	bh_log_event(&hub->rt->log, BH_LOG_INFO, "leader linked", "address",
+		     hub->link_address, NULL);
+	send_ping(hub, link);
+}
+
+static void leader_unlinked(bh_hub_t *hub)
+{
+	hub->link = NULL;
+	hub->link_is_open = false;
+}
+
+static void on_leader_closed(void *ctx, bh_link_t *link, bool is_refused)
+{
+	bh_hub_t *hub = ctx;
+
+	(void)link;
+	if (hub->link_is_open)
+		bh_log_event(&hub->rt->log, BH_LOG_WARN, "leader lost",
+			     "address", hub->link_address, NULL);
+	hub->refusals = is_refused ? hub->refusals + 1 : 0;
+	leader_unlinked(hub);
+	bh_term_suspect(hub->term, hub->refusals >= REFUSALS_GONE);
+	hub->dialled_at = bh_runtime_now() - REDIAL_US +
+			  20 * BH_USEC_PER_MS;
+}
+
+static const bh_link_ops_t leader_ops = {
+	.frame = on_leader_frame,
+	.opened = on_leader_opened,
+	.closed = on_leader_closed,
+};
+
+static void drop_link(bh_hub_t *hub)
+{
+	bh_link_free(hub->link);
+	leader_unlinked(hub);
+	hub->refusals = 0;
+}
+
+static void on_changed(void *ctx, const bh_leader_row_t *row)
+{
+	bh_hub_t *hub = ctx;
+	g_autofree char *term =
+		g_strdup_printf("%" G_GUINT64_FORMAT, row->term);
+
+	bh_log_event(&hub->rt->log, BH_LOG_INFO, "leader", "name",
+		     row->name ? row->name : "", "address",
+		     row->address ? row->address : "", "term", term, NULL);
+	drop_link(hub);
+	hub->dialled_at = 0;
+	g_free(hub->link_address);
+	hub->link_address = g_strdup(row->address ? row->address : "");
+}
+
+static void on_won(void *ctx, uint64_t term)
+{
+	bh_hub_t *hub = ctx;
+	g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, term);
+
+	bh_log_event(&hub->rt->log, BH_LOG_INFO, "leading", "term", text, NULL);
+	drop_link(hub);
+	bh_sched_leader_free(hub->leading);
+	hub->is_lost = false;
+	hub->terms_won++;
+	hub->leading = bh_sched_leader_new(hub->rt, hub->store, hub->term);
+	if (hub->config)
+		bh_sched_leader_set_config(hub->leading, hub->config);
+}
+
+static void on_lost(void *ctx, const char *why)
+{
+	bh_hub_t *hub = ctx;
+
+	bh_log_event(&hub->rt->log, BH_LOG_WARN, "not leading", "why", why,
+		     NULL);
+	/* Freed by the next tick: this may be a call from inside it. */
+	hub->is_lost = true;
+}
+
+static const bh_term_ops_t term_ops = {on_changed, on_won, on_lost};
+
+static void keep_link(bh_hub_t *hub, bh_usec_t now)
+{
+	if (hub->leading || !hub->link_address || !*hub->link_address ||
+	    strcmp(hub->link_address, hub->rt->settings->listen_frames) == 0)
+		return;
+	if (hub->link) {
+		bh_usec_t since = hub->link_is_open
+					  ? bh_link_heard_at(hub->link)
+					  : hub->dialled_at;
+
+		if (now - since <= SILENT_AFTER_US)
+			return;
+		bh_log_event(&hub->rt->log, BH_LOG_WARN, "leader silent",
+			     "address", hub->link_address, NULL);
+		drop_link(hub);
+		bh_term_suspect(hub->term, false);
+	}
+	if (now - hub->dialled_at < REDIAL_US)
+		return;
+	hub->dialled_at = now;
+	hub->link = bh_link_dial(hub->rt->base, hub->link_address, &leader_ops,
+				 hub);
+}
+
+static void expire_questions(bh_hub_t *hub, bh_usec_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+	g_autoptr(GPtrArray) late = g_ptr_array_new_with_free_func(g_free);
+
+	g_hash_table_iter_init(&it, hub->questions);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		question_t *q = value;
+
+		if (now - q->asked_at < ASK_TIMEOUT_US)
+			continue;
+		g_ptr_array_add(late, g_memdup2(q, sizeof(*q)));
+		g_hash_table_iter_remove(&it);
+	}
+	for (guint i = 0; i < late->len; i++) {
+		question_t *q = late->pdata[i];
+
+		q->cb(q->user, false, BH_JOB_UNKNOWN, 0);
+	}
+}
+
+static void ping_all(bh_hub_t *hub, bh_usec_t now)
+{
+	peer_t *peer;
+	peer_t *next;
+
+	if (now - hub->pinged_at < PING_EVERY_US)
+		return;
+	hub->pinged_at = now;
+	if (hub->leading) {
+		hub->n_loads = bh_sched_leader_load(hub->leading, hub->loads,
+						    LOADS_MAX);
+		hub->loads_at = now;
+	}
+	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next)
+	{
+		if (now - bh_link_heard_at(peer->link) > SILENT_AFTER_US) {
+			bh_link_free(peer->link);
+			peer_drop(hub, peer);
+		} else if (hub->leading) {
+			send_ping(hub, peer->link);
+		}
+	}
+	if (hub->link_is_open)
+		send_ping(hub, hub->link);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	bh_hub_t *hub = arg;
+	bh_usec_t now = bh_runtime_now();
+
+	(void)fd;
+	(void)what;
+	bh_term_tick(hub->term);
+	if (hub->is_lost) {
+		hub->is_lost = false;
+		bh_sched_leader_free(hub->leading);
+		hub->leading = NULL;
+	}
+	if (hub->leading)
+		bh_sched_leader_tick(hub->leading);
+	keep_link(hub, now);
+	ping_all(hub, now);
+	expire_questions(hub, now);
+}
+
+static void ask(bh_hub_t *hub, const char *id, const char *queue,
+		bh_hub_state_cb_t cb, void *user)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Query query = BH__SCHED__QUERY__INIT;
+	question_t *q;
+
+	if (!hub->link_is_open) {
+		cb(user, false, BH_JOB_UNKNOWN, 0);
+		return;
+	}
+	q = g_new0(question_t, 1);
+	q->cb = cb;
+	q->user = user;
+	q->asked_at = bh_runtime_now();
+	query.number = ++hub->last_question;
+	query.id = (char *)id;
+	query.queue = (char *)queue;
+	frame.body_case = BH__SCHED__FRAME__BODY_QUERY;
+	frame.query = &query;
+	g_hash_table_insert(hub->questions,
+			    g_memdup2(&query.number, sizeof(query.number)), q);
+	bh_link_send(hub->link, &frame);
+}
+
+bh_hub_t *bh_hub_start(bh_runtime_t *rt, bh_store_t *store)
+{
+	bh_hub_t *hub = g_new0(bh_hub_t, 1);
+
+	hub->rt = rt;
+	hub->store = store;
+	TAILQ_INIT(&hub->peers);
+	hub->questions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, g_free);
+	hub->listener = bh_link_listen(rt, rt->settings->listen_frames,
+				       &peer_ops, hub, on_accepted);
+	if (!hub->listener) {
+		g_hash_table_destroy(hub->questions);
+		g_free(hub);
+		return NULL;
+	}
+	hub->operator_rows =
+		bh_follow_new(rt, store, BH_TABLE_OPERATOR, CONFIG_WAIT_MS,
+			      &operator_ops, hub);
+	hub->term = bh_term_new(rt, store, &term_ops, hub);
+	hub->tick = bh_runtime_every(rt, TICK_MS, on_tick, hub);
+	return hub;
+}
+
+void bh_hub_free(bh_hub_t *hub)
+{
+	peer_t *peer;
+
+	if (!hub)
+		return;
+	event_free(hub->tick);
+	bh_sched_leader_free(hub->leading);
+	bh_follow_free(hub->operator_rows);
+	bh_link_free(hub->link);
+	while ((peer = TAILQ_FIRST(&hub->peers)) != NULL) {
+		bh_link_free(peer->link);
+		peer_drop(hub, peer);
+	}
+	evconnlistener_free(hub->listener);
+	bh_term_free(hub->term);
+	g_hash_table_destroy(hub->questions);
+	bh_config_free(hub->config);
+	bh_config_free(hub->old_config);
+	if (hub->config_text)
+		g_bytes_unref(hub->config_text);
+	g_free(hub->link_address);
+	g_free(hub);
+}
+
+const bh_config_t *bh_hub_config(const bh_hub_t *hub)
+{
+	return hub->config;
+}
+
+uint32_t bh_hub_loads(const bh_hub_t *hub, const bh_backlog_t **out,
+		      int64_t *age_ms)
+{
+	*out = hub->loads;
+	*age_ms = (bh_runtime_now() - hub->loads_at) / 1000;
+	return hub->n_loads;
+}
+
+void bh_hub_ask_state(bh_hub_t *hub, const char *id, bh_hub_state_cb_t cb,
+		      void *user)
+{
+	if (hub->leading && !hub->is_lost)
+		cb(user, true, bh_sched_leader_state(hub->leading, id), 0);
+	else
+		ask(hub, id, "", cb, user);
+}
+
+void bh_hub_ask_pending(bh_hub_t *hub, const char *queue, bh_hub_state_cb_t cb,
+			void *user)
+{
+	uint32_t pending = 0;
+	bool is_known;
+
+	if (!hub->leading || hub->is_lost) {
+		ask(hub, "", queue, cb, user);
+		return;
+	}
+	is_known = bh_sched_leader_pending(hub->leading, queue, &pending);
+	cb(user, is_known, BH_JOB_UNKNOWN, pending);
+}
+
+void bh_hub_tell_job(bh_hub_t *hub, const void *data, size_t len)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__JobNotice notice = BH__SCHED__JOB_NOTICE__INIT;
+
+	if (hub->leading && !hub->is_lost) {
+		bh_sched_leader_job(hub->leading, data, len);
+		return;
+	}
+	if (!hub->link_is_open)
+		return;
+	notice.job.data = (uint8_t *)data;
+	notice.job.len = len;
+	frame.body_case = BH__SCHED__FRAME__BODY_JOB;
+	frame.job = &notice;
+	bh_link_send(hub->link, &frame);
+}
+
+void bh_hub_resign(bh_hub_t *hub)
+{
+	bh_term_resign(hub->term);
+}
+
+void bh_hub_metrics(bh_hub_t *hub, GString *out)
+{
+	bh_metrics_value(out, "boragehold_config_version", NULL,
+			 hub->config ? (double)hub->config->version : 0);
+	bh_metrics_value(out, "boragehold_leading", NULL, hub->leading ? 1 : 0);
+	bh_metrics_value(out, "boragehold_terms_won_total", NULL,
+			 (double)hub->terms_won);
+	if (hub->leading)
+		bh_sched_leader_metrics(hub->leading, out);
+}
--- /dev/null
+++ b/daemon/link.h
@@ -0,0 +1,64 @@
+/*
+ * A connection that carries the scheduler's frames. It owns its socket and
+ * buffers; a frame that cannot be read closes it.
+ */
+#ifndef BH_DAEMON_LINK_H
+#define BH_DAEMON_LINK_H
+
+#include "daemon/runtime.h"
+#include "wire/sched_codec.h"
+
+/* A reader this far behind is cut off rather than buffered for. */
+#define BH_LINK_BUFFER_MAX (4u << 20)
+
+typedef struct bh_link bh_link_t;
+
+/**
+ * struct bh_link_ops - what the owner hears
+ * @frame: one frame; it belongs to the link
+ * @opened: an outgoing connection is made
+ * @closed: it broke; the link is freed after the call
+ *	(@is_refused: nobody listens at the other end)
+ */
+typedef struct bh_link_ops {
+	void (*frame)(void *ctx, bh_link_t *link, const bh_frame_t *frame);
+	void (*opened)(void *ctx, bh_link_t *link);
+	void (*closed)(void *ctx, bh_link_t *link, bool is_refused);
+} bh_link_ops_t;
+
+/**
+ * bh_link_dial() - connect to "IP:PORT"
+ *
+ * Return: NULL when the address cannot be used.
+ */
+bh_link_t *bh_link_dial(struct event_base *base, const char *address,
+			const bh_link_ops_t *ops, void *ctx);
+bh_link_t *bh_link_accept(struct event_base *base, evutil_socket_t fd,
+			  const bh_link_ops_t *ops, void *ctx);
+
+/**
+ * bh_link_free() - close without a call to @closed; safe inside a callback
+ */
+void bh_link_free(bh_link_t *link);
+void bh_link_send(bh_link_t *link, const bh_frame_t *frame);
+void bh_link_send_bytes(bh_link_t *link, const void *data, size_t len);
+bool bh_link_is_open(const bh_link_t *link);
+
+/**
+ * bh_link_heard_at() - when the last frame came, or the link was made
+ */
+bh_usec_t bh_link_heard_at(const bh_link_t *link);
+void bh_link_set_user(bh_link_t *link, void *user);
+void *bh_link_user(const bh_link_t *link);
+
+/**
+ * bh_link_listen() - accept links at "IP:PORT"
+ *
+ * Return: NULL, after a log line, when the address is taken.
+ */
+struct evconnlistener *bh_link_listen(bh_runtime_t *rt, const char *address,
+				      const bh_link_ops_t *ops, void *ctx,
+				      void (*accepted)(void *ctx,
+						       bh_link_t *link));
+
+#endif
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -2,6 +2,7 @@
 
 #include <stdarg.h>
 #include <string.h>
+#include <unistd.h>
 
 static const char *const level_names[] = {"error", "warn", "info", "debug"};
 
@@ -43,32 +44,107 @@
 		g_string_append(s, value);
 }
 
-void bh_log_event(const bh_log_t *log, bh_log_level_t level, const char *event,
-		  ...)
+/* Lines a second and at once; bounds what a burst of work writes. */
+#define LINES_PER_S 400.0
+#define LINES_BURST 2000.0
+
+/* Return: false when the line has to be left out. */
+static gboolean take_token(bh_log_t *log, bh_log_level_t level)
 {
-	g_autoptr(GDateTime) now = NULL;
-	g_autofree char *time = NULL;
-	GString *line;
-	const char *key;
-	va_list args;
+	gint64 now = g_get_monotonic_time();
+
+	if (log->filled_at == 0)
+		log->tokens = LINES_BURST;
+	else
+		log->tokens = MIN(log->tokens + (double)(now - log->filled_at) *
+							LINES_PER_S / 1e6,
+				  LINES_BURST);
+	log->filled_at = now;
+	if (log->tokens < 1 && level > BH_LOG_WARN) {
+		log->dropped++;
+		return FALSE;
+	}
+	log->tokens -= log->tokens >= 1 ? 1 : 0;
+	return TRUE;
+}
+
+static GString *line_begin(const bh_log_t *log, bh_log_level_t level,
+			   const char *event)
+{
+	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
+	g_autofree char *time =
+		g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+	GString *line =
+		g_string_new(log->format == BH_LOG_JSON ? "{" : "");
 
-	if (level > log->level)
-		return;
-	now = g_date_time_new_now_utc();
-	time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	line = g_string_new(log->format == BH_LOG_JSON ? "{" : "");
 	append_pair(line, log->format, "time", time);
 	append_pair(line, log->format, "level", level_names[level]);
 	append_pair(line, log->format, "process", log->process);
 	append_pair(line, log->format, "event", event);
+	return line;
+}
+
+/* A pipe that is full must not hold the process up: the line is lost. */
+static void line_end(bh_log_t *log, GString *line)
+{
+	g_string_append(line, log->format == BH_LOG_JSON ? "}\n" : "\n");
+	if (write(fileno(log->out), line->str, line->len) !=
+	    (gssize)line->len)
+		log->dropped++;
+	g_string_free(line, TRUE);
+}
+
+static void append_split(GString *line, bh_log_format_t format,
+			 const char *pairs)
+{
+	g_autofree char *copy = g_strdup(pairs);
+	char *p = copy;
+
+	while (*p) {
+		char *equals = strchr(p, '=');
+		char *end;
+
+		if (!equals)
+			return;
+		*equals = 0;
+		end = strcmp(p, "why") == 0 ? NULL : strchr(equals + 1, ' ');
+		if (end)
+			*end = 0;
+		append_pair(line, format, p, equals + 1);
+		if (!end)
+			return;
+		p = end + 1;
+	}
+}
+
+void bh_log_event(bh_log_t *log, bh_log_level_t level, const char *event, ...)
+{
+	GString *line;
+	const char *key;
+	va_list args;
+
+	if (level > log->level || !take_token(log, level))
+		return;
+	line = line_begin(log, level, event);
 	va_start(args, event);
 	while ((key = va_arg(args, const char *)) != NULL)
 		append_pair(line, log->format, key, va_arg(args, const char *));
 	va_end(args);
-	g_string_append(line, log->format == BH_LOG_JSON ? "}\n" : "\n");
-	fwrite(line->str, 1, line->len, log->out);
-	fflush(log->out);
-	g_string_free(line, TRUE);
+	line_end(log, line);
+}
+
+void bh_log_pairs(bh_log_t *log, bh_log_level_t level, const char *event,
+		  const char *job, const char *pairs)
+{
+	GString *line;
+
+	if (level > log->level || !take_token(log, level))
+		return;
+	line = line_begin(log, level, event);
+	if (job)
+		append_pair(line, log->format, "job", job);
+	append_split(line, log->format, pairs);
+	line_end(log, line);
 }
 
 gboolean bh_log_level_parse(const char *name, bh_log_level_t *out)
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -22,10 +22,14 @@
 
 /**
  * struct bh_log - a sink; one per process, passed down
+ * @tokens: lines that may be written at once; @dropped counts those left out
  * @process: name of this process, on every line
  */
 typedef struct bh_log {
 	FILE *out;
+	double tokens;
+	gint64 filled_at;
+	guint64 dropped;
 	bh_log_level_t level;
 	bh_log_format_t format;
 	char *process;
@@ -38,9 +42,18 @@
  * @event: what happened, a short fixed text
  * @...: pairs of const char *key, const char *value, then NULL
  */
-void bh_log_event(const bh_log_t *log, bh_log_level_t level, const char *event,
+void bh_log_event(bh_log_t *log, bh_log_level_t level, const char *event,
 		  ...) G_GNUC_NULL_TERMINATED;
 
+/**
+ * bh_log_pairs() - write one line from a text of pairs
+ * @job: id of the job that it is about, or NULL
+ * @pairs: "key=value" separated by blanks; the value of the last may hold
+ *	blanks if its key is "why"
+ */
+void bh_log_pairs(bh_log_t *log, bh_log_level_t level, const char *event,
+		  const char *job, const char *pairs);
+
 gboolean bh_log_level_parse(const char *name, bh_log_level_t *out);
 
 #endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,8 +1,12 @@
 #include "daemon/agent.h"
 #include "daemon/entry.h"
+#include "daemon/sched_agent.h"
+#include "daemon/sched_entry.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #define EXIT_USAGE 2
 
@@ -14,6 +18,9 @@
 	bh_runtime_t rt;
 	bh_entry_role_t *entry;
 	bh_agent_role_t *agent;
+	bh_sched_entry_t *sched_entry;
+	bh_sched_agent_t *sched_agent;
+	const char *path;
 } process_t;
 
 static void on_term(evutil_socket_t fd, short what, void *arg)
@@ -26,21 +33,66 @@
 		bh_entry_role_drain(p->entry);
 	if (p->agent)
 		bh_agent_role_drain(p->agent);
+	if (p->sched_entry)
+		bh_sched_entry_drain(p->sched_entry);
+	if (p->sched_agent)
+		bh_sched_agent_drain(p->sched_agent);
+	bh_log_event(&p->rt.log, BH_LOG_INFO, "stopping", NULL);
+}
+
+/* Addresses and bounds hold for a process's life; a reload checks the file, so
+ * that a mistake shows now and not at the next start. */
+static void on_hup(evutil_socket_t fd, short what, void *arg)
+{
+	process_t *p = arg;
+	g_autoptr(GError) err = NULL;
+	bh_settings_t *settings = bh_settings_load(p->path, &err);
+
+	(void)fd;
+	(void)what;
+	if (settings)
+		bh_log_event(&p->rt.log, BH_LOG_INFO, "reloaded", "path",
+			     p->path, NULL);
+	else
+		bh_log_event(&p->rt.log, BH_LOG_ERROR, "settings not usable",
+			     "path", p->path, "why", err->message, NULL);
+	bh_settings_free(settings);
+}
+
+static bool start_role(process_t *p)
+{
+	const bh_settings_t *s = p->rt.settings;
+	bool is_entry = strcmp(s->role, "entry") == 0;
+
+	if (*s->store && is_entry)
+		p->sched_entry = bh_sched_entry_start(&p->rt);
+	else if (*s->store)
+		p->sched_agent = bh_sched_agent_start(&p->rt);
+	else if (is_entry)
+		p->entry = bh_entry_role_start(&p->rt);
+	else
+		p->agent = bh_agent_role_start(&p->rt);
+	return p->entry || p->agent || p->sched_entry || p->sched_agent;
 }
 
 static void open_log(bh_log_t *log, const bh_settings_t *s)
 {
-	log->out = stderr;
+	/* On-call engineers read standard output; the reader of a full pipe
+	 * must not hold the process up. */
+	log->out = *s->store ? stdout : stderr;
+	if (*s->store)
+		fcntl(STDOUT_FILENO, F_SETFL,
+		      fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 	log->process = g_strdup(s->name);
 	log->format = g_strcmp0(s->log_format, "json") == 0 ? BH_LOG_JSON
 							    : BH_LOG_TEXT;
 	bh_log_level_parse(s->log_level, &log->level);
 }
 
-static int run(const bh_settings_t *s)
+static int run(const bh_settings_t *s, const char *path)
 {
-	process_t p = {.rt = {.settings = s}};
-	struct event *signals[2];
+	process_t p = {.rt = {.settings = s}, .path = path};
+	struct event *signals[3];
 	int status = EXIT_FAILURE;
 
 	p.rt.base = event_base_new();
@@ -48,13 +100,12 @@
 	open_log(&p.rt.log, s);
 	signals[0] = evsignal_new(p.rt.base, SIGTERM, on_term, &p);
 	signals[1] = evsignal_new(p.rt.base, SIGINT, on_term, &p);
-	for (int i = 0; i < 2; i++)
+	signals[2] = evsignal_new(p.rt.base, SIGHUP, on_hup, &p);
+	for (int i = 0; i < 3; i++)
 		event_add(signals[i], NULL);
-	if (strcmp(s->role, "entry") == 0)
-		p.entry = bh_entry_role_start(&p.rt);
-	else
-		p.agent = bh_agent_role_start(&p.rt);
-	if (p.entry || p.agent) {
+	bh_log_event(&p.rt.log, BH_LOG_INFO, "starting", "role", s->role,
+		     "zone", s->zone, "version", BH_VERSION, NULL);
+	if (start_role(&p)) {
 		event_base_dispatch(p.rt.base);
 		bh_log_event(&p.rt.log, BH_LOG_INFO, "stopped", NULL);
 		status = EXIT_SUCCESS;
@@ -63,7 +114,11 @@
 		bh_entry_role_free(p.entry);
 	if (p.agent)
 		bh_agent_role_free(p.agent);
-	for (int i = 0; i < 2; i++)
+	if (p.sched_entry)
+		bh_sched_entry_free(p.sched_entry);
+	if (p.sched_agent)
+		bh_sched_agent_free(p.sched_agent);
+	for (int i = 0; i < 3; i++)
 		event_free(signals[i]);
 	event_base_free(p.rt.base);
 	g_free(p.rt.log.process);
@@ -85,6 +140,7 @@
 		g_option_context_new("SETTINGS-FILE");
 	g_autoptr(GError) err = NULL;
 	bh_settings_t *settings;
+	const char *path;
 	int status;
 
 	g_option_context_add_main_entries(options, entries, NULL);
@@ -96,17 +152,18 @@
 		puts("borageholdd " BH_VERSION);
 		return EXIT_SUCCESS;
 	}
-	if (argc != 2) {
+	path = argc == 2 ? argv[1] : g_getenv("BORAGEHOLD_BOOT");
+	if (argc > 2 || !path) {
 		fprintf(stderr, "borageholdd: expected one settings file\n");
 		return EXIT_USAGE;
 	}
-	settings = bh_settings_load(argv[1], &err);
+	settings = bh_settings_load(path, &err);
 	if (!settings) {
-		fprintf(stderr, "borageholdd: %s: %s\n", argv[1], err->message);
+		fprintf(stderr, "borageholdd: %s: %s\n", path, err->message);
 		return EXIT_USAGE;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	status = check_only ? EXIT_SUCCESS : run(settings);
+	status = check_only ? EXIT_SUCCESS : run(settings, path);
 	bh_settings_free(settings);
 	return status;
 }
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -208,3 +208,23 @@
 				 (double)c->outcomes[i]);
 	}
 }
+
+void bh_metrics_hist(GString *out, const char *name, const char *labels,
+		     const bh_hist_t *hist)
+{
+	static const double levels[] = {0.5, 0.9, 0.99};
+	g_autofree char *sum = g_strdup_printf("%s_sum", name);
+	g_autofree char *count = g_strdup_printf("%s_count", name);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(levels); i++) {
+		g_autofree char *all = g_strdup_printf(
+			"%s%squantile=\"%g\"", labels ? labels : "",
+			labels ? "," : "", levels[i]);
+
+		bh_metrics_value(out, name, all,
+				 (double)bh_hist_quantile(hist, levels[i]) /
+					 1e6);
+	}
+	bh_metrics_value(out, sum, labels, (double)hist->sum_us / 1e6);
+	bh_metrics_value(out, count, labels, (double)hist->count);
+}
--- a/daemon/runtime.c
+++ b/daemon/runtime.c
@@ -33,7 +33,8 @@
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	/* Counts the time that a host is suspended: leases go on meanwhile. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (bh_usec_t)ts.tv_sec * BH_USEC_PER_SEC + ts.tv_nsec / 1000;
 }
 
--- /dev/null
+++ b/daemon/sched_agent.c
@@ -0,0 +1,628 @@
+#include "daemon/sched_agent.h"
+#include "daemon/link.h"
+#include "daemon/metrics.h"
+#include "daemon/tables.h"
+#include "platform/decode.h"
+#include "platform/runner.h"
+#include "platform/store.h"
+
+#include <event2/listener.h>
+
+/* The worker holds a look for so long when nothing ends. */
+#define LOOK_WAIT_MS 400
+
+/* After a look that failed. */
+#define LOOK_AGAIN_MS 200
+
+/* Looks in a row that nobody answered before the worker counts as ended. */
+#define GONE_LOOKS 2
+
+#define PING_EVERY_US (500 * BH_USEC_PER_MS)
+
+/* The leader pings every 500 ms. */
+#define SILENT_AFTER_US (2000 * BH_USEC_PER_MS)
+
+/* An agent without a leader makes sure that its row is there. */
+#define REGISTER_EVERY_US (5 * BH_USEC_PER_SEC)
+#define REGISTER_AGAIN_US (400 * BH_USEC_PER_MS)
+#define REGISTER_TIMEOUT_MS 1500
+
+/* Tries of an order that gets no answer. */
+#define START_TRIES 3
+#define STOP_TRIES  4
+
+/* A planned end waits for orders under way at most so long. */
+#define DRAIN_MAX_US (1500 * BH_USEC_PER_MS)
+
+#define TICK_MS 100
+
+#define BEAT_PATH "/instances/"
+
+typedef struct order {
+	bh_sched_agent_t *agent;
+	int kind;
+	int tries_left;
+	uint64_t term;
+	uint64_t boot;
+	uint32_t attempt;
+	uint32_t percent;
+	uint64_t expires_ms;
+	char *task;
+	char *spec;
+	char *checkpoint;
+	char *ticket;
+	char *worker;
+} order_t;
+
+struct bh_sched_agent {
+	bh_runtime_t *rt;
+	bh_store_t *store;
+	bh_runner_t *runner;
+	struct evhttp *http;
+	struct evhttp *metrics;
+	struct evconnlistener *listener;
+	struct event *tick;
+	struct event *look;
+	bh_link_t *leader;
+	uint64_t term;
+	bh_worker_info_t info;
+	uint64_t info_number;
+	uint64_t boot;
+	uint64_t expires_ms;
+	uint64_t ack;
+	int lost_looks;
+	bool is_looking;
+	bool is_down;
+	bool is_registering;
+	bool is_draining;
+	bh_usec_t drain_since;
+	bh_usec_t led_at;
+	bh_usec_t registered_at;
+	bh_usec_t pinged_at;
+	uint32_t orders;
+	uint64_t starts;
+	uint64_t stops;
+	uint64_t unclear;
+	bh_hist_t start_latency;
+	GByteArray *scratch;
+};
+
+static void look(bh_sched_agent_t *a);
+
+static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
+{
+	bh_worker_info_t info = a->info;
+
+	if (!a->leader)
+		return;
+	info.boot = a->boot;
+	/* What was announced holds for the boot that announced it. */
+	if (a->info.boot && a->boot && a->info.boot != a->boot)
+		info.id = NULL;
+	if (a->is_down)
+		info.state = BH_WORKER_DOWN;
+	g_byte_array_set_size(a->scratch, 0);
+	bh_report_append(&info, lists, a->term, a->scratch);
+	bh_link_send_bytes(a->leader, a->scratch->data, a->scratch->len);
+}
+
+static void look_later(bh_sched_agent_t *a, int64_t ms)
+{
+	struct timeval delay = {ms / 1000, (ms % 1000) * 1000};
+
+	event_add(a->look, &delay);
+}
+
+static void note_down(bh_sched_agent_t *a)
+{
+	a->lost_looks++;
+	if (a->lost_looks < GONE_LOOKS || a->is_down)
+		return;
+	a->is_down = true;
+	bh_log_event(&a->rt->log, BH_LOG_WARN, "worker ended", "worker",
+		     a->info.id ? a->info.id : "", NULL);
+	send_report(a, NULL);
+}
+
+static void note_boot(bh_sched_agent_t *a, uint64_t boot)
+{
+	if (a->is_down || boot != a->boot) {
+		g_autofree char *text =
+			g_strdup_printf("%" G_GUINT64_FORMAT, boot);
+
+		bh_log_event(&a->rt->log, BH_LOG_INFO, "worker answers", "boot",
+			     text, NULL);
+	}
+	a->is_down = false;
+	a->lost_looks = 0;
+	if (boot == a->boot)
+		return;
+	a->boot = boot;
+	a->ack = 0;
+	a->expires_ms = 0;
+}
+
+static void on_lists(void *user, const bh_worker_lists_t *lists, bool is_gone,
+		     bool is_fenced)
+{
+	bh_sched_agent_t *a = user;
+
+	a->is_looking = false;
+	if (is_fenced)
+		bh_log_event(&a->rt->log, BH_LOG_WARN, "fenced", NULL);
+	if (!lists) {
+		if (is_gone)
+			note_down(a);
+		look_later(a, LOOK_AGAIN_MS);
+		return;
+	}
+	note_boot(a, lists->boot);
+	send_report(a, lists);
+	look(a);
+}
+
+static void look(bh_sched_agent_t *a)
+{
+	bh_runner_look_t call = {
+		.worker = a->info.boot == a->boot ? a->info.id : NULL,
+		.term = a->term,
+		.expires_ms = a->expires_ms,
+		.ack = a->ack,
+		.wait_ms = LOOK_WAIT_MS,
+	};
+
+	if (a->is_looking || a->is_draining || !a->leader)
+		return;
+	event_del(a->look);
+	a->is_looking = true;
+	bh_runner_lists(a->runner, &call, on_lists, a);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	look(arg);
+}
+
+static void order_free(order_t *o)
+{
+	g_free(o->task);
+	g_free(o->spec);
+	g_free(o->checkpoint);
+	g_free(o->ticket);
+	g_free(o->worker);
+	g_free(o);
+}
+
+static void send_result(const order_t *o, bh_order_outcome_t outcome)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__OrderResult r = BH__SCHED__ORDER_RESULT__INIT;
+
+	if (!o->agent->leader || o->term != o->agent->term)
+		return;
+	r.kind = (uint32_t)o->kind;
+	r.task = o->task;
+	r.attempt = o->attempt;
+	r.outcome = outcome;
+	r.boot = o->boot;
+	frame.body_case = BH__SCHED__FRAME__BODY_RESULT;
+	frame.result = &r;
+	bh_link_send(o->agent->leader, &frame);
+}
+
+static void order_finish(order_t *o, bh_order_outcome_t outcome)
+{
+	bh_sched_agent_t *a = o->agent;
+
+	if (outcome != BH_ORDER_OK) {
+		g_autofree char *attempt = g_strdup_printf("%u", o->attempt);
+
+		bh_log_event(&a->rt->log, BH_LOG_INFO, "order not carried out",
+			     "task", o->task, "attempt", attempt, "kind",
+			     o->kind == BH_ORDER_KIND_START  ? "start"
+			     : o->kind == BH_ORDER_KIND_STOP ? "stop"
+							     : "pace",
+			     "outcome", bh_order_outcome_name(outcome), NULL);
+	}
+	if (outcome == BH_ORDER_UNCLEAR)
+		a->unclear++;
+	if (o->kind != BH_ORDER_KIND_PACE)
+		send_result(o, outcome);
+	a->orders--;
+	order_free(o);
+}
+
+static void order_send(order_t *o);
+
+static void on_order(void *user, bh_order_outcome_t outcome)
+{
+	order_t *o = user;
+
+	/* The same attempt is there at most once, so that asking again is
+	 * safe. */
+	if (outcome == BH_ORDER_UNCLEAR && --o->tries_left > 0)
+		order_send(o);
+	else
+		order_finish(o, outcome);
+}
+
+static void order_send(order_t *o)
+{
+	bh_sched_agent_t *a = o->agent;
+	bh_runner_order_t call = {
+		.worker = o->worker,
+		.term = o->term,
+		.task = o->task,
+		.attempt = o->attempt,
+		.spec = o->spec,
+		.expires_ms = o->expires_ms,
+		.checkpoint = o->checkpoint,
+		.ticket = o->ticket,
+		.percent = o->percent,
+	};
+
+	if (o->kind == BH_ORDER_KIND_START)
+		bh_runner_start(a->runner, &call, on_order, o);
+	else if (o->kind == BH_ORDER_KIND_STOP)
+		bh_runner_stop(a->runner, &call, on_order, o);
+	else
+		bh_runner_pace(a->runner, &call, on_order, o);
+}
+
+static order_t *order_new(bh_sched_agent_t *a, int kind, const char *task,
+			  uint32_t attempt, uint64_t boot)
+{
+	order_t *o = g_new0(order_t, 1);
+
+	o->agent = a;
+	o->kind = kind;
+	o->term = a->term;
+	o->task = g_strdup(task);
+	o->attempt = attempt;
+	o->boot = boot;
+	o->tries_left = kind == BH_ORDER_KIND_START ? START_TRIES : STOP_TRIES;
+	o->worker = g_strdup(a->info.id);
+	a->orders++;
+	return o;
+}
+
+static void on_start(bh_sched_agent_t *a, const Bh__Sched__StartOrder *m)
+{
+	order_t *o = order_new(a, BH_ORDER_KIND_START, m->task, m->attempt,
+			       m->boot);
+
+	o->spec = g_strdup(m->spec);
+	o->checkpoint = g_strdup(m->checkpoint);
+	o->ticket = g_strdup(m->ticket);
+	o->expires_ms = m->expires_ms;
+	if (a->info.state != BH_WORKER_READY || m->boot != a->boot ||
+	    a->is_draining) {
+		order_finish(o, BH_ORDER_REFUSED);
+		return;
+	}
+	a->starts++;
+	order_send(o);
+}
+
+static void on_stop(bh_sched_agent_t *a, const Bh__Sched__StopOrder *m)
+{
+	order_t *o = order_new(a, BH_ORDER_KIND_STOP, m->task, m->attempt,
+			       m->boot);
+
+	a->stops++;
+	order_send(o);
+}
+
+static void on_pace(bh_sched_agent_t *a, const Bh__Sched__PaceOrder *m)
+{
+	order_t *o = order_new(a, BH_ORDER_KIND_PACE, m->task, m->attempt,
+			       m->boot);
+
+	o->percent = m->percent;
+	order_send(o);
+}
+
+static void on_grant(bh_sched_agent_t *a, const Bh__Sched__Grant *m)
+{
+	if (m->boot != a->boot)
+		return;
+	a->expires_ms = MAX(a->expires_ms, m->expires_ms);
+	a->ack = MAX(a->ack, m->ack);
+}
+
+static void send_ping(bh_sched_agent_t *a, bh_link_t *link)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+
+	ping.term = a->term;
+	frame.body_case = BH__SCHED__FRAME__BODY_PING;
+	frame.ping = &ping;
+	bh_link_send(link, &frame);
+}
+
+static void on_hello(bh_sched_agent_t *a, bh_link_t *link,
+		     const Bh__Sched__Hello *hello)
+{
+	g_autofree char *term = g_strdup_printf("%" G_GUINT64_FORMAT,
+						hello->term);
+
+	if (hello->term < a->term) {
+		/* The reply tells the sender of the newer term. */
+		send_ping(a, link);
+		return;
+	}
+	if (a->leader && a->leader != link)
+		bh_link_free(a->leader);
+	a->leader = link;
+	a->led_at = bh_runtime_now();
+	if (hello->term > a->term) {
+		a->term = hello->term;
+		a->ack = 0;
+	}
+	bh_log_event(&a->rt->log, BH_LOG_INFO, "leader", "name", hello->leader,
+		     "term", term, NULL);
+	look(a);
+}
+
+static void on_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
+{
+	bh_sched_agent_t *a = ctx;
+
+	if (frame->body_case == BH__SCHED__FRAME__BODY_HELLO) {
+		on_hello(a, link, frame->hello);
+		return;
+	}
+	if (link != a->leader)
+		return;
+	a->led_at = bh_runtime_now();
+	switch (frame->body_case) {
+	case BH__SCHED__FRAME__BODY_GRANT:
+		on_grant(a, frame->grant);
+		break;
+	case BH__SCHED__FRAME__BODY_START:
+		on_start(a, frame->start);
+		break;
+	case BH__SCHED__FRAME__BODY_STOP:
+		on_stop(a, frame->stop);
+		break;
+	case BH__SCHED__FRAME__BODY_PACE:
+		on_pace(a, frame->pace);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_opened(void *ctx, bh_link_t *link)
+{
+	(void)ctx;
+	(void)link;
+}
+
+static void on_closed(void *ctx, bh_link_t *link, bool is_refused)
+{
+	bh_sched_agent_t *a = ctx;
+
+	(void)is_refused;
+	if (a->leader != link)
+		return;
+	a->leader = NULL;
+	bh_log_event(&a->rt->log, BH_LOG_WARN, "leader lost", NULL);
+}
+
+static void on_accepted(void *ctx, bh_link_t *link)
+{
+	(void)ctx;
+	(void)link;
+}
+
+static const bh_link_ops_t link_ops = {
+	.frame = on_frame,
+	.opened = on_opened,
+	.closed = on_closed,
+};
+
+static bool is_newer(const bh_sched_agent_t *a, const bh_announcement_t *n)
+{
+	if (n->info.boot != a->info.boot)
+		return n->info.boot > a->info.boot;
+	return n->number > a->info_number;
+}
+
+static void take_announcement(bh_sched_agent_t *a, bh_announcement_t *n)
+{
+	bool is_changed = n->info.state != a->info.state ||
+			  n->info.boot != a->info.boot;
+
+	bh_worker_info_clear(&a->info);
+	a->info = n->info;
+	a->info_number = n->number;
+	if (!is_changed)
+		return;
+	bh_log_event(&a->rt->log, BH_LOG_INFO, "worker announced", "worker",
+		     a->info.id, "state", bh_worker_state_name(a->info.state),
+		     NULL);
+	if (a->boot == a->info.boot)
+		send_report(a, NULL);
+}
+
+static void on_beat(bh_sched_agent_t *a, struct evhttp_request *req,
+		    const char *id)
+{
+	GBytes *body = bh_http_take_body(req);
+	gsize len = 0;
+	const void *data = body ? g_bytes_get_data(body, &len) : NULL;
+	bh_announcement_t n;
+
+	if (!bh_decode_announcement(id, data, len, &n)) {
+		bh_log_event(&a->rt->log, BH_LOG_WARN,
+			     "announcement not understood", "worker", id, NULL);
+		bh_http_reply_text(req, 400, "text/plain", "not understood\n");
+	} else {
+		if (is_newer(a, &n))
+			take_announcement(a, &n);
+		else
+			bh_worker_info_clear(&n.info);
+		bh_http_reply_text(req, 200, "application/json", "{}");
+	}
+	if (body)
+		g_bytes_unref(body);
+}
+
+static void on_leave(bh_sched_agent_t *a, struct evhttp_request *req,
+		     const char *id)
+{
+	if (g_strcmp0(id, a->info.id) == 0) {
+		a->info.state = BH_WORKER_DRAINING;
+		a->info.leaves_ms = 0;
+		bh_log_event(&a->rt->log, BH_LOG_INFO, "worker left", "worker",
+			     id, NULL);
+		send_report(a, NULL);
+	}
+	bh_http_reply_text(req, 200, "application/json", "{}");
+}
+
+static void on_http(struct evhttp_request *req, void *arg)
+{
+	bh_sched_agent_t *a = arg;
+	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	enum evhttp_cmd_type method = evhttp_request_get_command(req);
+
+	if (!path || !g_str_has_prefix(path, BEAT_PATH)) {
+		bh_http_reply_text(req, 404, "text/plain", "no such path\n");
+		return;
+	}
+	path += strlen(BEAT_PATH);
+	if (method == EVHTTP_REQ_PUT)
+		on_beat(a, req, path);
+	else if (method == EVHTTP_REQ_DELETE)
+		on_leave(a, req, path);
+	else
+		bh_http_reply_text(req, 404, "text/plain", "no such call\n");
+}
+
+static void on_metrics(struct evhttp_request *req, void *arg)
+{
+	bh_sched_agent_t *a = arg;
+	GString *out = g_string_new(NULL);
+
+	bh_metrics_value(out, "boragehold_agent_starts_total", NULL,
+			 (double)a->starts);
+	bh_metrics_value(out, "boragehold_agent_stops_total", NULL,
+			 (double)a->stops);
+	bh_metrics_value(out, "boragehold_agent_unclear_total", NULL,
+			 (double)a->unclear);
+	bh_metrics_value(out, "boragehold_agent_led", NULL,
+			 a->leader ? 1 : 0);
+	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
+			 (double)a->rt->log.dropped);
+	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
+	g_string_free(out, TRUE);
+}
+
+static void on_registered(void *user, const bh_store_reply_t *reply)
+{
+	bh_sched_agent_t *a = user;
+	bh_usec_t now = bh_runtime_now();
+
+	a->is_registering = false;
+	if (reply->status == BH_STORE_OK) {
+		a->registered_at = now;
+		return;
+	}
+	a->registered_at = now - REGISTER_EVERY_US + REGISTER_AGAIN_US;
+	bh_log_event(&a->rt->log, BH_LOG_WARN, "not registered", "outcome",
+		     bh_store_status_name(reply->status), NULL);
+}
+
+static void register_self(bh_sched_agent_t *a)
+{
+	bh_store_tx_t *tx = bh_store_tx_new();
+	const bh_settings_t *set = a->rt->settings;
+
+	a->is_registering = true;
+	bh_store_tx_put(tx, BH_TABLE_AGENTS, set->listen_frames, set->name,
+			strlen(set->name));
+	bh_store_commit(a->store, tx, REGISTER_TIMEOUT_MS, on_registered, a);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	bh_sched_agent_t *a = arg;
+	bh_usec_t now = bh_runtime_now();
+
+	(void)fd;
+	(void)what;
+	if (a->is_draining) {
+		if (a->orders == 0 || now - a->drain_since > DRAIN_MAX_US)
+			event_base_loopexit(a->rt->base, NULL);
+		return;
+	}
+	if (a->leader &&
+	    now - bh_link_heard_at(a->leader) > SILENT_AFTER_US) {
+		bh_link_free(a->leader);
+		a->leader = NULL;
+		bh_log_event(&a->rt->log, BH_LOG_WARN, "leader silent", NULL);
+	}
+	if (a->leader && now - a->pinged_at > PING_EVERY_US) {
+		a->pinged_at = now;
+		send_ping(a, a->leader);
+	}
+	if (!a->is_registering &&
+	    (a->registered_at == 0 ||
+	     now - MAX(a->registered_at, a->led_at) > REGISTER_EVERY_US))
+		register_self(a);
+}
+
+bh_sched_agent_t *bh_sched_agent_start(bh_runtime_t *rt)
+{
+	const bh_settings_t *set = rt->settings;
+	bh_sched_agent_t *a = g_new0(bh_sched_agent_t, 1);
+
+	a->rt = rt;
+	a->scratch = g_byte_array_new();
+	a->store = bh_store_new(rt->base, set->store);
+	a->runner = bh_runner_new(rt->base, set->worker);
+	a->look = event_new(rt->base, -1, 0, on_look, a);
+	a->listener = bh_link_listen(rt, set->listen_frames, &link_ops, a,
+				     on_accepted);
+	a->http = bh_http_listen(rt, set->listen_http, on_http, a, NULL);
+	if (*set->metrics)
+		a->metrics = bh_http_listen(rt, set->metrics, on_metrics, a,
+					    NULL);
+	if (!a->listener || !a->http || (*set->metrics && !a->metrics)) {
+		bh_sched_agent_free(a);
+		return NULL;
+	}
+	a->tick = bh_runtime_every(rt, TICK_MS, on_tick, a);
+	register_self(a);
+	return a;
+}
+
+void bh_sched_agent_free(bh_sched_agent_t *a)
+{
+	bh_link_free(a->leader);
+	if (a->tick)
+		event_free(a->tick);
+	event_free(a->look);
+	if (a->listener)
+		evconnlistener_free(a->listener);
+	if (a->http)
+		evhttp_free(a->http);
+	if (a->metrics)
+		evhttp_free(a->metrics);
+	bh_runner_free(a->runner);
+	bh_store_free(a->store);
+	bh_worker_info_clear(&a->info);
+	g_byte_array_free(a->scratch, TRUE);
+	g_free(a);
+}
+
+void bh_sched_agent_drain(bh_sched_agent_t *a)
+{
+	a->is_draining = true;
+	a->drain_since = bh_runtime_now();
+}
--- /dev/null
+++ b/daemon/sched_entry.c
@@ -0,0 +1,659 @@
+#include "daemon/sched_entry.h"
+#include "daemon/hub.h"
+#include "daemon/metrics.h"
+#include "daemon/tables.h"
+#include "platform/decode.h"
+#include "sched/admit.h"
+
+/* The store is asked again while the caller still waits, at most so often. */
+#define STORE_TRIES 4
+
+/* One try; a slow store answers within this. */
+#define STORE_TIMEOUT_MS 900
+#define STORE_AGAIN_MS	 60
+
+/* Kept free of a caller's deadline for the answer's way back. */
+#define REPLY_SLACK_US (150 * BH_USEC_PER_MS)
+
+/* For callers that name no deadline. */
+#define DEADLINE_DEFAULT_MS 3000
+
+/* Retry-After when the store is away: long enough for it to come back, short
+ * enough for a caller to try again within its patience. */
+#define RETRY_STORE_MS 1000
+
+/* A planned end: the balancer sends connections for about two missed checks
+ * after the first 503. */
+#define DRAIN_OPEN_MS 3000
+
+/* Part of the time until it is killed, after which it ends by itself. */
+#define DRAIN_PART 0.9
+#define TICK_MS	      100
+
+/* Latency histograms: one a queue, for the first so many queues. */
+#define QUEUES_MAX 256
+
+typedef struct pending {
+	bh_sched_entry_t *entry;
+	struct evhttp_request *req;
+	char id[BH_JOB_ID_LEN + 1];
+	char *queue;
+	bh_usec_t began_at;
+	bh_usec_t deadline;
+	int tries;
+	bool is_unclear;
+	bool is_cancel;
+	GBytes *row;
+	uint64_t version;
+	bh_job_state_t state;
+	struct event *again;
+} pending_t;
+
+struct bh_sched_entry {
+	bh_runtime_t *rt;
+	bh_store_t *store;
+	bh_hub_t *hub;
+	struct evhttp *front;
+	struct evhttp *ready;
+	struct evhttp *metrics;
+	struct event *tick;
+	bool is_draining;
+	bh_usec_t drain_since;
+	uint32_t in_flight;
+	uint64_t answers[6];
+	uint64_t accepted;
+	uint64_t refused;
+	uint64_t cancelled;
+	GHashTable *latency;
+};
+
+static void submit(pending_t *p);
+static void cancel_read(pending_t *p);
+static void state_from_store(pending_t *p);
+
+static void on_client_gone(struct evhttp_connection *conn, void *arg)
+{
+	pending_t *p = arg;
+
+	(void)conn;
+	p->req = NULL;
+}
+
+static pending_t *pending_new(bh_sched_entry_t *e, struct evhttp_request *req,
+			      const char *id, const char *queue)
+{
+	const char *deadline = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "X-Deadline-Ms");
+	guint64 ms = DEADLINE_DEFAULT_MS;
+	pending_t *p = g_new0(pending_t, 1);
+
+	if (deadline)
+		g_ascii_string_to_unsigned(deadline, 10, 1, 600000, &ms, NULL);
+	p->entry = e;
+	p->req = req;
+	p->began_at = bh_runtime_now();
+	p->deadline = p->began_at + (bh_usec_t)ms * BH_USEC_PER_MS;
+	p->queue = g_strdup(queue);
+	g_strlcpy(p->id, id, sizeof(p->id));
+	e->in_flight++;
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
+				      on_client_gone, p);
+	return p;
+}
+
+static void note_latency(bh_sched_entry_t *e, const char *queue, bh_usec_t us)
+{
+	bh_hist_t *hist = g_hash_table_lookup(e->latency, queue);
+
+	if (!hist && g_hash_table_size(e->latency) < QUEUES_MAX) {
+		hist = g_new0(bh_hist_t, 1);
+		g_hash_table_insert(e->latency, g_strdup(queue), hist);
+	}
+	if (hist)
+		bh_hist_add(hist, us);
+}
+
+static void log_answer(const pending_t *p, int status, const char *why)
+{
+	bh_sched_entry_t *e = p->entry;
+	const bh_config_t *config = bh_hub_config(e->hub);
+	char detail[256];
+
+	g_snprintf(detail, sizeof(detail),
+		   "queue=%s status=%d took_ms=%" G_GINT64_FORMAT
+		   " tries=%d config=%" G_GUINT64_FORMAT " why=%s",
+		   p->queue, status, (bh_runtime_now() - p->began_at) / 1000,
+		   p->tries, config ? config->version : 0, why);
+	bh_log_pairs(&e->rt->log, BH_LOG_INFO,
+		     p->is_cancel ? "cancel answered" : "submission answered",
+		     p->id, detail);
+}
+
+static void reply(struct evhttp_request *req, bh_sched_entry_t *e, int status,
+		  char *body, uint64_t retry_ms)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+
+	e->answers[CLAMP(status / 100, 0, 5)]++;
+	if (retry_ms) {
+		g_autofree char *seconds = g_strdup_printf(
+			"%" G_GUINT64_FORMAT, (retry_ms + 999) / 1000);
+
+		evhttp_add_header(headers, "Retry-After", seconds);
+	}
+	if (e->is_draining)
+		evhttp_add_header(headers, "Connection", "close");
+	bh_http_reply_text(req, status, "application/json", body);
+	g_free(body);
+}
+
+static void finish(pending_t *p, int status, char *body, uint64_t retry_ms)
+{
+	bh_sched_entry_t *e = p->entry;
+
+	note_latency(e, p->queue, bh_runtime_now() - p->began_at);
+	if (p->req) {
+		evhttp_connection_set_closecb(
+			evhttp_request_get_connection(p->req), NULL, NULL);
+		reply(p->req, e, status, body, retry_ms);
+	} else {
+		g_free(body);
+	}
+	e->in_flight--;
+	if (p->again)
+		event_free(p->again);
+	if (p->row)
+		g_bytes_unref(p->row);
+	g_free(p->queue);
+	g_free(p);
+}
+
+static void finish_error(pending_t *p, int status, const char *why,
+			 uint64_t retry_ms)
+{
+	finish(p, status, bh_encode_error(why), retry_ms);
+}
+
+/* An unclear write is never called refused: the job may run. */
+static void give_up(pending_t *p)
+{
+	int status = p->is_unclear ? 504 : 503;
+	const char *why = p->is_unclear
+				  ? "the store has not said whether it is done"
+				  : "the store takes no calls";
+
+	log_answer(p, status, why);
+	finish_error(p, status, why, RETRY_STORE_MS);
+}
+
+static void on_again(evutil_socket_t fd, short what, void *arg)
+{
+	pending_t *p = arg;
+
+	(void)fd;
+	(void)what;
+	if (p->is_cancel)
+		cancel_read(p);
+	else
+		submit(p);
+}
+
+static void try_again(pending_t *p)
+{
+	struct timeval delay = {0, STORE_AGAIN_MS * 1000 * p->tries};
+
+	if (p->tries >= STORE_TRIES || !p->req ||
+	    bh_runtime_now() + STORE_AGAIN_MS * p->tries * BH_USEC_PER_MS >
+		    p->deadline - REPLY_SLACK_US) {
+		give_up(p);
+		return;
+	}
+	if (!p->again)
+		p->again = event_new(p->entry->rt->base, -1, 0, on_again, p);
+	event_add(p->again, &delay);
+}
+
+static int64_t try_timeout_ms(const pending_t *p)
+{
+	int64_t left = (p->deadline - REPLY_SLACK_US - bh_runtime_now()) / 1000;
+
+	return CLAMP(left, 50, STORE_TIMEOUT_MS);
+}
+
+static void accepted(pending_t *p, const char *why)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(p->row, &len);
+
+	bh_hub_tell_job(p->entry->hub, data, len);
+	if (p->is_cancel)
+		p->entry->cancelled++;
+	else
+		p->entry->accepted++;
+	log_answer(p, 200, why);
+	finish(p, 200, g_strdup("{}"), 0);
+}
+
+static void on_submitted(void *user, const bh_store_reply_t *reply)
+{
+	pending_t *p = user;
+
+	switch (reply->status) {
+	case BH_STORE_OK:
+		accepted(p, "stored");
+		break;
+	case BH_STORE_CONFLICT:
+		/* The id's first submission stands, ours or another's. */
+		if (reply->n_rows && reply->rows[0].len) {
+			g_bytes_unref(p->row);
+			p->row = g_bytes_new(reply->rows[0].value,
+					     reply->rows[0].len);
+		}
+		accepted(p, "stored before");
+		break;
+	case BH_STORE_UNKNOWN:
+		p->is_unclear = true;
+		try_again(p);
+		break;
+	default:
+		try_again(p);
+		break;
+	}
+}
+
+static void submit(pending_t *p)
+{
+	bh_store_tx_t *tx = bh_store_tx_new();
+	gsize len;
+	const void *data = g_bytes_get_data(p->row, &len);
+
+	p->tries++;
+	bh_store_tx_check(tx, BH_TABLE_JOBS, p->id, 0);
+	bh_store_tx_put(tx, BH_TABLE_JOBS, p->id, data, len);
+	bh_store_commit(p->entry->store, tx, try_timeout_ms(p), on_submitted,
+			p);
+}
+
+static void set_terms(bh_job_t *job, const bh_queue_t *queue, const char *id)
+{
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->queue = g_strdup(queue->name);
+	job->accepted_ms = bh_runtime_unix_ms();
+	job->terms.service = g_strdup(queue->service);
+	job->terms.priority = queue->priority;
+	job->terms.max_attempts = queue->max_attempts;
+	job->terms.slack_percent = (uint32_t)(queue->slack_factor * 100);
+	job->terms.target_ms = queue->target_ms;
+}
+
+/* Return: true when it was refused and answered. */
+static bool refuse(pending_t *p, const bh_job_t *job)
+{
+	const bh_backlog_t *loads;
+	int64_t age;
+	uint32_t n = bh_hub_loads(p->entry->hub, &loads, &age);
+	uint64_t retry_ms;
+
+	if (bh_admit(job, loads, n, age, &retry_ms))
+		return false;
+	p->entry->refused++;
+	log_answer(p, 429, "it would end too late to count");
+	finish_error(p, 429, "it would end too late to count",
+		     retry_ms + (uint64_t)g_random_int_range(0, 1000));
+	return true;
+}
+
+static void on_post(bh_sched_entry_t *e, struct evhttp_request *req,
+		    const bh_queue_t *queue, const char *id)
+{
+	GBytes *body = bh_http_take_body(req);
+	gsize len = 0;
+	const void *data = body ? g_bytes_get_data(body, &len) : NULL;
+	const char *error;
+	bh_job_t *job = bh_decode_job(data, len, &error);
+	pending_t *p;
+
+	if (body)
+		g_bytes_unref(body);
+	if (!job) {
+		reply(req, e, 400, bh_encode_error(error), 0);
+		return;
+	}
+	set_terms(job, queue, id);
+	p = pending_new(e, req, id, queue->name);
+	if (!refuse(p, job)) {
+		p->row = bh_job_pack(job);
+		submit(p);
+	}
+	bh_job_free(job);
+}
+
+static void on_cancelled(void *user, const bh_store_reply_t *reply)
+{
+	pending_t *p = user;
+
+	switch (reply->status) {
+	case BH_STORE_OK:
+		accepted(p, "stored");
+		break;
+	case BH_STORE_UNKNOWN:
+		p->is_unclear = true;
+		try_again(p);
+		break;
+	default:
+		try_again(p);
+		break;
+	}
+}
+
+static void cancel_write(pending_t *p, const bh_store_row_t *row)
+{
+	bh_job_t *job = bh_job_unpack(row->value, row->len);
+	bh_store_tx_t *tx;
+	gsize len;
+	const void *data;
+
+	if (!job) {
+		log_answer(p, 500, "the stored job cannot be read");
+		finish_error(p, 500, "the stored job cannot be read", 0);
+		return;
+	}
+	if (p->row)
+		g_bytes_unref(p->row);
+	if (job->is_cancelled) {
+		bh_job_free(job);
+		p->row = g_bytes_new(row->value, row->len);
+		accepted(p, "stored before");
+		return;
+	}
+	job->is_cancelled = true;
+	p->row = bh_job_pack(job);
+	bh_job_free(job);
+	data = g_bytes_get_data(p->row, &len);
+	tx = bh_store_tx_new();
+	bh_store_tx_check(tx, BH_TABLE_JOBS, p->id, row->version);
+	bh_store_tx_put(tx, BH_TABLE_JOBS, p->id, data, len);
+	bh_store_commit(p->entry->store, tx, try_timeout_ms(p), on_cancelled,
+			p);
+}
+
+static const bh_store_row_t *row_of(const bh_store_reply_t *reply,
+				    const char *id)
+{
+	return reply->n_rows && strcmp(reply->rows[0].key, id) == 0
+		       ? &reply->rows[0]
+		       : NULL;
+}
+
+static void on_cancel_read(void *user, const bh_store_reply_t *reply)
+{
+	pending_t *p = user;
+	const bh_store_row_t *row = row_of(reply, p->id);
+
+	if (reply->status != BH_STORE_OK) {
+		try_again(p);
+	} else if (!row) {
+		log_answer(p, 410, "no such job");
+		finish_error(p, 410, "no such job", 0);
+	} else {
+		cancel_write(p, row);
+	}
+}
+
+static void cancel_read(pending_t *p)
+{
+	p->tries++;
+	bh_store_list(p->entry->store, BH_TABLE_JOBS, p->id, 1,
+		      try_timeout_ms(p), on_cancel_read, p);
+}
+
+static void on_delete(bh_sched_entry_t *e, struct evhttp_request *req,
+		      const bh_queue_t *queue, const char *id)
+{
+	pending_t *p = pending_new(e, req, id, queue->name);
+
+	p->is_cancel = true;
+	cancel_read(p);
+}
+
+static void on_progress_read(void *user, const bh_store_reply_t *reply)
+{
+	pending_t *p = user;
+	const bh_store_row_t *row = row_of(reply, p->id);
+	bh_progress_t *progress =
+		row ? bh_progress_unpack(row->value, row->len) : NULL;
+	bh_job_state_t state = p->state;
+
+	if (reply->status != BH_STORE_OK || (row && !progress)) {
+		finish_error(p, 503, "the store takes no calls",
+			     RETRY_STORE_MS);
+		return;
+	}
+	if (progress && progress->state >= BH_JOB_COMPLETED)
+		state = progress->state;
+	else if (progress && state == BH_JOB_QUEUED)
+		state = BH_JOB_RUNNING;
+	bh_progress_free(progress);
+	finish(p, 200, bh_encode_state(state), 0);
+}
+
+static void on_job_read(void *user, const bh_store_reply_t *reply)
+{
+	pending_t *p = user;
+	const bh_store_row_t *row = row_of(reply, p->id);
+	bh_job_t *job;
+
+	if (reply->status != BH_STORE_OK) {
+		finish_error(p, 503, "the store takes no calls",
+			     RETRY_STORE_MS);
+		return;
+	}
+	job = row ? bh_job_unpack(row->value, row->len) : NULL;
+	if (!job) {
+		finish_error(p, 410, "no such job", 0);
+		return;
+	}
+	p->state = job->is_cancelled ? BH_JOB_CANCELLED : BH_JOB_QUEUED;
+	bh_job_free(job);
+	bh_store_list(p->entry->store, BH_TABLE_PROGRESS, p->id, 1,
+		      try_timeout_ms(p), on_progress_read, p);
+}
+
+static void state_from_store(pending_t *p)
+{
+	bh_store_list(p->entry->store, BH_TABLE_JOBS, p->id, 1,
+		      try_timeout_ms(p), on_job_read, p);
+}
+
+static void on_state(void *user, bool is_answered, bh_job_state_t state,
+		     uint32_t pending)
+{
+	pending_t *p = user;
+
+	(void)pending;
+	if (is_answered && state != BH_JOB_UNKNOWN)
+		finish(p, 200, bh_encode_state(state), 0);
+	else
+		state_from_store(p);
+}
+
+static void on_pending(void *user, bool is_answered, bh_job_state_t state,
+		       uint32_t pending)
+{
+	pending_t *p = user;
+
+	(void)state;
+	if (is_answered)
+		finish(p, 200, bh_encode_pending(pending), 0);
+	else
+		finish_error(p, 503, "no leader answers", RETRY_STORE_MS);
+}
+
+static void on_get(bh_sched_entry_t *e, struct evhttp_request *req,
+		   const bh_queue_t *queue, const char *id)
+{
+	pending_t *p = pending_new(e, req, id, queue->name);
+
+	if (*id)
+		bh_hub_ask_state(e->hub, id, on_state, p);
+	else
+		bh_hub_ask_pending(e->hub, queue->name, on_pending, p);
+}
+
+static void route(bh_sched_entry_t *e, struct evhttp_request *req,
+		  const bh_queue_t *queue, const char *id)
+{
+	switch (evhttp_request_get_command(req)) {
+	case EVHTTP_REQ_POST:
+		on_post(e, req, queue, id);
+		break;
+	case EVHTTP_REQ_DELETE:
+		on_delete(e, req, queue, id);
+		break;
+	default:
+		on_get(e, req, queue, id);
+		break;
+	}
+}
+
+static void on_front(struct evhttp_request *req, void *arg)
+{
+	bh_sched_entry_t *e = arg;
+	const bh_config_t *config = bh_hub_config(e->hub);
+	const char *host = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "Host");
+	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	const bh_queue_t *queue;
+	const char *id;
+
+	if (!config) {
+		reply(req, e, 503, bh_encode_error("no configuration yet"),
+		      RETRY_STORE_MS);
+		return;
+	}
+	queue = host && path ? bh_config_match(config, host, path) : NULL;
+	if (!queue) {
+		reply(req, e, 404, bh_encode_error("no such queue"), 0);
+		return;
+	}
+	id = path + strlen(queue->prefix);
+	if (*id ? !bh_job_id_is_valid(id)
+		: evhttp_request_get_command(req) != EVHTTP_REQ_GET) {
+		reply(req, e, 400,
+		      bh_encode_error("an id has 16 hexadecimal digits"), 0);
+		return;
+	}
+	route(e, req, queue, id);
+}
+
+static void on_ready(struct evhttp_request *req, void *arg)
+{
+	bh_sched_entry_t *e = arg;
+	bool is_ready = !e->is_draining && bh_hub_config(e->hub);
+
+	bh_http_reply_text(req, is_ready ? 200 : 503, "text/plain",
+			   is_ready	    ? "ready\n"
+			   : e->is_draining ? "draining\n"
+					    : "no configuration yet\n");
+}
+
+static void on_metrics(struct evhttp_request *req, void *arg)
+{
+	bh_sched_entry_t *e = arg;
+	GString *out = g_string_new(NULL);
+	GHashTableIter it;
+	gpointer queue;
+	gpointer hist;
+
+	bh_hub_metrics(e->hub, out);
+	bh_metrics_value(out, "boragehold_requests_in_flight", NULL,
+			 e->in_flight);
+	bh_metrics_value(out, "boragehold_jobs_accepted_total", NULL,
+			 (double)e->accepted);
+	bh_metrics_value(out, "boragehold_jobs_refused_total", NULL,
+			 (double)e->refused);
+	bh_metrics_value(out, "boragehold_cancellations_total", NULL,
+			 (double)e->cancelled);
+	for (int i = 2; i <= 5; i++) {
+		g_autofree char *label = g_strdup_printf("code=\"%dxx\"", i);
+
+		bh_metrics_value(out, "boragehold_answers_total", label,
+				 (double)e->answers[i]);
+	}
+	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
+			 (double)e->rt->log.dropped);
+	g_hash_table_iter_init(&it, e->latency);
+	while (g_hash_table_iter_next(&it, &queue, &hist)) {
+		g_autofree char *label =
+			g_strdup_printf("queue=\"%s\"", (char *)queue);
+
+		bh_metrics_hist(out, "boragehold_request_seconds", label, hist);
+	}
+	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
+	g_string_free(out, TRUE);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	bh_sched_entry_t *e = arg;
+	bh_usec_t since = bh_runtime_now() - e->drain_since;
+	bh_usec_t last = (bh_usec_t)(e->rt->settings->stop_within_s *
+				     DRAIN_PART * BH_USEC_PER_SEC);
+
+	(void)fd;
+	(void)what;
+	if (!e->is_draining)
+		return;
+	if ((since > DRAIN_OPEN_MS * BH_USEC_PER_MS && e->in_flight == 0) ||
+	    since > last)
+		event_base_loopexit(e->rt->base, NULL);
+}
+
+bh_sched_entry_t *bh_sched_entry_start(bh_runtime_t *rt)
+{
+	const bh_settings_t *set = rt->settings;
+	bh_sched_entry_t *e = g_new0(bh_sched_entry_t, 1);
+
+	e->rt = rt;
+	e->latency =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->store = bh_store_new(rt->base, set->store);
+	e->hub = bh_hub_start(rt, e->store);
+	e->front = bh_http_listen(rt, set->listen_http, on_front, e, NULL);
+	if (*set->listen_ready)
+		e->ready = bh_http_listen(rt, set->listen_ready, on_ready, e,
+					  NULL);
+	if (*set->metrics)
+		e->metrics = bh_http_listen(rt, set->metrics, on_metrics, e,
+					    NULL);
+	e->tick = bh_runtime_every(rt, TICK_MS, on_tick, e);
+	if (e->hub && e->front && (e->ready || !*set->listen_ready) &&
+	    (e->metrics || !*set->metrics))
+		return e;
+	bh_sched_entry_free(e);
+	return NULL;
+}
+
+void bh_sched_entry_free(bh_sched_entry_t *e)
+{
+	event_free(e->tick);
+	if (e->front)
+		evhttp_free(e->front);
+	if (e->ready)
+		evhttp_free(e->ready);
+	if (e->metrics)
+		evhttp_free(e->metrics);
+	bh_hub_free(e->hub);
+	bh_store_free(e->store);
+	g_hash_table_destroy(e->latency);
+	g_free(e);
+}
+
+void bh_sched_entry_drain(bh_sched_entry_t *e)
+{
+	if (e->is_draining)
+		return;
+	e->is_draining = true;
+	e->drain_since = bh_runtime_now();
+	bh_hub_resign(e->hub);
+}
--- /dev/null
+++ b/daemon/sched_leader.c
@@ -0,0 +1,717 @@
+#include "daemon/sched_leader.h"
+#include "daemon/follow.h"
+#include "daemon/metrics.h"
+#include "daemon/tables.h"
+
+/* How long the store may hold a call for changes. Entries announce jobs and
+ * cancellations themselves, so that the feed only has to catch what is lost. */
+#define JOBS_WAIT_MS   1000
+#define AGENTS_WAIT_MS 2500
+
+/* Least time between two commits, in which changes gather. */
+#define COMMIT_EVERY_US (15 * BH_USEC_PER_MS)
+
+/* Jobs of one commit; conditions and the leader's row count as well. */
+#define COMMIT_JOBS_MAX 90
+
+#define PING_EVERY_US (500 * BH_USEC_PER_MS)
+
+/* An agent sends something every 500 ms. */
+#define SILENT_AFTER_US (1600 * BH_USEC_PER_MS)
+
+#define REDIAL_FIRST_US (100 * BH_USEC_PER_MS)
+#define REDIAL_MAX_US	(1000 * BH_USEC_PER_MS)
+
+/* A leader that cannot renew while others reach the store may have been
+ * replaced; it grants no leases after so long. */
+#define GRANT_SILENCE_MS 3000
+
+/* Rows of ended jobs are removed a few at a time. */
+#define REMOVE_EVERY_US (1000 * BH_USEC_PER_MS)
+#define REMOVE_MAX	20
+
+typedef struct member {
+	bh_sched_leader_t *leader;
+	char *address;
+	bh_link_t *link;
+	bh_usec_t dialled_at;
+	bh_usec_t redial_us;
+	bool is_linked;
+} member_t;
+
+struct bh_sched_leader {
+	bh_runtime_t *rt;
+	bh_store_t *store;
+	bh_term_t *term;
+	bh_sched_t *sched;
+	bh_advice_t *advice;
+	bh_follow_t *jobs;
+	bh_follow_t *progress;
+	bh_follow_t *agents;
+	GHashTable *members;
+	GHashTable *notes;
+	int loads_left;
+	bool is_committing;
+	bool is_run_due;
+	bh_usec_t committed_at;
+	bh_usec_t pinged_at;
+	bh_usec_t removed_at;
+	bh_usec_t others_reach_store_at;
+	bh_usec_t began_at;
+	GPtrArray *early;
+	const bh_config_t *config;
+	struct event *run;
+};
+
+static void commit(bh_sched_leader_t *l);
+
+static bool may_grant(const bh_sched_leader_t *l)
+{
+	bh_usec_t now = bh_runtime_now();
+
+	if (!bh_term_is_leader(l->term) || !bh_term_is_confirmed(l->term))
+		return false;
+	if (bh_term_renewed_ago_ms(l->term) < GRANT_SILENCE_MS)
+		return true;
+	/* Nobody can have taken over while nobody reaches the store. */
+	return now - l->others_reach_store_at >
+	       GRANT_SILENCE_MS * BH_USEC_PER_MS;
+}
+
+static void schedule_run(bh_sched_leader_t *l)
+{
+	struct timeval soon = {0, 1000};
+
+	if (l->is_run_due || l->loads_left)
+		return;
+	l->is_run_due = true;
+	event_add(l->run, &soon);
+}
+
+static void on_run(evutil_socket_t fd, short what, void *arg)
+{
+	bh_sched_leader_t *l = arg;
+
+	(void)fd;
+	(void)what;
+	l->is_run_due = false;
+	if (!bh_term_is_leader(l->term))
+		return;
+	if (bh_term_is_confirmed(l->term))
+		bh_sched_run(l->sched, bh_runtime_now(), bh_runtime_unix_ms());
+	commit(l);
+}
+
+static member_t *member_find(bh_sched_leader_t *l, const char *address)
+{
+	return g_hash_table_lookup(l->members, address);
+}
+
+static void send_frame(bh_sched_leader_t *l, const char *host,
+		       const bh_frame_t *frame)
+{
+	member_t *m = member_find(l, host);
+
+	if (m && m->link && bh_link_is_open(m->link))
+		bh_link_send(m->link, frame);
+}
+
+static char *text_of(const char *text)
+{
+	return (char *)(text ? text : "");
+}
+
+static void op_start(void *ctx, const char *host, const bh_start_t *start)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__StartOrder m = BH__SCHED__START_ORDER__INIT;
+
+	m.task = text_of(start->task);
+	m.attempt = start->attempt;
+	m.spec = text_of(start->spec);
+	m.expires_ms = start->expires_ms;
+	m.checkpoint = text_of(start->checkpoint);
+	m.ticket = text_of(start->ticket);
+	m.boot = start->boot;
+	m.worker = text_of(start->worker);
+	frame.body_case = BH__SCHED__FRAME__BODY_START;
+	frame.start = &m;
+	send_frame(ctx, host, &frame);
+}
+
+static void op_stop(void *ctx, const char *host, uint64_t boot,
+		    const char *task, uint32_t attempt)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__StopOrder m = BH__SCHED__STOP_ORDER__INIT;
+
+	m.task = text_of(task);
+	m.attempt = attempt;
+	m.boot = boot;
+	frame.body_case = BH__SCHED__FRAME__BODY_STOP;
+	frame.stop = &m;
+	send_frame(ctx, host, &frame);
+}
+
+static void op_pace(void *ctx, const char *host, uint64_t boot,
+		    const char *task, uint32_t attempt, uint32_t percent)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__PaceOrder m = BH__SCHED__PACE_ORDER__INIT;
+
+	m.task = text_of(task);
+	m.attempt = attempt;
+	m.percent = percent;
+	m.boot = boot;
+	frame.body_case = BH__SCHED__FRAME__BODY_PACE;
+	frame.pace = &m;
+	send_frame(ctx, host, &frame);
+}
+
+static void op_grant(void *ctx, const char *host, uint64_t boot,
+		     uint64_t expires_ms, uint64_t ack)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Grant m = BH__SCHED__GRANT__INIT;
+
+	m.boot = boot;
+	m.expires_ms = expires_ms;
+	m.ack = ack;
+	frame.body_case = BH__SCHED__FRAME__BODY_GRANT;
+	frame.grant = &m;
+	send_frame(ctx, host, &frame);
+}
+
+static void op_advise(void *ctx, const char *phase, const char **workers,
+		      uint32_t n)
+{
+	bh_sched_leader_t *l = ctx;
+
+	if (l->advice)
+		bh_advice_ask(l->advice, phase, workers, n);
+}
+
+static void op_event(void *ctx, const char *what, const char *job,
+		     const char *detail)
+{
+	bh_sched_leader_t *l = ctx;
+
+	bh_log_pairs(&l->rt->log, BH_LOG_INFO, what, job, detail);
+}
+
+static const bh_sched_ops_t sched_ops = {
+	.start = op_start,
+	.stop = op_stop,
+	.pace = op_pace,
+	.grant = op_grant,
+	.advise = op_advise,
+	.event = op_event,
+};
+
+static void on_advised(void *ctx, const char *phase,
+		       const bh_ticket_t *tickets, uint32_t n,
+		       uint32_t valid_ms)
+{
+	bh_sched_leader_t *l = ctx;
+
+	bh_sched_advised(l->sched, phase, tickets, n, valid_ms,
+			 bh_runtime_now());
+	schedule_run(l);
+}
+
+static void on_committed(void *user, bh_term_verdict_t verdict)
+{
+	bh_sched_leader_t *l = user;
+
+	l->is_committing = false;
+	bh_sched_end_commit(l->sched, verdict == BH_TERM_STORED,
+			    bh_runtime_now());
+	schedule_run(l);
+}
+
+static void commit(bh_sched_leader_t *l)
+{
+	const char *ids[COMMIT_JOBS_MAX];
+	bh_usec_t now = bh_runtime_now();
+	bh_store_tx_t *tx;
+	uint32_t n;
+
+	if (l->is_committing || !bh_term_can_commit(l->term) ||
+	    !bh_sched_has_uncommitted(l->sched))
+		return;
+	if (now - l->committed_at < COMMIT_EVERY_US) {
+		struct timeval rest = {0, COMMIT_EVERY_US};
+
+		if (!l->is_run_due)
+			event_add(l->run, &rest);
+		l->is_run_due = true;
+		return;
+	}
+	n = bh_sched_begin_commit(l->sched, ids, COMMIT_JOBS_MAX);
+	tx = bh_store_tx_new();
+	for (uint32_t i = 0; i < n; i++) {
+		bh_progress_t *progress = bh_sched_progress(l->sched, ids[i]);
+		GBytes *bytes = bh_progress_pack(progress);
+		gsize len;
+		const void *data = g_bytes_get_data(bytes, &len);
+
+		bh_store_tx_put(tx, BH_TABLE_PROGRESS, ids[i], data, len);
+		g_bytes_unref(bytes);
+		bh_progress_free(progress);
+	}
+	l->is_committing = true;
+	l->committed_at = now;
+	bh_term_commit(l->term, tx, on_committed, l);
+}
+
+static void on_removed(void *user, bh_term_verdict_t verdict)
+{
+	(void)user;
+	(void)verdict;
+}
+
+/* Rows of jobs that nobody may ask for any longer, and of agents that left. */
+static void remove_old(bh_sched_leader_t *l, bh_usec_t now)
+{
+	bh_store_tx_t *tx;
+	const char *id;
+	int n = 0;
+
+	if (now - l->removed_at < REMOVE_EVERY_US || l->loads_left ||
+	    !bh_term_can_commit(l->term))
+		return;
+	l->removed_at = now;
+	tx = bh_store_tx_new();
+	while (n < REMOVE_MAX &&
+	       (id = bh_sched_expired(l->sched, bh_runtime_unix_ms()))) {
+		bh_store_tx_delete(tx, BH_TABLE_JOBS, id);
+		bh_store_tx_delete(tx, BH_TABLE_PROGRESS, id);
+		bh_sched_drop_job(l->sched, id);
+		n++;
+	}
+	id = bh_sched_lapsed_host(l->sched, now);
+	if (id) {
+		bh_log_event(&l->rt->log, BH_LOG_INFO, "agent forgotten",
+			     "host", id, NULL);
+		bh_store_tx_delete(tx, BH_TABLE_AGENTS, id);
+		g_hash_table_remove(l->members, id);
+		bh_sched_drop_host(l->sched, id);
+		n++;
+	}
+	if (n)
+		bh_term_commit(l->term, tx, on_removed, l);
+	else
+		bh_store_tx_free(tx);
+}
+
+static void on_report(member_t *m, const Bh__Sched__Report *from)
+{
+	bh_sched_leader_t *l = m->leader;
+	bh_report_t report;
+
+	if (from->term > bh_term_number(l->term))
+		bh_term_heard(l->term, from->term);
+	if (from->term != bh_term_number(l->term))
+		return;
+	bh_report_decode(from, &report);
+	bh_sched_report(l->sched, m->address, &report.info,
+			report.has_lists ? &report.lists : NULL, may_grant(l),
+			bh_runtime_now());
+	bh_report_clear(&report);
+	schedule_run(l);
+}
+
+static void on_result(member_t *m, const Bh__Sched__OrderResult *r)
+{
+	bh_sched_leader_t *l = m->leader;
+	bh_order_outcome_t outcome = MIN(r->outcome, BH_ORDER_UNCLEAR);
+
+	if (outcome == BH_ORDER_FENCED)
+		bh_term_heard(l->term, bh_term_number(l->term) + 1);
+	if (r->kind == BH_ORDER_KIND_START)
+		bh_sched_started(l->sched, m->address, r->task, r->attempt,
+				 outcome, bh_runtime_now());
+	else if (r->kind == BH_ORDER_KIND_STOP)
+		bh_sched_stopped(l->sched, m->address, r->task, r->attempt,
+				 outcome, bh_runtime_now());
+	schedule_run(l);
+}
+
+static void on_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
+{
+	member_t *m = ctx;
+
+	(void)link;
+	switch (frame->body_case) {
+	case BH__SCHED__FRAME__BODY_REPORT:
+		on_report(m, frame->report);
+		break;
+	case BH__SCHED__FRAME__BODY_RESULT:
+		on_result(m, frame->result);
+		break;
+	case BH__SCHED__FRAME__BODY_PING:
+		if (frame->ping->term > bh_term_number(m->leader->term))
+			bh_term_heard(m->leader->term, frame->ping->term);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_opened(void *ctx, bh_link_t *link)
+{
+	member_t *m = ctx;
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Hello hello = BH__SCHED__HELLO__INIT;
+
+	m->is_linked = true;
+	m->redial_us = REDIAL_FIRST_US;
+	hello.term = bh_term_number(m->leader->term);
+	hello.leader = m->leader->rt->settings->name;
+	frame.body_case = BH__SCHED__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	bh_link_send(link, &frame);
+	bh_sched_host_linked(m->leader->sched, m->address, true,
+			     bh_runtime_now());
+}
+
+static void member_unlinked(member_t *m)
+{
+	m->link = NULL;
+	if (m->is_linked)
+		bh_sched_host_linked(m->leader->sched, m->address, false,
+				     bh_runtime_now());
+	m->is_linked = false;
+}
+
+static void on_closed(void *ctx, bh_link_t *link, bool is_refused)
+{
+	(void)link;
+	(void)is_refused;
+	member_unlinked(ctx);
+}
+
+static const bh_link_ops_t link_ops = {
+	.frame = on_frame,
+	.opened = on_opened,
+	.closed = on_closed,
+};
+
+static void member_free(gpointer data)
+{
+	member_t *m = data;
+
+	bh_link_free(m->link);
+	g_free(m->address);
+	g_free(m);
+}
+
+static void member_add(bh_sched_leader_t *l, const char *address)
+{
+	member_t *m;
+
+	if (member_find(l, address))
+		return;
+	m = g_new0(member_t, 1);
+	m->leader = l;
+	m->address = g_strdup(address);
+	m->redial_us = REDIAL_FIRST_US;
+	g_hash_table_insert(l->members, m->address, m);
+	/* An agent whose row came later has never met an earlier leader. */
+	bh_sched_add_host(l->sched, address, l->loads_left > 0,
+			  bh_runtime_now());
+}
+
+static void member_tick(member_t *m, bh_usec_t now)
+{
+	if (m->link) {
+		bh_usec_t since = bh_link_is_open(m->link)
+					  ? bh_link_heard_at(m->link)
+					  : m->dialled_at;
+
+		if (now - since <= SILENT_AFTER_US)
+			return;
+		bh_link_free(m->link);
+		member_unlinked(m);
+	}
+	if (now - m->dialled_at < m->redial_us)
+		return;
+	m->dialled_at = now;
+	m->redial_us = MIN(m->redial_us * 2, REDIAL_MAX_US);
+	m->link = bh_link_dial(m->leader->rt->base, m->address, &link_ops, m);
+}
+
+static void ping_members(bh_sched_leader_t *l, bh_usec_t now)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+	GHashTableIter it;
+	gpointer value;
+
+	if (now - l->pinged_at < PING_EVERY_US)
+		return;
+	l->pinged_at = now;
+	ping.term = bh_term_number(l->term);
+	frame.body_case = BH__SCHED__FRAME__BODY_PING;
+	frame.ping = &ping;
+	g_hash_table_iter_init(&it, l->members);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *m = value;
+
+		if (m->link && bh_link_is_open(m->link))
+			bh_link_send(m->link, &frame);
+	}
+}
+
+static void on_agent_row(void *ctx, const bh_store_row_t *row)
+{
+	bh_sched_leader_t *l = ctx;
+
+	if (!row->is_deleted)
+		member_add(l, row->key);
+}
+
+static void on_job_row(void *ctx, const bh_store_row_t *row)
+{
+	bh_sched_leader_t *l = ctx;
+
+	if (row->is_deleted)
+		return;
+	bh_sched_leader_job(l, row->value, row->len);
+}
+
+static void free_progress(gpointer data)
+{
+	bh_progress_free(data);
+}
+
+static void on_progress_row(void *ctx, const bh_store_row_t *row)
+{
+	bh_sched_leader_t *l = ctx;
+	bh_progress_t *progress;
+
+	if (!l->loads_left || row->is_deleted)
+		return;
+	progress = bh_progress_unpack(row->value, row->len);
+	if (progress)
+		g_hash_table_insert(l->notes, g_strdup(row->key), progress);
+	else
+		bh_log_event(&l->rt->log, BH_LOG_ERROR,
+			     "stored progress cannot be read", "job", row->key,
+			     NULL);
+}
+
+static void begin(bh_sched_leader_t *l)
+{
+	bh_usec_t now = bh_runtime_now();
+	char detail[128];
+
+	for (guint i = 0; i < l->early->len; i++) {
+		bh_job_t *job = l->early->pdata[i];
+
+		bh_sched_add_job(l->sched, job,
+				 g_hash_table_lookup(l->notes, job->id), now);
+	}
+	g_snprintf(detail, sizeof(detail),
+		   "term=%" G_GUINT64_FORMAT " jobs=%u agents=%u took_ms=%"
+		   G_GINT64_FORMAT,
+		   bh_term_number(l->term), l->early->len,
+		   g_hash_table_size(l->members), (now - l->began_at) / 1000);
+	bh_log_pairs(&l->rt->log, BH_LOG_INFO, "loaded", NULL, detail);
+	g_ptr_array_set_size(l->early, 0);
+	g_hash_table_remove_all(l->notes);
+	schedule_run(l);
+}
+
+static void on_loaded(void *ctx)
+{
+	bh_sched_leader_t *l = ctx;
+
+	l->loads_left--;
+	if (l->loads_left == 0)
+		begin(l);
+}
+
+static void on_progress_loaded(void *ctx)
+{
+	bh_sched_leader_t *l = ctx;
+
+	/* The leader alone writes this table; nothing more is to be heard. */
+	bh_follow_free(l->progress);
+	l->progress = NULL;
+	on_loaded(l);
+}
+
+static const bh_follow_ops_t agent_ops = {on_agent_row, on_loaded};
+static const bh_follow_ops_t job_ops = {on_job_row, on_loaded};
+static const bh_follow_ops_t progress_ops = {on_progress_row,
+					     on_progress_loaded};
+
+bh_sched_leader_t *bh_sched_leader_new(bh_runtime_t *rt, bh_store_t *store,
+				       bh_term_t *term)
+{
+	const bh_settings_t *set = rt->settings;
+	bh_sched_leader_t *l = g_new0(bh_sched_leader_t, 1);
+	bh_sched_bounds_t bounds = {
+		.term = bh_term_number(term),
+		.lease_ms = (int64_t)MIN((double)set->lease_ms, set->lease_max_ms),
+		.silence_ms = GRANT_SILENCE_MS,
+		.restore_ms = (int64_t)set->restore_ms,
+		.impact_ms = (int64_t)set->impact_ms,
+		.status_ms = (int64_t)(set->status_s * 1000),
+		.remote_slowdown = set->remote_slowdown,
+	};
+
+	l->rt = rt;
+	l->store = store;
+	l->term = term;
+	l->began_at = bh_runtime_now();
+	l->others_reach_store_at = l->began_at;
+	l->sched = bh_sched_new(&bounds, &sched_ops, l, l->began_at);
+	l->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   member_free);
+	l->notes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 free_progress);
+	l->early = g_ptr_array_new();
+	l->run = event_new(rt->base, -1, 0, on_run, l);
+	if (*set->advice)
+		l->advice = bh_advice_new(rt->base, set->advice, on_advised, l);
+	l->loads_left = 3;
+	l->agents = bh_follow_new(rt, store, BH_TABLE_AGENTS, AGENTS_WAIT_MS,
+				  &agent_ops, l);
+	l->progress = bh_follow_new(rt, store, BH_TABLE_PROGRESS,
+				    AGENTS_WAIT_MS, &progress_ops, l);
+	l->jobs = bh_follow_new(rt, store, BH_TABLE_JOBS, JOBS_WAIT_MS,
+				&job_ops, l);
+	return l;
+}
+
+void bh_sched_leader_free(bh_sched_leader_t *l)
+{
+	if (!l)
+		return;
+	bh_term_forget(l->term);
+	bh_follow_free(l->jobs);
+	bh_follow_free(l->progress);
+	bh_follow_free(l->agents);
+	event_free(l->run);
+	g_hash_table_destroy(l->members);
+	g_hash_table_destroy(l->notes);
+	for (guint i = 0; i < l->early->len; i++)
+		bh_job_free(l->early->pdata[i]);
+	g_ptr_array_free(l->early, TRUE);
+	bh_advice_free(l->advice);
+	bh_sched_free(l->sched);
+	g_free(l);
+}
+
+void bh_sched_leader_set_config(bh_sched_leader_t *l,
+				const bh_config_t *config)
+{
+	l->config = config;
+	bh_sched_set_config(l->sched, config, bh_runtime_now());
+	schedule_run(l);
+}
+
+void bh_sched_leader_others_reach_store(bh_sched_leader_t *l)
+{
+	l->others_reach_store_at = bh_runtime_now();
+}
+
+void bh_sched_leader_job(bh_sched_leader_t *l, const void *data, size_t len)
+{
+	bh_job_t *job = bh_job_unpack(data, len);
+
+	if (!job) {
+		bh_log_event(&l->rt->log, BH_LOG_ERROR,
+			     "a stored job cannot be read", NULL);
+		return;
+	}
+	if (l->loads_left) {
+		g_ptr_array_add(l->early, job);
+		return;
+	}
+	bh_sched_add_job(l->sched, job, NULL, bh_runtime_now());
+	schedule_run(l);
+}
+
+bh_job_state_t bh_sched_leader_state(bh_sched_leader_t *l, const char *id)
+{
+	return l->loads_left ? BH_JOB_UNKNOWN : bh_sched_state(l->sched, id);
+}
+
+bool bh_sched_leader_pending(bh_sched_leader_t *l, const char *queue,
+			     uint32_t *out)
+{
+	if (l->loads_left)
+		return false;
+	*out = bh_sched_pending(l->sched, queue);
+	return true;
+}
+
+uint32_t bh_sched_leader_load(bh_sched_leader_t *l, bh_backlog_t *out,
+			      uint32_t max)
+{
+	return l->loads_left ? 0
+			     : bh_sched_load(l->sched, out, max,
+					     bh_runtime_now());
+}
+
+void bh_sched_leader_tick(bh_sched_leader_t *l)
+{
+	bh_usec_t now = bh_runtime_now();
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, l->members);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		member_tick(value, now);
+	ping_members(l, now);
+	remove_old(l, now);
+	schedule_run(l);
+}
+
+void bh_sched_leader_metrics(bh_sched_leader_t *l, GString *out)
+{
+	bh_sched_stats_t *st = g_new0(bh_sched_stats_t, 1);
+
+	bh_sched_stats(l->sched, st);
+	bh_metrics_value(out, "boragehold_term", NULL,
+			 (double)bh_term_number(l->term));
+	bh_metrics_value(out, "boragehold_starts_total", NULL,
+			 (double)st->starts);
+	bh_metrics_value(out, "boragehold_starts_refused_total", NULL,
+			 (double)st->rejected);
+	bh_metrics_value(out, "boragehold_stops_total", NULL,
+			 (double)st->stops);
+	bh_metrics_value(out, "boragehold_copies_total", NULL,
+			 (double)st->copies);
+	bh_metrics_value(out, "boragehold_quarantines_total", NULL,
+			 (double)st->quarantines);
+	bh_metrics_value(out, "boragehold_paces_total", NULL,
+			 (double)st->paces);
+	for (int end = BH_END_DONE; end <= BH_END_ALONE; end++) {
+		g_autofree char *label = g_strdup_printf(
+			"how=\"%s\"", bh_end_name((bh_end_t)end));
+
+		bh_metrics_value(out, "boragehold_ends_total", label,
+				 (double)st->ends[end]);
+	}
+	for (int state = BH_JOB_COMPLETED; state <= BH_JOB_CANCELLED;
+	     state++) {
+		g_autofree char *label = g_strdup_printf(
+			"state=\"%s\"",
+			bh_job_state_name((bh_job_state_t)state));
+
+		bh_metrics_value(out, "boragehold_jobs_ended_total", label,
+				 (double)st->jobs[state]);
+	}
+	bh_metrics_value(out, "boragehold_workers_ready", NULL,
+			 st->hosts_ready);
+	bh_metrics_value(out, "boragehold_tasks_waiting", NULL,
+			 st->tasks_waiting);
+	bh_metrics_value(out, "boragehold_tasks_running", NULL,
+			 st->tasks_running);
+	bh_metrics_hist(out, "boragehold_task_wait_seconds", NULL, &st->wait);
+	g_free(st);
+}
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -36,15 +36,23 @@
 	TEXT(cell, "\"cell-1\"",
 	     "cell of the worker; for an entry, where new "
 	     "jobs go"),
-	ADDRESS(listen_http, NULL,
-		"HTTP: callers at an entry, the runners at an agent"),
+	ADDRESS(listen_http, "\"\"",
+		"required; HTTP: callers at an entry, the runners at an agent"),
 	ADDRESS(listen_operators, "\"\"",
 		"HTTP for operators; empty: together with callers"),
 	ADDRESS(listen_frames, NULL,
 		"frames between processes, TCP and UDP; others reach it here"),
 	ADDRESS(advertise_frames, "\"\"",
 		"frame address that others are told; empty: listen_frames"),
-	ADDRESS(table, NULL, "the platform's table service"),
+	ADDRESS(table, "\"\"",
+		"the platform's table service; required without store"),
+	ADDRESS(store, "\"\"",
+		"the platform's store; set: this process schedules jobs"),
+	ADDRESS(listen_ready, "\"\"",
+		"HTTP for the balancer's readiness checks; entries with store"),
+	ADDRESS(metrics, "\"\"", "HTTP for counters, with store"),
+	ADDRESS(advice, "\"\"", "the platform's adviser, with store"),
+	TEXT(service, "\"\"", "service of the worker here; agents with store"),
 	ADDRESS(worker, "\"\"", "the worker runtime; agents only"),
 	TEXT(entries, "\"\"",
 	     "frame addresses of entries known beforehand, comma-separated"),
@@ -81,6 +89,24 @@
 	    "news a third of term_ms"),
 	INT(lease_ms, "ms", "30000", 500, 3600000,
 	    "lease of a task at its worker"),
+	NUMBER(lease_max_ms, "ms", "10000", 500, 3600000,
+	    "longest lease that a worker grants, with store"),
+	NUMBER(restore_ms, "ms", "100", 0, 600000,
+	    "time that a task takes to resume from a checkpoint, with store"),
+	NUMBER(impact_ms, "ms", "4000", 100, 3600000,
+	    "longest time that a lasting task may miss its objective because "
+	    "of fillers, with store"),
+	NUMBER(status_s, "s", "120", 1, 86400,
+	    "time that a job's final state is kept, with store"),
+	NUMBER(worker_drain_ms, "ms", "2000", 100, 600000,
+	    "time after which a draining worker takes no more work, with "
+	    "store"),
+	NUMBER(stop_within_s, "s", "6", 0.1, 600,
+	    "time from SIGTERM to SIGKILL, with store"),
+	NUMBER(remote_slowdown, "ratio", "1.5", 1, 100,
+	       "how much slower a task is away from its data, with store"),
+	NUMBER(processor_share, "cores", "1", 0.001, 1024,
+	       "processor time of this host; entries with more lead first"),
 	INT(term_ms, "ms", "6000", 500, 600000,
 	    "term of a cell's leader without renewal"),
 	INT(journal_ms, "ms", "200", 10, 10000,
@@ -236,6 +262,25 @@
 	return TRUE;
 }
 
+static gboolean fail_missing(const char *name, GError **err)
+{
+	g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_MISSING,
+		    "%s: required but missing (%s)", name,
+		    option_find(name)->help);
+	return FALSE;
+}
+
+static gboolean check_required(const bh_settings_t *s, GError **err)
+{
+	if (!*s->listen_http)
+		return fail_missing("listen_http", err);
+	if (!*s->table && !*s->store)
+		return fail_missing("table", err);
+	if (*s->store && strcmp(s->role, "agent") == 0 && !*s->worker)
+		return fail_missing("worker", err);
+	return TRUE;
+}
+
 static gboolean fill(bh_settings_t *s, JsonObject *object, GError **err)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
@@ -255,7 +300,7 @@
 			return FALSE;
 		}
 	}
-	return TRUE;
+	return check_required(s, err);
 }
 
 bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -46,6 +46,11 @@
 	char *log_format;
 	char *policy;
 	char *token_file;
+	char *listen_ready;
+	char *metrics;
+	char *store;
+	char *advice;
+	char *service;
 	int64_t max_body_bytes;
 	int64_t max_in_flight;
 	int64_t http_timeout_ms;
@@ -65,6 +70,14 @@
 	double tenant_burst;
 	double retry_share;
 	double hedge_quantile;
+	double lease_max_ms;
+	double restore_ms;
+	double impact_ms;
+	double status_s;
+	double worker_drain_ms;
+	double stop_within_s;
+	double remote_slowdown;
+	double processor_share;
 } bh_settings_t;
 
 /**
--- /dev/null
+++ b/daemon/tables.h
@@ -0,0 +1,26 @@
+/*
+ * Tables of the platform's store, and what the frames' numbers mean.
+ */
+#ifndef BH_DAEMON_TABLES_H
+#define BH_DAEMON_TABLES_H
+
+/* Jobs by id; written by the entry that accepts or cancels one. */
+#define BH_TABLE_JOBS "jobs"
+
+/* What became of a job, by its id; written by the leader. */
+#define BH_TABLE_PROGRESS "progress"
+
+/* Agents by the address of their frames; each writes its own. */
+#define BH_TABLE_AGENTS "agents"
+
+/* The operator's rows. */
+#define BH_TABLE_OPERATOR	"op"
+#define BH_KEY_OPERATOR_CONFIG "config"
+
+enum {
+	BH_ORDER_KIND_START = 1,
+	BH_ORDER_KIND_STOP = 2,
+	BH_ORDER_KIND_PACE = 3,
+};
+
+#endif
--- /dev/null
+++ b/sched/hosts.c
@@ -0,0 +1,526 @@
+#include "sched/sched_impl.h"
+
+#include <stdio.h>
+
+/* A worker's clock may run this much slower than ours (parts per hundred). */
+#define CLOCK_DRIFT_PERCENT 2
+
+/* Reports come every 400 ms; one that is older than three says little. */
+#define REPORT_FRESH_US (1500 * BH_USEC_PER_MS)
+
+/* Lists may have been made just before an order was carried out. */
+#define ABSENT_AFTER_US (1000 * BH_USEC_PER_MS)
+#define ABSENT_REPORTS	2
+
+/* A stop that shows no effect is ordered again. */
+#define STOP_AGAIN_US (1000 * BH_USEC_PER_MS)
+
+/* A host that nobody has heard of for so long has left for good. */
+#define FORGET_AFTER_US (20 * BH_USEC_PER_SEC)
+
+static bh_host_t *host_find(const bh_sched_t *s, const char *key)
+{
+	return g_hash_table_lookup(s->by_key, key);
+}
+
+static void adopt_checkpoint(bh_sched_t *s, bh_task_t *task,
+			     const char *checkpoint)
+{
+	if (!checkpoint || !*checkpoint || task->is_done ||
+	    !task->phase->step->is_checkpointing ||
+	    g_strcmp0(task->checkpoint, checkpoint) == 0)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+	bh_rec_touch(s, task->phase->rec);
+}
+
+/* The run is gone from the worker without an end that says how. */
+static void lose_run(bh_sched_t *s, bh_run_t *run, const char *why,
+		     bh_usec_t now)
+{
+	bh_task_t *task = run->task;
+	char name[BH_TASK_NAME_BYTES];
+
+	bh_task_full_name(task, name);
+	bh_sched_log(s, "run lost", task->phase->rec->job->id,
+		     "task=%s attempt=%u worker=%s percent=%u why=%s",
+		     name + BH_JOB_ID_LEN + 1, run->attempt, run->host->info.id,
+		     run->percent, why);
+	adopt_checkpoint(s, task, run->checkpoint);
+	bh_run_drop(s, run);
+	bh_task_requeue(s, task, now);
+}
+
+static void forget_acks(bh_host_t *host)
+{
+	bh_pending_ack_t *ack;
+
+	while ((ack = g_queue_pop_head(&host->acks)) != NULL)
+		g_free(ack);
+}
+
+static void take_info(bh_host_t *host, const bh_worker_info_t *info)
+{
+	bh_worker_info_clear(&host->info);
+	host->info = *info;
+	host->info.id = g_strdup(info->id);
+	host->info.service = g_strdup(info->service);
+	host->info.zone = g_strdup(info->zone);
+	host->rack = NULL;
+	for (uint32_t i = 0; i < info->n_labels; i++) {
+		host->info.labels[i] = g_strdup(info->labels[i]);
+		/* Racks are named like "r1-3", kinds are not. */
+		if (info->labels[i][0] == 'r' &&
+		    g_ascii_isdigit(info->labels[i][1]))
+			host->rack = host->info.labels[i];
+	}
+}
+
+static void end_failed(bh_sched_t *s, bh_host_t *host, bh_task_t *task,
+		       const bh_ended_t *e, bh_usec_t now)
+{
+	bh_health_note(s, host, task, false, now);
+	if (e->attempt <= task->counted)
+		return;
+	task->counted = e->attempt;
+	task->shunned = host;
+	bh_task_failed(s, task, now);
+}
+
+static void note_rate(const bh_run_t *run, bh_host_t *host, bh_usec_t now)
+{
+	bh_phase_t *phase = run->task->phase;
+	bh_usec_t elapsed = now - run->ordered_at;
+	double rate;
+	double mean;
+
+	if (phase->step->is_lasting || phase->step->is_filler ||
+	    elapsed < 100 * BH_USEC_PER_MS || run->first_percent > 0)
+		return;
+	rate = (double)phase->step->estimate_ms * 1000 / (double)elapsed;
+	phase->rate_sum += rate;
+	phase->rate_count++;
+	mean = phase->rate_sum / phase->rate_count;
+	if (phase->rate_count >= 3)
+		host->speed += 0.2 * (rate / mean - host->speed);
+}
+
+static void handle_end(bh_sched_t *s, bh_host_t *host, const bh_ended_t *e,
+		       bh_usec_t now)
+{
+	bh_task_t *task = bh_task_find(s, e->task);
+	bh_run_t *run;
+
+	s->stats.ends[e->how]++;
+	if (!task)
+		return;
+	run = bh_run_find(task, e->attempt);
+	bh_sched_log(s, "end", task->phase->rec->job->id,
+		     "task=%s attempt=%u worker=%s how=%s number=%"
+		     G_GUINT64_FORMAT " ran_ms=%" G_GINT64_FORMAT,
+		     e->task + BH_JOB_ID_LEN + 1, e->attempt, host->info.id,
+		     bh_end_name(e->how), e->number,
+		     run ? (now - run->ordered_at) / 1000 : -1);
+	if (e->attempt >= task->attempt) {
+		task->attempt = e->attempt;
+		adopt_checkpoint(s, task, e->checkpoint);
+	}
+	if (run && e->how == BH_END_DONE)
+		note_rate(run, host, now);
+	if (run)
+		bh_run_drop(s, run);
+	if (e->how == BH_END_DONE) {
+		bh_health_note(s, host, task, true, now);
+		bh_task_done(s, task, now);
+	} else if (e->how == BH_END_FAILED) {
+		end_failed(s, host, task, e, now);
+	}
+	if (run)
+		bh_task_requeue(s, task, now);
+}
+
+static void handle_ends(bh_sched_t *s, bh_host_t *host,
+			const bh_worker_lists_t *lists, bh_usec_t now)
+{
+	bh_pending_ack_t *ack;
+	uint64_t before = host->last_ended;
+
+	for (uint32_t i = 0; i < lists->n_ended; i++) {
+		const bh_ended_t *e = &lists->ended[i];
+
+		if (e->number <= before)
+			continue;
+		handle_end(s, host, e, now);
+		host->last_ended = MAX(host->last_ended, e->number);
+	}
+	if (host->last_ended == before)
+		return;
+	ack = g_new0(bh_pending_ack_t, 1);
+	ack->number = host->last_ended;
+	ack->change = s->change;
+	g_queue_push_tail(&host->acks, ack);
+}
+
+static void stop_stray(bh_sched_t *s, bh_host_t *host, const bh_active_t *a)
+{
+	bh_sched_log(s, "stop", NULL, "task=%s attempt=%u worker=%s why=%s",
+		     a->task, a->attempt, host->info.id,
+		     "no job asks for it");
+	s->ops->stop(s->ctx, host->key, host->info.boot, a->task, a->attempt);
+}
+
+static bool may_adopt(const bh_task_t *task)
+{
+	if (!task || task->is_done || bh_rec_is_over(task->phase->rec))
+		return false;
+	if (task->runs[0] && task->runs[1])
+		return false;
+	return task->phase->step->is_speculative ||
+	       (!task->runs[0] && !task->runs[1]);
+}
+
+static bh_run_t *match_active(bh_sched_t *s, bh_host_t *host,
+			      const bh_active_t *a, bh_usec_t now)
+{
+	bh_task_t *task = bh_task_find(s, a->task);
+	bh_run_t *run = task ? bh_run_find(task, a->attempt) : NULL;
+
+	if (task)
+		task->attempt = MAX(task->attempt, a->attempt);
+	if (run && run->host == host)
+		return run;
+	if (!may_adopt(task)) {
+		stop_stray(s, host, a);
+		return NULL;
+	}
+	run = bh_run_new(s, task, host, a->attempt, BH_RUN_ACTIVE, now);
+	run->first_percent = a->percent;
+	bh_sched_log(s, "adopt", task->phase->rec->job->id,
+		     "task=%s attempt=%u worker=%s percent=%u",
+		     a->task + BH_JOB_ID_LEN + 1, a->attempt, host->info.id,
+		     a->percent);
+	return run;
+}
+
+static void handle_active(bh_sched_t *s, bh_host_t *host, const bh_active_t *a,
+			  bh_usec_t now)
+{
+	bh_run_t *run = match_active(s, host, a, now);
+
+	if (!run)
+		return;
+	run->absences = 0;
+	if (run->state == BH_RUN_ORDERED)
+		run->state = BH_RUN_ACTIVE;
+	if (!run->seen_at) {
+		run->seen_at = now;
+		run->first_percent = a->percent;
+		run->moved_at = now;
+	}
+	if (a->percent != run->percent)
+		run->moved_at = now;
+	run->percent = a->percent;
+	run->gauge = a->gauge;
+	bh_run_save(run, a->checkpoint);
+	if (run->state == BH_RUN_STOPPING &&
+	    now - run->stop_asked_at > STOP_AGAIN_US)
+		bh_run_stop(s, run, "not stopped yet", now);
+}
+
+static void handle_lists(bh_sched_t *s, bh_host_t *host,
+			 const bh_worker_lists_t *lists, bh_usec_t now)
+{
+	bh_run_t *run;
+	bh_run_t *next;
+
+	TAILQ_FOREACH(run, &host->runs, link)
+	run->absences++;
+	handle_ends(s, host, lists, now);
+	for (uint32_t i = 0; i < lists->n_active; i++)
+		handle_active(s, host, &lists->active[i], now);
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
+	{
+		if (run->state == BH_RUN_ORDERED && run->absences &&
+		    run->ordered_at < host->linked_at)
+			bh_run_stop(s, run, "its order was lost", now);
+		if (run->state != BH_RUN_ORDERED &&
+		    run->absences >= ABSENT_REPORTS &&
+		    now - MAX(run->ordered_at, run->stop_asked_at) >
+			    ABSENT_AFTER_US)
+			lose_run(s, run, "the worker does not list it", now);
+	}
+	host->is_synced = true;
+}
+
+static void extend_lease(bh_sched_t *s, bh_host_t *host, uint64_t clock_ms,
+			 bh_usec_t now)
+{
+	int64_t lease_us = s->bounds.lease_ms * BH_USEC_PER_MS;
+	uint64_t expires = clock_ms + (uint64_t)s->bounds.lease_ms;
+
+	host->expires_ms = MAX(host->expires_ms, expires);
+	host->lapse_at = now + lease_us + lease_us * CLOCK_DRIFT_PERCENT / 100;
+}
+
+static void reset_boot(bh_sched_t *s, bh_host_t *host, const char *why,
+		       bh_usec_t now)
+{
+	bh_host_lapse(s, host, why, now);
+	forget_acks(host);
+	host->last_ended = 0;
+	host->acked = 0;
+	host->expires_ms = 0;
+}
+
+/* What runs on a worker that leaves ends with it; go where it can finish. */
+static void evacuate(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+{
+	bh_run_t *run;
+	bh_run_t *next;
+
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
+	{
+		if (run->state == BH_RUN_STOPPING)
+			continue;
+		if (run->task->phase->step->is_lasting ||
+		    bh_run_left_ms(run) > (int64_t)host->info.leaves_ms)
+			bh_run_stop(s, run, "its worker leaves", now);
+	}
+}
+
+bool bh_host_is_usable(const bh_sched_t *s, const bh_host_t *host,
+		       bh_usec_t now)
+{
+	(void)s;
+	return host->is_linked && host->is_synced && host->info.id &&
+	       host->info.boot && host->info.state == BH_WORKER_READY &&
+	       now - host->heard_at < REPORT_FRESH_US && host->expires_ms &&
+	       host->lapse_at - now > BH_USEC_PER_SEC &&
+	       now >= host->shunned_until && now >= host->full_until;
+}
+
+void bh_host_lapse(bh_sched_t *s, bh_host_t *host, const char *why,
+		   bh_usec_t now)
+{
+	bh_run_t *run;
+
+	while ((run = TAILQ_FIRST(&host->runs)) != NULL)
+		lose_run(s, run, why, now);
+	host->is_synced = true;
+	host->lapse_at = now;
+}
+
+void bh_hosts_expire(bh_sched_t *s, bh_usec_t now)
+{
+	bh_host_t *host;
+	bool is_recovering = false;
+
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		if (now >= host->lapse_at &&
+		    (!host->is_synced || !TAILQ_EMPTY(&host->runs))) {
+			bh_sched_log(s, "host lapsed", NULL,
+				     "host=%s silent_ms=%" G_GINT64_FORMAT,
+				     host->key, (now - host->heard_at) / 1000);
+			bh_host_lapse(s, host, "its lease ran out", now);
+		}
+		if (!host->is_synced)
+			is_recovering = true;
+	}
+	if (s->is_recovering && !is_recovering) {
+		bh_sched_log(s, "recovered", NULL, "hosts=%u", s->n_hosts);
+		s->must_place = true;
+	}
+	s->is_recovering = is_recovering;
+}
+
+void bh_host_release_acks(bh_sched_t *s, bh_host_t *host)
+{
+	const bh_rec_t *dirty = TAILQ_FIRST(&s->dirty);
+	bh_rec_t *rec;
+	uint64_t oldest = dirty ? dirty->dirty_since : UINT64_MAX;
+	bh_pending_ack_t *ack;
+
+	TAILQ_FOREACH(rec, &s->committing, dirty_link)
+	oldest = MIN(oldest, rec->commit_since);
+	while ((ack = g_queue_peek_head(&host->acks)) != NULL &&
+	       ack->change < oldest) {
+		host->acked = ack->number;
+		g_free(g_queue_pop_head(&host->acks));
+	}
+}
+
+void bh_host_send_grant(bh_sched_t *s, bh_host_t *host)
+{
+	s->ops->grant(s->ctx, host->key, host->info.boot, host->expires_ms,
+		      host->acked);
+}
+
+void bh_sched_add_host(bh_sched_t *s, const char *key, bool may_hold_work,
+		       bh_usec_t now)
+{
+	bh_host_t *host = host_find(s, key);
+
+	if (host)
+		return;
+	host = g_new0(bh_host_t, 1);
+	host->key = g_strdup(key);
+	host->heard_at = now;
+	host->lapse_at = now;
+	host->is_synced = !may_hold_work;
+	if (may_hold_work)
+		host->lapse_at += (s->bounds.lease_ms * (100 +
+							 CLOCK_DRIFT_PERCENT) /
+					   100 +
+				   s->bounds.silence_ms) *
+				  BH_USEC_PER_MS;
+	host->speed = 1;
+	host->filler_share = 1;
+	TAILQ_INIT(&host->runs);
+	g_queue_init(&host->acks);
+	TAILQ_INSERT_TAIL(&s->hosts, host, link);
+	g_hash_table_insert(s->by_key, host->key, host);
+	s->n_hosts++;
+	if (may_hold_work)
+		s->is_recovering = true;
+}
+
+void bh_sched_host_linked(bh_sched_t *s, const char *key, bool is_linked,
+			  bh_usec_t now)
+{
+	bh_host_t *host = host_find(s, key);
+
+	if (!host || host->is_linked == is_linked)
+		return;
+	host->is_linked = is_linked;
+	host->linked_at = now;
+	bh_sched_log(s, is_linked ? "agent linked" : "agent lost", NULL,
+		     "host=%s worker=%s heard_ms_ago=%" G_GINT64_FORMAT
+		     " runs=%u",
+		     key, host->info.id ? host->info.id : "-",
+		     (now - host->heard_at) / 1000, host->n_runs);
+}
+
+void bh_sched_report(bh_sched_t *s, const char *key,
+		     const bh_worker_info_t *info,
+		     const bh_worker_lists_t *lists, bool may_grant,
+		     bh_usec_t now)
+{
+	bh_host_t *host = host_find(s, key);
+	bh_worker_state_t before;
+
+	if (!host)
+		return;
+	before = host->info.state;
+	host->heard_at = now;
+	if (info->boot && host->info.boot && info->boot != host->info.boot)
+		reset_boot(s, host, "its worker started again", now);
+	take_info(host, info);
+	if (info->state == BH_WORKER_DOWN) {
+		if (before != BH_WORKER_DOWN || !host->is_synced)
+			reset_boot(s, host, "its worker has ended", now);
+		return;
+	}
+	if (before != info->state)
+		bh_sched_log(s, "worker state", NULL,
+			     "host=%s worker=%s state=%s leaves_ms=%u", key,
+			     info->id ? info->id : "-",
+			     bh_worker_state_name(info->state),
+			     info->leaves_ms);
+	if (lists) {
+		handle_lists(s, host, lists, now);
+		if (may_grant)
+			extend_lease(s, host, lists->clock_ms, now);
+		bh_host_release_acks(s, host);
+		if (may_grant)
+			bh_host_send_grant(s, host);
+		s->must_place = true;
+	}
+	if (info->state == BH_WORKER_DRAINING)
+		evacuate(s, host, now);
+}
+
+void bh_sched_started(bh_sched_t *s, const char *key, const char *name,
+		      uint32_t attempt, bh_order_outcome_t outcome,
+		      bh_usec_t now)
+{
+	bh_host_t *host = host_find(s, key);
+	bh_task_t *task = bh_task_find(s, name);
+	bh_run_t *run = task ? bh_run_find(task, attempt) : NULL;
+
+	if (!host || !run || run->host != host)
+		return;
+	if (outcome == BH_ORDER_OK) {
+		if (run->state == BH_RUN_ORDERED)
+			run->state = BH_RUN_ACTIVE;
+		return;
+	}
+	s->stats.rejected++;
+	bh_sched_log(s, "start refused", task->phase->rec->job->id,
+		     "task=%s attempt=%u worker=%s outcome=%s",
+		     name + BH_JOB_ID_LEN + 1, attempt, host->info.id,
+		     bh_order_outcome_name(outcome));
+	if (outcome == BH_ORDER_UNCLEAR) {
+		/* A stop makes the worker refuse the start if it comes late. */
+		bh_run_stop(s, run, "no answer to its start", now);
+		bh_health_note(s, host, task, false, now);
+		return;
+	}
+	if (outcome == BH_ORDER_NO_ROOM)
+		host->full_until = now + 300 * BH_USEC_PER_MS;
+	if (outcome == BH_ORDER_UNHEALTHY)
+		bh_health_note(s, host, task, false, now);
+	if (outcome == BH_ORDER_TICKET)
+		task->phase->tickets_until = 0;
+	bh_run_drop(s, run);
+	bh_task_requeue(s, task, now);
+}
+
+void bh_sched_stopped(bh_sched_t *s, const char *key, const char *name,
+		      uint32_t attempt, bh_order_outcome_t outcome,
+		      bh_usec_t now)
+{
+	bh_host_t *host = host_find(s, key);
+	bh_task_t *task = bh_task_find(s, name);
+	bh_run_t *run = task ? bh_run_find(task, attempt) : NULL;
+
+	if (!host || !run || run->host != host || outcome == BH_ORDER_OK)
+		return;
+	bh_sched_log(s, "stop unclear", task->phase->rec->job->id,
+		     "task=%s attempt=%u worker=%s outcome=%s",
+		     name + BH_JOB_ID_LEN + 1, attempt, host->info.id,
+		     bh_order_outcome_name(outcome));
+	if (run->state == BH_RUN_STOPPING &&
+	    now - run->stop_asked_at > 200 * BH_USEC_PER_MS)
+		bh_run_stop(s, run, "its stop was not carried out", now);
+}
+
+const char *bh_sched_lapsed_host(const bh_sched_t *s, bh_usec_t now)
+{
+	const bh_host_t *host;
+
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		if (!host->is_linked && host->is_synced &&
+		    TAILQ_EMPTY(&host->runs) && now >= host->lapse_at &&
+		    now - host->heard_at > FORGET_AFTER_US)
+			return host->key;
+	}
+	return NULL;
+}
+
+void bh_sched_drop_host(bh_sched_t *s, const char *key)
+{
+	bh_host_t *host = host_find(s, key);
+
+	if (!host)
+		return;
+	g_hash_table_remove(s->by_key, key);
+	TAILQ_REMOVE(&s->hosts, host, link);
+	s->n_hosts--;
+	forget_acks(host);
+	bh_worker_info_clear(&host->info);
+	g_free(host->key);
+	g_free(host);
+}
--- /dev/null
+++ b/sched/jobs.c
@@ -0,0 +1,429 @@
+#include "sched/sched_impl.h"
+
+#include <stdarg.h>
+
+static void phase_init(bh_phase_t *phase, bh_rec_t *rec, uint32_t occurrence,
+		       uint32_t step, bh_usec_t now)
+{
+	phase->rec = rec;
+	phase->step = &rec->job->steps[step];
+	phase->occurrence = occurrence;
+	phase->step_index = step;
+	phase->tasks = g_new0(bh_task_t, phase->step->count);
+	for (uint32_t i = 0; i < phase->step->count; i++) {
+		phase->tasks[i].phase = phase;
+		phase->tasks[i].index = i;
+		phase->tasks[i].waiting_since = now;
+	}
+}
+
+static void phase_clear(bh_phase_t *phase)
+{
+	for (uint32_t i = 0; i < phase->step->count; i++)
+		g_free(phase->tasks[i].checkpoint);
+	g_free(phase->tasks);
+	g_clear_pointer(&phase->tickets, g_hash_table_destroy);
+}
+
+static void rec_free(bh_rec_t *rec)
+{
+	for (uint32_t i = 0; i < rec->n_phases; i++)
+		phase_clear(&rec->phases[i]);
+	g_free(rec->phases);
+	bh_job_free(rec->job);
+	g_free(rec);
+}
+
+static bh_phase_t *phase_at(bh_rec_t *rec, uint32_t occurrence, uint32_t step)
+{
+	return &rec->phases[occurrence * rec->job->n_steps + step];
+}
+
+static bool phase_is_done(const bh_phase_t *phase)
+{
+	return phase->n_done == phase->step->count;
+}
+
+static bool is_due(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	const bh_job_t *job = phase->rec->job;
+
+	return job->first_due_ms == 0 ||
+	       s->unix_ms >=
+		       job->first_due_ms + phase->occurrence * job->interval_ms;
+}
+
+static bool can_open(const bh_sched_t *s, bh_phase_t *phase)
+{
+	if (phase->is_open || phase_is_done(phase) || !is_due(s, phase))
+		return false;
+	for (uint32_t i = 0; i < phase->step->n_after; i++) {
+		if (!phase_is_done(phase_at(phase->rec, phase->occurrence,
+					    phase->step->after[i])))
+			return false;
+	}
+	return true;
+}
+
+static void phase_unlist(bh_sched_t *s, bh_phase_t *phase)
+{
+	if (phase->is_listed)
+		TAILQ_REMOVE(&s->open, phase, link);
+	phase->is_listed = false;
+}
+
+static void open_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	phase->is_open = true;
+	for (uint32_t i = 0; i < phase->step->count; i++) {
+		bh_task_t *task = &phase->tasks[i];
+
+		task->waiting_since = now;
+		if (!task->is_done && !task->runs[0] && !task->runs[1])
+			phase->waiting++;
+	}
+	if (phase->waiting)
+		bh_phase_list(s, phase);
+}
+
+static void finish_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	bh_rec_t *rec = phase->rec;
+
+	phase_unlist(s, phase);
+	rec->phases_done++;
+	if (rec->phases_done == rec->n_phases)
+		bh_rec_end(s, rec, BH_JOB_COMPLETED, now);
+	else
+		bh_rec_open_phases(s, rec, now);
+}
+
+static void mark_done(bh_task_t *task)
+{
+	bh_phase_t *phase = task->phase;
+
+	if (task->is_done)
+		return;
+	if (phase->is_open && !task->runs[0] && !task->runs[1])
+		phase->waiting--;
+	task->is_done = true;
+	phase->n_done++;
+	g_clear_pointer(&task->checkpoint, g_free);
+}
+
+static void restore_step(bh_phase_t *phase, const bh_step_note_t *note)
+{
+	for (uint32_t i = 0; i < phase->step->count; i++) {
+		if (i / 8 < note->n_done_bytes &&
+		    (note->done[i / 8] & (1u << (i % 8))))
+			mark_done(&phase->tasks[i]);
+	}
+	for (uint32_t i = 0; i < note->n_tasks; i++) {
+		const bh_task_note_t *t = &note->tasks[i];
+		bh_task_t *task;
+
+		if (t->index >= phase->step->count)
+			continue;
+		task = &phase->tasks[t->index];
+		task->failures = t->failures;
+		task->counted = t->counted;
+		task->checkpoint = g_strdup(t->checkpoint);
+	}
+	if (phase_is_done(phase))
+		phase->rec->phases_done++;
+}
+
+static void restore(bh_rec_t *rec, const bh_progress_t *progress)
+{
+	rec->state = MAX(progress->state, BH_JOB_QUEUED);
+	rec->has_started = rec->state != BH_JOB_QUEUED;
+	rec->ended_ms = progress->ended_ms;
+	if (bh_rec_is_over(rec))
+		rec->shown = rec->state;
+	for (uint32_t i = 0; i < progress->n_steps; i++) {
+		const bh_step_note_t *note = &progress->steps[i];
+
+		if (note->step < rec->job->n_steps &&
+		    note->occurrence < bh_job_occurrences(rec->job))
+			restore_step(
+				phase_at(rec, note->occurrence, note->step),
+				note);
+	}
+}
+
+static void stop_runs(bh_sched_t *s, bh_rec_t *rec, const char *why,
+		      bh_usec_t now)
+{
+	for (uint32_t p = 0; p < rec->n_phases; p++) {
+		bh_phase_t *phase = &rec->phases[p];
+
+		for (uint32_t i = 0; i < phase->step->count; i++) {
+			for (int r = 0; r < BH_RUNS_MAX; r++) {
+				if (phase->tasks[i].runs[r])
+					bh_run_stop(s, phase->tasks[i].runs[r],
+						    why, now);
+			}
+		}
+	}
+}
+
+/* The queue's terms may have changed since the job was accepted. */
+static void update_terms(const bh_sched_t *s, bh_rec_t *rec)
+{
+	const bh_queue_t *queue = bh_config_queue(s->config, rec->job->queue);
+	bh_job_terms_t *terms = &rec->job->terms;
+
+	if (!queue)
+		return;
+	g_free(terms->service);
+	terms->service = g_strdup(queue->service);
+	terms->priority = queue->priority;
+	terms->max_attempts = queue->max_attempts;
+	terms->slack_percent = (uint32_t)(queue->slack_factor * 100);
+	terms->target_ms = queue->target_ms;
+}
+
+void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
+		  const char *format, ...)
+{
+	char detail[256];
+	va_list args;
+
+	if (!s->ops->event)
+		return;
+	va_start(args, format);
+	g_vsnprintf(detail, sizeof(detail), format, args);
+	va_end(args);
+	s->ops->event(s->ctx, what, job, detail);
+}
+
+bool bh_rec_is_over(const bh_rec_t *rec)
+{
+	return rec->state >= BH_JOB_COMPLETED;
+}
+
+bh_rec_t *bh_rec_find(const bh_sched_t *s, const char *id)
+{
+	return g_hash_table_lookup(s->by_id, id);
+}
+
+bh_task_t *bh_task_find(const bh_sched_t *s, const char *name)
+{
+	bh_task_name_t parts;
+	bh_rec_t *rec;
+	bh_phase_t *phase;
+
+	if (!bh_task_name_parse(name, &parts))
+		return NULL;
+	rec = bh_rec_find(s, parts.job);
+	if (!rec || parts.step >= rec->job->n_steps ||
+	    parts.occurrence >= bh_job_occurrences(rec->job))
+		return NULL;
+	phase = phase_at(rec, parts.occurrence, parts.step);
+	return parts.index < phase->step->count ? &phase->tasks[parts.index]
+						: NULL;
+}
+
+void bh_task_full_name(const bh_task_t *task, char out[BH_TASK_NAME_BYTES])
+{
+	bh_task_name_t name = {
+		.occurrence = task->phase->occurrence,
+		.step = task->phase->step_index,
+		.index = task->index,
+	};
+
+	memcpy(name.job, task->phase->rec->job->id, sizeof(name.job));
+	bh_task_name_format(&name, out);
+}
+
+uint32_t bh_task_next_attempt(const bh_sched_t *s, const bh_task_t *task)
+{
+	uint64_t base = (s->bounds.term - 1) * BH_ATTEMPTS_PER_TERM;
+
+	return MAX(task->attempt, (uint32_t)base) + 1;
+}
+
+/* The list stays in order of the oldest change, which decides what may be
+ * acknowledged. */
+void bh_rec_list_dirty(bh_sched_t *s, bh_rec_t *rec)
+{
+	bh_rec_t *before = TAILQ_LAST(&s->dirty, bh_recs);
+
+	while (before && before->dirty_since > rec->dirty_since)
+		before = TAILQ_PREV(before, bh_recs, dirty_link);
+	if (before)
+		TAILQ_INSERT_AFTER(&s->dirty, before, rec, dirty_link);
+	else
+		TAILQ_INSERT_HEAD(&s->dirty, rec, dirty_link);
+}
+
+void bh_rec_touch(bh_sched_t *s, bh_rec_t *rec)
+{
+	s->change++;
+	if (rec->dirty_since)
+		return;
+	rec->dirty_since = s->change;
+	if (!rec->commit_since)
+		bh_rec_list_dirty(s, rec);
+}
+
+void bh_rec_open_phases(bh_sched_t *s, bh_rec_t *rec, bh_usec_t now)
+{
+	for (uint32_t i = 0; i < rec->n_phases && !bh_rec_is_over(rec); i++) {
+		if (can_open(s, &rec->phases[i]))
+			open_phase(s, &rec->phases[i], now);
+	}
+}
+
+void bh_rec_end(bh_sched_t *s, bh_rec_t *rec, bh_job_state_t state,
+		bh_usec_t now)
+{
+	if (bh_rec_is_over(rec))
+		return;
+	rec->state = state;
+	rec->ended_ms = s->unix_ms;
+	s->stats.jobs[state]++;
+	for (uint32_t i = 0; i < rec->n_phases; i++)
+		phase_unlist(s, &rec->phases[i]);
+	bh_sched_log(s, "job ended", rec->job->id,
+		     "state=%s queue=%s age_ms=%" G_GUINT64_FORMAT
+		     " objective_ms=%" G_GUINT64_FORMAT,
+		     bh_job_state_name(state), rec->job->queue,
+		     s->unix_ms - rec->job->accepted_ms,
+		     bh_job_objective_ms(rec->job));
+	stop_runs(s, rec, bh_job_state_name(state), now);
+	bh_rec_touch(s, rec);
+}
+
+void bh_phase_list(bh_sched_t *s, bh_phase_t *phase)
+{
+	s->must_place = true;
+	if (phase->is_listed)
+		return;
+	phase->is_listed = true;
+	TAILQ_INSERT_TAIL(&s->open, phase, link);
+}
+
+void bh_task_requeue(bh_sched_t *s, bh_task_t *task, bh_usec_t now)
+{
+	bh_phase_t *phase = task->phase;
+
+	if (task->is_done || task->runs[0] || task->runs[1] ||
+	    !phase->is_open || bh_rec_is_over(phase->rec))
+		return;
+	task->waiting_since = now;
+	phase->waiting++;
+	bh_phase_list(s, phase);
+}
+
+void bh_task_done(bh_sched_t *s, bh_task_t *task, bh_usec_t now)
+{
+	bh_phase_t *phase = task->phase;
+
+	if (task->is_done || phase->step->is_lasting ||
+	    bh_rec_is_over(phase->rec))
+		return;
+	if (phase->step->is_gang) {
+		for (uint32_t i = 0; i < phase->step->count; i++)
+			mark_done(&phase->tasks[i]);
+	} else {
+		mark_done(task);
+	}
+	for (int r = 0; r < BH_RUNS_MAX; r++) {
+		if (task->runs[r])
+			bh_run_stop(s, task->runs[r], "another copy is done",
+				    now);
+	}
+	bh_rec_touch(s, phase->rec);
+	if (phase_is_done(phase))
+		finish_phase(s, phase, now);
+}
+
+void bh_task_failed(bh_sched_t *s, bh_task_t *task, bh_usec_t now)
+{
+	bh_phase_t *phase = task->phase;
+	uint32_t limit = phase->rec->job->terms.max_attempts;
+
+	if (task->is_done || bh_rec_is_over(phase->rec))
+		return;
+	task->failures++;
+	if (phase->step->is_gang) {
+		for (uint32_t i = 0; i < phase->step->count; i++)
+			phase->tasks[i].failures = task->failures;
+	}
+	bh_rec_touch(s, phase->rec);
+	if (!phase->step->is_lasting && limit && task->failures >= limit)
+		bh_rec_end(s, phase->rec, BH_JOB_FAILED, now);
+}
+
+void bh_sched_add_job(bh_sched_t *s, bh_job_t *job,
+		      const bh_progress_t *progress, bh_usec_t now)
+{
+	bh_rec_t *rec = bh_rec_find(s, job->id);
+
+	if (rec) {
+		if (job->is_cancelled)
+			bh_sched_cancel(s, job->id, now);
+		bh_job_free(job);
+		return;
+	}
+	rec = g_new0(bh_rec_t, 1);
+	rec->job = job;
+	rec->state = BH_JOB_QUEUED;
+	rec->added_at = now;
+	rec->n_phases = bh_job_occurrences(job) * job->n_steps;
+	rec->phases = g_new0(bh_phase_t, rec->n_phases);
+	for (uint32_t i = 0; i < rec->n_phases; i++)
+		phase_init(&rec->phases[i], rec, i / job->n_steps,
+			   i % job->n_steps, now);
+	update_terms(s, rec);
+	rec->chain_ms = bh_job_chain_ms(job);
+	TAILQ_INSERT_TAIL(&s->recs, rec, link);
+	g_hash_table_insert(s->by_id, job->id, rec);
+	if (progress)
+		restore(rec, progress);
+	if (bh_rec_is_over(rec))
+		return;
+	if (job->is_cancelled)
+		bh_rec_end(s, rec, BH_JOB_CANCELLED, now);
+	else if (rec->phases_done == rec->n_phases)
+		bh_rec_end(s, rec, BH_JOB_COMPLETED, now);
+	else
+		bh_rec_open_phases(s, rec, now);
+}
+
+void bh_sched_cancel(bh_sched_t *s, const char *id, bh_usec_t now)
+{
+	bh_rec_t *rec = bh_rec_find(s, id);
+
+	if (rec)
+		bh_rec_end(s, rec, BH_JOB_CANCELLED, now);
+}
+
+void bh_sched_drop_job(bh_sched_t *s, const char *id)
+{
+	bh_rec_t *rec = bh_rec_find(s, id);
+
+	if (!rec)
+		return;
+	for (uint32_t i = 0; i < rec->n_phases; i++)
+		phase_unlist(s, &rec->phases[i]);
+	TAILQ_REMOVE(&s->recs, rec, link);
+	g_hash_table_remove(s->by_id, id);
+	rec_free(rec);
+}
+
+void bh_sched_set_config(bh_sched_t *s, const bh_config_t *config,
+			 bh_usec_t now)
+{
+	bh_rec_t *rec;
+
+	s->config = config;
+	TAILQ_FOREACH(rec, &s->recs, link)
+	{
+		if (!bh_rec_is_over(rec))
+			update_terms(s, rec);
+	}
+	s->must_place = true;
+	(void)now;
+}
--- /dev/null
+++ b/sched/place.c
@@ -0,0 +1,317 @@
+/*
+ * Order and place of what waits. Answers: more work than room, so that order
+ * decides what callers lose; serving tasks beside tasks that press on them;
+ * wide steps that block narrow ones; data that lies in one rack.
+ */
+#include "sched/sched_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Weights of a host's score, in parts of a fully loaded host. */
+#define WEIGHT_RACK   3.0
+#define WEIGHT_SLOW   2.0
+#define WEIGHT_SHUN   4.0
+#define WEIGHT_STRAIN 2.0
+
+/* Above this part of its objective a host's tail latency takes no more
+ * fillers. */
+#define STRAIN_FULL 0.7
+
+/* Ranks of phases: priority first, then those that can still end in time. */
+#define RANK_PRIORITY_SHIFT 48
+#define RANK_LATE	    ((uint64_t)1 << 47)
+
+/* Each worker named lengthens the adviser's answer. */
+#define ADVICE_WORKERS_MAX 30
+
+/* An adviser that has not answered by then is asked again. */
+#define ADVICE_AGAIN_US (1500 * BH_USEC_PER_MS)
+
+/* Phases that may find no room before the pass ends, a bound on its cost. */
+#define MISSES_MAX 200
+
+static int64_t left_ms_of(const bh_phase_t *phase)
+{
+	const bh_rec_t *rec = phase->rec;
+	uint64_t steps = MAX(rec->job->n_steps, 1);
+	uint64_t done = rec->phases_done % steps;
+
+	return (int64_t)(rec->chain_ms * (steps - done) / steps);
+}
+
+static uint64_t rank_of(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	const bh_rec_t *rec = phase->rec;
+	uint64_t rank = (uint64_t)rec->job->terms.priority
+			<< RANK_PRIORITY_SHIFT;
+	uint64_t due = rec->job->accepted_ms + bh_job_objective_ms(rec->job);
+	int64_t left = left_ms_of(phase);
+
+	if (phase->step->is_lasting)
+		return rank;
+	if (rec->job->first_due_ms)
+		due = rec->job->first_due_ms +
+		      phase->occurrence * rec->job->interval_ms +
+		      bh_job_objective_ms(rec->job);
+	/* Late work goes by what it still needs, so that most of it ends. */
+	if ((int64_t)due - left < (int64_t)s->unix_ms)
+		return rank + RANK_LATE + (uint64_t)left;
+	return rank + (due - (uint64_t)left) % RANK_LATE;
+}
+
+static int by_rank(const void *a, const void *b)
+{
+	const bh_phase_t *x = *(bh_phase_t *const *)a;
+	const bh_phase_t *y = *(bh_phase_t *const *)b;
+
+	if (x->rank != y->rank)
+		return x->rank < y->rank ? -1 : 1;
+	return 0;
+}
+
+static uint32_t count_on_host(const bh_phase_t *phase, const bh_host_t *host)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < phase->step->count; i++) {
+		for (int r = 0; r < BH_RUNS_MAX; r++) {
+			const bh_run_t *run = phase->tasks[i].runs[r];
+
+			if (run && run->host == host)
+				n++;
+		}
+	}
+	return n;
+}
+
+static bool has_label(const bh_host_t *host, const char *label)
+{
+	for (uint32_t i = 0; i < host->info.n_labels; i++) {
+		if (strcmp(host->info.labels[i], label) == 0)
+			return true;
+	}
+	return false;
+}
+
+static int64_t filler_room(const bh_host_t *host)
+{
+	return (int64_t)host->info.cpu_milli -
+	       (int64_t)((double)host->used_cpu * host->filler_share) -
+	       (int64_t)host->filler_cpu;
+}
+
+static bool has_room(const bh_host_t *host, const bh_step_t *step)
+{
+	if (host->used_memory + step->memory_mb > host->info.memory_mb ||
+	    host->used_accelerators + step->accelerators >
+		    host->info.accelerators)
+		return false;
+	if (step->is_filler)
+		return filler_room(host) >= (int64_t)step->cpu_milli;
+	return host->used_cpu + step->cpu_milli <= host->info.cpu_milli;
+}
+
+static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
+			const bh_host_t *host, bh_usec_t now)
+{
+	const bh_phase_t *phase = task->phase;
+	const bh_step_t *step = phase->step;
+
+	if (!bh_host_is_usable(s, host, now) ||
+	    g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
+		return false;
+	if (step->label && !has_label(host, step->label))
+		return false;
+	if (host->is_probing && host->n_runs > 0)
+		return false;
+	if (step->max_per_host &&
+	    count_on_host(phase, host) >= step->max_per_host)
+		return false;
+	if (phase->tickets &&
+	    !g_hash_table_contains(phase->tickets, host->info.id))
+		return false;
+	if (step->is_filler && host->strain > STRAIN_FULL)
+		return false;
+	return has_room(host, step);
+}
+
+static double cpu_share(const bh_host_t *host, uint64_t cpu)
+{
+	return (double)cpu / MAX(host->info.cpu_milli, 1);
+}
+
+/* Lasting tasks are packed, so that fillers find hosts without any. */
+static double load_score(const bh_host_t *host, const bh_step_t *step)
+{
+	double used = cpu_share(host, host->used_cpu);
+	double fillers = cpu_share(host, host->filler_cpu);
+
+	if (step->is_filler)
+		return used + fillers + WEIGHT_STRAIN * host->strain;
+	if (step->is_lasting)
+		return fillers - used;
+	return used + fillers / 2;
+}
+
+static double score(const bh_task_t *task, const bh_host_t *host)
+{
+	const bh_step_t *step = task->phase->step;
+	double value = load_score(host, step);
+
+	if (step->rack && g_strcmp0(step->rack, host->rack) != 0)
+		value += WEIGHT_RACK;
+	if (task->shunned == host)
+		value += WEIGHT_SHUN;
+	if (host->speed < 0.8)
+		value += WEIGHT_SLOW * (1 / MAX(host->speed, 0.1) - 1);
+	if (host->info.cold_ms)
+		value += WEIGHT_SLOW;
+	return value;
+}
+
+bh_host_t *bh_place_find(bh_sched_t *s, const bh_task_t *task,
+			 const bh_host_t *not_on, bh_usec_t now)
+{
+	bh_host_t *best = NULL;
+	bh_host_t *host;
+	double best_score = 0;
+
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		double value;
+
+		if (host == not_on || !is_eligible(s, task, host, now))
+			continue;
+		value = score(task, host);
+		if (!best || value < best_score) {
+			best = host;
+			best_score = value;
+		}
+	}
+	return best;
+}
+
+/* Return: false when there was no room for a task. */
+static bool place_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	for (uint32_t i = 0; i < phase->step->count && phase->waiting; i++) {
+		bh_task_t *task = &phase->tasks[i];
+		bh_host_t *host;
+
+		if (task->is_done || task->runs[0] || task->runs[1])
+			continue;
+		host = bh_place_find(s, task, NULL, now);
+		if (!host)
+			return false;
+		bh_run_start(s, task, host, bh_task_next_attempt(s, task),
+			     now);
+	}
+	return true;
+}
+
+/* A gang starts whole or not at all: room is found first, then ordered. */
+static bool place_gang(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	uint32_t n = phase->step->count;
+	g_autofree bh_run_t **runs = g_new0(bh_run_t *, n);
+	uint32_t attempt = 0;
+	uint32_t placed = 0;
+	const char *checkpoint = NULL;
+
+	if (phase->waiting < n)
+		return true;
+	for (uint32_t i = 0; i < n; i++) {
+		attempt = MAX(attempt,
+			      bh_task_next_attempt(s, &phase->tasks[i]));
+		if (phase->tasks[i].checkpoint)
+			checkpoint = phase->tasks[i].checkpoint;
+	}
+	for (; placed < n; placed++) {
+		bh_task_t *task = &phase->tasks[placed];
+		bh_host_t *host = bh_place_find(s, task, NULL, now);
+
+		if (!host)
+			break;
+		runs[placed] = bh_run_new(s, task, host, attempt,
+					  BH_RUN_ORDERED, now);
+	}
+	for (uint32_t i = 0; i < placed; i++) {
+		bh_task_t *task = runs[i]->task;
+		bh_host_t *host = runs[i]->host;
+
+		bh_run_drop(s, runs[i]);
+		phase->waiting++;
+		if (placed < n)
+			continue;
+		if (checkpoint && checkpoint != task->checkpoint) {
+			g_free(task->checkpoint);
+			task->checkpoint = g_strdup(checkpoint);
+		}
+		bh_run_start(s, task, host, attempt, now);
+	}
+	return placed == n;
+}
+
+static bool needs_tickets(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	const bh_queue_t *queue =
+		bh_config_queue(s->config, phase->rec->job->queue);
+	const char *workers[ADVICE_WORKERS_MAX];
+	char name[BH_TASK_NAME_BYTES];
+	const bh_host_t *host;
+	uint32_t n = 0;
+
+	if (!queue || !queue->needs_advice)
+		return false;
+	if (phase->tickets && now < phase->tickets_until)
+		return false;
+	if (phase->advice_asked_at &&
+	    now - phase->advice_asked_at < ADVICE_AGAIN_US)
+		return true;
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		if (n < G_N_ELEMENTS(workers) &&
+		    bh_host_is_usable(s, host, now))
+			workers[n++] = host->info.id;
+	}
+	if (n == 0)
+		return true;
+	phase->advice_asked_at = now;
+	snprintf(name, sizeof(name), "%s.%u.%u", phase->rec->job->id,
+		 phase->occurrence, phase->step_index);
+	s->ops->advise(s->ctx, name, workers, n);
+	return true;
+}
+
+void bh_place_all(bh_sched_t *s, bh_usec_t now)
+{
+	GPtrArray *phases = g_ptr_array_new();
+	bh_phase_t *phase;
+	bh_phase_t *next;
+	uint32_t misses = 0;
+
+	TAILQ_FOREACH_SAFE(phase, &s->open, link, next)
+	{
+		if (phase->waiting == 0) {
+			TAILQ_REMOVE(&s->open, phase, link);
+			phase->is_listed = false;
+			continue;
+		}
+		phase->rank = rank_of(s, phase);
+		g_ptr_array_add(phases, phase);
+	}
+	qsort(phases->pdata, phases->len, sizeof(gpointer), by_rank);
+	for (guint i = 0; i < phases->len && misses < MISSES_MAX; i++) {
+		bool is_placed;
+
+		phase = phases->pdata[i];
+		if (needs_tickets(s, phase, now))
+			continue;
+		is_placed = phase->step->is_gang ? place_gang(s, phase, now)
+						 : place_phase(s, phase, now);
+		if (!is_placed)
+			misses++;
+	}
+	g_ptr_array_free(phases, TRUE);
+}
--- /dev/null
+++ b/sched/runs.c
@@ -0,0 +1,133 @@
+#include "sched/sched_impl.h"
+
+static void host_charge(bh_host_t *host, const bh_step_t *step, int sign)
+{
+	if (step->is_filler)
+		host->filler_cpu += (uint64_t)((int64_t)step->cpu_milli * sign);
+	else
+		host->used_cpu += (uint64_t)((int64_t)step->cpu_milli * sign);
+	host->used_memory += (uint64_t)((int64_t)step->memory_mb * sign);
+	host->used_accelerators +=
+		(uint64_t)((int64_t)step->accelerators * sign);
+	host->n_runs += (uint32_t)sign;
+}
+
+bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt)
+{
+	for (int i = 0; i < BH_RUNS_MAX; i++) {
+		if (task->runs[i] && task->runs[i]->attempt == attempt)
+			return task->runs[i];
+	}
+	return NULL;
+}
+
+bh_run_t *bh_run_new(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+		     uint32_t attempt, bh_run_state_t state, bh_usec_t now)
+{
+	bh_run_t *run = g_new0(bh_run_t, 1);
+	int slot = task->runs[0] ? 1 : 0;
+
+	run->task = task;
+	run->host = host;
+	run->attempt = attempt;
+	run->state = state;
+	run->ordered_at = now;
+	run->moved_at = now;
+	run->pace = 100;
+	if (!task->runs[0] && !task->runs[1] && !task->is_done &&
+	    task->phase->is_open)
+		task->phase->waiting--;
+	task->runs[slot] = run;
+	task->attempt = MAX(task->attempt, attempt);
+	task->phase->rec->has_started = true;
+	if (task->phase->rec->state == BH_JOB_QUEUED)
+		task->phase->rec->state = BH_JOB_RUNNING;
+	TAILQ_INSERT_TAIL(&host->runs, run, link);
+	host_charge(host, task->phase->step, 1);
+	(void)s;
+	return run;
+}
+
+void bh_run_drop(bh_sched_t *s, bh_run_t *run)
+{
+	bh_task_t *task = run->task;
+
+	for (int i = 0; i < BH_RUNS_MAX; i++) {
+		if (task->runs[i] == run)
+			task->runs[i] = NULL;
+	}
+	TAILQ_REMOVE(&run->host->runs, run, link);
+	host_charge(run->host, task->phase->step, -1);
+	g_free(run->checkpoint);
+	g_free(run);
+	s->must_place = true;
+}
+
+void bh_run_start(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+		  uint32_t attempt, bh_usec_t now)
+{
+	const bh_job_t *job = task->phase->rec->job;
+	char name[BH_TASK_NAME_BYTES];
+	bh_start_t start = {
+		.task = name,
+		.attempt = attempt,
+		.spec = job->spec,
+		.checkpoint = task->checkpoint,
+		.boot = host->info.boot,
+		.worker = host->info.id,
+		.expires_ms = host->expires_ms,
+	};
+
+	bh_task_full_name(task, name);
+	if (task->phase->tickets)
+		start.ticket = g_hash_table_lookup(task->phase->tickets,
+						   host->info.id);
+	bh_hist_add(&s->stats.wait, now - task->waiting_since);
+	bh_sched_log(s, "start", job->id,
+		     "task=%s attempt=%u worker=%s waited_ms=%" G_GINT64_FORMAT
+		     " report_age_ms=%" G_GINT64_FORMAT
+		     " free_cpu=%" G_GINT64_FORMAT,
+		     name + BH_JOB_ID_LEN + 1, attempt, host->info.id,
+		     (now - task->waiting_since) / 1000,
+		     (now - host->heard_at) / 1000,
+		     (int64_t)host->info.cpu_milli - (int64_t)host->used_cpu -
+			     (int64_t)host->filler_cpu);
+	bh_run_new(s, task, host, attempt, BH_RUN_ORDERED, now);
+	s->stats.starts++;
+	s->ops->start(s->ctx, host->key, &start);
+}
+
+void bh_run_stop(bh_sched_t *s, bh_run_t *run, const char *why, bh_usec_t now)
+{
+	char name[BH_TASK_NAME_BYTES];
+
+	bh_task_full_name(run->task, name);
+	if (run->state != BH_RUN_STOPPING) {
+		s->stats.stops++;
+		bh_sched_log(s, "stop", run->task->phase->rec->job->id,
+			     "task=%s attempt=%u worker=%s percent=%u why=%s",
+			     name + BH_JOB_ID_LEN + 1, run->attempt,
+			     run->host->info.id, run->percent, why);
+	}
+	run->state = BH_RUN_STOPPING;
+	run->stop_asked_at = now;
+	s->ops->stop(s->ctx, run->host->key, run->host->info.boot, name,
+		     run->attempt);
+}
+
+void bh_run_save(bh_run_t *run, const char *checkpoint)
+{
+	if (!checkpoint || !*checkpoint ||
+	    g_strcmp0(run->checkpoint, checkpoint) == 0)
+		return;
+	g_free(run->checkpoint);
+	run->checkpoint = g_strdup(checkpoint);
+}
+
+int64_t bh_run_left_ms(const bh_run_t *run)
+{
+	uint32_t percent = MIN(run->percent, 100);
+
+	return (int64_t)run->task->phase->step->estimate_ms * (100 - percent) /
+	       100;
+}
--- /dev/null
+++ b/sched/sched.c
@@ -0,0 +1,348 @@
+#include "sched/sched_impl.h"
+
+static void free_steps(bh_progress_t *progress)
+{
+	for (uint32_t i = 0; i < progress->n_steps; i++) {
+		bh_step_note_t *note = &progress->steps[i];
+
+		for (uint32_t k = 0; k < note->n_tasks; k++)
+			g_free(note->tasks[k].checkpoint);
+		g_free(note->tasks);
+		g_free(note->done);
+	}
+	g_free(progress->steps);
+}
+
+static bool has_note(const bh_task_t *task)
+{
+	return !task->is_done && (task->failures || task->checkpoint);
+}
+
+static void note_phase(const bh_phase_t *phase, bh_step_note_t *out)
+{
+	uint32_t count = phase->step->count;
+
+	out->occurrence = phase->occurrence;
+	out->step = phase->step_index;
+	out->n_done_bytes = (count + 7) / 8;
+	out->done = g_malloc0(out->n_done_bytes);
+	out->tasks = g_new0(bh_task_note_t, count);
+	for (uint32_t i = 0; i < count; i++) {
+		const bh_task_t *task = &phase->tasks[i];
+		bh_task_note_t *note;
+
+		if (task->is_done)
+			out->done[i / 8] |= (uint8_t)(1u << (i % 8));
+		if (!has_note(task))
+			continue;
+		note = &out->tasks[out->n_tasks++];
+		note->index = i;
+		note->failures = task->failures;
+		note->counted = task->counted;
+		note->checkpoint = g_strdup(task->checkpoint);
+	}
+}
+
+static bool is_notable(const bh_phase_t *phase)
+{
+	if (phase->n_done)
+		return true;
+	for (uint32_t i = 0; i < phase->step->count; i++) {
+		if (has_note(&phase->tasks[i]))
+			return true;
+	}
+	return false;
+}
+
+static void open_due(bh_sched_t *s, bh_usec_t now)
+{
+	bh_rec_t *rec;
+
+	TAILQ_FOREACH(rec, &s->recs, link)
+	{
+		if (rec->job->first_due_ms && !bh_rec_is_over(rec))
+			bh_rec_open_phases(s, rec, now);
+	}
+}
+
+/* Room of all hosts for fillers, and for other tasks, thousandths of a core. */
+static uint64_t total_room(const bh_sched_t *s, bool is_filler, bh_usec_t now)
+{
+	const bh_host_t *host;
+	uint64_t room = 0;
+
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		uint64_t lasting = 0;
+		const bh_run_t *run;
+
+		if (!bh_host_is_usable(s, host, now))
+			continue;
+		TAILQ_FOREACH(run, &host->runs, link)
+		{
+			if (run->task->phase->step->is_lasting)
+				lasting += run->task->phase->step->cpu_milli;
+		}
+		if (is_filler)
+			lasting = (uint64_t)((double)host->used_cpu *
+					     host->filler_share);
+		room += host->info.cpu_milli -
+			MIN(lasting, host->info.cpu_milli);
+	}
+	return room;
+}
+
+/* Work of a phase that is left, core milliseconds. */
+static uint64_t phase_work(const bh_phase_t *phase)
+{
+	const bh_step_t *step = phase->step;
+
+	return (uint64_t)(step->count - phase->n_done) * step->cpu_milli *
+	       step->estimate_ms / 1000;
+}
+
+static void add_backlog(const bh_rec_t *rec, uint64_t *fillers,
+			uint64_t *others)
+{
+	for (uint32_t i = 0; i < rec->n_phases; i++) {
+		const bh_phase_t *phase = &rec->phases[i];
+
+		if (phase->step->is_lasting)
+			continue;
+		if (phase->step->is_filler)
+			*fillers += phase_work(phase);
+		else
+			*others += phase_work(phase);
+	}
+}
+
+bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
+			 const bh_sched_ops_t *ops, void *ctx, bh_usec_t now)
+{
+	bh_sched_t *s = g_new0(bh_sched_t, 1);
+
+	s->bounds = *bounds;
+	s->ops = ops;
+	s->ctx = ctx;
+	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	s->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	TAILQ_INIT(&s->recs);
+	TAILQ_INIT(&s->hosts);
+	TAILQ_INIT(&s->open);
+	TAILQ_INIT(&s->dirty);
+	TAILQ_INIT(&s->committing);
+	s->steered_at = now;
+	return s;
+}
+
+void bh_sched_free(bh_sched_t *s)
+{
+	bh_host_t *host;
+	bh_rec_t *rec;
+
+	if (!s)
+		return;
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		while (!TAILQ_EMPTY(&host->runs))
+			bh_run_drop(s, TAILQ_FIRST(&host->runs));
+	}
+	while ((host = TAILQ_FIRST(&s->hosts)) != NULL)
+		bh_sched_drop_host(s, host->key);
+	while ((rec = TAILQ_FIRST(&s->recs)) != NULL)
+		bh_sched_drop_job(s, rec->job->id);
+	g_hash_table_destroy(s->by_id);
+	g_hash_table_destroy(s->by_key);
+	g_free(s);
+}
+
+void bh_progress_free(bh_progress_t *progress)
+{
+	if (!progress)
+		return;
+	free_steps(progress);
+	g_free(progress);
+}
+
+void bh_sched_advised(bh_sched_t *s, const char *phase_name,
+		      const bh_ticket_t *tickets, uint32_t n,
+		      uint32_t valid_ms, bh_usec_t now)
+{
+	g_autofree char *first = g_strdup_printf("%s.0", phase_name);
+	bh_task_t *task = bh_task_find(s, first);
+	bh_phase_t *phase;
+
+	if (!task)
+		return;
+	phase = task->phase;
+	g_clear_pointer(&phase->tickets, g_hash_table_destroy);
+	phase->tickets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       g_free);
+	for (uint32_t i = 0; i < n; i++)
+		g_hash_table_insert(phase->tickets,
+				    g_strdup(tickets[i].worker),
+				    g_strdup(tickets[i].ticket));
+	phase->tickets_until = now + valid_ms * BH_USEC_PER_MS;
+	s->must_place = true;
+}
+
+void bh_sched_run(bh_sched_t *s, bh_usec_t now, uint64_t unix_ms)
+{
+	s->unix_ms = unix_ms;
+	bh_hosts_expire(s, now);
+	open_due(s, now);
+	if (s->is_recovering)
+		return;
+	bh_health_check_runs(s, now);
+	bh_steer(s, now);
+	if (!s->must_place || !s->config)
+		return;
+	s->must_place = false;
+	bh_place_all(s, now);
+}
+
+bool bh_sched_has_uncommitted(const bh_sched_t *s)
+{
+	return !TAILQ_EMPTY(&s->dirty) || !TAILQ_EMPTY(&s->committing);
+}
+
+uint32_t bh_sched_begin_commit(bh_sched_t *s, const char **ids, uint32_t max)
+{
+	uint32_t n = 0;
+	bh_rec_t *rec;
+
+	while (n < max && (rec = TAILQ_FIRST(&s->dirty)) != NULL) {
+		TAILQ_REMOVE(&s->dirty, rec, dirty_link);
+		TAILQ_INSERT_TAIL(&s->committing, rec, dirty_link);
+		rec->committing = rec->state;
+		rec->commit_since = rec->dirty_since;
+		rec->dirty_since = 0;
+		ids[n++] = rec->job->id;
+	}
+	return n;
+}
+
+bh_progress_t *bh_sched_progress(const bh_sched_t *s, const char *id)
+{
+	const bh_rec_t *rec = bh_rec_find(s, id);
+	bh_progress_t *out = g_new0(bh_progress_t, 1);
+
+	out->state = rec->state;
+	out->ended_ms = rec->ended_ms;
+	if (bh_rec_is_over(rec))
+		return out;
+	out->steps = g_new0(bh_step_note_t, rec->n_phases);
+	for (uint32_t i = 0; i < rec->n_phases; i++) {
+		if (is_notable(&rec->phases[i]))
+			note_phase(&rec->phases[i],
+				   &out->steps[out->n_steps++]);
+	}
+	return out;
+}
+
+void bh_sched_end_commit(bh_sched_t *s, bool is_stored, bh_usec_t now)
+{
+	bh_rec_t *rec;
+	bh_host_t *host;
+
+	while ((rec = TAILQ_FIRST(&s->committing)) != NULL) {
+		TAILQ_REMOVE(&s->committing, rec, dirty_link);
+		if (!is_stored)
+			rec->dirty_since = rec->commit_since;
+		else if (rec->committing >= BH_JOB_COMPLETED)
+			rec->shown = rec->committing;
+		rec->commit_since = 0;
+		if (rec->dirty_since)
+			bh_rec_list_dirty(s, rec);
+	}
+	TAILQ_FOREACH(host, &s->hosts, link)
+	bh_host_release_acks(s, host);
+	(void)now;
+}
+
+const char *bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms)
+{
+	const bh_rec_t *rec;
+
+	TAILQ_FOREACH(rec, &s->recs, link)
+	{
+		if (rec->shown && !rec->dirty_since && !rec->commit_since &&
+		    unix_ms > rec->ended_ms + (uint64_t)s->bounds.status_ms)
+			return rec->job->id;
+	}
+	return NULL;
+}
+
+bh_job_state_t bh_sched_state(const bh_sched_t *s, const char *id)
+{
+	const bh_rec_t *rec = bh_rec_find(s, id);
+
+	if (!rec)
+		return BH_JOB_UNKNOWN;
+	if (rec->shown)
+		return rec->shown;
+	if (rec->state >= BH_JOB_COMPLETED)
+		return BH_JOB_RUNNING;
+	return rec->has_started ? BH_JOB_RUNNING : BH_JOB_QUEUED;
+}
+
+uint32_t bh_sched_pending(const bh_sched_t *s, const char *queue)
+{
+	const bh_rec_t *rec;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(rec, &s->recs, link)
+	{
+		if (!rec->has_started && !bh_rec_is_over(rec) &&
+		    strcmp(rec->job->queue, queue) == 0)
+			n++;
+	}
+	return n;
+}
+
+uint32_t bh_sched_load(const bh_sched_t *s, bh_backlog_t *out, uint32_t max,
+		       bh_usec_t now)
+{
+	uint64_t filler_room = MAX(total_room(s, true, now), 1000);
+	uint64_t other_room = MAX(total_room(s, false, now), 1000);
+	uint64_t fillers = 0;
+	uint64_t others = 0;
+	uint32_t n = 0;
+
+	for (uint32_t p = 0; p < max; p++) {
+		const bh_rec_t *rec;
+		bool is_seen = false;
+
+		TAILQ_FOREACH(rec, &s->recs, link)
+		{
+			if (bh_rec_is_over(rec) ||
+			    rec->job->terms.priority != p)
+				continue;
+			is_seen = true;
+			add_backlog(rec, &fillers, &others);
+		}
+		if (!is_seen)
+			continue;
+		out[n].priority = p;
+		out[n].wait_ms = others * 1000 / other_room;
+		out[n].wait_filler_ms = fillers * 1000 / filler_room;
+		n++;
+	}
+	return n;
+}
+
+void bh_sched_stats(const bh_sched_t *s, bh_sched_stats_t *out)
+{
+	const bh_host_t *host;
+	const bh_phase_t *phase;
+
+	*out = s->stats;
+	TAILQ_FOREACH(host, &s->hosts, link)
+	{
+		out->tasks_running += host->n_runs;
+		if (host->info.state == BH_WORKER_READY && host->is_linked)
+			out->hosts_ready++;
+	}
+	TAILQ_FOREACH(phase, &s->open, link)
+	out->tasks_waiting += phase->waiting;
+}
--- /dev/null
+++ b/sched/sched_impl.h
@@ -0,0 +1,276 @@
+/*
+ * What the files of the scheduler share. Nothing outside sched/ includes it.
+ */
+#ifndef BH_SCHED_SCHED_IMPL_H
+#define BH_SCHED_SCHED_IMPL_H
+
+#include "sched/sched.h"
+
+typedef struct bh_run bh_run_t;
+typedef struct bh_task bh_task_t;
+typedef struct bh_phase bh_phase_t;
+typedef struct bh_rec bh_rec_t;
+typedef struct bh_host bh_host_t;
+
+/* Attempt numbers of a term; a later term's are all higher. */
+#define BH_ATTEMPTS_PER_TERM 4096u
+
+/* A task and its one speculative copy. */
+#define BH_RUNS_MAX 2
+
+typedef enum bh_run_state {
+	BH_RUN_ORDERED,
+	BH_RUN_ACTIVE,
+	BH_RUN_STOPPING,
+} bh_run_state_t;
+
+/**
+ * struct bh_run - an attempt at a task on a host
+ * @moved_at: when its progress last changed
+ * @seen_at: when a report first listed it
+ * @absences: reports in a row that did not list it
+ * @pace: share of its speed that it may use, percent
+ * @stop_asked_at: when the stop was last ordered
+ */
+struct bh_run {
+	TAILQ_ENTRY(bh_run) link;
+	bh_task_t *task;
+	bh_host_t *host;
+	uint32_t attempt;
+	bh_run_state_t state;
+	bh_usec_t ordered_at;
+	bh_usec_t seen_at;
+	bh_usec_t moved_at;
+	uint32_t percent;
+	uint32_t first_percent;
+	uint32_t gauge;
+	uint32_t absences;
+	uint32_t pace;
+	bh_usec_t stop_asked_at;
+	char *checkpoint;
+};
+
+typedef TAILQ_HEAD(bh_runs, bh_run) bh_runs_t;
+
+/**
+ * struct bh_task - a task of a phase
+ * @attempt: highest attempt number used
+ * @counted: highest attempt whose failure is counted
+ * @shunned: host where it failed last, so that it goes elsewhere if it can
+ */
+struct bh_task {
+	bh_phase_t *phase;
+	uint32_t index;
+	uint32_t failures;
+	uint32_t attempt;
+	uint32_t counted;
+	bool is_done;
+	char *checkpoint;
+	const bh_host_t *shunned;
+	bh_usec_t waiting_since;
+	bh_run_t *runs[BH_RUNS_MAX];
+};
+
+/**
+ * struct bh_phase - a step of one occurrence of a job
+ * @waiting: tasks that have no run and are not done
+ * @is_open: what it follows is done, and its time has come
+ * @rate_sum: work per time of its runs, in units of the estimate
+ * @tickets: by worker id, where the queue needs advice
+ */
+struct bh_phase {
+	TAILQ_ENTRY(bh_phase) link;
+	bh_rec_t *rec;
+	const bh_step_t *step;
+	uint32_t occurrence;
+	uint32_t step_index;
+	uint32_t n_done;
+	uint32_t waiting;
+	bool is_open;
+	bool is_listed;
+	bh_task_t *tasks;
+	double rate_sum;
+	uint32_t rate_count;
+	uint64_t rank;
+	GHashTable *tickets;
+	bh_usec_t tickets_until;
+	bh_usec_t advice_asked_at;
+};
+
+typedef TAILQ_HEAD(bh_phases, bh_phase) bh_phases_t;
+
+/**
+ * struct bh_rec - a job and what has become of it
+ * @state: as it is now
+ * @shown: the last terminal state that is stored, or BH_JOB_UNKNOWN
+ * @dirty_since: change number of its oldest change that is not stored; 0: none
+ * @commit_since: the same of the changes that a commit under way stores
+ * @chain_ms: estimated longest chain of work that is left at its start
+ * @due_at: time by which it should have ended
+ */
+struct bh_rec {
+	TAILQ_ENTRY(bh_rec) link;
+	TAILQ_ENTRY(bh_rec) dirty_link;
+	bh_job_t *job;
+	uint32_t n_phases;
+	bh_phase_t *phases;
+	uint32_t phases_done;
+	bh_job_state_t state;
+	bh_job_state_t shown;
+	bh_job_state_t committing;
+	bool has_started;
+	uint64_t dirty_since;
+	uint64_t commit_since;
+	uint64_t ended_ms;
+	uint64_t chain_ms;
+	bh_usec_t added_at;
+	bh_usec_t due_at;
+};
+
+typedef TAILQ_HEAD(bh_recs, bh_rec) bh_recs_t;
+
+/**
+ * struct bh_pending_ack - an end that may be acknowledged once stored
+ */
+typedef struct bh_pending_ack {
+	uint64_t number;
+	uint64_t change;
+} bh_pending_ack_t;
+
+/**
+ * struct bh_host - a host of the service, its agent and its worker
+ * @is_synced: its lists were seen in this term
+ * @lapse_at: when all that ran there has ended, if nobody hears of it
+ * @expires_ms: last lease granted, on the worker's clock
+ * @used: room of its tasks, fillers' processor time apart
+ * @strain: worst tail latency of its lasting tasks over their objective
+ * @bad_streak: attempts in a row that failed for the host's reasons
+ * @shunned_until: no new work before
+ */
+struct bh_host {
+	TAILQ_ENTRY(bh_host) link;
+	char *key;
+	bh_worker_info_t info;
+	const char *rack;
+	bool is_linked;
+	bool is_synced;
+	bh_usec_t linked_at;
+	bh_usec_t heard_at;
+	bh_usec_t lapse_at;
+	uint64_t expires_ms;
+	bh_runs_t runs;
+	uint32_t n_runs;
+	uint64_t used_cpu;
+	uint64_t used_memory;
+	uint64_t used_accelerators;
+	uint64_t filler_cpu;
+	double filler_share;
+	double strain;
+	bh_usec_t strained_since;
+	bh_usec_t eased_at;
+	double speed;
+	uint32_t bad_streak;
+	const bh_rec_t *bad_job;
+	uint32_t quarantines;
+	bh_usec_t shunned_until;
+	bool is_probing;
+	bh_usec_t full_until;
+	uint64_t last_ended;
+	uint64_t acked;
+	GQueue acks;
+};
+
+typedef TAILQ_HEAD(bh_hosts, bh_host) bh_hosts_t;
+
+struct bh_sched {
+	bh_sched_bounds_t bounds;
+	const bh_sched_ops_t *ops;
+	void *ctx;
+	const bh_config_t *config;
+	bh_recs_t recs;
+	GHashTable *by_id;
+	bh_hosts_t hosts;
+	uint32_t n_hosts;
+	GHashTable *by_key;
+	bh_phases_t open;
+	bh_recs_t dirty;
+	bh_recs_t committing;
+	uint64_t change;
+	bool is_recovering;
+	bool must_place;
+	bh_usec_t steered_at;
+	uint64_t unix_ms;
+	bh_sched_stats_t stats;
+};
+
+/* jobs.c */
+bh_rec_t *bh_rec_find(const bh_sched_t *s, const char *id);
+bh_task_t *bh_task_find(const bh_sched_t *s, const char *name);
+void bh_rec_touch(bh_sched_t *s, bh_rec_t *rec);
+void bh_rec_list_dirty(bh_sched_t *s, bh_rec_t *rec);
+void bh_rec_open_phases(bh_sched_t *s, bh_rec_t *rec, bh_usec_t now);
+void bh_rec_end(bh_sched_t *s, bh_rec_t *rec, bh_job_state_t state,
+		bh_usec_t now);
+bool bh_rec_is_over(const bh_rec_t *rec);
+void bh_task_done(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
+void bh_task_failed(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
+
+/**
+ * bh_task_requeue() - count a task as waiting again if nothing runs it
+ */
+void bh_task_requeue(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
+void bh_phase_list(bh_sched_t *s, bh_phase_t *phase);
+void bh_task_full_name(const bh_task_t *task, char out[BH_TASK_NAME_BYTES]);
+uint32_t bh_task_next_attempt(const bh_sched_t *s, const bh_task_t *task);
+
+/* runs.c */
+bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt);
+bh_run_t *bh_run_new(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+		     uint32_t attempt, bh_run_state_t state, bh_usec_t now);
+
+/**
+ * bh_run_drop() - an attempt is over; its room is free
+ */
+void bh_run_drop(bh_sched_t *s, bh_run_t *run);
+void bh_run_start(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+		  uint32_t attempt, bh_usec_t now);
+void bh_run_stop(bh_sched_t *s, bh_run_t *run, const char *why, bh_usec_t now);
+void bh_run_save(bh_run_t *run, const char *checkpoint);
+
+/**
+ * bh_run_left_ms() - work that is left of a run, by its estimate
+ */
+int64_t bh_run_left_ms(const bh_run_t *run);
+
+/* hosts.c */
+bool bh_host_is_usable(const bh_sched_t *s, const bh_host_t *host,
+		       bh_usec_t now);
+void bh_host_lapse(bh_sched_t *s, bh_host_t *host, const char *why,
+		   bh_usec_t now);
+void bh_hosts_expire(bh_sched_t *s, bh_usec_t now);
+void bh_host_release_acks(bh_sched_t *s, bh_host_t *host);
+void bh_host_send_grant(bh_sched_t *s, bh_host_t *host);
+
+/* health.c */
+void bh_health_note(bh_sched_t *s, bh_host_t *host, const bh_task_t *task,
+		    bool is_good, bh_usec_t now);
+void bh_health_check_runs(bh_sched_t *s, bh_usec_t now);
+
+/* place.c */
+void bh_place_all(bh_sched_t *s, bh_usec_t now);
+
+/**
+ * bh_place_find() - the best host for a task
+ *
+ * Return: NULL when none has room.
+ */
+bh_host_t *bh_place_find(bh_sched_t *s, const bh_task_t *task,
+			 const bh_host_t *not_on, bh_usec_t now);
+
+/* steer.c */
+void bh_steer(bh_sched_t *s, bh_usec_t now);
+
+void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
+		  const char *format, ...) G_GNUC_PRINTF(4, 5);
+
+#endif
--- /dev/null
+++ b/sched/worker.c
@@ -0,0 +1,52 @@
+#include "sched/worker.h"
+
+const char *bh_worker_state_name(bh_worker_state_t state)
+{
+	static const char *const names[] = {"silent", "ready", "draining",
+					    "down"};
+
+	return names[state];
+}
+
+const char *bh_end_name(bh_end_t how)
+{
+	static const char *const names[] = {"unknown", "done",	 "failed",
+					    "stopped", "lapsed", "broken",
+					    "alone"};
+
+	return names[how];
+}
+
+const char *bh_order_outcome_name(bh_order_outcome_t outcome)
+{
+	static const char *const names[] = {"ok",	 "refused", "no room",
+					    "old",	 "fenced",  "ticket",
+					    "unhealthy", "unclear"};
+
+	return names[outcome];
+}
+
+void bh_worker_info_clear(bh_worker_info_t *info)
+{
+	g_free(info->id);
+	g_free(info->service);
+	g_free(info->zone);
+	for (uint32_t i = 0; i < info->n_labels; i++)
+		g_free(info->labels[i]);
+	memset(info, 0, sizeof(*info));
+}
+
+void bh_worker_lists_clear(bh_worker_lists_t *lists)
+{
+	for (uint32_t i = 0; i < lists->n_active; i++) {
+		g_free(lists->active[i].task);
+		g_free(lists->active[i].checkpoint);
+	}
+	for (uint32_t i = 0; i < lists->n_ended; i++) {
+		g_free(lists->ended[i].task);
+		g_free(lists->ended[i].checkpoint);
+	}
+	g_free(lists->active);
+	g_free(lists->ended);
+	memset(lists, 0, sizeof(*lists));
+}
--- /dev/null
+++ b/wire/sched_codec.c
@@ -0,0 +1,410 @@
+#include "wire/sched_codec.h"
+
+#define FLAG_GANG	   (1u << 0)
+#define FLAG_SAME_RACK	   (1u << 1)
+#define FLAG_SPECULATIVE   (1u << 2)
+#define FLAG_CHECKPOINTING (1u << 3)
+#define FLAG_LASTING	   (1u << 4)
+#define FLAG_FILLER	   (1u << 5)
+
+/* protobuf-c's texts are never NULL and never changed by packing. */
+static char *text_of(const char *text)
+{
+	return (char *)(text ? text : "");
+}
+
+static char *dup_text(const char *text)
+{
+	return text && *text ? g_strdup(text) : NULL;
+}
+
+static GBytes *pack(const ProtobufCMessage *message)
+{
+	size_t len = protobuf_c_message_get_packed_size(message);
+	uint8_t *data = g_malloc(len + 1);
+
+	protobuf_c_message_pack(message, data);
+	return g_bytes_new_take(data, len);
+}
+
+static uint32_t flags_of(const bh_step_t *step)
+{
+	return (step->is_gang ? FLAG_GANG : 0) |
+	       (step->is_same_rack ? FLAG_SAME_RACK : 0) |
+	       (step->is_speculative ? FLAG_SPECULATIVE : 0) |
+	       (step->is_checkpointing ? FLAG_CHECKPOINTING : 0) |
+	       (step->is_lasting ? FLAG_LASTING : 0) |
+	       (step->is_filler ? FLAG_FILLER : 0);
+}
+
+static void fill_step(const bh_step_t *step, Bh__Sched__Step *out)
+{
+	bh__sched__step__init(out);
+	out->count = step->count;
+	out->cpu_milli = step->cpu_milli;
+	out->memory_mb = step->memory_mb;
+	out->accelerators = step->accelerators;
+	out->estimate_ms = step->estimate_ms;
+	out->n_after = step->n_after;
+	out->after = step->after;
+	out->flags = flags_of(step);
+	out->label = text_of(step->label);
+	out->rack = text_of(step->rack);
+	out->image = text_of(step->image);
+	out->max_per_host = step->max_per_host;
+	out->target_ms = step->target_ms;
+	out->max_unavailable = step->max_unavailable;
+}
+
+static void read_step(const Bh__Sched__Step *from, bh_step_t *out)
+{
+	out->count = from->count;
+	out->cpu_milli = from->cpu_milli;
+	out->memory_mb = from->memory_mb;
+	out->accelerators = from->accelerators;
+	out->estimate_ms = from->estimate_ms;
+	out->n_after = (uint32_t)from->n_after;
+	out->after = g_new0(uint32_t, MAX(from->n_after, 1));
+	for (size_t i = 0; i < from->n_after; i++)
+		out->after[i] = from->after[i];
+	out->label = dup_text(from->label);
+	out->rack = dup_text(from->rack);
+	out->image = dup_text(from->image);
+	out->max_per_host = from->max_per_host;
+	out->target_ms = from->target_ms;
+	out->max_unavailable = from->max_unavailable;
+	out->is_gang = from->flags & FLAG_GANG;
+	out->is_same_rack = from->flags & FLAG_SAME_RACK;
+	out->is_speculative = from->flags & FLAG_SPECULATIVE;
+	out->is_checkpointing = from->flags & FLAG_CHECKPOINTING;
+	out->is_lasting = from->flags & FLAG_LASTING;
+	out->is_filler = from->flags & FLAG_FILLER;
+}
+
+static bh_job_t *read_job(const Bh__Sched__Job *from)
+{
+	bh_job_t *job;
+
+	if (!bh_job_id_is_valid(from->id))
+		return NULL;
+	job = g_new0(bh_job_t, 1);
+	g_strlcpy(job->id, from->id, sizeof(job->id));
+	job->queue = g_strdup(from->queue);
+	job->spec = g_strdup(from->spec);
+	job->accepted_ms = from->accepted_ms;
+	job->first_due_ms = from->first_due_ms;
+	job->interval_ms = from->interval_ms;
+	job->repeat = from->repeat;
+	job->is_cancelled = from->is_cancelled;
+	job->terms.service = g_strdup(from->service);
+	job->terms.priority = from->priority;
+	job->terms.max_attempts = from->max_attempts;
+	job->terms.slack_percent = from->slack_percent;
+	job->terms.target_ms = from->target_ms;
+	job->n_steps = (uint32_t)from->n_steps;
+	job->steps = g_new0(bh_step_t, MAX(from->n_steps, 1));
+	for (size_t i = 0; i < from->n_steps; i++)
+		read_step(from->steps[i], &job->steps[i]);
+	if (!bh_job_check(job))
+		return job;
+	bh_job_free(job);
+	return NULL;
+}
+
+static Bh__Sched__StepNote *make_step_note(const bh_step_note_t *note)
+{
+	Bh__Sched__StepNote *out = g_new0(Bh__Sched__StepNote, 1);
+
+	bh__sched__step_note__init(out);
+	out->occurrence = note->occurrence;
+	out->step = note->step;
+	out->done.len = note->n_done_bytes;
+	out->done.data = note->done;
+	out->n_tasks = note->n_tasks;
+	out->tasks = g_new0(Bh__Sched__TaskNote *, MAX(note->n_tasks, 1));
+	for (uint32_t i = 0; i < note->n_tasks; i++) {
+		Bh__Sched__TaskNote *t = g_new0(Bh__Sched__TaskNote, 1);
+
+		bh__sched__task_note__init(t);
+		t->index = note->tasks[i].index;
+		t->failures = note->tasks[i].failures;
+		t->counted = note->tasks[i].counted;
+		t->checkpoint = text_of(note->tasks[i].checkpoint);
+		out->tasks[i] = t;
+	}
+	return out;
+}
+
+static void free_step_note(Bh__Sched__StepNote *note)
+{
+	for (size_t i = 0; i < note->n_tasks; i++)
+		g_free(note->tasks[i]);
+	g_free(note->tasks);
+	g_free(note);
+}
+
+static void read_step_note(const Bh__Sched__StepNote *from, bh_step_note_t *out)
+{
+	out->occurrence = from->occurrence;
+	out->step = from->step;
+	out->n_done_bytes = (uint32_t)from->done.len;
+	out->done = g_memdup2(from->done.data, from->done.len);
+	out->n_tasks = (uint32_t)from->n_tasks;
+	out->tasks = g_new0(bh_task_note_t, MAX(from->n_tasks, 1));
+	for (size_t i = 0; i < from->n_tasks; i++) {
+		out->tasks[i].index = from->tasks[i]->index;
+		out->tasks[i].failures = from->tasks[i]->failures;
+		out->tasks[i].counted = from->tasks[i]->counted;
+		out->tasks[i].checkpoint = dup_text(from->tasks[i]->checkpoint);
+	}
+}
+
+static void fill_info(const bh_worker_info_t *info, Bh__Sched__Report *out)
+{
+	out->worker = text_of(info->id);
+	out->boot = info->boot;
+	out->service = text_of(info->service);
+	out->zone = text_of(info->zone);
+	out->state = info->state;
+	out->cpu_milli = info->cpu_milli;
+	out->memory_mb = info->memory_mb;
+	out->accelerators = info->accelerators;
+	out->n_labels = info->n_labels;
+	out->labels = (char **)info->labels;
+	out->leaves_ms = info->leaves_ms;
+	out->cold_ms = info->cold_ms;
+}
+
+static void fill_lists(const bh_worker_lists_t *lists, Bh__Sched__Report *out)
+{
+	out->has_lists = true;
+	out->clock_ms = lists->clock_ms;
+	out->n_active = lists->n_active;
+	out->active = g_new0(Bh__Sched__Active *, lists->n_active + 1);
+	for (uint32_t i = 0; i < lists->n_active; i++) {
+		const bh_active_t *a = &lists->active[i];
+		Bh__Sched__Active *m = g_new0(Bh__Sched__Active, 1);
+
+		bh__sched__active__init(m);
+		m->task = a->task;
+		m->attempt = a->attempt;
+		m->checkpoint = text_of(a->checkpoint);
+		m->percent = a->percent;
+		m->gauge = a->gauge;
+		out->active[i] = m;
+	}
+	out->n_ended = lists->n_ended;
+	out->ended = g_new0(Bh__Sched__Ended *, lists->n_ended + 1);
+	for (uint32_t i = 0; i < lists->n_ended; i++) {
+		const bh_ended_t *e = &lists->ended[i];
+		Bh__Sched__Ended *m = g_new0(Bh__Sched__Ended, 1);
+
+		bh__sched__ended__init(m);
+		m->number = e->number;
+		m->task = e->task;
+		m->attempt = e->attempt;
+		m->how = e->how;
+		m->checkpoint = text_of(e->checkpoint);
+		out->ended[i] = m;
+	}
+}
+
+static void free_lists(Bh__Sched__Report *report)
+{
+	for (size_t i = 0; i < report->n_active; i++)
+		g_free(report->active[i]);
+	for (size_t i = 0; i < report->n_ended; i++)
+		g_free(report->ended[i]);
+	g_free(report->active);
+	g_free(report->ended);
+}
+
+GBytes *bh_job_pack(const bh_job_t *job)
+{
+	Bh__Sched__Job m = BH__SCHED__JOB__INIT;
+	g_autofree Bh__Sched__Step *steps =
+		g_new0(Bh__Sched__Step, job->n_steps);
+	g_autofree Bh__Sched__Step **refs =
+		g_new0(Bh__Sched__Step *, job->n_steps);
+
+	for (uint32_t i = 0; i < job->n_steps; i++) {
+		fill_step(&job->steps[i], &steps[i]);
+		refs[i] = &steps[i];
+	}
+	m.id = (char *)job->id;
+	m.queue = text_of(job->queue);
+	m.spec = text_of(job->spec);
+	m.n_steps = job->n_steps;
+	m.steps = refs;
+	m.accepted_ms = job->accepted_ms;
+	m.first_due_ms = job->first_due_ms;
+	m.interval_ms = job->interval_ms;
+	m.repeat = job->repeat;
+	m.is_cancelled = job->is_cancelled;
+	m.service = text_of(job->terms.service);
+	m.priority = job->terms.priority;
+	m.max_attempts = job->terms.max_attempts;
+	m.slack_percent = job->terms.slack_percent;
+	m.target_ms = job->terms.target_ms;
+	return pack(&m.base);
+}
+
+bh_job_t *bh_job_unpack(const void *data, size_t len)
+{
+	Bh__Sched__Job *m = bh__sched__job__unpack(NULL, len, data);
+	bh_job_t *job = m ? read_job(m) : NULL;
+
+	if (m)
+		bh__sched__job__free_unpacked(m, NULL);
+	return job;
+}
+
+GBytes *bh_progress_pack(const bh_progress_t *progress)
+{
+	Bh__Sched__Progress m = BH__SCHED__PROGRESS__INIT;
+	GBytes *bytes;
+
+	m.state = progress->state;
+	m.ended_ms = progress->ended_ms;
+	m.n_steps = progress->n_steps;
+	m.steps = g_new0(Bh__Sched__StepNote *, MAX(progress->n_steps, 1));
+	for (uint32_t i = 0; i < progress->n_steps; i++)
+		m.steps[i] = make_step_note(&progress->steps[i]);
+	bytes = pack(&m.base);
+	for (uint32_t i = 0; i < progress->n_steps; i++)
+		free_step_note(m.steps[i]);
+	g_free(m.steps);
+	return bytes;
+}
+
+bh_progress_t *bh_progress_unpack(const void *data, size_t len)
+{
+	Bh__Sched__Progress *m = bh__sched__progress__unpack(NULL, len, data);
+	bh_progress_t *out;
+
+	if (!m || m->state > BH_JOB_CANCELLED) {
+		if (m)
+			bh__sched__progress__free_unpacked(m, NULL);
+		return NULL;
+	}
+	out = g_new0(bh_progress_t, 1);
+	out->state = (bh_job_state_t)m->state;
+	out->ended_ms = m->ended_ms;
+	out->n_steps = (uint32_t)m->n_steps;
+	out->steps = g_new0(bh_step_note_t, MAX(m->n_steps, 1));
+	for (size_t i = 0; i < m->n_steps; i++)
+		read_step_note(m->steps[i], &out->steps[i]);
+	bh__sched__progress__free_unpacked(m, NULL);
+	return out;
+}
+
+GBytes *bh_leader_row_pack(const bh_leader_row_t *row)
+{
+	Bh__Sched__Leader m = BH__SCHED__LEADER__INIT;
+
+	m.term = row->term;
+	m.address = text_of(row->address);
+	m.name = text_of(row->name);
+	return pack(&m.base);
+}
+
+bool bh_leader_row_unpack(const void *data, size_t len, bh_leader_row_t *out)
+{
+	Bh__Sched__Leader *m = bh__sched__leader__unpack(NULL, len, data);
+
+	memset(out, 0, sizeof(*out));
+	if (!m)
+		return false;
+	out->term = m->term;
+	out->address = g_strdup(m->address);
+	out->name = g_strdup(m->name);
+	bh__sched__leader__free_unpacked(m, NULL);
+	return true;
+}
+
+void bh_leader_row_clear(bh_leader_row_t *row)
+{
+	g_free(row->address);
+	g_free(row->name);
+	memset(row, 0, sizeof(*row));
+}
+
+void bh_frame_append(const bh_frame_t *frame, GByteArray *out)
+{
+	guint start = out->len;
+	size_t len = bh__sched__frame__get_packed_size(frame);
+	uint32_t header = GUINT32_TO_BE((uint32_t)len);
+
+	g_byte_array_set_size(
+		out, start + BH_SCHED_FRAME_HEADER_BYTES + (guint)len);
+	memcpy(out->data + start, &header, sizeof(header));
+	bh__sched__frame__pack(frame, out->data + start + sizeof(header));
+}
+
+void bh_report_append(const bh_worker_info_t *info,
+		      const bh_worker_lists_t *lists, uint64_t term,
+		      GByteArray *out)
+{
+	Bh__Sched__Report m = BH__SCHED__REPORT__INIT;
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+
+	fill_info(info, &m);
+	m.term = term;
+	if (lists)
+		fill_lists(lists, &m);
+	frame.body_case = BH__SCHED__FRAME__BODY_REPORT;
+	frame.report = &m;
+	bh_frame_append(&frame, out);
+	if (lists)
+		free_lists(&m);
+}
+
+void bh_report_decode(const Bh__Sched__Report *from, bh_report_t *out)
+{
+	bh_worker_info_t *info = &out->info;
+
+	memset(out, 0, sizeof(*out));
+	info->id = dup_text(from->worker);
+	info->boot = from->boot;
+	info->service = dup_text(from->service);
+	info->zone = dup_text(from->zone);
+	info->state = MIN(from->state, BH_WORKER_DOWN);
+	info->cpu_milli = from->cpu_milli;
+	info->memory_mb = from->memory_mb;
+	info->accelerators = from->accelerators;
+	info->n_labels = (uint32_t)MIN(from->n_labels, BH_WORKER_LABELS_MAX);
+	for (uint32_t i = 0; i < info->n_labels; i++)
+		info->labels[i] = g_strdup(from->labels[i]);
+	info->leaves_ms = from->leaves_ms;
+	info->cold_ms = from->cold_ms;
+	out->term = from->term;
+	out->has_lists = from->has_lists;
+	out->lists.clock_ms = from->clock_ms;
+	out->lists.boot = from->boot;
+	out->lists.active = g_new0(bh_active_t, from->n_active + 1);
+	for (size_t i = 0; i < from->n_active; i++) {
+		bh_active_t *a = &out->lists.active[out->lists.n_active++];
+
+		a->task = g_strdup(from->active[i]->task);
+		a->attempt = from->active[i]->attempt;
+		a->checkpoint = dup_text(from->active[i]->checkpoint);
+		a->percent = from->active[i]->percent;
+		a->gauge = from->active[i]->gauge;
+	}
+	out->lists.ended = g_new0(bh_ended_t, from->n_ended + 1);
+	for (size_t i = 0; i < from->n_ended; i++) {
+		bh_ended_t *e = &out->lists.ended[out->lists.n_ended++];
+
+		e->number = from->ended[i]->number;
+		e->task = g_strdup(from->ended[i]->task);
+		e->attempt = from->ended[i]->attempt;
+		e->how = MIN(from->ended[i]->how, BH_END_ALONE);
+		e->checkpoint = dup_text(from->ended[i]->checkpoint);
+	}
+}
+
+void bh_report_clear(bh_report_t *report)
+{
+	bh_worker_info_clear(&report->info);
+	bh_worker_lists_clear(&report->lists);
+}
--- /dev/null
+++ b/wire/sched_codec.h
@@ -0,0 +1,66 @@
+/*
+ * Between the scheduler's types and their protobuf form: rows of the store,
+ * and frames between entries, the leader and agents.
+ */
+#ifndef BH_WIRE_SCHED_CODEC_H
+#define BH_WIRE_SCHED_CODEC_H
+
+#include "sched/sched.h"
+#include "wire/sched.pb-c.h"
+
+typedef Bh__Sched__Frame bh_frame_t;
+
+#define BH_SCHED_FRAME_HEADER_BYTES 4
+#define BH_SCHED_FRAME_MAX_BYTES    (4u << 20)
+
+GBytes *bh_job_pack(const bh_job_t *job);
+
+/**
+ * bh_job_unpack() - read a stored job
+ *
+ * Return: NULL when the bytes are not a job.
+ */
+bh_job_t *bh_job_unpack(const void *data, size_t len);
+GBytes *bh_progress_pack(const bh_progress_t *progress);
+bh_progress_t *bh_progress_unpack(const void *data, size_t len);
+
+/**
+ * struct bh_leader_row - who leads
+ * @address: where it takes frames; empty when the post is vacant
+ */
+typedef struct bh_leader_row {
+	uint64_t term;
+	char *address;
+	char *name;
+} bh_leader_row_t;
+
+GBytes *bh_leader_row_pack(const bh_leader_row_t *row);
+bool bh_leader_row_unpack(const void *data, size_t len, bh_leader_row_t *out);
+void bh_leader_row_clear(bh_leader_row_t *row);
+
+/**
+ * bh_frame_append() - append a frame with its length
+ */
+void bh_frame_append(const bh_frame_t *frame, GByteArray *out);
+
+/**
+ * struct bh_report - an agent's report; lists are valid with @has_lists
+ */
+typedef struct bh_report {
+	bh_worker_info_t info;
+	bool has_lists;
+	bh_worker_lists_t lists;
+	uint64_t term;
+} bh_report_t;
+
+/**
+ * bh_report_append() - append a report as a frame
+ * @lists: NULL without
+ */
+void bh_report_append(const bh_worker_info_t *info,
+		      const bh_worker_lists_t *lists, uint64_t term,
+		      GByteArray *out);
+void bh_report_decode(const Bh__Sched__Report *from, bh_report_t *out);
+void bh_report_clear(bh_report_t *report);
+
+#endif
