--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -261,6 +261,16 @@
 	g_free(peer);
 }
 
+static void drop_peers(bh_hub_t *hub)
+{
+	peer_t *peer;
+
+	while ((peer = TAILQ_FIRST(&hub->peers)) != NULL) {
+		bh_link_free(peer->link);
+		peer_drop(hub, peer);
+	}
+}
+
 static void on_peer_closed(void *ctx, bh_link_t *link, bool is_refused)
 {
 	(void)is_refused;
@@ -509,6 +519,8 @@
 		hub->is_lost = false;
 		bh_sched_leader_free(hub->leading);
 		hub->leading = NULL;
+		/* The others look for a new leader at once. */
+		drop_peers(hub);
 	}
 	if (hub->leading)
 		bh_sched_leader_tick(hub->leading);
@@ -568,18 +580,13 @@
 
 void bh_hub_free(bh_hub_t *hub)
 {
-	peer_t *peer;
-
 	if (!hub)
 		return;
 	event_free(hub->tick);
 	bh_sched_leader_free(hub->leading);
 	bh_follow_free(hub->operator_rows);
 	bh_link_free(hub->link);
-	while ((peer = TAILQ_FIRST(&hub->peers)) != NULL) {
-		bh_link_free(peer->link);
-		peer_drop(hub, peer);
-	}
+	drop_peers(hub);
 	evconnlistener_free(hub->listener);
 	bh_term_free(hub->term);
 	g_hash_table_destroy(hub->questions);
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -11,6 +11,9 @@
 /* The worker holds a look for so long when nothing ends. */
 #define LOOK_WAIT_MS 400
 
+/* After a look that brought ends, unless they are acknowledged before. */
+#define ENDS_AGAIN_MS 60
+
 /* After a look that failed. */
 #define LOOK_AGAIN_MS 200
 
@@ -158,7 +161,12 @@
 	}
 	note_boot(a, lists->boot);
 	send_report(a, lists);
-	look(a);
+	/* The worker answers at once while it lists ends; looking again before
+	 * they are acknowledged would bring the same ones. */
+	if (lists->n_ended)
+		look_later(a, ENDS_AGAIN_MS);
+	else
+		look(a);
 }
 
 static void look(bh_sched_agent_t *a)
@@ -329,7 +337,10 @@
 	if (m->boot != a->boot)
 		return;
 	a->expires_ms = MAX(a->expires_ms, m->expires_ms);
-	a->ack = MAX(a->ack, m->ack);
+	if (m->ack > a->ack) {
+		a->ack = m->ack;
+		look(a);
+	}
 }
 
 static void send_ping(bh_sched_agent_t *a, bh_link_t *link)
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -520,7 +520,7 @@
 	bh_log_pairs(&l->rt->log, BH_LOG_INFO, "loaded", NULL, detail);
 	g_ptr_array_set_size(l->early, 0);
 	g_hash_table_remove_all(l->notes);
-	schedule_run(l);
+	bh_sched_leader_tick(l);
 }
 
 static void on_loaded(void *ctx)
@@ -567,7 +567,8 @@
 	l->term = term;
 	l->began_at = bh_runtime_now();
 	l->others_reach_store_at = l->began_at;
-	l->sched = bh_sched_new(&bounds, &sched_ops, l, l->began_at);
+	l->sched = bh_sched_new(&bounds, &sched_ops, l, l->began_at,
+				bh_runtime_unix_ms());
 	l->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   member_free);
 	l->notes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -663,6 +664,9 @@
 	GHashTableIter it;
 	gpointer value;
 
+	/* What agents report means nothing before the jobs are known. */
+	if (l->loads_left)
+		return;
 	g_hash_table_iter_init(&it, l->members);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		member_tick(value, now);
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -24,7 +24,7 @@
 #define PAUSE_US (1000 * BH_USEC_PER_MS)
 
 /* Entries with little processor time wait so much longer before they stand. */
-#define RANK_DELAY_MAX_US (400 * BH_USEC_PER_MS)
+#define RANK_DELAY_MAX_US (250 * BH_USEC_PER_MS)
 #define RANK_JITTER_US	  (60 * BH_USEC_PER_MS)
 
 struct bh_term {
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -81,11 +81,8 @@
 		       const bh_ended_t *e, bh_usec_t now)
 {
 	bh_health_note(s, host, task, false, now);
-	if (e->attempt <= task->counted)
-		return;
-	task->counted = e->attempt;
 	task->shunned = host;
-	bh_task_failed(s, task, now);
+	bh_task_failed(s, task, e->attempt, now);
 }
 
 static void note_rate(const bh_run_t *run, bh_host_t *host, bh_usec_t now)
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -19,8 +19,10 @@
 
 static void phase_clear(bh_phase_t *phase)
 {
-	for (uint32_t i = 0; i < phase->step->count; i++)
+	for (uint32_t i = 0; i < phase->step->count; i++) {
 		g_free(phase->tasks[i].checkpoint);
+		g_free(phase->tasks[i].failed);
+	}
 	g_free(phase->tasks);
 	g_clear_pointer(&phase->tickets, g_hash_table_destroy);
 }
@@ -125,8 +127,9 @@
 		if (t->index >= phase->step->count)
 			continue;
 		task = &phase->tasks[t->index];
-		task->failures = t->failures;
-		task->counted = t->counted;
+		task->n_failed = t->n_failed;
+		task->failed = g_memdup2(t->failed,
+					 t->n_failed * sizeof(uint32_t));
 		task->checkpoint = g_strdup(t->checkpoint);
 	}
 	if (phase_is_done(phase))
@@ -339,20 +342,26 @@
 		finish_phase(s, phase, now);
 }
 
-void bh_task_failed(bh_sched_t *s, bh_task_t *task, bh_usec_t now)
+void bh_task_failed(bh_sched_t *s, bh_task_t *task, uint32_t attempt,
+		    bh_usec_t now)
 {
 	bh_phase_t *phase = task->phase;
 	uint32_t limit = phase->rec->job->terms.max_attempts;
+	bh_task_t *account = phase->step->is_gang ? &phase->tasks[0] : task;
 
-	if (task->is_done || bh_rec_is_over(phase->rec))
+	if (task->is_done || bh_rec_is_over(phase->rec) ||
+	    phase->step->is_lasting)
 		return;
-	task->failures++;
-	if (phase->step->is_gang) {
-		for (uint32_t i = 0; i < phase->step->count; i++)
-			phase->tasks[i].failures = task->failures;
+	/* Ends come again until they are acknowledged. */
+	for (uint32_t i = 0; i < account->n_failed; i++) {
+		if (account->failed[i] == attempt)
+			return;
 	}
+	account->failed = g_renew(uint32_t, account->failed,
+				  account->n_failed + 1);
+	account->failed[account->n_failed++] = attempt;
 	bh_rec_touch(s, phase->rec);
-	if (!phase->step->is_lasting && limit && task->failures >= limit)
+	if (limit && account->n_failed >= limit)
 		bh_rec_end(s, phase->rec, BH_JOB_FAILED, now);
 }
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -5,8 +5,10 @@
 	for (uint32_t i = 0; i < progress->n_steps; i++) {
 		bh_step_note_t *note = &progress->steps[i];
 
-		for (uint32_t k = 0; k < note->n_tasks; k++)
+		for (uint32_t k = 0; k < note->n_tasks; k++) {
 			g_free(note->tasks[k].checkpoint);
+			g_free(note->tasks[k].failed);
+		}
 		g_free(note->tasks);
 		g_free(note->done);
 	}
@@ -15,7 +17,7 @@
 
 static bool has_note(const bh_task_t *task)
 {
-	return !task->is_done && (task->failures || task->checkpoint);
+	return !task->is_done && (task->n_failed || task->checkpoint);
 }
 
 static void note_phase(const bh_phase_t *phase, bh_step_note_t *out)
@@ -37,8 +39,9 @@
 			continue;
 		note = &out->tasks[out->n_tasks++];
 		note->index = i;
-		note->failures = task->failures;
-		note->counted = task->counted;
+		note->n_failed = task->n_failed;
+		note->failed = g_memdup2(task->failed, task->n_failed *
+							       sizeof(uint32_t));
 		note->checkpoint = g_strdup(task->checkpoint);
 	}
 }
@@ -117,7 +120,8 @@
 }
 
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
-			 const bh_sched_ops_t *ops, void *ctx, bh_usec_t now)
+			 const bh_sched_ops_t *ops, void *ctx, bh_usec_t now,
+			 uint64_t unix_ms)
 {
 	bh_sched_t *s = g_new0(bh_sched_t, 1);
 
@@ -132,6 +136,7 @@
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->committing);
 	s->steered_at = now;
+	s->unix_ms = unix_ms;
 	return s;
 }
 
@@ -256,7 +261,13 @@
 			bh_rec_list_dirty(s, rec);
 	}
 	TAILQ_FOREACH(host, &s->hosts, link)
-	bh_host_release_acks(s, host);
+	{
+		uint64_t before = host->acked;
+
+		bh_host_release_acks(s, host);
+		if (host->acked != before && host->is_linked)
+			bh_host_send_grant(s, host);
+	}
 	(void)now;
 }
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -66,7 +66,8 @@
 } bh_sched_bounds_t;
 
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
-			 const bh_sched_ops_t *ops, void *ctx, bh_usec_t now);
+			 const bh_sched_ops_t *ops, void *ctx, bh_usec_t now,
+			 uint64_t unix_ms);
 void bh_sched_free(bh_sched_t *s);
 
 /**
@@ -78,13 +79,13 @@
 
 /**
  * struct bh_task_note - what is known of a task that is not done
- * @counted: highest attempt whose failure is counted
+ * @failed: attempts that ended in failure
  */
 typedef struct bh_task_note {
 	uint32_t index;
-	uint32_t failures;
+	uint32_t n_failed;
+	uint32_t *failed;
 	char *checkpoint;
-	uint32_t counted;
 } bh_task_note_t;
 
 /**
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -55,15 +55,15 @@
 /**
  * struct bh_task - a task of a phase
  * @attempt: highest attempt number used
- * @counted: highest attempt whose failure is counted
+ * @failed: attempts that ended in failure; a gang's are kept by its first task
  * @shunned: host where it failed last, so that it goes elsewhere if it can
  */
 struct bh_task {
 	bh_phase_t *phase;
 	uint32_t index;
-	uint32_t failures;
 	uint32_t attempt;
-	uint32_t counted;
+	uint32_t n_failed;
+	uint32_t *failed;
 	bool is_done;
 	char *checkpoint;
 	const bh_host_t *shunned;
@@ -213,7 +213,12 @@
 		bh_usec_t now);
 bool bh_rec_is_over(const bh_rec_t *rec);
 void bh_task_done(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
-void bh_task_failed(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
+
+/**
+ * bh_task_failed() - count a failed attempt, once
+ */
+void bh_task_failed(bh_sched_t *s, bh_task_t *task, uint32_t attempt,
+		    bh_usec_t now);
 
 /**
  * bh_task_requeue() - count a task as waiting again if nothing runs it
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1443,7 +1443,7 @@
   (ProtobufCMessageInit) bh__sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[3] =
 {
   {
     "index",
@@ -1458,15 +1458,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failures",
+    "failed",
     2,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bh__Sched__TaskNote, failures),
+    offsetof(Bh__Sched__TaskNote, n_failed),
+    offsetof(Bh__Sched__TaskNote, failed),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -1481,29 +1481,16 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "counted",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bh__Sched__TaskNote, counted),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned bh__sched__task_note__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
-  3,   /* field[3] = counted */
-  1,   /* field[1] = failures */
+  1,   /* field[1] = failed */
   0,   /* field[0] = index */
 };
 static const ProtobufCIntRange bh__sched__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bh__sched__task_note__descriptor =
 {
@@ -1513,7 +1500,7 @@
   "Bh__Sched__TaskNote",
   "bh.sched",
   sizeof(Bh__Sched__TaskNote),
-  4,
+  3,
   bh__sched__task_note__field_descriptors,
   bh__sched__task_note__field_indices_by_name,
   1,  bh__sched__task_note__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -100,13 +100,13 @@
 {
   ProtobufCMessage base;
   uint32_t index;
-  uint32_t failures;
+  size_t n_failed;
+  uint32_t *failed;
   char *checkpoint;
-  uint32_t counted;
 };
 #define BH__SCHED__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__task_note__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Bh__Sched__StepNote
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -127,8 +127,8 @@
 
 		bh__sched__task_note__init(t);
 		t->index = note->tasks[i].index;
-		t->failures = note->tasks[i].failures;
-		t->counted = note->tasks[i].counted;
+		t->n_failed = note->tasks[i].n_failed;
+		t->failed = note->tasks[i].failed;
 		t->checkpoint = text_of(note->tasks[i].checkpoint);
 		out->tasks[i] = t;
 	}
@@ -153,8 +153,10 @@
 	out->tasks = g_new0(bh_task_note_t, MAX(from->n_tasks, 1));
 	for (size_t i = 0; i < from->n_tasks; i++) {
 		out->tasks[i].index = from->tasks[i]->index;
-		out->tasks[i].failures = from->tasks[i]->failures;
-		out->tasks[i].counted = from->tasks[i]->counted;
+		out->tasks[i].n_failed = (uint32_t)from->tasks[i]->n_failed;
+		out->tasks[i].failed =
+			g_memdup2(from->tasks[i]->failed,
+				  from->tasks[i]->n_failed * sizeof(uint32_t));
 		out->tasks[i].checkpoint = dup_text(from->tasks[i]->checkpoint);
 	}
 }
