Fillers are placed and paced by the harm that their image does to the serving ones

Change: sched/pairs.c learns each pair's harm from tails; only what presses is paced; the promised room that is really used is learned a host.

--- a/sched/admit.c
+++ b/sched/admit.c
@@ -2,7 +2,7 @@
 
 /* A job is refused when its predicted end is later than this multiple of its
  * objective, in percent; estimates are off by up to two times. */
-#define LATE_PERCENT 200
+#define LATE_PERCENT 300
 
 /* Older predictions say nothing; jobs are then taken. */
 #define LOAD_FRESH_MS 3000
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -15,6 +15,9 @@
 /* A stop that shows no effect is ordered again. */
 #define STOP_AGAIN_US (1000 * BH_USEC_PER_MS)
 
+/* Part of what tasks ask for that they use, until fillers show it. */
+#define FILLER_SHARE_PRIOR 0.7
+
 /* A host that nobody has heard of for so long has left for good. */
 #define FORGET_AFTER_US (20 * BH_USEC_PER_SEC)
 
@@ -373,7 +376,7 @@
 				   s->bounds.silence_ms) *
 				  BH_USEC_PER_MS;
 	host->speed = 1;
-	host->filler_share = 1;
+	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
 	g_queue_init(&host->acks);
 	TAILQ_INSERT_TAIL(&s->hosts, host, link);
--- a/sched/place.c
+++ b/sched/place.c
@@ -14,9 +14,9 @@
 #define WEIGHT_SHUN   4.0
 #define WEIGHT_STRAIN 2.0
 
-/* Above this part of its objective a host's tail latency takes no more
- * fillers. */
-#define STRAIN_FULL 0.7
+/* A filler comes to a host only if no tail there is predicted to rise above
+ * this part of its objective. */
+#define STRAIN_FULL 0.8
 
 /* Ranks of phases: priority first, then those that can still end in time. */
 #define RANK_PRIORITY_SHIFT 48
@@ -131,9 +131,9 @@
 	if (phase->tickets &&
 	    !g_hash_table_contains(phase->tickets, host->info.id))
 		return false;
-	if (step->is_filler && host->strain > STRAIN_FULL)
-		return false;
-	return has_room(host, step);
+	return has_room(host, step) &&
+	       (!step->is_filler ||
+		bh_steer_predict(s, host, step) <= STRAIN_FULL);
 }
 
 static double cpu_share(const bh_host_t *host, uint64_t cpu)
@@ -142,22 +142,25 @@
 }
 
 /* Lasting tasks are packed, so that fillers find hosts without any. */
-static double load_score(const bh_host_t *host, const bh_step_t *step)
+static double load_score(const bh_sched_t *s, const bh_host_t *host,
+			 const bh_step_t *step)
 {
 	double used = cpu_share(host, host->used_cpu);
 	double fillers = cpu_share(host, host->filler_cpu);
 
 	if (step->is_filler)
-		return used + fillers + WEIGHT_STRAIN * host->strain;
+		return used * host->filler_share + fillers +
+		       WEIGHT_STRAIN * bh_steer_predict(s, host, step);
 	if (step->is_lasting)
 		return fillers - used;
 	return used + fillers / 2;
 }
 
-static double score(const bh_task_t *task, const bh_host_t *host)
+static double score(const bh_sched_t *s, const bh_task_t *task,
+		    const bh_host_t *host)
 {
 	const bh_step_t *step = task->phase->step;
-	double value = load_score(host, step);
+	double value = load_score(s, host, step);
 
 	if (step->rack && g_strcmp0(step->rack, host->rack) != 0)
 		value += WEIGHT_RACK;
@@ -183,7 +186,7 @@
 
 		if (host == not_on || !is_eligible(s, task, host, now))
 			continue;
-		value = score(task, host);
+		value = score(s, task, host);
 		if (!best || value < best_score) {
 			best = host;
 			best_score = value;
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -43,6 +43,8 @@
 	if (task->phase->rec->state == BH_JOB_QUEUED)
 		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
+	if (task->phase->step->is_filler)
+		host->changed_at = now;
 	host_charge(host, task->phase->step, 1);
 	(void)s;
 	return run;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -128,6 +128,7 @@
 	s->bounds = *bounds;
 	s->ops = ops;
 	s->ctx = ctx;
+	s->pairs = bh_pairs_new();
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&s->recs);
@@ -156,6 +157,7 @@
 		bh_sched_drop_host(s, host->key);
 	while ((rec = TAILQ_FIRST(&s->recs)) != NULL)
 		bh_sched_drop_job(s, rec->job->id);
+	bh_pairs_free(s->pairs);
 	g_hash_table_destroy(s->by_id);
 	g_hash_table_destroy(s->by_key);
 	g_free(s);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -4,6 +4,7 @@
 #ifndef BH_SCHED_SCHED_IMPL_H
 #define BH_SCHED_SCHED_IMPL_H
 
+#include "sched/pairs.h"
 #include "sched/sched.h"
 
 typedef struct bh_run bh_run_t;
@@ -28,6 +29,7 @@
  * struct bh_run - an attempt at a task on a host
  * @moved_at: when its progress last changed
  * @seen_at: when a report first listed it
+ * @tail: running figure of a serving task's tail latency, ms
  * @absences: reports in a row that did not list it
  * @pace: share of its speed that it may use, percent
  * @stop_asked_at: when the stop was last ordered
@@ -44,6 +46,7 @@
 	uint32_t percent;
 	uint32_t first_percent;
 	uint32_t gauge;
+	double tail;
 	uint32_t absences;
 	uint32_t pace;
 	bh_usec_t stop_asked_at;
@@ -76,6 +79,8 @@
  * @waiting: tasks that have no run and are not done
  * @is_open: what it follows is done, and its time has come
  * @rate_sum: work per time of its runs, in units of the estimate
+ * @base_ms: tail of its lasting tasks without fillers, as it seems now
+ * @usual_base_ms: the same over some seconds
  * @tickets: by worker id, where the queue needs advice
  */
 struct bh_phase {
@@ -95,6 +100,8 @@
 	GHashTable *tickets;
 	bh_usec_t tickets_until;
 	bh_usec_t advice_asked_at;
+	double base_ms;
+	double usual_base_ms;
 };
 
 typedef TAILQ_HEAD(bh_phases, bh_phase) bh_phases_t;
@@ -143,6 +150,9 @@
  * @lapse_at: when all that ran there has ended, if nobody hears of it
  * @expires_ms: last lease granted, on the worker's clock
  * @used: room of its tasks, fillers' processor time apart
+ * @filler_share: part of its tasks' processor time that they really use
+ * @changed_at: when the pace or number of its fillers changed
+ * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
  * @bad_streak: attempts in a row that failed for the host's reasons
  * @shunned_until: no new work before
@@ -167,7 +177,8 @@
 	double filler_share;
 	double strain;
 	bh_usec_t strained_since;
-	bh_usec_t eased_at;
+	bh_usec_t changed_at;
+	bh_usec_t gauged_at;
 	double speed;
 	uint32_t bad_streak;
 	const bh_rec_t *bad_job;
@@ -198,6 +209,7 @@
 	uint64_t change;
 	bool is_recovering;
 	bool must_place;
+	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
@@ -275,6 +287,12 @@
 /* steer.c */
 void bh_steer(bh_sched_t *s, bh_usec_t now);
 
+/**
+ * bh_steer_predict() - worst strain of a host if a filler came to it
+ */
+double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
+			const bh_step_t *filler);
+
 void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
 
