Harm of a pair is learned with the lag of the gauges, room by what fillers use

System identification without pacing: most pairs do nothing at half a host, a few lengthen tails twentyfold at a sixth of one; fillers use about two thirds of what some ask for.

Change: shares are filtered as gauges lag; the base is the least of a phase; prior low, ceiling high; room counts what fillers use at most.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -16,7 +16,7 @@
 #define STOP_AGAIN_US (1000 * BH_USEC_PER_MS)
 
 /* Part of what tasks ask for that they use, until fillers show it. */
-#define FILLER_SHARE_PRIOR 0.7
+#define FILLER_SHARE_PRIOR 0.6
 
 /* A host that nobody has heard of for so long has left for good. */
 #define FORGET_AFTER_US (20 * BH_USEC_PER_SEC)
@@ -454,6 +454,8 @@
 	if (outcome == BH_ORDER_OK) {
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
+		if (task->phase->step->is_filler)
+			bh_steer_started(s, run, now);
 		return;
 	}
 	s->stats.rejected++;
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -82,7 +82,7 @@
 
 		task->waiting_since = now;
 		if (!task->is_done && !task->runs[0] && !task->runs[1])
-			phase->waiting++;
+			bh_task_set_waiting(task, true);
 	}
 	if (phase->waiting)
 		bh_phase_list(s, phase);
@@ -106,8 +106,7 @@
 
 	if (task->is_done)
 		return;
-	if (phase->is_open && !task->runs[0] && !task->runs[1])
-		phase->waiting--;
+	bh_task_set_waiting(task, false);
 	task->is_done = true;
 	phase->n_done++;
 	g_clear_pointer(&task->checkpoint, g_free);
@@ -298,6 +297,17 @@
 	bh_rec_touch(s, rec);
 }
 
+void bh_task_set_waiting(bh_task_t *task, bool is_waiting)
+{
+	if (task->is_waiting == is_waiting)
+		return;
+	task->is_waiting = is_waiting;
+	if (is_waiting)
+		task->phase->waiting++;
+	else
+		task->phase->waiting--;
+}
+
 void bh_phase_list(bh_sched_t *s, bh_phase_t *phase)
 {
 	s->must_place = true;
@@ -315,7 +325,7 @@
 	    !phase->is_open || bh_rec_is_over(phase->rec))
 		return;
 	task->waiting_since = now;
-	phase->waiting++;
+	bh_task_set_waiting(task, true);
 	bh_phase_list(s, phase);
 }
 
--- a/sched/pairs.c
+++ b/sched/pairs.c
@@ -1,12 +1,13 @@
 #include "sched/pairs.h"
 
 /* Harm of a pair that was never seen: a tenth of a host's processors makes the
- * tail a third longer. Some pairs are far worse, many do nothing. */
-#define HARM_PRIOR 3.0
-#define HARM_MAX   80.0
+ * tail a tenth longer. Most pairs do less; some are a hundred times worse, so
+ * that trying is cheaper than keeping away. */
+#define HARM_PRIOR 1.0
+#define HARM_MAX   300.0
 
 /* Part of the error that one look corrects; gauges are rough. */
-#define LEARN_RATE 0.3
+#define LEARN_RATE 0.5
 
 /* Keeps small shares from large corrections. */
 #define SHARE_FLOOR 0.02
--- a/sched/place.c
+++ b/sched/place.c
@@ -22,6 +22,10 @@
 #define RANK_PRIORITY_SHIFT 48
 #define RANK_LATE	    ((uint64_t)1 << 47)
 
+/* A filler that has waited so long goes where it disturbs least, at the pace
+ * that its neighbours bear there. */
+#define FORCE_AFTER_US (1500 * BH_USEC_PER_MS)
+
 /* Each worker named lengthens the adviser's answer. */
 #define ADVICE_WORKERS_MAX 30
 
@@ -96,9 +100,16 @@
 
 static int64_t filler_room(const bh_host_t *host)
 {
-	return (int64_t)host->info.cpu_milli -
-	       (int64_t)((double)host->used_cpu * host->filler_share) -
-	       (int64_t)host->filler_cpu;
+	int64_t room = (int64_t)host->info.cpu_milli -
+		       (int64_t)((double)host->used_cpu * host->filler_share);
+	const bh_run_t *run;
+
+	TAILQ_FOREACH(run, &host->runs, link)
+	{
+		if (run->task->phase->step->is_filler && run->pace > 0)
+			room -= bh_run_need(run);
+	}
+	return room;
 }
 
 static bool has_room(const bh_host_t *host, const bh_step_t *step)
@@ -131,9 +142,10 @@
 	if (phase->tickets &&
 	    !g_hash_table_contains(phase->tickets, host->info.id))
 		return false;
-	return has_room(host, step) &&
-	       (!step->is_filler ||
-		bh_steer_predict(s, host, step) <= STRAIN_FULL);
+	if (!has_room(host, step))
+		return false;
+	return !step->is_filler || now - task->waiting_since > FORCE_AFTER_US ||
+	       bh_steer_predict(s, host, step) <= STRAIN_FULL;
 }
 
 static double cpu_share(const bh_host_t *host, uint64_t cpu)
@@ -244,7 +256,7 @@
 		bh_host_t *host = runs[i]->host;
 
 		bh_run_drop(s, runs[i]);
-		phase->waiting++;
+		bh_task_set_waiting(task, true);
 		if (placed < n)
 			continue;
 		if (checkpoint && checkpoint != task->checkpoint) {
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -34,17 +34,13 @@
 	run->ordered_at = now;
 	run->moved_at = now;
 	run->pace = 100;
-	if (!task->runs[0] && !task->runs[1] && !task->is_done &&
-	    task->phase->is_open)
-		task->phase->waiting--;
+	bh_task_set_waiting(task, false);
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
 	task->phase->rec->has_started = true;
 	if (task->phase->rec->state == BH_JOB_QUEUED)
 		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
-	if (task->phase->step->is_filler)
-		host->changed_at = now;
 	host_charge(host, task->phase->step, 1);
 	(void)s;
 	return run;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -19,6 +19,9 @@
 /* A task and its one speculative copy. */
 #define BH_RUNS_MAX 2
 
+/* Images of fillers on a host; more are not told apart. */
+#define BH_PRESSES_MAX 32
+
 typedef enum bh_run_state {
 	BH_RUN_ORDERED,
 	BH_RUN_ACTIVE,
@@ -29,7 +32,8 @@
  * struct bh_run - an attempt at a task on a host
  * @moved_at: when its progress last changed
  * @seen_at: when a report first listed it
- * @tail: running figure of a serving task's tail latency, ms
+ * @tail: a serving task's tail latency in ms, without single spikes
+ * @peak: most processor time that a filler used at full pace
  * @absences: reports in a row that did not list it
  * @pace: share of its speed that it may use, percent
  * @stop_asked_at: when the stop was last ordered
@@ -47,6 +51,9 @@
 	uint32_t first_percent;
 	uint32_t gauge;
 	double tail;
+	double last_gauge;
+	uint32_t peak;
+	bh_usec_t paced_at;
 	uint32_t absences;
 	uint32_t pace;
 	bh_usec_t stop_asked_at;
@@ -68,6 +75,7 @@
 	uint32_t n_failed;
 	uint32_t *failed;
 	bool is_done;
+	bool is_waiting;
 	char *checkpoint;
 	const bh_host_t *shunned;
 	bh_usec_t waiting_since;
@@ -151,7 +159,7 @@
  * @expires_ms: last lease granted, on the worker's clock
  * @used: room of its tasks, fillers' processor time apart
  * @filler_share: part of its tasks' processor time that they really use
- * @changed_at: when the pace or number of its fillers changed
+ * @press: what pressed on its lasting tasks, with the lag of their gauges
  * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
  * @bad_streak: attempts in a row that failed for the host's reasons
@@ -177,8 +185,9 @@
 	double filler_share;
 	double strain;
 	bh_usec_t strained_since;
-	bh_usec_t changed_at;
 	bh_usec_t gauged_at;
+	uint32_t n_press;
+	bh_press_t press[BH_PRESSES_MAX];
 	double speed;
 	uint32_t bad_streak;
 	const bh_rec_t *bad_job;
@@ -236,6 +245,10 @@
  * bh_task_requeue() - count a task as waiting again if nothing runs it
  */
 void bh_task_requeue(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
+/**
+ * bh_task_set_waiting() - keep its phase's count of waiting tasks
+ */
+void bh_task_set_waiting(bh_task_t *task, bool is_waiting);
 void bh_phase_list(bh_sched_t *s, bh_phase_t *phase);
 void bh_task_full_name(const bh_task_t *task, char out[BH_TASK_NAME_BYTES]);
 uint32_t bh_task_next_attempt(const bh_sched_t *s, const bh_task_t *task);
@@ -287,6 +300,16 @@
 /* steer.c */
 void bh_steer(bh_sched_t *s, bh_usec_t now);
 
+/**
+ * bh_run_need() - processor time that a filler uses at full pace
+ */
+uint32_t bh_run_need(const bh_run_t *run);
+
+/**
+ * bh_steer_started() - give a filler the pace that its neighbours bear
+ */
+void bh_steer_started(bh_sched_t *s, bh_run_t *run, bh_usec_t now);
+
 /**
  * bh_steer_predict() - worst strain of a host if a filler came to it
  */
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -6,52 +6,57 @@
  */
 #include "sched/sched_impl.h"
 
-#include <stdlib.h>
 
 /* Between two looks; gauges cover the last half second. */
 #define STEER_EVERY_US (200 * BH_USEC_PER_MS)
 
-/* Tail latency over its objective: above the first fillers are slowed until
- * it is predicted to meet the goal; below the low mark they speed up. */
+/* Tail latency over its objective: above the first fillers are slowed until it
+ * is predicted to meet the goal. */
 #define STRAIN_HIGH 0.85
-#define STRAIN_GOAL 0.7
-#define STRAIN_LOW  0.6
+#define STRAIN_GOAL 0.72
 
-/* A gauge shows a new pace once its half second has passed. */
+/* A lasting task meets its objective without fillers, with this much to
+ * spare; a base above that is taken for harm that is not understood yet. */
+#define BASE_MAX 0.75
+
+/* A tail that is so many times its base is no single spike of the gauge. */
+#define SPIKE_FACTOR 2.0
+
+/* Two changes of a filler's pace are so far apart, unless a tail is over its
+ * objective: a gauge shows a new pace once its half second has passed. */
 #define SETTLE_US (700 * BH_USEC_PER_MS)
 
-/* Of full speed: what an easing step adds at most. */
-#define PACE_UP_PERCENT 25
+/* Least change of pace that is worth an order. */
+#define PACE_STEP_PERCENT 15
 
 /* A filler slower than this stands in the way more than it does. */
-#define PACE_MIN_PERCENT 8
+#define PACE_MIN_PERCENT 10
 
 /* Fillers that add less than this to a tail are not the cause of its strain. */
-#define PRESS_MIN 0.04
+#define PRESS_MIN 0.05
 
-/* Strain that lasts this long though its fillers stand: they move away. */
-#define MOVE_AFTER_US (1500 * BH_USEC_PER_MS)
+/* A filler that stood for so long moves to where it may run. */
+#define MOVE_AFTER_US (400 * BH_USEC_PER_MS)
 
 /* Progress above which work that has no checkpoint is not thrown away. */
 #define MOVE_PERCENT_MAX 30
 
 /* What the fillers' use of the processor says of unused room. */
-#define USE_FULL   0.93
+#define USE_FULL   0.92
 #define USE_SHORT  0.8
 #define SHARE_DOWN 0.05
-#define SHARE_UP   0.08
+#define SHARE_UP   0.05
 #define SHARE_MIN  0.2
 
-/* Weight of a new gauge in the running figure of a task's tail. */
-#define TAIL_RATE 0.6
-
-/* Weight of a new look in an image's usual base. */
-#define BASE_RATE 0.1
+/* Gauges follow what causes them with a lag of about one report; shares are
+ * filtered alike before they are compared. */
+#define LAG_RATE 0.5
 
-#define PRESSES_MAX 32
+/* Part of a host below which what pressed on it is forgotten. */
+#define PRESS_FORGET 0.002
 
-/* Lasting tasks of one phase share their users' load, and so their base. */
-#define SIBLINGS_MAX 64
+/* Weight of a new look in a phase's usual base. */
+#define BASE_RATE 0.1
 
 static bool is_filler_run(const bh_run_t *run)
 {
@@ -70,10 +75,30 @@
 
 static double run_share(const bh_run_t *run)
 {
-	return (double)run->task->phase->step->cpu_milli * run->pace / 100 /
+	return (double)bh_run_need(run) * run->pace / 100 /
 	       MAX(run->host->info.cpu_milli, 1);
 }
 
+static void add_press(bh_press_t *press, uint32_t *n, const char *image,
+		      double share)
+{
+	uint32_t i;
+
+	for (i = 0; i < *n; i++) {
+		if (g_strcmp0(press[i].image, image) == 0)
+			break;
+	}
+	if (i == BH_PRESSES_MAX)
+		return;
+	if (i == *n) {
+		press[i].image = image;
+		press[i].share = 0;
+		(*n)++;
+	}
+	press[i].share += share;
+}
+
+/* What presses on a host as it will be, once its orders have taken effect. */
 static uint32_t presses_of(const bh_host_t *host, bh_press_t *out)
 {
 	const bh_run_t *run;
@@ -81,57 +106,88 @@
 
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
-		const char *image = run->task->phase->step->image;
-		uint32_t i;
-
-		if (!is_filler_run(run) || run->pace == 0)
-			continue;
-		for (i = 0; i < n; i++) {
-			if (g_strcmp0(out[i].image, image) == 0)
-				break;
-		}
-		if (i == PRESSES_MAX)
-			continue;
-		if (i == n) {
-			out[n].image = image;
-			out[n++].share = 0;
-		}
-		out[i].share += run_share(run);
+		if (run->task->phase->step->is_filler &&
+		    run->state != BH_RUN_STOPPING && run->pace > 0)
+			add_press(out, &n, run->task->phase->step->image,
+				  run_share(run));
 	}
 	return n;
 }
 
-static int by_value(const void *a, const void *b)
+/* What pressed on a host as its gauges show it. Images are kept by the tasks'
+ * jobs, which may end: the names are copied. */
+static void filter_presses(bh_host_t *host)
 {
-	double x = *(const double *)a;
-	double y = *(const double *)b;
+	bh_press_t now[BH_PRESSES_MAX];
+	uint32_t n = 0;
+	uint32_t kept = 0;
+	const bh_run_t *run;
 
-	return (x > y) - (x < y);
+	TAILQ_FOREACH(run, &host->runs, link)
+	{
+		if (is_filler_run(run))
+			add_press(now, &n, run->task->phase->step->image,
+				  (double)run->gauge /
+					  MAX(host->info.cpu_milli, 1));
+	}
+	for (uint32_t i = 0; i < host->n_press; i++)
+		host->press[i].share *= 1 - LAG_RATE;
+	for (uint32_t i = 0; i < n; i++)
+		add_press(host->press, &host->n_press,
+			  g_intern_string(now[i].image ? now[i].image : ""),
+			  now[i].share * LAG_RATE);
+	for (uint32_t i = 0; i < host->n_press; i++) {
+		if (host->press[i].share > PRESS_FORGET)
+			host->press[kept++] = host->press[i];
+	}
+	host->n_press = kept;
 }
 
-/* The tail that a phase's tasks would have without fillers, by the median of
- * what each shows less what its fillers are predicted to add. */
+static void note_spike(bh_run_t *run)
+{
+	double base = run->task->phase->base_ms;
+
+	/* One gauge alone may be a spike; two in a row are not. */
+	run->tail = run->gauge > base * SPIKE_FACTOR
+			    ? run->gauge
+			    : MIN(run->gauge, run->last_gauge);
+	run->last_gauge = run->gauge;
+}
+
+static void take_gauges(bh_host_t *host)
+{
+	bh_run_t *run;
+
+	filter_presses(host);
+	TAILQ_FOREACH(run, &host->runs, link)
+	{
+		if (is_serving_run(run))
+			note_spike(run);
+		else if (is_filler_run(run) && run->pace == 100)
+			run->peak = MAX(run->peak, run->gauge);
+	}
+}
+
+/* The tail that a phase's tasks would have without fillers: they share their
+ * users' load, and gauges err upwards, so that the least of them tells. */
 static double base_of_phase(bh_sched_t *s, const bh_phase_t *phase)
 {
-	double values[SIBLINGS_MAX];
-	uint32_t n = 0;
+	double least = 0;
 
-	for (uint32_t i = 0; i < phase->step->count && n < SIBLINGS_MAX; i++) {
+	for (uint32_t i = 0; i < phase->step->count; i++) {
 		const bh_run_t *run = phase->tasks[i].runs[0];
-		bh_press_t press[PRESSES_MAX];
-		uint32_t n_press;
+		double value;
 
-		if (!run || !is_serving_run(run) || run->tail <= 0)
+		if (!run || !is_serving_run(run))
 			continue;
-		n_press = presses_of(run->host, press);
-		values[n++] = run->tail /
-			      (1 + bh_pairs_excess(s->pairs, phase->step->image,
-						   press, n_press));
+		value = run->gauge /
+			(1 + bh_pairs_excess(s->pairs, phase->step->image,
+					     run->host->press,
+					     run->host->n_press));
+		if (least == 0 || value < least)
+			least = value;
 	}
-	if (n == 0)
-		return 0;
-	qsort(values, n, sizeof(values[0]), by_value);
-	return values[n / 2];
+	return MIN(least, phase->step->target_ms * BASE_MAX);
 }
 
 static void update_base(bh_sched_t *s, bh_phase_t *phase)
@@ -148,31 +204,11 @@
 			: base;
 }
 
-static void update_tails(bh_host_t *host)
+static void learn_pairs(bh_sched_t *s, bh_host_t *host)
 {
-	bh_run_t *run;
-
-	if (host->gauged_at == host->heard_at)
-		return;
-	host->gauged_at = host->heard_at;
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
-		if (!is_serving_run(run))
-			continue;
-		run->tail = run->tail > 0 ? run->tail + TAIL_RATE *
-							(run->gauge - run->tail)
-					  : run->gauge;
-	}
-}
-
-static void learn_pairs(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
-{
-	bh_press_t press[PRESSES_MAX];
-	uint32_t n = presses_of(host, press);
 	const bh_run_t *run;
 
-	/* Gauges of before the last change would teach the wrong pace. */
-	if (n == 0 || now - host->changed_at < SETTLE_US)
+	if (host->n_press == 0)
 		return;
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
@@ -180,7 +216,8 @@
 
 		if (!is_serving_run(run) || phase->base_ms <= 0)
 			continue;
-		bh_pairs_learn(s->pairs, phase->step->image, press, n,
+		bh_pairs_learn(s->pairs, phase->step->image, host->press,
+			       host->n_press,
 			       run->gauge / phase->base_ms - 1);
 	}
 }
@@ -203,7 +240,7 @@
 		     pace, run->host->strain, run->task->phase->step->image,
 		     why);
 	run->pace = pace;
-	run->host->changed_at = now;
+	run->paced_at = now;
 	s->stats.paces++;
 	s->ops->pace(s->ctx, run->host->key, run->host->info.boot, name,
 		     run->attempt, pace);
@@ -218,103 +255,110 @@
 	       run_share(filler);
 }
 
-/* Part of its speed that a filler may keep for the sake of all serving tasks
- * beside it. */
-static double allowed_part(const bh_sched_t *s, const bh_run_t *filler)
+/* Part of its speed at which the tail of @serving stays at the goal. */
+static double bearable_part(const bh_sched_t *s, const bh_run_t *filler,
+			    const bh_run_t *serving)
+{
+	const bh_phase_t *phase = serving->task->phase;
+	double full = bh_pairs_harm(s->pairs, filler->task->phase->step->image,
+				    phase->step->image) *
+		      bh_run_need(filler) /
+		      MAX(filler->host->info.cpu_milli, 1);
+	double base = MAX(phase->base_ms, phase->usual_base_ms);
+	bh_press_t press[BH_PRESSES_MAX];
+	uint32_t n = presses_of(filler->host, press);
+	double excess = bh_pairs_excess(s->pairs, phase->step->image, press, n);
+	double wanted;
+
+	if (full < PRESS_MIN || base <= 0)
+		return 1;
+	wanted = MAX(phase->step->target_ms * STRAIN_GOAL / base - 1, 0);
+	/* All that press give way by the same part. */
+	return excess > wanted ? wanted / excess * filler->pace / 100
+			       : filler->pace / 100.0 + (wanted - excess) / full;
+}
+
+static double bearable_by_all(const bh_sched_t *s, const bh_run_t *filler)
 {
-	const bh_host_t *host = filler->host;
 	const bh_run_t *run;
 	double part = 1;
 
-	TAILQ_FOREACH(run, &host->runs, link)
+	TAILQ_FOREACH(run, &filler->host->runs, link)
 	{
-		double target;
-		double base;
-		double excess;
-		double wanted;
-
-		if (!is_serving_run(run))
-			continue;
-		target = run->task->phase->step->target_ms;
-		if (run->tail < target * STRAIN_HIGH ||
-		    added_by(s, filler, run) < PRESS_MIN)
-			continue;
-		base = MIN(run->task->phase->base_ms, run->tail);
-		excess = run->tail / MAX(base, 1) - 1;
-		wanted = MAX(target * STRAIN_GOAL / MAX(base, 1) - 1, 0);
-		part = MIN(part, excess > 0 ? wanted / excess : 0);
+		if (is_serving_run(run))
+			part = MIN(part, bearable_part(s, filler, run));
 	}
 	return part;
 }
 
-static void slow_fillers(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+static bool presses_on_strained(const bh_sched_t *s, const bh_run_t *filler)
 {
-	bh_run_t *run;
+	const bh_run_t *run;
 
-	if (now - host->changed_at < SETTLE_US && host->strain < 1)
-		return;
-	TAILQ_FOREACH(run, &host->runs, link)
+	TAILQ_FOREACH(run, &filler->host->runs, link)
 	{
-		double part;
-
-		if (!is_filler_run(run) || run->pace == 0)
-			continue;
-		part = allowed_part(s, run);
-		if (part < 1)
-			set_pace(s, run, run->pace * part, "it presses", now);
+		if (is_serving_run(run) &&
+		    run->tail > run->task->phase->step->target_ms *
+					STRAIN_HIGH &&
+		    added_by(s, filler, run) >= PRESS_MIN)
+			return true;
 	}
+	return false;
 }
 
-static void ease_fillers(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+static void steer_filler(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
 {
-	bh_run_t *run;
+	bool is_pressing = presses_on_strained(s, run);
+	double pace = 100 * bearable_by_all(s, run);
 
-	if (now - host->changed_at < SETTLE_US)
+	if (now - run->paced_at < SETTLE_US &&
+	    (!is_pressing || run->host->strain < 1))
 		return;
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
-		if (is_filler_run(run) && run->pace < 100)
-			set_pace(s, run, run->pace + PACE_UP_PERCENT,
-				 "there is slack", now);
-	}
+	if (pace < PACE_MIN_PERCENT)
+		pace = 0;
+	if (is_pressing)
+		set_pace(s, run, MIN(pace, run->pace * 0.5), "it presses", now);
+	else if (pace > run->pace + PACE_STEP_PERCENT ||
+		 (pace >= 100 && run->pace < 100))
+		set_pace(s, run, MIN(pace, run->pace + 50),
+			 "its neighbours bear more", now);
 }
 
-static void move_fillers(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+/* Stopping a task that keeps checkpoints throws nothing away. */
+static void move_filler(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
 {
-	bh_run_t *run;
-	bh_run_t *next;
+	const bh_step_t *step = run->task->phase->step;
+	bh_host_t *other;
 
-	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
-	{
-		if (!is_filler_run(run) || run->pace > 0 ||
-		    !bh_place_find(s, run->task, host, now))
-			continue;
-		if (run->task->phase->step->is_checkpointing ||
-		    run->percent < MOVE_PERCENT_MAX)
-			bh_run_stop(s, run, "it presses on serving tasks", now);
-	}
+	if (run->pace > 0 || now - run->paced_at < MOVE_AFTER_US ||
+	    (!step->is_checkpointing && run->percent > MOVE_PERCENT_MAX))
+		return;
+	other = bh_place_find(s, run->task, run->host, now);
+	if (other && bh_steer_predict(s, other, step) <= STRAIN_HIGH)
+		bh_run_stop(s, run, "it may not run beside its neighbours",
+			    now);
 }
 
-/* Fillers that all get what they ask for show that more is unused. */
+/* Fillers that all get what they use at most show that more is unused. */
 static void learn_share(bh_host_t *host)
 {
-	uint64_t asked = 0;
+	uint64_t peak = 0;
 	uint64_t got = 0;
 	const bh_run_t *run;
 
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
-		if (!is_filler_run(run) || run->pace < 100 ||
-		    run->percent < 5)
+		if (!is_filler_run(run) || run->pace < 100 || !run->peak ||
+		    !run->gauge)
 			continue;
-		asked += run->task->phase->step->cpu_milli;
+		peak += run->peak;
 		got += run->gauge;
 	}
-	if (asked * 2 < host->filler_cpu || asked == 0)
+	if (peak * 2 < host->filler_cpu || peak == 0)
 		return;
-	if ((double)got < (double)asked * USE_SHORT)
+	if ((double)got < (double)peak * USE_SHORT)
 		host->filler_share = MIN(host->filler_share + SHARE_UP, 1);
-	else if ((double)got > (double)asked * USE_FULL)
+	else if ((double)got > (double)peak * USE_FULL)
 		host->filler_share =
 			MAX(host->filler_share - SHARE_DOWN, SHARE_MIN);
 }
@@ -335,25 +379,37 @@
 
 static void steer_host(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
+	bh_run_t *run;
+	bh_run_t *next;
+
 	update_strain(host);
-	if (host->strain < STRAIN_LOW) {
-		host->strained_since = 0;
-		ease_fillers(s, host, now);
-		return;
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
+	{
+		if (!is_filler_run(run))
+			continue;
+		steer_filler(s, run, now);
+		move_filler(s, run, now);
 	}
-	if (host->strain < STRAIN_HIGH)
-		return;
-	if (!host->strained_since)
-		host->strained_since = now;
-	slow_fillers(s, host, now);
-	if (now - host->strained_since > MOVE_AFTER_US)
-		move_fillers(s, host, now);
+}
+
+uint32_t bh_run_need(const bh_run_t *run)
+{
+	return run->peak ? run->peak : run->task->phase->step->cpu_milli;
+}
+
+void bh_steer_started(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
+{
+	double part = bearable_by_all(s, run);
+
+	if (part < 1)
+		set_pace(s, run, 100 * part, "its neighbours bear no more",
+			 now);
 }
 
 double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
 			const bh_step_t *filler)
 {
-	bh_press_t press[PRESSES_MAX + 1];
+	bh_press_t press[BH_PRESSES_MAX + 1];
 	uint32_t n = presses_of(host, press);
 	const bh_run_t *run;
 	double worst = 0;
@@ -387,12 +443,6 @@
 	if (now - s->steered_at < STEER_EVERY_US)
 		return;
 	s->steered_at = now;
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
-		if (host->gauged_at != host->heard_at)
-			learn_share(host);
-		update_tails(host);
-	}
 	TAILQ_FOREACH(rec, &s->recs, link)
 	{
 		for (uint32_t i = 0;
@@ -405,7 +455,12 @@
 	{
 		if (!host->is_linked)
 			continue;
-		learn_pairs(s, host, now);
+		if (host->gauged_at != host->heard_at) {
+			host->gauged_at = host->heard_at;
+			take_gauges(host);
+			learn_share(host);
+			learn_pairs(s, host);
+		}
 		steer_host(s, host, now);
 	}
 }
