Each look bounds the harm of a pair of images from above

Cause: with several fillers on a host the correction fell on all of them.

Change: bounds from the least share of the last reports; corrections go to those whose bound allows it; lasting tasks are packed by image; only a job of which nothing runs is forced onto a host.

--- a/sched/pairs.c
+++ b/sched/pairs.c
@@ -6,14 +6,31 @@
 #define HARM_PRIOR 1.0
 #define HARM_MAX   300.0
 
-/* Part of the error that one look corrects; gauges are rough. */
+/* A pair whose harm is bounded by this is no bad one. */
+#define HARM_TRIED 6.0
+
+/* Part of the error that one look corrects. */
 #define LEARN_RATE 0.5
 
 /* Keeps small shares from large corrections. */
 #define SHARE_FLOOR 0.02
 
+/* Shares below this bound nothing: gauges err by more. */
+#define SHARE_BOUND 0.02
+
+/* Gauges are off by some percent either way. */
+#define EXCESS_NOISE 0.12
+
+/* Bounds widen by this factor with each look, since images change. */
+#define BOUND_WIDEN 1.005
+
+typedef struct pair {
+	double harm;
+	double upper;
+} pair_t;
+
 struct bh_pairs {
-	GHashTable *harm;
+	GHashTable *pairs;
 };
 
 static char *key_of(const char *filler, const char *lasting)
@@ -22,28 +39,57 @@
 			   NULL);
 }
 
+static pair_t *pair_find(const bh_pairs_t *pairs, const char *filler,
+			 const char *lasting)
+{
+	g_autofree char *key = key_of(filler, lasting);
+
+	return g_hash_table_lookup(pairs->pairs, key);
+}
+
+static pair_t *pair_get(bh_pairs_t *pairs, const char *filler,
+			const char *lasting)
+{
+	pair_t *pair = pair_find(pairs, filler, lasting);
+
+	if (pair)
+		return pair;
+	pair = g_new0(pair_t, 1);
+	pair->harm = HARM_PRIOR;
+	pair->upper = HARM_MAX;
+	g_hash_table_insert(pairs->pairs, key_of(filler, lasting), pair);
+	return pair;
+}
+
 bh_pairs_t *bh_pairs_new(void)
 {
 	bh_pairs_t *pairs = g_new0(bh_pairs_t, 1);
 
-	pairs->harm =
+	pairs->pairs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pairs;
 }
 
 void bh_pairs_free(bh_pairs_t *pairs)
 {
-	g_hash_table_destroy(pairs->harm);
+	g_hash_table_destroy(pairs->pairs);
 	g_free(pairs);
 }
 
 double bh_pairs_harm(const bh_pairs_t *pairs, const char *filler,
 		     const char *lasting)
 {
-	g_autofree char *key = key_of(filler, lasting);
-	const double *harm = g_hash_table_lookup(pairs->harm, key);
+	const pair_t *pair = pair_find(pairs, filler, lasting);
 
-	return harm ? *harm : HARM_PRIOR;
+	return pair ? MIN(pair->harm, pair->upper) : HARM_PRIOR;
+}
+
+bool bh_pairs_is_tried(const bh_pairs_t *pairs, const char *filler,
+		       const char *lasting)
+{
+	const pair_t *pair = pair_find(pairs, filler, lasting);
+
+	return pair && pair->upper < HARM_TRIED;
 }
 
 double bh_pairs_excess(const bh_pairs_t *pairs, const char *lasting,
@@ -57,21 +103,39 @@
 	return excess;
 }
 
+void bh_pairs_bound(bh_pairs_t *pairs, const char *lasting,
+		    const bh_press_t *press, uint32_t n, double excess)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		pair_t *pair;
+		double bound;
+
+		if (press[i].share < SHARE_BOUND)
+			continue;
+		pair = pair_get(pairs, press[i].image, lasting);
+		bound = (MAX(excess, 0) + EXCESS_NOISE) / press[i].share;
+		pair->upper = MIN(pair->upper * BOUND_WIDEN, HARM_MAX);
+		pair->upper = MIN(pair->upper, bound);
+	}
+}
+
 void bh_pairs_learn(bh_pairs_t *pairs, const char *lasting,
 		    const bh_press_t *press, uint32_t n, double excess)
 {
 	double error = excess - bh_pairs_excess(pairs, lasting, press, n);
 	double norm = SHARE_FLOOR * SHARE_FLOOR;
 
-	for (uint32_t i = 0; i < n; i++)
-		norm += press[i].share * press[i].share;
+	/* Only those that may be the cause share in the correction. */
+	for (uint32_t i = 0; i < n; i++) {
+		pair_t *pair = pair_get(pairs, press[i].image, lasting);
+
+		if (error < 0 || pair->harm < pair->upper)
+			norm += press[i].share * press[i].share;
+	}
 	for (uint32_t i = 0; i < n; i++) {
-		double harm = bh_pairs_harm(pairs, press[i].image, lasting);
-		double *value = g_new(double, 1);
+		pair_t *pair = pair_get(pairs, press[i].image, lasting);
+		double step = LEARN_RATE * error * press[i].share / norm;
 
-		harm += LEARN_RATE * error * press[i].share / norm;
-		*value = CLAMP(harm, 0, HARM_MAX);
-		g_hash_table_insert(pairs->harm,
-				    key_of(press[i].image, lasting), value);
+		pair->harm = CLAMP(pair->harm + step, 0, pair->upper);
 	}
 }
--- a/sched/pairs.h
+++ b/sched/pairs.h
@@ -4,7 +4,9 @@
  *
  *	base * (1 + sum over fillers of harm(filler, lasting) * share)
  *
- * where share is the part of the host's processors that a filler uses.
+ * where share is the part of the host's processors that a filler uses. Harm is
+ * never negative, so that each look bounds it from above: what a tail has not
+ * grown by, no filler beside it has added.
  */
 #ifndef BH_SCHED_PAIRS_H
 #define BH_SCHED_PAIRS_H
@@ -31,6 +33,12 @@
 double bh_pairs_harm(const bh_pairs_t *pairs, const char *filler,
 		     const char *lasting);
 
+/**
+ * bh_pairs_is_tried() - whether the pair is known not to be a bad one
+ */
+bool bh_pairs_is_tried(const bh_pairs_t *pairs, const char *filler,
+		       const char *lasting);
+
 /**
  * bh_pairs_excess() - predicted growth of a lasting task's tail
  */
@@ -38,9 +46,17 @@
 		       const bh_press_t *press, uint32_t n);
 
 /**
- * bh_pairs_learn() - a tail was seen beside fillers
+ * bh_pairs_bound() - a tail was seen beside fillers that had been there a while
+ * @press: the least share of each over that while
  * @excess: seen tail over its base, minus 1
  */
+void bh_pairs_bound(bh_pairs_t *pairs, const char *lasting,
+		    const bh_press_t *press, uint32_t n, double excess);
+
+/**
+ * bh_pairs_learn() - a tail was seen beside fillers
+ * @press: their shares with the lag of a gauge
+ */
 void bh_pairs_learn(bh_pairs_t *pairs, const char *lasting,
 		    const bh_press_t *press, uint32_t n, double excess);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -13,6 +13,7 @@
 #define WEIGHT_SLOW   2.0
 #define WEIGHT_SHUN   4.0
 #define WEIGHT_STRAIN 2.0
+#define WEIGHT_MIX    0.3
 
 /* A filler comes to a host only if no tail there is predicted to rise above
  * this part of its objective. */
@@ -24,7 +25,7 @@
 
 /* A filler that has waited so long goes where it disturbs least, at the pace
  * that its neighbours bear there. */
-#define FORCE_AFTER_US (1500 * BH_USEC_PER_MS)
+#define FORCE_AFTER_US (2000 * BH_USEC_PER_MS)
 
 /* Each worker named lengthens the adviser's answer. */
 #define ADVICE_WORKERS_MAX 30
@@ -123,6 +124,14 @@
 	return host->used_cpu + step->cpu_milli <= host->info.cpu_milli;
 }
 
+/* A job of which nothing runs must not wait for ever for a place where it
+ * disturbs nobody. */
+static bool must_run(const bh_task_t *task, bh_usec_t now)
+{
+	return task->phase->rec->n_runs == 0 &&
+	       now - task->waiting_since > FORCE_AFTER_US;
+}
+
 static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
 			const bh_host_t *host, bh_usec_t now)
 {
@@ -144,7 +153,7 @@
 		return false;
 	if (!has_room(host, step))
 		return false;
-	return !step->is_filler || now - task->waiting_since > FORCE_AFTER_US ||
+	return !step->is_filler || must_run(task, now) ||
 	       bh_steer_predict(s, host, step) <= STRAIN_FULL;
 }
 
@@ -153,7 +162,24 @@
 	return (double)cpu / MAX(host->info.cpu_milli, 1);
 }
 
-/* Lasting tasks are packed, so that fillers find hosts without any. */
+/* Images of lasting tasks on a host that are not @image. */
+static double other_images(const bh_host_t *host, const char *image)
+{
+	const bh_run_t *run;
+	double n = 0;
+
+	TAILQ_FOREACH(run, &host->runs, link)
+	{
+		const bh_step_t *step = run->task->phase->step;
+
+		if (step->is_lasting && g_strcmp0(step->image, image) != 0)
+			n++;
+	}
+	return n;
+}
+
+/* Lasting tasks are packed, those of an image together, so that a filler finds
+ * hosts without any that it disturbs. */
 static double load_score(const bh_sched_t *s, const bh_host_t *host,
 			 const bh_step_t *step)
 {
@@ -164,7 +190,8 @@
 		return used * host->filler_share + fillers +
 		       WEIGHT_STRAIN * bh_steer_predict(s, host, step);
 	if (step->is_lasting)
-		return fillers - used;
+		return fillers - used +
+		       WEIGHT_MIX * other_images(host, step->image);
 	return used + fillers / 2;
 }
 
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -38,6 +38,7 @@
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
 	task->phase->rec->has_started = true;
+	task->phase->rec->n_runs++;
 	if (task->phase->rec->state == BH_JOB_QUEUED)
 		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
@@ -54,6 +55,7 @@
 		if (task->runs[i] == run)
 			task->runs[i] = NULL;
 	}
+	task->phase->rec->n_runs--;
 	TAILQ_REMOVE(&run->host->runs, run, link);
 	host_charge(run->host, task->phase->step, -1);
 	g_free(run->checkpoint);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -22,6 +22,9 @@
 /* Images of fillers on a host; more are not told apart. */
 #define BH_PRESSES_MAX 32
 
+/* Reports after which a gauge shows all of what presses now. */
+#define BH_RECENT_REPORTS 4
+
 typedef enum bh_run_state {
 	BH_RUN_ORDERED,
 	BH_RUN_ACTIVE,
@@ -134,6 +137,7 @@
 	bh_job_state_t shown;
 	bh_job_state_t committing;
 	bool has_started;
+	uint32_t n_runs;
 	uint64_t dirty_since;
 	uint64_t commit_since;
 	uint64_t ended_ms;
@@ -159,6 +163,7 @@
  * @expires_ms: last lease granted, on the worker's clock
  * @used: room of its tasks, fillers' processor time apart
  * @filler_share: part of its tasks' processor time that they really use
+ * @recent: what pressed in each of the last reports, newest first
  * @press: what pressed on its lasting tasks, with the lag of their gauges
  * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
@@ -188,6 +193,8 @@
 	bh_usec_t gauged_at;
 	uint32_t n_press;
 	bh_press_t press[BH_PRESSES_MAX];
+	uint32_t n_recent[BH_RECENT_REPORTS];
+	bh_press_t recent[BH_RECENT_REPORTS][BH_PRESSES_MAX];
 	double speed;
 	uint32_t bad_streak;
 	const bh_rec_t *bad_job;
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -130,12 +130,20 @@
 				  (double)run->gauge /
 					  MAX(host->info.cpu_milli, 1));
 	}
+	memmove(host->recent + 1, host->recent,
+		sizeof(host->recent[0]) * (BH_RECENT_REPORTS - 1));
+	memmove(host->n_recent + 1, host->n_recent,
+		sizeof(host->n_recent[0]) * (BH_RECENT_REPORTS - 1));
+	host->n_recent[0] = n;
+	for (uint32_t i = 0; i < n; i++) {
+		now[i].image = g_intern_string(now[i].image ? now[i].image : "");
+		host->recent[0][i] = now[i];
+	}
 	for (uint32_t i = 0; i < host->n_press; i++)
 		host->press[i].share *= 1 - LAG_RATE;
 	for (uint32_t i = 0; i < n; i++)
 		add_press(host->press, &host->n_press,
-			  g_intern_string(now[i].image ? now[i].image : ""),
-			  now[i].share * LAG_RATE);
+			  now[i].image, now[i].share * LAG_RATE);
 	for (uint32_t i = 0; i < host->n_press; i++) {
 		if (host->press[i].share > PRESS_FORGET)
 			host->press[kept++] = host->press[i];
@@ -204,8 +212,33 @@
 			: base;
 }
 
+/* The least share that each image had in all of the last reports. */
+static uint32_t lasting_presses(const bh_host_t *host, bh_press_t *out)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < host->n_recent[0]; i++) {
+		bh_press_t least = host->recent[0][i];
+
+		for (int r = 1; r < BH_RECENT_REPORTS; r++) {
+			double share = 0;
+
+			for (uint32_t k = 0; k < host->n_recent[r]; k++) {
+				if (host->recent[r][k].image == least.image)
+					share = host->recent[r][k].share;
+			}
+			least.share = MIN(least.share, share);
+		}
+		if (least.share > 0)
+			out[n++] = least;
+	}
+	return n;
+}
+
 static void learn_pairs(bh_sched_t *s, bh_host_t *host)
 {
+	bh_press_t lasting[BH_PRESSES_MAX];
+	uint32_t n_lasting = lasting_presses(host, lasting);
 	const bh_run_t *run;
 
 	if (host->n_press == 0)
@@ -216,6 +249,8 @@
 
 		if (!is_serving_run(run) || phase->base_ms <= 0)
 			continue;
+		bh_pairs_bound(s->pairs, phase->step->image, lasting,
+			       n_lasting, run->gauge / phase->base_ms - 1);
 		bh_pairs_learn(s->pairs, phase->step->image, host->press,
 			       host->n_press,
 			       run->gauge / phase->base_ms - 1);
