Room for fillers grows only where they fill it; a harmed host's fillers stand

Change: it falls only on packed hosts; a tail that is over its objective for a third of the allowed time stops all fillers beside it.

--- a/sched/place.c
+++ b/sched/place.c
@@ -99,7 +99,7 @@
 	return false;
 }
 
-static int64_t filler_room(const bh_host_t *host)
+int64_t bh_host_filler_room(const bh_host_t *host)
 {
 	int64_t room = (int64_t)host->info.cpu_milli -
 		       (int64_t)((double)host->used_cpu * host->filler_share);
@@ -120,7 +120,7 @@
 		    host->info.accelerators)
 		return false;
 	if (step->is_filler)
-		return filler_room(host) >= (int64_t)step->cpu_milli;
+		return bh_host_filler_room(host) >= (int64_t)step->cpu_milli;
 	return host->used_cpu + step->cpu_milli <= host->info.cpu_milli;
 }
 
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -36,6 +36,7 @@
  * @moved_at: when its progress last changed
  * @seen_at: when a report first listed it
  * @tail: a serving task's tail latency in ms, without single spikes
+ * @over_since: when its tail rose over its objective; 0: it is not
  * @peak: most processor time that a filler used at full pace
  * @absences: reports in a row that did not list it
  * @pace: share of its speed that it may use, percent
@@ -55,6 +56,7 @@
 	uint32_t gauge;
 	double tail;
 	double last_gauge;
+	bh_usec_t over_since;
 	uint32_t peak;
 	bh_usec_t paced_at;
 	uint32_t absences;
@@ -167,6 +169,7 @@
  * @press: what pressed on its lasting tasks, with the lag of their gauges
  * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
+ * @is_harmed: a tail there is over its objective for long
  * @bad_streak: attempts in a row that failed for the host's reasons
  * @shunned_until: no new work before
  */
@@ -189,7 +192,7 @@
 	uint64_t filler_cpu;
 	double filler_share;
 	double strain;
-	bh_usec_t strained_since;
+	bool is_harmed;
 	bh_usec_t gauged_at;
 	uint32_t n_press;
 	bh_press_t press[BH_PRESSES_MAX];
@@ -294,6 +297,11 @@
 void bh_health_check_runs(bh_sched_t *s, bh_usec_t now);
 
 /* place.c */
+
+/**
+ * bh_host_filler_room() - processor time that is left for more fillers
+ */
+int64_t bh_host_filler_room(const bh_host_t *host);
 void bh_place_all(bh_sched_t *s, bh_usec_t now);
 
 /**
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -38,6 +38,10 @@
 /* A filler that stood for so long moves to where it may run. */
 #define MOVE_AFTER_US (400 * BH_USEC_PER_MS)
 
+/* Part of the time that a tail may be over its objective because of fillers,
+ * after which all of them stand until it is under it again. */
+#define HARM_PART 3
+
 /* Progress above which work that has no checkpoint is not thrown away. */
 #define MOVE_PERCENT_MAX 30
 
@@ -46,7 +50,10 @@
 #define USE_SHORT  0.8
 #define SHARE_DOWN 0.05
 #define SHARE_UP   0.05
-#define SHARE_MIN  0.2
+#define SHARE_MIN  0.4
+
+/* A host with less than this part of its room free is packed. */
+#define PACKED_PART 8
 
 /* Gauges follow what causes them with a lag of about one report; shares are
  * filtered alike before they are compared. */
@@ -160,6 +167,10 @@
 			    ? run->gauge
 			    : MIN(run->gauge, run->last_gauge);
 	run->last_gauge = run->gauge;
+	if (run->gauge <= run->task->phase->step->target_ms)
+		run->over_since = 0;
+	else if (!run->over_since)
+		run->over_since = run->host->heard_at;
 }
 
 static void take_gauges(bh_host_t *host)
@@ -346,6 +357,11 @@
 	bool is_pressing = presses_on_strained(s, run);
 	double pace = 100 * bearable_by_all(s, run);
 
+	if (run->host->is_harmed) {
+		set_pace(s, run, 0, "a tail is over its objective for long",
+			 now);
+		return;
+	}
 	if (now - run->paced_at < SETTLE_US &&
 	    (!is_pressing || run->host->strain < 1))
 		return;
@@ -374,6 +390,12 @@
 			    now);
 }
 
+/* Whether fillers fill the room that they are thought to have. */
+static bool is_packed(const bh_host_t *host)
+{
+	return bh_host_filler_room(host) < host->info.cpu_milli / PACKED_PART;
+}
+
 /* Fillers that all get what they use at most show that more is unused. */
 static void learn_share(bh_host_t *host)
 {
@@ -393,22 +415,27 @@
 		return;
 	if ((double)got < (double)peak * USE_SHORT)
 		host->filler_share = MIN(host->filler_share + SHARE_UP, 1);
-	else if ((double)got > (double)peak * USE_FULL)
+	else if ((double)got > (double)peak * USE_FULL && is_packed(host))
 		host->filler_share =
 			MAX(host->filler_share - SHARE_DOWN, SHARE_MIN);
 }
 
-static void update_strain(bh_host_t *host)
+static void update_strain(const bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
+	bh_usec_t limit = s->bounds.impact_ms * BH_USEC_PER_MS / HARM_PART;
 	const bh_run_t *run;
 
 	host->strain = 0;
+	host->is_harmed = false;
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
-		if (is_serving_run(run))
-			host->strain = MAX(
-				host->strain,
-				run->tail / run->task->phase->step->target_ms);
+		if (!is_serving_run(run))
+			continue;
+		host->strain =
+			MAX(host->strain,
+			    run->tail / run->task->phase->step->target_ms);
+		if (run->over_since && now - run->over_since > limit)
+			host->is_harmed = true;
 	}
 }
 
@@ -417,7 +444,7 @@
 	bh_run_t *run;
 	bh_run_t *next;
 
-	update_strain(host);
+	update_strain(s, host, now);
 	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
 	{
 		if (!is_filler_run(run))
