One name for one function: the placement of the job scheduler is not the cell's

Cause: core/ and sched/ both had bh_place_find; the linker took one for both, so that agents of the request path crashed (tests/process: 0 of 3 endpoints). Change: sched's is bh_sched_find_host.

--- a/sched/health.c
+++ b/sched/health.c
@@ -88,7 +88,7 @@
 
 	if (task->runs[0] && task->runs[1])
 		return;
-	host = bh_place_find(s, task, run->host, now);
+	host = bh_sched_find_host(s, task, run->host, now);
 	if (!host)
 		return;
 	s->stats.copies++;
@@ -113,7 +113,7 @@
 	if (task->phase->step->is_speculative) {
 		start_copy(s, task, run, now);
 	} else if (run->host->speed < SLOW_SPEED &&
-		   bh_place_find(s, task, run->host, now)) {
+		   bh_sched_find_host(s, task, run->host, now)) {
 		task->shunned = run->host;
 		bh_run_stop(s, run, "its worker is slow", now);
 	}
--- a/sched/place.c
+++ b/sched/place.c
@@ -212,7 +212,7 @@
 	return value;
 }
 
-bh_host_t *bh_place_find(bh_sched_t *s, const bh_task_t *task,
+bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
 			 const bh_host_t *not_on, bh_usec_t now)
 {
 	bh_host_t *best = NULL;
@@ -243,7 +243,7 @@
 
 		if (task->is_done || task->runs[0] || task->runs[1])
 			continue;
-		host = bh_place_find(s, task, NULL, now);
+		host = bh_sched_find_host(s, task, NULL, now);
 		if (!host)
 			return false;
 		bh_run_start(s, task, host, bh_task_next_attempt(s, task),
@@ -271,7 +271,7 @@
 	}
 	for (; placed < n; placed++) {
 		bh_task_t *task = &phase->tasks[placed];
-		bh_host_t *host = bh_place_find(s, task, NULL, now);
+		bh_host_t *host = bh_sched_find_host(s, task, NULL, now);
 
 		if (!host)
 			break;
@@ -326,7 +326,7 @@
 	return true;
 }
 
-void bh_place_all(bh_sched_t *s, bh_usec_t now)
+void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
 {
 	GPtrArray *phases = g_ptr_array_new();
 	bh_phase_t *phase;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -205,7 +205,7 @@
 	if (!s->must_place || !s->config)
 		return;
 	s->must_place = false;
-	bh_place_all(s, now);
+	bh_sched_place_all(s, now);
 }
 
 bool bh_sched_has_uncommitted(const bh_sched_t *s)
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -302,14 +302,14 @@
  * bh_host_filler_room() - processor time that is left for more fillers
  */
 int64_t bh_host_filler_room(const bh_host_t *host);
-void bh_place_all(bh_sched_t *s, bh_usec_t now);
+void bh_sched_place_all(bh_sched_t *s, bh_usec_t now);
 
 /**
- * bh_place_find() - the best host for a task
+ * bh_sched_find_host() - the best host for a task
  *
  * Return: NULL when none has room.
  */
-bh_host_t *bh_place_find(bh_sched_t *s, const bh_task_t *task,
+bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
 			 const bh_host_t *not_on, bh_usec_t now);
 
 /* steer.c */
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -384,7 +384,7 @@
 	if (run->pace > 0 || now - run->paced_at < MOVE_AFTER_US ||
 	    (!step->is_checkpointing && run->percent > MOVE_PERCENT_MAX))
 		return;
-	other = bh_place_find(s, run->task, run->host, now);
+	other = bh_sched_find_host(s, run->task, run->host, now);
 	if (other && bh_steer_predict(s, other, step) <= STRAIN_HIGH)
 		bh_run_stop(s, run, "it may not run beside its neighbours",
 			    now);
