The base of a tail is at least what was seen

Fillers stood beside serving tasks at a third of their objective.

Change: a phase's least tail bounds its base from below.

--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -93,6 +93,7 @@
  * @is_open: what it follows is done, and its time has come
  * @rate_sum: work per time of its runs, in units of the estimate
  * @base_ms: tail of its lasting tasks without fillers, as it seems now
+ * @least_ms: least tail that one of its tasks ever showed
  * @usual_base_ms: the same over some seconds
  * @tickets: by worker id, where the queue needs advice
  */
@@ -114,6 +115,7 @@
 	bh_usec_t tickets_until;
 	bh_usec_t advice_asked_at;
 	double base_ms;
+	double least_ms;
 	double usual_base_ms;
 };
 
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -189,7 +189,7 @@
 
 /* The tail that a phase's tasks would have without fillers: they share their
  * users' load, and gauges err upwards, so that the least of them tells. */
-static double base_of_phase(bh_sched_t *s, const bh_phase_t *phase)
+static double base_of_phase(bh_sched_t *s, bh_phase_t *phase)
 {
 	double least = 0;
 
@@ -199,6 +199,10 @@
 
 		if (!run || !is_serving_run(run))
 			continue;
+		/* Harm that is overrated must not push the base below any
+		 * tail that was really seen. */
+		if (phase->least_ms == 0 || run->gauge < phase->least_ms)
+			phase->least_ms = run->gauge;
 		value = run->gauge /
 			(1 + bh_pairs_excess(s->pairs, phase->step->image,
 					     run->host->press,
@@ -206,7 +210,8 @@
 		if (least == 0 || value < least)
 			least = value;
 	}
-	return MIN(least, phase->step->target_ms * BASE_MAX);
+	return MIN(MAX(least, phase->least_ms),
+		   phase->step->target_ms * BASE_MAX);
 }
 
 static void update_base(bh_sched_t *s, bh_phase_t *phase)
