--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -211,6 +211,7 @@
 	if (!run)
 		return;
 	run->absences = 0;
+	run->is_settled = true;
 	if (run->state == BH_RUN_ORDERED)
 		run->state = BH_RUN_ACTIVE;
 	if (!run->seen_at) {
@@ -244,7 +245,10 @@
 		if (run->state == BH_RUN_ORDERED && run->absences &&
 		    run->ordered_at < host->linked_at)
 			bh_run_stop(s, run, "its order was lost", now);
-		if (run->state != BH_RUN_ORDERED &&
+		if (run->state == BH_RUN_STOPPING && !run->is_settled &&
+		    now - run->stop_asked_at > STOP_AGAIN_US)
+			bh_run_stop(s, run, "its stop was not answered", now);
+		if (run->state != BH_RUN_ORDERED && run->is_settled &&
 		    run->absences >= ABSENT_REPORTS &&
 		    now - MAX(run->ordered_at, run->stop_asked_at) >
 			    ABSENT_AFTER_US)
@@ -452,6 +456,7 @@
 	if (!host || !run || run->host != host)
 		return;
 	if (outcome == BH_ORDER_OK) {
+		run->is_settled = true;
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
 		if (task->phase->step->is_filler)
@@ -487,8 +492,12 @@
 	bh_task_t *task = bh_task_find(s, name);
 	bh_run_t *run = task ? bh_run_find(task, attempt) : NULL;
 
-	if (!host || !run || run->host != host || outcome == BH_ORDER_OK)
+	if (!host || !run || run->host != host)
+		return;
+	if (outcome == BH_ORDER_OK) {
+		run->is_settled = true;
 		return;
+	}
 	bh_sched_log(s, "stop unclear", task->phase->rec->job->id,
 		     "task=%s attempt=%u worker=%s outcome=%s",
 		     name + BH_JOB_ID_LEN + 1, attempt, host->info.id,
--- a/sched/pairs.c
+++ b/sched/pairs.c
@@ -125,11 +125,16 @@
 	double error = excess - bh_pairs_excess(pairs, lasting, press, n);
 	double norm = SHARE_FLOOR * SHARE_FLOOR;
 
+	/* Bounds lower what is overrated. A tail that falls behind fillers
+	 * that were just paced down says nothing against them. */
+	if (error <= 0)
+		return;
+
 	/* Only those that may be the cause share in the correction. */
 	for (uint32_t i = 0; i < n; i++) {
 		pair_t *pair = pair_get(pairs, press[i].image, lasting);
 
-		if (error < 0 || pair->harm < pair->upper)
+		if (pair->harm < pair->upper)
 			norm += press[i].share * press[i].share;
 	}
 	for (uint32_t i = 0; i < n; i++) {
--- a/sched/place.c
+++ b/sched/place.c
@@ -343,7 +343,8 @@
 		phase->rank = rank_of(s, phase);
 		g_ptr_array_add(phases, phase);
 	}
-	qsort(phases->pdata, phases->len, sizeof(gpointer), by_rank);
+	if (phases->len)
+		qsort(phases->pdata, phases->len, sizeof(gpointer), by_rank);
 	for (guint i = 0; i < phases->len && misses < MISSES_MAX; i++) {
 		bool is_placed;
 
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -41,6 +41,8 @@
  * @absences: reports in a row that did not list it
  * @pace: share of its speed that it may use, percent
  * @stop_asked_at: when the stop was last ordered
+ * @is_settled: its start or its stop was answered, so that no late start of it
+ *	can happen unseen
  */
 struct bh_run {
 	TAILQ_ENTRY(bh_run) link;
@@ -62,6 +64,7 @@
 	uint32_t absences;
 	uint32_t pace;
 	bh_usec_t stop_asked_at;
+	bool is_settled;
 	char *checkpoint;
 };
 
--- /dev/null
+++ b/tests/schedworld.c
@@ -0,0 +1,954 @@
+#include "tests/schedworld.h"
+#include "wire/sched_codec.h"
+
+#include <stdio.h>
+
+#define STEP_US	   (20 * BH_USEC_PER_MS)
+#define REPORT_US  (400 * BH_USEC_PER_MS)
+#define COMMIT_US  (40 * BH_USEC_PER_MS)
+#define ELECT_US   (2500 * BH_USEC_PER_MS)
+#define LEASE_MS   5000
+#define SILENCE_MS 3000
+#define STOP_US	   (100 * BH_USEC_PER_MS)
+#define QUEUE	   "q"
+#define SERVICE	   "s"
+
+const char *const sw_fault_names[SW_FAULTS] = {
+	"none",		   "leader-kill",	"leader-cut",
+	"worker-crash",	   "worker-dark",	"agent-cut",
+	"agent-restart",   "store-down",	"store-loses-answers",
+	"orders-lost",	   "orders-late",	"worker-fails-all",
+	"tasks-stand-still", "worker-drains",
+};
+
+typedef struct sw_run_rec {
+	char name[BH_TASK_NAME_BYTES];
+	uint32_t attempt;
+	double done_ms;
+	double need_ms;
+	bool will_fail;
+	bh_usec_t stop_at;
+	uint32_t pace;
+} sw_run_rec_t;
+
+typedef struct sw_worker {
+	char key[24];
+	char id[24];
+	uint64_t boot;
+	bh_usec_t booted_at;
+	GPtrArray *runs;
+	GArray *ended;
+	GHashTable *barred;
+	uint64_t last_number;
+	uint64_t term;
+	uint64_t expires_ms;
+	bool is_up;
+	bool is_dark;
+	bool is_draining;
+	bh_usec_t fault_until[SW_FAULTS];
+	/* the agent */
+	uint64_t grant_ms;
+	uint64_t ack;
+	bool is_linked;
+	bh_usec_t reported_at;
+} sw_worker_t;
+
+typedef struct sw_message {
+	bh_usec_t at;
+	int worker;
+	int kind;
+	uint64_t term;
+	uint64_t boot;
+	char name[BH_TASK_NAME_BYTES];
+	uint32_t attempt;
+	uint32_t percent;
+	char *checkpoint;
+	uint64_t expires_ms;
+	bool has_answer;
+} sw_message_t;
+
+enum { START = 1, STOP, PACE };
+
+/* What the workers have seen of a task. */
+typedef struct sw_seen {
+	uint32_t running;
+	uint32_t failed;
+	bool is_done_acked;
+	bool is_done;
+} sw_seen_t;
+
+struct sw_world {
+	GRand *rand;
+	sw_switch_t off;
+	bh_usec_t now;
+	sw_worker_t workers[SW_WORKERS];
+	GHashTable *jobs;
+	GHashTable *progress;
+	GHashTable *seen;
+	GHashTable *poison;
+	GPtrArray *messages;
+	bh_config_t *config;
+	bh_sched_t *sched;
+	uint64_t term;
+	bool is_leading;
+	bh_usec_t elect_at;
+	bh_usec_t committed_at;
+	bh_usec_t proven_at;
+	bh_usec_t fault_until[SW_FAULTS];
+	uint32_t serve_ms;
+	double serve_harm;
+	char *serving;
+	char *broken;
+};
+
+static uint64_t unix_ms(const sw_world_t *w)
+{
+	return 1000000000000ull + (uint64_t)(w->now / 1000);
+}
+
+static uint64_t clock_of(const sw_world_t *w, const sw_worker_t *k)
+{
+	return (uint64_t)((w->now - k->booted_at) / 1000) + 1000;
+}
+
+static void breaks(sw_world_t *w, const char *rule, const char *task)
+{
+	if (!w->broken)
+		w->broken = g_strdup_printf("%s: %s at %.2f s", rule, task,
+					    (double)w->now / 1e6);
+}
+
+static sw_seen_t *seen_of(sw_world_t *w, const char *name)
+{
+	sw_seen_t *seen = g_hash_table_lookup(w->seen, name);
+
+	if (!seen) {
+		seen = g_new0(sw_seen_t, 1);
+		g_hash_table_insert(w->seen, g_strdup(name), seen);
+	}
+	return seen;
+}
+
+static bool has_fault(const sw_world_t *w, const sw_worker_t *k, sw_fault_t f)
+{
+	return w->now < w->fault_until[f] || (k && w->now < k->fault_until[f]);
+}
+
+static bh_job_t *job_of(sw_world_t *w, const char *id)
+{
+	GBytes *bytes = g_hash_table_lookup(w->jobs, id);
+	gsize len;
+	const void *data;
+
+	if (!bytes)
+		return NULL;
+	data = g_bytes_get_data(bytes, &len);
+	return bh_job_unpack(data, len);
+}
+
+/* The worker. */
+
+static void end_run(sw_world_t *w, sw_worker_t *k, guint i, bh_end_t how)
+{
+	sw_run_rec_t *run = k->runs->pdata[i];
+	bh_ended_t end = {.number = ++k->last_number,
+			  .task = g_strdup(run->name),
+			  .attempt = run->attempt,
+			  .how = how};
+	sw_seen_t *seen = seen_of(w, run->name);
+	char key[96];
+
+	if (how != BH_END_FAILED && how != BH_END_DONE)
+		end.checkpoint =
+			g_strdup_printf("%s@%.0f", run->name, run->done_ms);
+	seen->running--;
+	if (how == BH_END_DONE)
+		seen->is_done = true;
+	snprintf(key, sizeof(key), "%s", run->name);
+	g_hash_table_insert(k->barred, g_strdup(key),
+			    GUINT_TO_POINTER(run->attempt));
+	g_array_append_val(k->ended, end);
+	g_ptr_array_remove_index_fast(k->runs, i);
+}
+
+static void clear_ended(sw_worker_t *k, uint64_t upto, sw_world_t *w)
+{
+	for (guint i = 0; i < k->ended->len;) {
+		bh_ended_t *e = &g_array_index(k->ended, bh_ended_t, i);
+
+		if (e->number > upto) {
+			i++;
+			continue;
+		}
+		if (w && e->how == BH_END_DONE)
+			seen_of(w, e->task)->is_done_acked = true;
+		if (w && e->how == BH_END_FAILED)
+			seen_of(w, e->task)->failed++;
+		g_free(e->task);
+		g_free(e->checkpoint);
+		g_array_remove_index(k->ended, i);
+	}
+}
+
+static void reboot(sw_world_t *w, sw_worker_t *k)
+{
+	while (k->runs->len) {
+		sw_run_rec_t *run = k->runs->pdata[0];
+
+		seen_of(w, run->name)->running--;
+		g_ptr_array_remove_index_fast(k->runs, 0);
+	}
+	clear_ended(k, UINT64_MAX, NULL);
+	g_hash_table_remove_all(k->barred);
+	k->boot = unix_ms(w);
+	k->booted_at = w->now;
+	k->last_number = 0;
+	k->expires_ms = 0;
+	k->term = 0;
+	k->is_draining = false;
+	k->grant_ms = 0;
+	k->ack = 0;
+}
+
+static void check_start(sw_world_t *w, const char *name, const bh_step_t *step,
+			const char *checkpoint)
+{
+	sw_seen_t *seen = seen_of(w, name);
+	bh_task_name_t parts;
+	bh_job_t *job;
+
+	bh_task_name_parse(name, &parts);
+	job = job_of(w, parts.job);
+	if (seen->running && !step->is_speculative)
+		breaks(w, "TWICE", name);
+	if (seen->is_done_acked && !step->is_speculative)
+		breaks(w, "TWICE after its end was taken note of", name);
+	if (seen->failed >= job->terms.max_attempts && !step->is_lasting)
+		breaks(w, "BUDGET", name);
+	if (checkpoint && *checkpoint &&
+	    strncmp(checkpoint, name, strlen(name)) != 0)
+		breaks(w, "UNASKED checkpoint", name);
+	for (uint32_t a = 0; a < step->n_after; a++) {
+		for (uint32_t i = 0; i < job->steps[step->after[a]].count;
+		     i++) {
+			bh_task_name_t before = parts;
+			char text[BH_TASK_NAME_BYTES];
+
+			before.step = step->after[a];
+			before.index = i;
+			bh_task_name_format(&before, text);
+			if (!seen_of(w, text)->is_done)
+				breaks(w, "ORDER", name);
+		}
+	}
+	bh_job_free(job);
+}
+
+static void start_run(sw_world_t *w, sw_worker_t *k, const sw_message_t *m)
+{
+	sw_run_rec_t *run = g_new0(sw_run_rec_t, 1);
+	bh_task_name_t parts;
+	bh_job_t *job;
+	const bh_step_t *step;
+
+	bh_task_name_parse(m->name, &parts);
+	job = job_of(w, parts.job);
+	step = &job->steps[parts.step];
+	check_start(w, m->name, step, m->checkpoint);
+	g_strlcpy(run->name, m->name, sizeof(run->name));
+	run->attempt = m->attempt;
+	run->need_ms = step->is_lasting ? 1e12 : step->estimate_ms;
+	run->pace = 100;
+	if (m->checkpoint && strrchr(m->checkpoint, '@'))
+		run->done_ms =
+			g_ascii_strtod(strrchr(m->checkpoint, '@') + 1, NULL);
+	run->will_fail = has_fault(w, k, SW_WORKER_FAILS_ALL) ||
+			 g_hash_table_contains(w->poison, parts.job);
+	seen_of(w, m->name)->running++;
+	g_ptr_array_add(k->runs, run);
+	bh_job_free(job);
+}
+
+static sw_run_rec_t *find_run(sw_worker_t *k, const char *name,
+			      uint32_t attempt)
+{
+	for (guint i = 0; i < k->runs->len; i++) {
+		sw_run_rec_t *run = k->runs->pdata[i];
+
+		if (strcmp(run->name, name) == 0 && run->attempt == attempt)
+			return run;
+	}
+	return NULL;
+}
+
+static bh_order_outcome_t worker_start(sw_world_t *w, sw_worker_t *k,
+				       const sw_message_t *m)
+{
+	uint32_t barred = GPOINTER_TO_UINT(
+		g_hash_table_lookup(k->barred, m->name));
+
+	if (m->term < k->term)
+		return BH_ORDER_FENCED;
+	if (find_run(k, m->name, m->attempt))
+		return BH_ORDER_OK;
+	if (barred >= m->attempt)
+		return BH_ORDER_OLD;
+	if (m->expires_ms <= clock_of(w, k))
+		return BH_ORDER_REFUSED;
+	k->expires_ms = MAX(k->expires_ms, m->expires_ms);
+	start_run(w, k, m);
+	return BH_ORDER_OK;
+}
+
+static bh_order_outcome_t worker_order(sw_world_t *w, sw_worker_t *k,
+				       const sw_message_t *m)
+{
+	sw_run_rec_t *run;
+
+	if (m->boot != k->boot)
+		return BH_ORDER_REFUSED;
+	if (m->term < k->term)
+		return BH_ORDER_FENCED;
+	k->term = m->term;
+	if (m->kind == START)
+		return worker_start(w, k, m);
+	run = find_run(k, m->name, m->attempt);
+	if (m->kind == PACE && run)
+		run->pace = m->percent;
+	if (m->kind == STOP && run)
+		run->stop_at = w->now + STOP_US;
+	if (m->kind == STOP && !run)
+		g_hash_table_insert(k->barred, g_strdup(m->name),
+				    GUINT_TO_POINTER(m->attempt));
+	return BH_ORDER_OK;
+}
+
+static void worker_step(sw_world_t *w, sw_worker_t *k)
+{
+	for (guint i = 0; i < k->runs->len;) {
+		sw_run_rec_t *run = k->runs->pdata[i];
+
+		if (!has_fault(w, k, SW_TASKS_STAND_STILL))
+			run->done_ms += STEP_US / 1000.0 * run->pace / 100;
+		if (clock_of(w, k) >= k->expires_ms)
+			end_run(w, k, i, BH_END_LAPSED);
+		else if (run->stop_at && w->now >= run->stop_at)
+			end_run(w, k, i, BH_END_STOPPED);
+		else if (run->done_ms >= run->need_ms)
+			end_run(w, k, i,
+				run->will_fail ? BH_END_FAILED : BH_END_DONE);
+		else
+			i++;
+	}
+}
+
+/* The agent: orders go through it, and its reports tell the leader. */
+
+static void send(sw_world_t *w, const char *host, sw_message_t *m)
+{
+	int i;
+
+	for (i = 0; i < SW_WORKERS; i++) {
+		if (strcmp(w->workers[i].key, host) == 0)
+			break;
+	}
+	m->worker = i;
+	m->term = w->term;
+	m->at = w->now + STEP_US;
+	m->has_answer = true;
+	if (has_fault(w, &w->workers[i], SW_ORDERS_LATE) &&
+	    g_rand_int_range(w->rand, 0, 3) == 0) {
+		m->at = w->now + g_rand_int_range(w->rand, 2, 12) *
+					 BH_USEC_PER_SEC;
+		m->has_answer = false;
+	}
+	g_ptr_array_add(w->messages, m);
+}
+
+static void op_start(void *ctx, const char *host, const bh_start_t *start)
+{
+	sw_message_t *m = g_new0(sw_message_t, 1);
+
+	m->kind = START;
+	m->boot = start->boot;
+	m->attempt = start->attempt;
+	m->expires_ms = start->expires_ms;
+	m->checkpoint = g_strdup(start->checkpoint);
+	g_strlcpy(m->name, start->task, sizeof(m->name));
+	send(ctx, host, m);
+}
+
+static void op_stop(void *ctx, const char *host, uint64_t boot,
+		    const char *task, uint32_t attempt)
+{
+	sw_message_t *m = g_new0(sw_message_t, 1);
+
+	m->kind = STOP;
+	m->boot = boot;
+	m->attempt = attempt;
+	g_strlcpy(m->name, task, sizeof(m->name));
+	send(ctx, host, m);
+}
+
+static void op_pace(void *ctx, const char *host, uint64_t boot,
+		    const char *task, uint32_t attempt, uint32_t percent)
+{
+	sw_message_t *m = g_new0(sw_message_t, 1);
+
+	m->kind = PACE;
+	m->boot = boot;
+	m->attempt = attempt;
+	m->percent = percent;
+	g_strlcpy(m->name, task, sizeof(m->name));
+	send(ctx, host, m);
+}
+
+static void op_grant(void *ctx, const char *host, uint64_t boot,
+		     uint64_t expires_ms, uint64_t ack)
+{
+	sw_world_t *w = ctx;
+
+	for (int i = 0; i < SW_WORKERS; i++) {
+		sw_worker_t *k = &w->workers[i];
+
+		if (strcmp(k->key, host) != 0 || boot != k->boot)
+			continue;
+		k->grant_ms = MAX(k->grant_ms, expires_ms);
+		k->ack = w->off == SW_EARLY_ACK ? k->last_number
+						: MAX(k->ack, ack);
+	}
+}
+
+static void op_event(void *ctx, const char *what, const char *job,
+		     const char *detail)
+{
+	sw_world_t *w = ctx;
+
+	if (g_getenv("BH_TRACE"))
+		printf("%8.2f %s %s %s\n", (double)w->now / 1e6, what,
+		       job ? job : "", detail);
+}
+
+static const bh_sched_ops_t ops = {
+	.start = op_start,
+	.stop = op_stop,
+	.pace = op_pace,
+	.grant = op_grant,
+	.event = op_event,
+};
+
+static void answer(sw_world_t *w, const sw_message_t *m,
+		   bh_order_outcome_t outcome)
+{
+	const char *key = w->workers[m->worker].key;
+
+	if (!w->is_leading || m->term != w->term ||
+	    !w->workers[m->worker].is_linked)
+		return;
+	if (m->kind == START)
+		bh_sched_started(w->sched, key, m->name, m->attempt, outcome,
+				 w->now);
+	else if (m->kind == STOP)
+		bh_sched_stopped(w->sched, key, m->name, m->attempt, outcome,
+				 w->now);
+}
+
+static void deliver(sw_world_t *w)
+{
+	for (guint i = 0; i < w->messages->len;) {
+		sw_message_t *m = w->messages->pdata[i];
+		sw_worker_t *k = &w->workers[m->worker];
+		bh_order_outcome_t outcome = BH_ORDER_UNCLEAR;
+
+		if (!m->has_answer && w->now >= m->at - 2 * BH_USEC_PER_SEC &&
+		    m->at > w->now + STEP_US) {
+			i++;
+			continue;
+		}
+		if (w->now < m->at) {
+			i++;
+			continue;
+		}
+		g_ptr_array_steal_index(w->messages, i);
+		if (k->is_up && !k->is_dark && k->is_linked) {
+			if (has_fault(w, k, SW_ORDERS_LOST) &&
+			    g_rand_int_range(w->rand, 0, 2) == 0) {
+				if (g_rand_int_range(w->rand, 0, 2) == 0)
+					worker_order(w, k, m);
+			} else {
+				outcome = worker_order(w, k, m);
+			}
+			if (m->has_answer)
+				answer(w, m, outcome);
+		}
+		g_free(m->checkpoint);
+		g_free(m);
+	}
+	/* Orders that are held back look unanswered from the first second. */
+	for (guint i = 0; i < w->messages->len; i++) {
+		sw_message_t *m = w->messages->pdata[i];
+
+		if (m->has_answer || m->percent == 1000)
+			continue;
+		m->percent = 1000;
+		answer(w, m, BH_ORDER_UNCLEAR);
+	}
+}
+
+static uint32_t gauge_of(sw_world_t *w, sw_worker_t *k, const bh_step_t *step)
+{
+	double press = 0;
+
+	if (!step->is_lasting)
+		return step->cpu_milli;
+	for (guint i = 0; i < k->runs->len; i++) {
+		sw_run_rec_t *run = k->runs->pdata[i];
+		bh_task_name_t parts;
+		bh_job_t *job;
+
+		bh_task_name_parse(run->name, &parts);
+		job = job_of(w, parts.job);
+		if (job->steps[parts.step].is_filler)
+			press += job->steps[parts.step].cpu_milli / 10000.0 *
+				 run->pace / 100;
+		bh_job_free(job);
+	}
+	return (uint32_t)(w->serve_ms * (1 + w->serve_harm * press));
+}
+
+static void fill_active(sw_world_t *w, sw_worker_t *k, bh_worker_lists_t *lists)
+{
+	lists->active = g_new0(bh_active_t, k->runs->len + 1);
+	for (guint i = 0; i < k->runs->len; i++) {
+		sw_run_rec_t *run = k->runs->pdata[i];
+		bh_active_t *a = &lists->active[lists->n_active++];
+		bh_task_name_t parts;
+		bh_job_t *job;
+		const bh_step_t *step;
+
+		bh_task_name_parse(run->name, &parts);
+		job = job_of(w, parts.job);
+		step = &job->steps[parts.step];
+		a->task = g_strdup(run->name);
+		a->attempt = run->attempt;
+		a->percent = step->is_lasting
+				     ? (run->done_ms > 300 ? 100 : 50)
+				     : (uint32_t)(run->done_ms * 100 /
+						  run->need_ms);
+		if (step->is_checkpointing)
+			a->checkpoint = g_strdup_printf("%s@%.0f", run->name,
+							run->done_ms);
+		a->gauge = gauge_of(w, k, step);
+		bh_job_free(job);
+	}
+}
+
+static void report(sw_world_t *w, sw_worker_t *k)
+{
+	bh_worker_info_t info = {.id = k->id,
+				 .boot = k->boot,
+				 .service = (char *)SERVICE,
+				 .zone = (char *)"z",
+				 .state = k->is_draining ? BH_WORKER_DRAINING
+							 : BH_WORKER_READY,
+				 .cpu_milli = 10000,
+				 .memory_mb = 100000,
+				 .leaves_ms = 500};
+	bh_worker_lists_t lists = {.boot = k->boot,
+				   .clock_ms = clock_of(w, k)};
+	bool may_grant = w->now - w->proven_at < SILENCE_MS * 1000;
+
+	if (!k->is_up) {
+		info.state = BH_WORKER_DOWN;
+		bh_sched_report(w->sched, k->key, &info, NULL, may_grant,
+				w->now);
+		return;
+	}
+	if (k->is_dark)
+		return;
+	if (w->term >= k->term) {
+		k->term = w->term;
+		k->expires_ms = MAX(k->expires_ms, k->grant_ms);
+		clear_ended(k, k->ack, w);
+	}
+	fill_active(w, k, &lists);
+	lists.n_ended = k->ended->len;
+	lists.ended = g_new0(bh_ended_t, k->ended->len + 1);
+	for (guint i = 0; i < k->ended->len; i++) {
+		lists.ended[i] = g_array_index(k->ended, bh_ended_t, i);
+		lists.ended[i].task = g_strdup(lists.ended[i].task);
+		lists.ended[i].checkpoint =
+			g_strdup(lists.ended[i].checkpoint);
+	}
+	bh_sched_report(w->sched, k->key, &info, &lists, may_grant, w->now);
+	bh_worker_lists_clear(&lists);
+}
+
+/* The leader and its store. */
+
+static void begin_term(sw_world_t *w)
+{
+	bh_sched_bounds_t bounds = {
+		.term = ++w->term,
+		.lease_ms = LEASE_MS,
+		.silence_ms = SILENCE_MS,
+		.restore_ms = 100,
+		.impact_ms = 4000,
+		.status_ms = 120000,
+		.remote_slowdown = 1.5,
+	};
+	GHashTableIter it;
+	gpointer id;
+
+	w->sched = bh_sched_new(&bounds, &ops, w, w->now, unix_ms(w));
+	bh_sched_set_config(w->sched, w->config, w->now);
+	w->is_leading = true;
+	w->proven_at = w->now;
+	for (int i = 0; i < SW_WORKERS; i++) {
+		bh_sched_add_host(w->sched, w->workers[i].key,
+				  w->term > 1 &&
+					  w->off != SW_NO_RECOVERY_WAIT,
+				  w->now);
+		w->workers[i].is_linked = false;
+	}
+	g_hash_table_iter_init(&it, w->jobs);
+	while (g_hash_table_iter_next(&it, &id, NULL)) {
+		GBytes *bytes = g_hash_table_lookup(w->progress, id);
+		gsize len = 0;
+		const void *data =
+			bytes ? g_bytes_get_data(bytes, &len) : NULL;
+		bh_progress_t *progress =
+			bytes ? bh_progress_unpack(data, len) : NULL;
+
+		bh_sched_add_job(w->sched, job_of(w, id), progress, w->now);
+		bh_progress_free(progress);
+	}
+}
+
+static void end_term(sw_world_t *w)
+{
+	bh_sched_free(w->sched);
+	w->sched = NULL;
+	w->is_leading = false;
+	w->elect_at = w->now + ELECT_US;
+}
+
+static void commit(sw_world_t *w)
+{
+	const char *ids[90];
+	uint32_t n;
+	bool is_stored;
+	bool is_told;
+
+	if (w->now - w->committed_at < COMMIT_US)
+		return;
+	w->committed_at = w->now;
+	is_stored = !has_fault(w, NULL, SW_STORE_DOWN) &&
+		    !has_fault(w, NULL, SW_LEADER_CUT);
+	is_told = is_stored &&
+		  !(has_fault(w, NULL, SW_STORE_LOSES_ANSWERS) &&
+		    g_rand_int_range(w->rand, 0, 3) == 0);
+	if (is_told)
+		w->proven_at = w->now;
+	n = bh_sched_begin_commit(w->sched, ids, 90);
+	if (n == 0)
+		return;
+	for (uint32_t i = 0; i < n && is_stored; i++) {
+		bh_progress_t *progress = bh_sched_progress(w->sched, ids[i]);
+
+		g_hash_table_insert(w->progress, g_strdup(ids[i]),
+				    bh_progress_pack(progress));
+		bh_progress_free(progress);
+	}
+	bh_sched_end_commit(w->sched, is_told, w->now);
+}
+
+static void link_agents(sw_world_t *w)
+{
+	for (int i = 0; i < SW_WORKERS; i++) {
+		sw_worker_t *k = &w->workers[i];
+		bool is_linked = !has_fault(w, k, SW_AGENT_CUT) &&
+				 !has_fault(w, k, SW_AGENT_RESTART) &&
+				 w->is_leading;
+
+		if (is_linked == k->is_linked)
+			continue;
+		k->is_linked = is_linked;
+		if (w->is_leading)
+			bh_sched_host_linked(w->sched, k->key, is_linked,
+					     w->now);
+		if (!is_linked)
+			continue;
+		/* A hello makes the worker heed this term from now on. */
+		if (k->is_up && !k->is_dark && w->term > k->term) {
+			k->term = w->term;
+			k->ack = 0;
+		}
+	}
+}
+
+static void worker_faults(sw_world_t *w, sw_worker_t *k)
+{
+	bool was_up = k->is_up;
+
+	k->is_dark = has_fault(w, k, SW_WORKER_DARK);
+	k->is_up = !has_fault(w, k, SW_WORKER_CRASH);
+	if (was_up && !k->is_up)
+		reboot(w, k);
+	if (!k->is_draining && has_fault(w, k, SW_WORKER_DRAINS))
+		k->is_draining = true;
+	if (k->is_draining && !has_fault(w, k, SW_WORKER_DRAINS))
+		reboot(w, k);
+}
+
+static void leader_faults(sw_world_t *w)
+{
+	if (w->is_leading && has_fault(w, NULL, SW_LEADER_KILL))
+		end_term(w);
+	/* Others reach the store and take over from a leader that does not. */
+	if (w->is_leading && has_fault(w, NULL, SW_LEADER_CUT) &&
+	    w->now - w->proven_at > ELECT_US)
+		end_term(w);
+	if (!w->is_leading && w->now >= w->elect_at &&
+	    !has_fault(w, NULL, SW_STORE_DOWN) &&
+	    !has_fault(w, NULL, SW_LEADER_KILL)) {
+		w->fault_until[SW_LEADER_CUT] = 0;
+		begin_term(w);
+	}
+}
+
+static void step(sw_world_t *w)
+{
+	w->now += STEP_US;
+	leader_faults(w);
+	link_agents(w);
+	for (int i = 0; i < SW_WORKERS; i++) {
+		worker_faults(w, &w->workers[i]);
+		if (w->workers[i].is_up)
+			worker_step(w, &w->workers[i]);
+	}
+	deliver(w);
+	if (!w->is_leading)
+		return;
+	for (int i = 0; i < SW_WORKERS; i++) {
+		sw_worker_t *k = &w->workers[i];
+
+		if (k->is_linked && w->now - k->reported_at >= REPORT_US) {
+			k->reported_at = w->now;
+			report(w, k);
+		}
+	}
+	bh_sched_run(w->sched, w->now, unix_ms(w));
+	commit(w);
+}
+
+static void free_message(gpointer data)
+{
+	sw_message_t *m = data;
+
+	g_free(m->checkpoint);
+	g_free(m);
+}
+
+sw_world_t *sw_new(uint32_t seed, sw_switch_t off)
+{
+	sw_world_t *w = g_new0(sw_world_t, 1);
+
+	w->rand = g_rand_new_with_seed(seed);
+	w->off = off;
+	w->now = 1000 * BH_USEC_PER_SEC;
+	w->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					(GDestroyNotify)g_bytes_unref);
+	w->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)g_bytes_unref);
+	w->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					g_free);
+	w->poison = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  NULL);
+	w->messages = g_ptr_array_new_with_free_func(free_message);
+	w->config = bh_config_new(1, 1);
+	w->config->version = 1;
+	w->config->queues[0] = (bh_queue_t){.name = g_strdup(QUEUE),
+					    .host = g_strdup("h"),
+					    .prefix = g_strdup("/p/"),
+					    .service = g_strdup(SERVICE),
+					    .max_attempts = 3,
+					    .slack_factor = 2,
+					    .target_ms = 1000};
+	w->config->services[0].name = g_strdup(SERVICE);
+	bh_config_index(w->config);
+	for (int i = 0; i < SW_WORKERS; i++) {
+		sw_worker_t *k = &w->workers[i];
+
+		snprintf(k->key, sizeof(k->key), "agent-%d", i);
+		snprintf(k->id, sizeof(k->id), "worker-%d", i);
+		k->runs = g_ptr_array_new_with_free_func(g_free);
+		k->ended = g_array_new(FALSE, TRUE, sizeof(bh_ended_t));
+		k->barred = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, NULL);
+		k->is_up = true;
+		reboot(w, k);
+		k->boot = unix_ms(w) - 1000 + (uint64_t)i;
+	}
+	begin_term(w);
+	sw_run(w, BH_USEC_PER_SEC);
+	return w;
+}
+
+void sw_free(sw_world_t *w)
+{
+	bh_sched_free(w->sched);
+	for (int i = 0; i < SW_WORKERS; i++) {
+		sw_worker_t *k = &w->workers[i];
+
+		clear_ended(k, UINT64_MAX, NULL);
+		g_ptr_array_free(k->runs, TRUE);
+		g_array_free(k->ended, TRUE);
+		g_hash_table_destroy(k->barred);
+	}
+	g_ptr_array_free(w->messages, TRUE);
+	g_hash_table_destroy(w->jobs);
+	g_hash_table_destroy(w->progress);
+	g_hash_table_destroy(w->seen);
+	g_hash_table_destroy(w->poison);
+	bh_config_free(w->config);
+	g_rand_free(w->rand);
+	g_free(w->serving);
+	g_free(w->broken);
+	g_free(w);
+}
+
+void sw_submit(sw_world_t *w, const char *id, uint32_t steps, uint32_t count,
+	       uint32_t cpu_milli, uint32_t ms, const char *flags)
+{
+	bh_job_t *job = g_new0(bh_job_t, 1);
+
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->queue = g_strdup(QUEUE);
+	job->spec = g_strdup("spec");
+	job->accepted_ms = unix_ms(w);
+	job->terms.service = g_strdup(SERVICE);
+	job->terms.max_attempts = 3;
+	job->terms.slack_percent = 200;
+	job->n_steps = steps;
+	job->steps = g_new0(bh_step_t, steps);
+	for (uint32_t i = 0; i < steps; i++) {
+		bh_step_t *s = &job->steps[i];
+
+		s->count = count;
+		s->cpu_milli = cpu_milli;
+		s->memory_mb = 100;
+		s->estimate_ms = ms;
+		s->is_checkpointing = strchr(flags, 'c') != NULL;
+		s->is_speculative = strchr(flags, 's') != NULL;
+		s->is_lasting = strchr(flags, 'l') != NULL;
+		s->is_filler = strchr(flags, 'f') != NULL;
+		s->is_gang = strchr(flags, 'g') != NULL;
+		s->target_ms = s->is_lasting ? 50 : 0;
+		s->image = g_strdup(s->is_lasting ? "serving" : "filling");
+		s->after = g_new0(uint32_t, 1);
+		if (i > 0) {
+			s->n_after = 1;
+			s->after[0] = i - 1;
+		}
+	}
+	g_hash_table_insert(w->jobs, g_strdup(id), bh_job_pack(job));
+	if (w->is_leading)
+		bh_sched_add_job(w->sched, job, NULL, w->now);
+	else
+		bh_job_free(job);
+}
+
+void sw_cancel(sw_world_t *w, const char *id)
+{
+	bh_job_t *job = job_of(w, id);
+
+	job->is_cancelled = true;
+	g_hash_table_insert(w->jobs, g_strdup(id), bh_job_pack(job));
+	bh_job_free(job);
+	if (w->is_leading)
+		bh_sched_cancel(w->sched, id, w->now);
+}
+
+void sw_poison(sw_world_t *w, const char *id)
+{
+	g_hash_table_add(w->poison, g_strdup(id));
+}
+
+void sw_fault(sw_world_t *w, sw_fault_t fault, int worker, bh_usec_t for_us)
+{
+	bh_usec_t until = w->now + for_us;
+
+	switch (fault) {
+	case SW_NONE:
+		break;
+	case SW_LEADER_KILL:
+	case SW_LEADER_CUT:
+	case SW_STORE_DOWN:
+	case SW_STORE_LOSES_ANSWERS:
+		w->fault_until[fault] = until;
+		break;
+	default:
+		w->workers[worker].fault_until[fault] = until;
+		break;
+	}
+}
+
+void sw_run(sw_world_t *w, bh_usec_t us)
+{
+	bh_usec_t until = w->now + us;
+
+	while (w->now < until)
+		step(w);
+}
+
+bh_job_state_t sw_state(sw_world_t *w, const char *id)
+{
+	return w->is_leading ? bh_sched_state(w->sched, id) : BH_JOB_UNKNOWN;
+}
+
+uint32_t sw_running(sw_world_t *w, const char *id)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < SW_WORKERS; i++) {
+		for (guint r = 0; r < w->workers[i].runs->len; r++) {
+			sw_run_rec_t *run = w->workers[i].runs->pdata[r];
+
+			n += strncmp(run->name, id, BH_JOB_ID_LEN) == 0;
+		}
+	}
+	return n;
+}
+
+void sw_serve(sw_world_t *w, const char *id, uint32_t base_ms,
+	      double harm_of_fillers)
+{
+	g_free(w->serving);
+	w->serving = g_strdup(id);
+	w->serve_ms = base_ms;
+	w->serve_harm = harm_of_fillers;
+}
+
+uint32_t sw_pace_of(sw_world_t *w, const char *id)
+{
+	for (int i = 0; i < SW_WORKERS; i++) {
+		for (guint r = 0; r < w->workers[i].runs->len; r++) {
+			sw_run_rec_t *run = w->workers[i].runs->pdata[r];
+
+			if (strncmp(run->name, id, BH_JOB_ID_LEN) == 0)
+				return run->pace;
+		}
+	}
+	return 100;
+}
+
+bh_sched_t *sw_sched(sw_world_t *w)
+{
+	return w->sched;
+}
+
+const char *sw_broken(const sw_world_t *w)
+{
+	return w->broken;
+}
--- /dev/null
+++ b/tests/test_sched.c
@@ -0,0 +1,299 @@
+/*
+ * The job scheduler under every fault at every moment of a job's life, and
+ * random series of faults. A seed is replayed with a trace by
+ * BH_TRACE=1 test_sched random SEED.
+ */
+#include "tests/schedworld.h"
+#include "tests/test.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+#define JOB_C "00000000000000cc"
+#define JOB_L "00000000000000dd"
+
+/* Moments in a job's life at which a fault strikes, ms after submission. */
+static const int moments[] = {0, 20, 60, 300, 700, 990, 1020, 1100, 1500, 2100};
+
+static void assert_kept(const sw_world_t *w)
+{
+	if (sw_broken(w))
+		fail_msg("%s", sw_broken(w));
+}
+
+static void test_job_completes(void **state)
+{
+	sw_world_t *w = sw_new(1, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_A, 2, 8, 500, 1000, "");
+	sw_run(w, MS(200));
+	assert_int_equal(sw_running(w, JOB_A), 8);
+	sw_run(w, MS(3500));
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+	assert_kept(w);
+	sw_free(w);
+}
+
+/* More tasks than room: every one of them runs, none is forgotten when others
+ * end (a count of waiting tasks once lost one at each end). */
+static void test_no_task_is_forgotten(void **state)
+{
+	sw_world_t *w = sw_new(2, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_A, 2, 40, 3500, 400, "");
+	sw_run(w, MS(12000));
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+	assert_kept(w);
+	sw_free(w);
+}
+
+static void test_poison_fails_within_its_attempts(void **state)
+{
+	sw_world_t *w = sw_new(3, SW_ALL_ON);
+
+	(void)state;
+	sw_poison(w, JOB_A);
+	sw_submit(w, JOB_A, 1, 4, 500, 300, "");
+	sw_submit(w, JOB_B, 1, 12, 500, 300, "");
+	sw_run(w, MS(4000));
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_FAILED);
+	assert_int_equal(sw_state(w, JOB_B), BH_JOB_COMPLETED);
+	assert_int_equal(sw_running(w, JOB_A), 0);
+	assert_kept(w);
+	sw_free(w);
+}
+
+/* Failures reach a new leader in any order of their attempts; once it counted
+ * by the highest alone, and started a task again beyond its limit. */
+static void test_failures_survive_a_leader_that_could_not_store(void **state)
+{
+	(void)state;
+	for (int at = 100; at < 1500; at += 100) {
+		sw_world_t *w = sw_new((uint32_t)at, SW_ALL_ON);
+
+		sw_poison(w, JOB_A);
+		sw_fault(w, SW_STORE_DOWN, 0, MS(at + 1500));
+		sw_submit(w, JOB_A, 1, 3, 500, 300, "");
+		sw_run(w, MS(at));
+		sw_fault(w, SW_LEADER_KILL, 0, MS(100));
+		sw_run(w, MS(15000));
+		assert_kept(w);
+		assert_int_equal(sw_state(w, JOB_A), BH_JOB_FAILED);
+		sw_free(w);
+	}
+}
+
+static void test_cancelled_job_is_gone(void **state)
+{
+	sw_world_t *w = sw_new(4, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_A, 1, 12, 500, 60000, "");
+	sw_run(w, MS(1000));
+	sw_cancel(w, JOB_A);
+	sw_run(w, MS(1500));
+	assert_int_equal(sw_running(w, JOB_A), 0);
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_CANCELLED);
+	sw_free(w);
+}
+
+static void test_lasting_tasks_come_back(void **state)
+{
+	sw_world_t *w = sw_new(5, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_L, 1, 12, 2000, 500, "l");
+	sw_run(w, MS(1000));
+	assert_int_equal(sw_running(w, JOB_L), 12);
+	sw_fault(w, SW_WORKER_CRASH, 0, MS(5000));
+	sw_fault(w, SW_WORKER_CRASH, 1, MS(5000));
+	sw_run(w, MS(2500));
+	assert_int_equal(sw_running(w, JOB_L), 12);
+	assert_kept(w);
+	sw_free(w);
+}
+
+static void test_gang_starts_whole(void **state)
+{
+	sw_world_t *w = sw_new(6, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_B, 1, 10, 5000, 1500, "");
+	sw_submit(w, JOB_A, 1, 6, 5000, 500, "g");
+	for (int i = 0; i < 200; i++) {
+		uint32_t n;
+
+		sw_run(w, MS(20));
+		n = sw_running(w, JOB_A);
+		assert_true(n == 0 || n == 6 ||
+			    sw_state(w, JOB_A) == BH_JOB_COMPLETED || i > 0);
+	}
+	assert_kept(w);
+	sw_free(w);
+}
+
+/* Tails rise beside fillers that press hard: these are paced down or moved,
+ * and harmless ones are left alone. */
+static void test_pressing_fillers_are_paced(void **state)
+{
+	sw_world_t *w = sw_new(7, SW_ALL_ON);
+
+	(void)state;
+	sw_serve(w, JOB_L, 20, 20);
+	sw_submit(w, JOB_L, 1, 24, 2400, 500, "l");
+	sw_run(w, MS(2000));
+	sw_submit(w, JOB_A, 1, 6, 3000, 20000, "fc");
+	sw_run(w, MS(4000));
+	assert_true(sw_pace_of(w, JOB_A) < 50);
+	sw_free(w);
+}
+
+static void test_harmless_fillers_run_at_full_pace(void **state)
+{
+	sw_world_t *w = sw_new(8, SW_ALL_ON);
+
+	(void)state;
+	sw_serve(w, JOB_L, 20, 0);
+	sw_submit(w, JOB_L, 1, 24, 2400, 500, "l");
+	sw_run(w, MS(2000));
+	sw_submit(w, JOB_A, 1, 6, 3000, 4000, "fc");
+	sw_run(w, MS(3000));
+	assert_int_equal(sw_pace_of(w, JOB_A), 100);
+	sw_run(w, MS(4000));
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+	sw_free(w);
+}
+
+static void submit_mix(sw_world_t *w)
+{
+	sw_submit(w, JOB_A, 2, 6, 500, 1000, "");
+	sw_submit(w, JOB_B, 1, 6, 1000, 1500, "c");
+	sw_submit(w, JOB_C, 1, 4, 500, 800, "s");
+	sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+}
+
+static void assert_all_end(sw_world_t *w)
+{
+	sw_run(w, MS(45000));
+	assert_kept(w);
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+	assert_int_equal(sw_state(w, JOB_B), BH_JOB_COMPLETED);
+	assert_int_equal(sw_state(w, JOB_C), BH_JOB_COMPLETED);
+	assert_int_equal(sw_running(w, JOB_L), 5);
+}
+
+static void test_matrix(void **state)
+{
+	(void)state;
+	for (int f = 0; f < SW_FAULTS; f++) {
+		for (size_t m = 0; m < sizeof(moments) / sizeof(*moments);
+		     m++) {
+			sw_world_t *w = sw_new((uint32_t)(f * 100) +
+						       (uint32_t)m,
+					       SW_ALL_ON);
+
+			submit_mix(w);
+			sw_run(w, MS(moments[m]) + MS(20));
+			sw_fault(w, (sw_fault_t)f, 0, MS(2500));
+			sw_run(w, MS(3000));
+			if (sw_broken(w))
+				fail_msg("%s at %d ms: %s", sw_fault_names[f],
+					 moments[m], sw_broken(w));
+			assert_all_end(w);
+			sw_free(w);
+		}
+	}
+}
+
+static const char *run_random(uint32_t seed, sw_switch_t off, bool must_end)
+{
+	static char why[128];
+	sw_world_t *w = sw_new(seed, off);
+	GRand *r = g_rand_new_with_seed(seed * 2654435761u);
+	const char *broken = NULL;
+
+	submit_mix(w);
+	for (int i = 0; i < 6; i++) {
+		sw_fault_t f = (sw_fault_t)g_rand_int_range(r, 1, SW_FAULTS);
+
+		/* A worker that fails everything may use up the attempts. */
+		if (f == SW_WORKER_FAILS_ALL)
+			f = SW_AGENT_CUT;
+		sw_fault(w, f, g_rand_int_range(r, 0, SW_WORKERS),
+			 MS(g_rand_int_range(r, 100, 9000)));
+		sw_run(w, MS(g_rand_int_range(r, 20, 1500)));
+	}
+	sw_run(w, MS(60000));
+	if (sw_broken(w)) {
+		snprintf(why, sizeof(why), "%s", sw_broken(w));
+		broken = why;
+	} else if (must_end && (sw_state(w, JOB_A) != BH_JOB_COMPLETED ||
+				sw_state(w, JOB_B) != BH_JOB_COMPLETED ||
+				sw_state(w, JOB_C) != BH_JOB_COMPLETED ||
+				sw_running(w, JOB_L) != 5)) {
+		broken = "a job did not end";
+	}
+	g_rand_free(r);
+	sw_free(w);
+	return broken;
+}
+
+static void test_random(void **state)
+{
+	const char *text = getenv("BH_SEEDS");
+	uint32_t seeds = text ? (uint32_t)strtoul(text, NULL, 10) : 150;
+
+	(void)state;
+	for (uint32_t seed = 1; seed <= seeds; seed++) {
+		const char *broken = run_random(seed, SW_ALL_ON, true);
+
+		if (broken)
+			fail_msg("seed %u: %s", seed, broken);
+	}
+}
+
+/* Each mechanism switched off is found out by the checks. */
+static void assert_found_out(sw_switch_t off)
+{
+	for (uint32_t seed = 1; seed <= 400; seed++) {
+		if (run_random(seed, off, false))
+			return;
+	}
+	fail_msg("mechanism %d is not missed", off);
+}
+
+static void test_switched_off(void **state)
+{
+	(void)state;
+	assert_found_out(SW_NO_RECOVERY_WAIT);
+	assert_found_out(SW_EARLY_ACK);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job_completes),
+		cmocka_unit_test(test_no_task_is_forgotten),
+		cmocka_unit_test(test_poison_fails_within_its_attempts),
+		cmocka_unit_test(
+			test_failures_survive_a_leader_that_could_not_store),
+		cmocka_unit_test(test_cancelled_job_is_gone),
+		cmocka_unit_test(test_lasting_tasks_come_back),
+		cmocka_unit_test(test_gang_starts_whole),
+		cmocka_unit_test(test_pressing_fillers_are_paced),
+		cmocka_unit_test(test_harmless_fillers_run_at_full_pace),
+		cmocka_unit_test(test_matrix),
+		cmocka_unit_test(test_random),
+		cmocka_unit_test(test_switched_off),
+	};
+
+	if (argc == 3 && strcmp(argv[1], "random") == 0) {
+		const char *broken = run_random(
+			(uint32_t)strtoul(argv[2], NULL, 10), SW_ALL_ON, true);
+
+		puts(broken ? broken : "all promises kept");
+		return broken != NULL;
+	}
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
