--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -55,6 +55,14 @@
 	bh_task_requeue(s, task, now);
 }
 
+/* Reports of before the answer say nothing about the run. */
+static void settle(bh_run_t *run, bh_usec_t now)
+{
+	run->is_settled = true;
+	run->settled_at = now;
+	run->absences = 0;
+}
+
 static void forget_acks(bh_host_t *host)
 {
 	bh_pending_ack_t *ack;
@@ -211,7 +219,8 @@
 	if (!run)
 		return;
 	run->absences = 0;
-	run->is_settled = true;
+	if (!run->is_settled)
+		settle(run, now);
 	if (run->state == BH_RUN_ORDERED)
 		run->state = BH_RUN_ACTIVE;
 	if (!run->seen_at) {
@@ -250,7 +259,7 @@
 			bh_run_stop(s, run, "its stop was not answered", now);
 		if (run->state != BH_RUN_ORDERED && run->is_settled &&
 		    run->absences >= ABSENT_REPORTS &&
-		    now - MAX(run->ordered_at, run->stop_asked_at) >
+		    now - MAX(run->settled_at, run->stop_asked_at) >
 			    ABSENT_AFTER_US)
 			lose_run(s, run, "the worker does not list it", now);
 	}
@@ -456,7 +465,7 @@
 	if (!host || !run || run->host != host)
 		return;
 	if (outcome == BH_ORDER_OK) {
-		run->is_settled = true;
+		settle(run, now);
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
 		if (task->phase->step->is_filler)
@@ -495,7 +504,7 @@
 	if (!host || !run || run->host != host)
 		return;
 	if (outcome == BH_ORDER_OK) {
-		run->is_settled = true;
+		settle(run, now);
 		return;
 	}
 	bh_sched_log(s, "stop unclear", task->phase->rec->job->id,
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -65,6 +65,7 @@
 	uint32_t pace;
 	bh_usec_t stop_asked_at;
 	bool is_settled;
+	bh_usec_t settled_at;
 	char *checkpoint;
 };
 
