What is learned outlives the leader; a host's own slowness teaches nothing

Change: pairs are stored with the progress; learning stops at twelvefold growth and on hosts whose tails are high though nothing presses; untried pairs start at a limited share.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -26,6 +26,9 @@
  * replaced; it grants no leases after so long. */
 #define GRANT_SILENCE_MS 3000
 
+/* With other changes; a kilobyte or two. */
+#define LEARNED_EVERY_US (2000 * BH_USEC_PER_MS)
+
 /* Rows of ended jobs are removed a few at a time. */
 #define REMOVE_EVERY_US (1000 * BH_USEC_PER_MS)
 #define REMOVE_MAX	20
@@ -54,6 +57,7 @@
 	bool is_committing;
 	bool is_run_due;
 	bh_usec_t committed_at;
+	bh_usec_t learned_at;
 	bh_usec_t pinged_at;
 	bh_usec_t removed_at;
 	bh_usec_t others_reach_store_at;
@@ -229,6 +233,24 @@
 	schedule_run(l);
 }
 
+/* What is lost of it has to be learned again at the callers' cost. */
+static void put_learned(bh_sched_leader_t *l, bh_store_tx_t *tx, bh_usec_t now)
+{
+	GBytes *bytes;
+	gsize len;
+	const void *data;
+
+	if (now - l->learned_at < LEARNED_EVERY_US)
+		return;
+	l->learned_at = now;
+	bytes = bh_learned_pack(l->sched);
+	data = g_bytes_get_data(bytes, &len);
+	if (len > 0)
+		bh_store_tx_put(tx, BH_TABLE_PROGRESS, BH_KEY_LEARNED, data,
+				len);
+	g_bytes_unref(bytes);
+}
+
 static void commit(bh_sched_leader_t *l)
 {
 	const char *ids[COMMIT_JOBS_MAX];
@@ -259,6 +281,7 @@
 		g_bytes_unref(bytes);
 		bh_progress_free(progress);
 	}
+	put_learned(l, tx, now);
 	l->is_committing = true;
 	l->committed_at = now;
 	bh_term_commit(l->term, tx, on_committed, l);
@@ -492,6 +515,10 @@
 
 	if (!l->loads_left || row->is_deleted)
 		return;
+	if (strcmp(row->key, BH_KEY_LEARNED) == 0) {
+		bh_learned_unpack(row->value, row->len, l->sched);
+		return;
+	}
 	progress = bh_progress_unpack(row->value, row->len);
 	if (progress)
 		g_hash_table_insert(l->notes, g_strdup(row->key), progress);
--- a/daemon/tables.h
+++ b/daemon/tables.h
@@ -10,6 +10,9 @@
 /* What became of a job, by its id; written by the leader. */
 #define BH_TABLE_PROGRESS "progress"
 
+/* The leader's progress table also keeps what it learned, under this key. */
+#define BH_KEY_LEARNED "~learned"
+
 /* Agents by the address of their frames; each writes its own. */
 #define BH_TABLE_AGENTS "agents"
 
--- a/sched/pairs.c
+++ b/sched/pairs.c
@@ -7,7 +7,10 @@
 #define HARM_MAX   300.0
 
 /* A pair whose harm is bounded by this is no bad one. */
-#define HARM_TRIED 6.0
+#define HARM_TRIED 8.0
+
+/* Harm of a bad pair; what is not tried yet may be one. */
+#define HARM_BAD 1.0
 
 /* Part of the error that one look corrects. */
 #define LEARN_RATE 0.5
@@ -19,7 +22,7 @@
 #define SHARE_BOUND 0.02
 
 /* Gauges are off by some percent either way. */
-#define EXCESS_NOISE 0.12
+#define EXCESS_NOISE 0.05
 
 /* Bounds widen by this factor with each look, since images change. */
 #define BOUND_WIDEN 1.005
@@ -84,12 +87,41 @@
 	return pair ? MIN(pair->harm, pair->upper) : HARM_PRIOR;
 }
 
-bool bh_pairs_is_tried(const bh_pairs_t *pairs, const char *filler,
-		       const char *lasting)
+double bh_pairs_caution(const bh_pairs_t *pairs, const char *filler,
+			const char *lasting)
 {
 	const pair_t *pair = pair_find(pairs, filler, lasting);
+	double harm = pair ? MIN(pair->harm, pair->upper) : HARM_PRIOR;
+
+	if (!pair)
+		return HARM_BAD;
+	if (pair->upper < HARM_TRIED)
+		return harm;
+	return MIN(pair->upper, MAX(harm, HARM_BAD));
+}
+
+void bh_pairs_each(const bh_pairs_t *pairs, bh_pair_cb_t cb, void *ctx)
+{
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, pairs->pairs);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		g_auto(GStrv) images = g_strsplit(key, "|", 2);
+		const pair_t *pair = value;
+
+		cb(ctx, images[0], images[1], pair->harm, pair->upper);
+	}
+}
+
+void bh_pairs_set(bh_pairs_t *pairs, const char *filler, const char *lasting,
+		  double harm, double upper)
+{
+	pair_t *pair = pair_get(pairs, filler, lasting);
 
-	return pair && pair->upper < HARM_TRIED;
+	pair->harm = CLAMP(harm, 0, HARM_MAX);
+	pair->upper = CLAMP(upper, 0, HARM_MAX);
 }
 
 double bh_pairs_excess(const bh_pairs_t *pairs, const char *lasting,
--- a/sched/pairs.h
+++ b/sched/pairs.h
@@ -34,10 +34,21 @@
 		     const char *lasting);
 
 /**
- * bh_pairs_is_tried() - whether the pair is known not to be a bad one
+ * bh_pairs_caution() - harm to reckon with before a pair has been tried
  */
-bool bh_pairs_is_tried(const bh_pairs_t *pairs, const char *filler,
-		       const char *lasting);
+double bh_pairs_caution(const bh_pairs_t *pairs, const char *filler,
+			const char *lasting);
+
+typedef void (*bh_pair_cb_t)(void *ctx, const char *filler,
+			     const char *lasting, double harm, double upper);
+
+/**
+ * bh_pairs_each() - all that is known; a new leader takes it over by
+ * bh_pairs_set()
+ */
+void bh_pairs_each(const bh_pairs_t *pairs, bh_pair_cb_t cb, void *ctx);
+void bh_pairs_set(bh_pairs_t *pairs, const char *filler, const char *lasting,
+		  double harm, double upper);
 
 /**
  * bh_pairs_excess() - predicted growth of a lasting task's tail
--- a/sched/place.c
+++ b/sched/place.c
@@ -15,6 +15,9 @@
 #define WEIGHT_STRAIN 2.0
 #define WEIGHT_MIX    0.3
 
+/* A strain that is predicted to be higher is bad enough. */
+#define RISK_MAX 3.0
+
 /* A filler comes to a host only if no tail there is predicted to rise above
  * this part of its objective. */
 #define STRAIN_FULL 0.8
@@ -188,7 +191,8 @@
 
 	if (step->is_filler)
 		return used * host->filler_share + fillers +
-		       WEIGHT_STRAIN * bh_steer_predict(s, host, step);
+		       WEIGHT_STRAIN *
+			       MIN(bh_steer_risk(s, host, step), RISK_MAX);
 	if (step->is_lasting)
 		return fillers - used +
 		       WEIGHT_MIX * other_images(host, step->image);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -273,6 +273,17 @@
 	(void)now;
 }
 
+void bh_sched_each_pair(const bh_sched_t *s, bh_sched_pair_cb_t cb, void *ctx)
+{
+	bh_pairs_each(s->pairs, cb, ctx);
+}
+
+void bh_sched_set_pair(bh_sched_t *s, const char *filler, const char *lasting,
+		       double harm, double upper)
+{
+	bh_pairs_set(s->pairs, filler, lasting, harm, upper);
+}
+
 const char *bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms)
 {
 	const bh_rec_t *rec;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -182,6 +182,16 @@
 bh_progress_t *bh_sched_progress(const bh_sched_t *s, const char *id);
 void bh_sched_end_commit(bh_sched_t *s, bool is_stored, bh_usec_t now);
 
+/**
+ * bh_sched_each_pair() - what was learned of images, for the next leader
+ */
+typedef void (*bh_sched_pair_cb_t)(void *ctx, const char *filler,
+				   const char *lasting, double harm,
+				   double upper);
+void bh_sched_each_pair(const bh_sched_t *s, bh_sched_pair_cb_t cb, void *ctx);
+void bh_sched_set_pair(bh_sched_t *s, const char *filler, const char *lasting,
+		       double harm, double upper);
+
 /**
  * bh_sched_expired() - a job that ended so long ago that it may be forgotten
  *
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -23,7 +23,7 @@
 #define BH_PRESSES_MAX 32
 
 /* Reports after which a gauge shows all of what presses now. */
-#define BH_RECENT_REPORTS 4
+#define BH_RECENT_REPORTS 3
 
 typedef enum bh_run_state {
 	BH_RUN_ORDERED,
@@ -176,6 +176,7 @@
  * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
  * @is_harmed: a tail there is over its objective for long
+ * @is_sick: its tails are high for reasons of its own
  * @bad_streak: attempts in a row that failed for the host's reasons
  * @shunned_until: no new work before
  */
@@ -199,6 +200,7 @@
 	double filler_share;
 	double strain;
 	bool is_harmed;
+	bool is_sick;
 	bh_usec_t gauged_at;
 	uint32_t n_press;
 	bh_press_t press[BH_PRESSES_MAX];
@@ -342,6 +344,12 @@
 double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
 			const bh_step_t *filler);
 
+/**
+ * bh_steer_risk() - the same, if pairs that were not tried are bad ones
+ */
+double bh_steer_risk(const bh_sched_t *s, const bh_host_t *host,
+		     const bh_step_t *filler);
+
 void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
 
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -62,6 +62,18 @@
 /* Part of a host below which what pressed on it is forgotten. */
 #define PRESS_FORGET 0.002
 
+/* Part of a host's processors at which a filler is tried, unless it is
+ * suspected of a harm above this. */
+#define TRIAL_SHARE  0.08
+#define HARM_SUSPECT 8.0
+
+/* Growth of a tail that teaches no more than less would. */
+#define EXCESS_MAX 12.0
+
+/* A host with such a tail and so little that presses is slow by itself. */
+#define SICK_STRAIN 2.0
+#define SICK_SHARE  0.02
+
 /* Weight of a new look in a phase's usual base. */
 #define BASE_RATE 0.1
 
@@ -173,11 +185,25 @@
 		run->over_since = run->host->heard_at;
 }
 
+/* Tails that are high though next to nothing presses are the host's own. */
+static void check_sick(bh_host_t *host)
+{
+	double share = 0;
+
+	for (uint32_t i = 0; i < host->n_press; i++)
+		share += host->press[i].share;
+	if (host->strain > SICK_STRAIN && share < SICK_SHARE)
+		host->is_sick = true;
+	else if (host->strain < 1)
+		host->is_sick = false;
+}
+
 static void take_gauges(bh_host_t *host)
 {
 	bh_run_t *run;
 
 	filter_presses(host);
+	check_sick(host);
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
 		if (is_serving_run(run))
@@ -257,7 +283,7 @@
 	uint32_t n_lasting = lasting_presses(host, lasting);
 	const bh_run_t *run;
 
-	if (host->n_press == 0)
+	if (host->n_press == 0 || host->is_sick)
 		return;
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
@@ -269,7 +295,8 @@
 			       n_lasting, run->gauge / phase->base_ms - 1);
 		bh_pairs_learn(s->pairs, phase->step->image, host->press,
 			       host->n_press,
-			       run->gauge / phase->base_ms - 1);
+			       MIN(run->gauge / phase->base_ms - 1,
+				   EXCESS_MAX));
 	}
 }
 
@@ -306,27 +333,34 @@
 	       run_share(filler);
 }
 
-/* Part of its speed at which the tail of @serving stays at the goal. */
+/* Part of its speed at which the tail of @serving stays at the goal. A pair
+ * that was not tried yet is taken for a bad one, so that it is tried at a share
+ * that does little harm. */
 static double bearable_part(const bh_sched_t *s, const bh_run_t *filler,
 			    const bh_run_t *serving)
 {
 	const bh_phase_t *phase = serving->task->phase;
-	double full = bh_pairs_harm(s->pairs, filler->task->phase->step->image,
-				    phase->step->image) *
-		      bh_run_need(filler) /
-		      MAX(filler->host->info.cpu_milli, 1);
+	const char *image = filler->task->phase->step->image;
+	double share = (double)bh_run_need(filler) /
+		       MAX(filler->host->info.cpu_milli, 1);
+	double full = bh_pairs_caution(s->pairs, image, phase->step->image) *
+		      share;
 	double base = MAX(phase->base_ms, phase->usual_base_ms);
 	bh_press_t press[BH_PRESSES_MAX];
 	uint32_t n = presses_of(filler->host, press);
-	double excess = bh_pairs_excess(s->pairs, phase->step->image, press, n);
+	double others = bh_pairs_excess(s->pairs, phase->step->image, press, n) -
+			bh_pairs_harm(s->pairs, image, phase->step->image) *
+				share * filler->pace / 100;
 	double wanted;
 
 	if (full < PRESS_MIN || base <= 0)
 		return 1;
 	wanted = MAX(phase->step->target_ms * STRAIN_GOAL / base - 1, 0);
-	/* All that press give way by the same part. */
-	return excess > wanted ? wanted / excess * filler->pace / 100
-			       : filler->pace / 100.0 + (wanted - excess) / full;
+	wanted = MAX(wanted - MAX(others, 0), wanted / 4) / full;
+	/* A smaller share would tell nothing, for ever. */
+	if (bh_pairs_harm(s->pairs, image, phase->step->image) < HARM_SUSPECT)
+		wanted = MAX(wanted, TRIAL_SHARE / MAX(share, TRIAL_SHARE));
+	return wanted;
 }
 
 static double bearable_by_all(const bh_sched_t *s, const bh_run_t *filler)
@@ -473,35 +507,49 @@
 			 now);
 }
 
-double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
-			const bh_step_t *filler)
+static double worst_strain(const bh_sched_t *s, const bh_host_t *host,
+			   const bh_step_t *filler, bool is_cautious)
 {
-	bh_press_t press[BH_PRESSES_MAX + 1];
+	bh_press_t press[BH_PRESSES_MAX];
 	uint32_t n = presses_of(host, press);
+	double share = (double)filler->cpu_milli / MAX(host->info.cpu_milli, 1);
 	const bh_run_t *run;
 	double worst = 0;
 
-	press[n].image = filler->image;
-	press[n].share =
-		(double)filler->cpu_milli / MAX(host->info.cpu_milli, 1);
 	TAILQ_FOREACH(run, &host->runs, link)
 	{
 		const bh_phase_t *phase = run->task->phase;
-		double base;
+		const char *image = phase->step->image;
+		double harm;
+		double excess;
 
 		if (!phase->step->is_lasting || !phase->step->target_ms)
 			continue;
-		base = MAX(phase->base_ms, phase->usual_base_ms);
-		worst = MAX(worst,
-			    base *
-				    (1 + bh_pairs_excess(s->pairs,
-							 phase->step->image,
-							 press, n + 1)) /
-				    phase->step->target_ms);
+		harm = is_cautious ? bh_pairs_caution(s->pairs, filler->image,
+						      image)
+				   : bh_pairs_harm(s->pairs, filler->image,
+						   image);
+		excess = bh_pairs_excess(s->pairs, image, press, n) +
+			 harm * share;
+		worst = MAX(worst, MAX(phase->base_ms, phase->usual_base_ms) *
+					   (1 + excess) /
+					   phase->step->target_ms);
 	}
 	return worst;
 }
 
+double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
+			const bh_step_t *filler)
+{
+	return worst_strain(s, host, filler, false);
+}
+
+double bh_steer_risk(const bh_sched_t *s, const bh_host_t *host,
+		     const bh_step_t *filler)
+{
+	return worst_strain(s, host, filler, true);
+}
+
 void bh_steer(bh_sched_t *s, bh_usec_t now)
 {
 	bh_host_t *host;
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &bh__sched__leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__pair__init
+                     (Bh__Sched__Pair         *message)
+{
+  static const Bh__Sched__Pair init_value = BH__SCHED__PAIR__INIT;
+  *message = init_value;
+}
+size_t bh__sched__pair__get_packed_size
+                     (const Bh__Sched__Pair *message)
+{
+  assert(message->base.descriptor == &bh__sched__pair__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__pair__pack
+                     (const Bh__Sched__Pair *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__pair__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__pair__pack_to_buffer
+                     (const Bh__Sched__Pair *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__pair__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Pair *
+       bh__sched__pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Pair *)
+     protobuf_c_message_unpack (&bh__sched__pair__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__pair__free_unpacked
+                     (Bh__Sched__Pair *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__pair__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bh__sched__learned__init
+                     (Bh__Sched__Learned         *message)
+{
+  static const Bh__Sched__Learned init_value = BH__SCHED__LEARNED__INIT;
+  *message = init_value;
+}
+size_t bh__sched__learned__get_packed_size
+                     (const Bh__Sched__Learned *message)
+{
+  assert(message->base.descriptor == &bh__sched__learned__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__learned__pack
+                     (const Bh__Sched__Learned *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__learned__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__learned__pack_to_buffer
+                     (const Bh__Sched__Learned *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__learned__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Learned *
+       bh__sched__learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Learned *)
+     protobuf_c_message_unpack (&bh__sched__learned__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__learned__free_unpacked
+                     (Bh__Sched__Learned *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__learned__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__agent_row__init
                      (Bh__Sched__AgentRow         *message)
 {
@@ -1712,6 +1802,121 @@
   (ProtobufCMessageInit) bh__sched__leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bh__sched__pair__field_descriptors[4] =
+{
+  {
+    "filler",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Pair, filler),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Pair, lasting),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "harm",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Pair, harm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upper",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Pair, upper),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__pair__field_indices_by_name[] = {
+  0,   /* field[0] = filler */
+  2,   /* field[2] = harm */
+  1,   /* field[1] = lasting */
+  3,   /* field[3] = upper */
+};
+static const ProtobufCIntRange bh__sched__pair__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bh__sched__pair__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Pair",
+  "Pair",
+  "Bh__Sched__Pair",
+  "bh.sched",
+  sizeof(Bh__Sched__Pair),
+  4,
+  bh__sched__pair__field_descriptors,
+  bh__sched__pair__field_indices_by_name,
+  1,  bh__sched__pair__number_ranges,
+  (ProtobufCMessageInit) bh__sched__pair__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__learned__field_descriptors[1] =
+{
+  {
+    "pairs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Learned, n_pairs),
+    offsetof(Bh__Sched__Learned, pairs),
+    &bh__sched__pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__learned__field_indices_by_name[] = {
+  0,   /* field[0] = pairs */
+};
+static const ProtobufCIntRange bh__sched__learned__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bh__sched__learned__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Learned",
+  "Learned",
+  "Bh__Sched__Learned",
+  "bh.sched",
+  sizeof(Bh__Sched__Learned),
+  1,
+  bh__sched__learned__field_descriptors,
+  bh__sched__learned__field_indices_by_name,
+  1,  bh__sched__learned__number_ranges,
+  (ProtobufCMessageInit) bh__sched__learned__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bh__sched__agent_row__field_descriptors[2] =
 {
   {
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct Bh__Sched__StepNote Bh__Sched__StepNote;
 typedef struct Bh__Sched__Progress Bh__Sched__Progress;
 typedef struct Bh__Sched__Leader Bh__Sched__Leader;
+typedef struct Bh__Sched__Pair Bh__Sched__Pair;
+typedef struct Bh__Sched__Learned Bh__Sched__Learned;
 typedef struct Bh__Sched__AgentRow Bh__Sched__AgentRow;
 typedef struct Bh__Sched__Active Bh__Sched__Active;
 typedef struct Bh__Sched__Ended Bh__Sched__Ended;
@@ -151,6 +153,33 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * What was learned of the disturbance between images.
+ */
+struct  Bh__Sched__Pair
+{
+  ProtobufCMessage base;
+  char *filler;
+  char *lasting;
+  float harm;
+  float upper;
+};
+#define BH__SCHED__PAIR__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__pair__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Bh__Sched__Learned
+{
+  ProtobufCMessage base;
+  size_t n_pairs;
+  Bh__Sched__Pair **pairs;
+};
+#define BH__SCHED__LEARNED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__learned__descriptor) \
+    , 0,NULL }
+
+
 /*
  * The row of an agent.
  */
@@ -541,6 +570,44 @@
 void   bh__sched__leader__free_unpacked
                      (Bh__Sched__Leader *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__Pair methods */
+void   bh__sched__pair__init
+                     (Bh__Sched__Pair         *message);
+size_t bh__sched__pair__get_packed_size
+                     (const Bh__Sched__Pair   *message);
+size_t bh__sched__pair__pack
+                     (const Bh__Sched__Pair   *message,
+                      uint8_t             *out);
+size_t bh__sched__pair__pack_to_buffer
+                     (const Bh__Sched__Pair   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Pair *
+       bh__sched__pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__pair__free_unpacked
+                     (Bh__Sched__Pair *message,
+                      ProtobufCAllocator *allocator);
+/* Bh__Sched__Learned methods */
+void   bh__sched__learned__init
+                     (Bh__Sched__Learned         *message);
+size_t bh__sched__learned__get_packed_size
+                     (const Bh__Sched__Learned   *message);
+size_t bh__sched__learned__pack
+                     (const Bh__Sched__Learned   *message,
+                      uint8_t             *out);
+size_t bh__sched__learned__pack_to_buffer
+                     (const Bh__Sched__Learned   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Learned *
+       bh__sched__learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__learned__free_unpacked
+                     (Bh__Sched__Learned *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__AgentRow methods */
 void   bh__sched__agent_row__init
                      (Bh__Sched__AgentRow         *message);
@@ -884,6 +951,12 @@
 typedef void (*Bh__Sched__Leader_Closure)
                  (const Bh__Sched__Leader *message,
                   void *closure_data);
+typedef void (*Bh__Sched__Pair_Closure)
+                 (const Bh__Sched__Pair *message,
+                  void *closure_data);
+typedef void (*Bh__Sched__Learned_Closure)
+                 (const Bh__Sched__Learned *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__AgentRow_Closure)
                  (const Bh__Sched__AgentRow *message,
                   void *closure_data);
@@ -947,6 +1020,8 @@
 extern const ProtobufCMessageDescriptor bh__sched__step_note__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__progress__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__leader__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__pair__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__learned__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__agent_row__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__active__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ended__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -300,6 +300,53 @@
 	return out;
 }
 
+static void add_pair(void *ctx, const char *filler, const char *lasting,
+		     double harm, double upper)
+{
+	GPtrArray *pairs = ctx;
+	Bh__Sched__Pair *m = g_new0(Bh__Sched__Pair, 1);
+
+	bh__sched__pair__init(m);
+	m->filler = g_strdup(filler);
+	m->lasting = g_strdup(lasting);
+	m->harm = (float)harm;
+	m->upper = (float)upper;
+	g_ptr_array_add(pairs, m);
+}
+
+static void free_pair(gpointer data)
+{
+	Bh__Sched__Pair *m = data;
+
+	g_free(m->filler);
+	g_free(m->lasting);
+	g_free(m);
+}
+
+GBytes *bh_learned_pack(const bh_sched_t *sched)
+{
+	Bh__Sched__Learned m = BH__SCHED__LEARNED__INIT;
+	g_autoptr(GPtrArray) pairs = g_ptr_array_new_with_free_func(free_pair);
+
+	bh_sched_each_pair(sched, add_pair, pairs);
+	m.n_pairs = pairs->len;
+	m.pairs = (Bh__Sched__Pair **)pairs->pdata;
+	return pack(&m.base);
+}
+
+void bh_learned_unpack(const void *data, size_t len, bh_sched_t *sched)
+{
+	Bh__Sched__Learned *m = bh__sched__learned__unpack(NULL, len, data);
+
+	if (!m)
+		return;
+	for (size_t i = 0; i < m->n_pairs; i++)
+		bh_sched_set_pair(sched, m->pairs[i]->filler,
+				  m->pairs[i]->lasting, m->pairs[i]->harm,
+				  m->pairs[i]->upper);
+	bh__sched__learned__free_unpacked(m, NULL);
+}
+
 GBytes *bh_leader_row_pack(const bh_leader_row_t *row)
 {
 	Bh__Sched__Leader m = BH__SCHED__LEADER__INIT;
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -24,6 +24,12 @@
 GBytes *bh_progress_pack(const bh_progress_t *progress);
 bh_progress_t *bh_progress_unpack(const void *data, size_t len);
 
+/**
+ * bh_learned_pack() - what a leader learned, for the next one
+ */
+GBytes *bh_learned_pack(const bh_sched_t *sched);
+void bh_learned_unpack(const void *data, size_t len, bh_sched_t *sched);
+
 /**
  * struct bh_leader_row - who leads
  * @address: where it takes frames; empty when the post is vacant
