Stand-ins that speak the platform's calls; one JSON library

Change: standin-store and standin-jobhost, and tests/jobs with ten cases on real processes (leader, agent and worker killed, answers lost, store down, bad input); platform/ reads JSON through json-glib like the rest; what a pool drops at its end is freed.

Conclusion: make check runs the field's clients.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Shortcuts; CMake does the work. See CONTRIBUTING.md.
 PACKAGES = build-essential cmake ninja-build pkg-config clang-format \
-	clang-tidy cppcheck libevent-dev libglib2.0-dev libjson-glib-dev libjansson-dev \
+	clang-tidy cppcheck libevent-dev libglib2.0-dev libjson-glib-dev \
 	libprotobuf-c-dev libxxhash-dev libcmocka-dev
 
 .PHONY: demo check lint bench build deps docs format
--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -179,7 +179,8 @@
 		return;
 	f->is_freed = true;
 	event_del(f->again);
-	if (!f->is_in_flight && !f->is_in_callback)
+	if ((!f->is_in_flight || bh_store_is_closed(f->store)) &&
+	    !f->is_in_callback)
 		destroy(f);
 }
 
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -643,6 +643,7 @@
 		evhttp_free(e->ready);
 	if (e->metrics)
 		evhttp_free(e->metrics);
+	bh_store_close(e->store);
 	bh_hub_free(e->hub);
 	bh_store_free(e->store);
 	g_hash_table_destroy(e->latency);
--- /dev/null
+++ b/standins/jobhost.c
@@ -0,0 +1,340 @@
+/*
+ * Stand-in for a worker as the platform's pages have it: it announces itself
+ * to the agent on its host, runs tasks under a lease, and lists them. Every
+ * start and end goes to a log, one line each, for tests to judge.
+ */
+#include "platform/http_client.h"
+#include "platform/json.h"
+#include "standins/common.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS	   20
+#define BEAT_MS	   300
+#define CLOCK_BASE 1000
+
+typedef struct task {
+	char *name;
+	int64_t attempt;
+	int64_t began_us;
+	int64_t need_ms;
+} task_t;
+
+typedef struct jobhost {
+	struct event_base *base;
+	bh_http_pool_t *agent;
+	char *id;
+	FILE *log;
+	int64_t born_ms;
+	int64_t start_us;
+	int64_t expires_ms;
+	int64_t term;
+	int64_t last_number;
+	int64_t beats;
+	int64_t task_ms;
+	GPtrArray *tasks;
+	JsonArray *ended;
+	GHashTable *barred;
+} jobhost_t;
+
+static int64_t clock_ms(const jobhost_t *h)
+{
+	return CLOCK_BASE + (standin_now_us() - h->start_us) / 1000;
+}
+
+static void note(jobhost_t *h, const char *what, const char *task,
+		 int64_t attempt)
+{
+	fprintf(h->log, "%" G_GINT64_FORMAT " %s %s %" G_GINT64_FORMAT " %s\n",
+		standin_unix_ms(), what, task, attempt, h->id);
+	fflush(h->log);
+}
+
+static void task_free(void *data)
+{
+	task_t *t = data;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+static void bar(jobhost_t *h, const char *name, int64_t attempt)
+{
+	int64_t *before = g_hash_table_lookup(h->barred, name);
+
+	if (!before || *before < attempt)
+		g_hash_table_insert(h->barred, g_strdup(name),
+				    g_memdup2(&attempt, sizeof(attempt)));
+}
+
+static void end_task(jobhost_t *h, guint i, const char *how)
+{
+	task_t *t = h->tasks->pdata[i];
+	JsonArray *row;
+
+	note(h, how, t->name, t->attempt);
+	bar(h, t->name, t->attempt);
+	row = json_array_new();
+	json_array_add_int_element(row, ++h->last_number);
+	json_array_add_string_element(row, t->name);
+	json_array_add_int_element(row, t->attempt);
+	json_array_add_string_element(row, how);
+	json_array_add_string_element(row, "");
+	json_array_add_array_element(h->ended, row);
+	g_ptr_array_remove_index(h->tasks, i);
+}
+
+static int find(jobhost_t *h, const char *name, int64_t attempt)
+{
+	for (guint i = 0; i < h->tasks->len; i++) {
+		task_t *t = h->tasks->pdata[i];
+
+		if (strcmp(t->name, name) == 0 && t->attempt == attempt)
+			return (int)i;
+	}
+	return -1;
+}
+
+static void reply(jobhost_t *h, struct evhttp_request *req, int status,
+		  JsonObject *body)
+{
+	json_object_set_int_member(body, "clock-ms", clock_ms(h));
+	json_object_set_int_member(body, "born", h->born_ms);
+	standin_reply(req, status, body);
+}
+
+static void refuse(jobhost_t *h, struct evhttp_request *req, const char *reason)
+{
+	JsonObject *body = json_object_new();
+
+	json_object_set_string_member(body, "reason", reason);
+	reply(h, req, 409, body);
+}
+
+static JsonNode *body_of(struct evhttp_request *req)
+{
+	GBytes *bytes = bh_http_take_body(req);
+	JsonNode *root = bh_json_parse_bytes(bytes);
+
+	g_bytes_unref(bytes);
+	return root;
+}
+
+static int64_t number(JsonNode *body, const char *name)
+{
+	return (int64_t)bh_json_number(bh_json_get(body, name));
+}
+
+static bool is_fenced(jobhost_t *h, struct evhttp_request *req, JsonNode *body)
+{
+	if (number(body, "fencing-token") >= h->term) {
+		h->term = number(body, "fencing-token");
+		return false;
+	}
+	refuse(h, req, "fence");
+	return true;
+}
+
+static void on_start(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	JsonNode *body = body_of(req);
+	const char *name = bh_json_text(bh_json_get(body, "task"));
+	int64_t attempt = number(body, "attempt");
+	int64_t *barred = g_hash_table_lookup(h->barred, name);
+	task_t *t;
+
+	if (is_fenced(h, req, body)) {
+		bh_json_free(body);
+		return;
+	}
+	if (find(h, name, attempt) >= 0) {
+		reply(h, req, 200, json_object_new());
+	} else if (barred && *barred >= attempt) {
+		refuse(h, req, "old");
+	} else if (number(body, "expires-ms") <= clock_ms(h)) {
+		refuse(h, req, "late");
+	} else {
+		h->expires_ms =
+			MAX(h->expires_ms, number(body, "expires-ms"));
+		t = g_new0(task_t, 1);
+		t->name = g_strdup(name);
+		t->attempt = attempt;
+		t->began_us = standin_now_us();
+		t->need_ms = h->task_ms;
+		g_ptr_array_add(h->tasks, t);
+		note(h, "start", name, attempt);
+		reply(h, req, 200, json_object_new());
+	}
+	bh_json_free(body);
+}
+
+static void on_stop(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	JsonNode *body = body_of(req);
+	const char *name = bh_json_text(bh_json_get(body, "task"));
+	int i = find(h, name, number(body, "attempt"));
+
+	if (!is_fenced(h, req, body)) {
+		bar(h, name, number(body, "attempt"));
+		if (i >= 0)
+			end_task(h, (guint)i, "stopped");
+		reply(h, req, 200, json_object_new());
+	}
+	bh_json_free(body);
+}
+
+static void on_pace(struct evhttp_request *req, void *ctx)
+{
+	JsonNode *body = body_of(req);
+
+	bh_json_free(body);
+	reply(ctx, req, 200, json_object_new());
+}
+
+static JsonArray *list_active(jobhost_t *h)
+{
+	JsonArray *rows = json_array_new();
+
+	for (guint i = 0; i < h->tasks->len; i++) {
+		task_t *t = h->tasks->pdata[i];
+		int64_t ms = (standin_now_us() - t->began_us) / 1000;
+		JsonArray *row = json_array_new();
+
+		json_array_add_string_element(row, t->name);
+		json_array_add_int_element(row, t->attempt);
+		json_array_add_string_element(row, "");
+		json_array_add_int_element(row, ms * 100 / t->need_ms);
+		json_array_add_int_element(row, 500);
+		json_array_add_array_element(rows, row);
+	}
+	return rows;
+}
+
+/* Answers at once: tests do not need the wait. */
+static void on_hold(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	JsonNode *body = body_of(req);
+	int64_t ack = number(body, "ack-seq");
+	JsonObject *out;
+
+	if (!is_fenced(h, req, body)) {
+		h->expires_ms =
+			MAX(h->expires_ms, number(body, "expires-ms"));
+		while (json_array_get_length(h->ended) > 0 &&
+		       json_array_get_int_element(
+			       json_array_get_array_element(h->ended, 0), 0) <=
+			       ack)
+			json_array_remove_element(h->ended, 0);
+		out = json_object_new();
+		json_object_set_array_member(out, "active", list_active(h));
+		json_object_set_array_member(out, "finished",
+					     json_array_ref(h->ended));
+		reply(h, req, 200, out);
+	}
+	bh_json_free(body);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	jobhost_t *h = arg;
+	int64_t now = standin_now_us();
+
+	(void)fd;
+	(void)what;
+	for (guint i = 0; i < h->tasks->len;) {
+		task_t *t = h->tasks->pdata[i];
+
+		if (clock_ms(h) >= h->expires_ms)
+			end_task(h, i, "lapsed");
+		else if ((now - t->began_us) / 1000 >= t->need_ms)
+			end_task(h, i, "done");
+		else
+			i++;
+	}
+}
+
+static void on_beat_answer(void *user, const bh_http_reply_t *answer)
+{
+	(void)user;
+	(void)answer;
+}
+
+static void on_beat(evutil_socket_t fd, short what, void *arg)
+{
+	jobhost_t *h = arg;
+	g_autofree char *path = g_strconcat("/instances/", h->id, NULL);
+	JsonObject *body = json_object_new();
+	JsonObject *room = json_object_new();
+	JsonArray *labels = json_array_new();
+	bh_http_call_t call = {
+		.method = EVHTTP_REQ_PUT,
+		.path = path,
+		.timeout_us = 1000000,
+	};
+
+	(void)fd;
+	(void)what;
+	json_object_set_int_member(room, "cpu", 16000);
+	json_object_set_int_member(room, "mem-mb", 64000);
+	json_object_set_int_member(room, "gpu", 0);
+	json_array_add_string_element(labels, "a");
+	json_array_add_string_element(labels, "r1-1");
+	json_object_set_string_member(body, "service", "svc");
+	json_object_set_string_member(body, "state", "ready");
+	json_object_set_string_member(body, "zone", "z");
+	json_object_set_object_member(body, "capacity", room);
+	json_object_set_array_member(body, "labels", labels);
+	json_object_set_int_member(body, "seq-no", ++h->beats);
+	json_object_set_int_member(body, "born", h->born_ms);
+	json_object_set_int_member(body, "clock-ms", clock_ms(h));
+	call.body = bh_json_print_bytes(body);
+	bh_http_send(h->agent, &call, on_beat_answer, h);
+	g_bytes_unref(call.body);
+}
+
+static void every(jobhost_t *h, int ms, event_callback_fn cb)
+{
+	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
+
+	event_add(event_new(h->base, -1, EV_PERSIST, cb, h), &tv);
+}
+
+int main(int argc, char **argv)
+{
+	static const standin_route_t routes[] = {
+		{EVHTTP_REQ_POST, "/run-start", on_start},
+		{EVHTTP_REQ_POST, "/run-stop", on_stop},
+		{EVHTTP_REQ_POST, "/pace", on_pace},
+		{EVHTTP_REQ_POST, "/hold", on_hold},
+	};
+	jobhost_t h = {.base = event_base_new()};
+
+	if (argc != 6) {
+		fprintf(stderr, "usage: standin-jobhost ID IP:PORT "
+				"AGENT-IP:PORT LOG TASK-MS\n");
+		return 2;
+	}
+	h.id = argv[1];
+	h.agent = bh_http_pool_new(h.base, argv[3], 65536);
+	h.log = fopen(argv[4], "ae");
+	h.task_ms = strtoll(argv[5], NULL, 10);
+	h.born_ms = standin_unix_ms();
+	h.start_us = standin_now_us();
+	h.tasks = g_ptr_array_new_with_free_func(task_free);
+	h.ended = json_array_new();
+	h.barred = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 g_free);
+	if (!h.log || !standin_serve(h.base, argv[2], routes,
+				     G_N_ELEMENTS(routes), &h)) {
+		fprintf(stderr, "standin-jobhost: cannot use %s or %s\n",
+			argv[2], argv[4]);
+		return 1;
+	}
+	every(&h, TICK_MS, on_tick);
+	every(&h, BEAT_MS, on_beat);
+	return event_base_dispatch(h.base) < 0;
+}
--- /dev/null
+++ b/standins/store.c
@@ -0,0 +1,367 @@
+/*
+ * Stand-in for the platform's store as its published calls have it: rows in
+ * tables with conditional transactions, reads in order of keys, and feeds of
+ * changes. POST /fault?mode=MODE&count=N switches a fault on for the next N
+ * calls (0: until changed):
+ *   up    none
+ *   down  refuses everything
+ *   lose  does what it is asked and never answers
+ *   hang  does nothing and never answers
+ */
+#include "platform/http_client.h"
+#include "platform/json.h"
+#include "standins/common.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+
+#define PAGE_MAX 500
+
+typedef enum store_mode {
+	MODE_UP,
+	MODE_DOWN,
+	MODE_LOSE,
+	MODE_HANG,
+} store_mode_t;
+
+static const char *const mode_names[] = {"up", "down", "lose", "hang"};
+
+typedef struct store_row {
+	char *table;
+	char *key;
+	char *value; /* base64; NULL once deleted, kept for feeds */
+	uint64_t version;
+} store_row_t;
+
+typedef struct waiter {
+	struct store *store;
+	struct evhttp_request *req;
+	char *table;
+	uint64_t after;
+	struct event *timeout;
+} waiter_t;
+
+typedef struct store {
+	struct event_base *base;
+	GTree *rows; /* "table\nkey" to row */
+	uint64_t version;
+	GPtrArray *waiters;
+	store_mode_t mode;
+	int64_t fault_count;
+	uint64_t n_writes;
+	uint64_t n_reads;
+} store_t;
+
+static void row_free(void *data)
+{
+	store_row_t *row = data;
+
+	g_free(row->table);
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+static int by_text(const void *a, const void *b, void *user)
+{
+	(void)user;
+	return strcmp(a, b);
+}
+
+static char *name_of(const char *table, const char *key)
+{
+	return g_strconcat(table, "\n", key, NULL);
+}
+
+static store_row_t *find(store_t *st, const char *table, const char *key)
+{
+	g_autofree char *name = name_of(table, key);
+
+	return g_tree_lookup(st->rows, name);
+}
+
+static JsonObject *encode(const store_row_t *row)
+{
+	JsonObject *out = json_object_new();
+
+	json_object_set_string_member(out, "table", row->table);
+	json_object_set_string_member(out, "part", "");
+	json_object_set_string_member(out, "key", row->key);
+	json_object_set_int_member(out, "schema-version",
+				   (gint64)row->version);
+	if (row->value)
+		json_object_set_string_member(out, "value", row->value);
+	else
+		json_object_set_boolean_member(out, "deleted", TRUE);
+	return out;
+}
+
+static void answer(store_t *st, struct evhttp_request *req, int status,
+		   JsonArray *rows, bool has_more)
+{
+	JsonObject *body = json_object_new();
+
+	json_object_set_array_member(body, "rows", rows);
+	json_object_set_int_member(body, "schema-version",
+				   (gint64)st->version);
+	json_object_set_int_member(body, "now-ms", standin_now_us() / 1000);
+	json_object_set_boolean_member(body, "has-more", has_more);
+	standin_reply(req, status, body);
+}
+
+static void waiter_free(void *data)
+{
+	waiter_t *w = data;
+
+	event_free(w->timeout);
+	g_free(w->table);
+	g_free(w);
+}
+
+typedef struct collect {
+	const char *table;
+	uint64_t after;
+	const char *from;
+	JsonArray *rows;
+	size_t limit;
+	bool has_more;
+	bool with_deleted;
+} collect_t;
+
+static gboolean collect_row(gpointer key, gpointer value, gpointer user)
+{
+	const store_row_t *row = value;
+	collect_t *c = user;
+
+	(void)key;
+	if (strcmp(row->table, c->table) != 0 || row->version <= c->after ||
+	    (!row->value && !c->with_deleted) ||
+	    (c->from && strcmp(row->key, c->from) < 0))
+		return FALSE;
+	if (json_array_get_length(c->rows) == c->limit) {
+		c->has_more = true;
+		return TRUE;
+	}
+	json_array_add_object_element(c->rows, encode(row));
+	return FALSE;
+}
+
+static JsonArray *changes(store_t *st, const char *table, uint64_t after)
+{
+	collect_t c = {.table = table,
+		       .after = after,
+		       .rows = json_array_new(),
+		       .limit = PAGE_MAX,
+		       .with_deleted = true};
+
+	g_tree_foreach(st->rows, collect_row, &c);
+	return c.rows;
+}
+
+static void serve_waiters(store_t *st)
+{
+	for (guint i = 0; i < st->waiters->len;) {
+		waiter_t *w = st->waiters->pdata[i];
+		JsonArray *rows = changes(st, w->table, w->after);
+
+		if (json_array_get_length(rows) == 0) {
+			json_array_unref(rows);
+			i++;
+			continue;
+		}
+		answer(st, w->req, 200, rows, false);
+		g_ptr_array_remove_index(st->waiters, i);
+	}
+}
+
+static void on_wait_over(evutil_socket_t fd, short what, void *arg)
+{
+	waiter_t *w = arg;
+
+	(void)fd;
+	(void)what;
+	answer(w->store, w->req, 200, json_array_new(), false);
+	g_ptr_array_remove(w->store->waiters, w);
+}
+
+/* Return: true when a fault has dealt with the call. */
+static bool is_faulty(store_t *st, struct evhttp_request *req)
+{
+	store_mode_t mode = st->mode;
+
+	if (mode != MODE_UP && st->fault_count > 0 && --st->fault_count == 0)
+		st->mode = MODE_UP;
+	if (mode == MODE_DOWN)
+		standin_reply(req, 503, json_object_new());
+	return mode == MODE_DOWN || mode == MODE_HANG;
+}
+
+static const char *text_of(JsonNode *object, const char *name)
+{
+	return bh_json_text(bh_json_get(object, name));
+}
+
+static bool matches(store_t *st, JsonNode *checks, JsonArray *rows)
+{
+	bool is_ok = true;
+
+	for (size_t i = 0; i < bh_json_size(checks); i++) {
+		JsonNode *check = bh_json_at(checks, i);
+		uint64_t want = (uint64_t)bh_json_number(
+			bh_json_get(check, "schema-version"));
+		store_row_t *row = find(st, text_of(check, "table"),
+					text_of(check, "key"));
+		uint64_t have = row && row->value ? row->version : 0;
+
+		if (have == want)
+			continue;
+		is_ok = false;
+		if (have)
+			json_array_add_object_element(rows, encode(row));
+	}
+	return is_ok;
+}
+
+static void put_all(store_t *st, JsonNode *entries, bool is_deleted)
+{
+	for (size_t i = 0; i < bh_json_size(entries); i++) {
+		JsonNode *entry = bh_json_at(entries, i);
+		store_row_t *row = g_new0(store_row_t, 1);
+
+		row->table = g_strdup(text_of(entry, "table"));
+		row->key = g_strdup(text_of(entry, "key"));
+		if (!is_deleted)
+			row->value = g_strdup(text_of(entry, "value"));
+		row->version = st->version;
+		g_tree_replace(st->rows, name_of(row->table, row->key), row);
+	}
+}
+
+static void on_tx(struct evhttp_request *req, void *ctx)
+{
+	store_t *st = ctx;
+	bool is_lost = st->mode == MODE_LOSE;
+	JsonArray *rows;
+	JsonNode *root;
+	GBytes *bytes;
+	bool is_ok;
+
+	if (is_faulty(st, req))
+		return;
+	st->n_writes++;
+	bytes = bh_http_take_body(req);
+	root = bh_json_parse_bytes(bytes);
+	g_bytes_unref(bytes);
+	rows = json_array_new();
+	is_ok = matches(st, bh_json_get(root, "expected-rev"), rows);
+	if (is_ok) {
+		st->version++;
+		put_all(st, bh_json_get(root, "puts"), false);
+		put_all(st, bh_json_get(root, "remove"), true);
+	}
+	bh_json_free(root);
+	if (is_lost)
+		json_array_unref(rows);
+	else
+		answer(st, req, is_ok ? 200 : 412, rows, false);
+	if (is_ok)
+		serve_waiters(st);
+}
+
+static void on_get(struct evhttp_request *req, void *ctx)
+{
+	store_t *st = ctx;
+	g_autofree char *table = standin_param(req, "table", "");
+	g_autofree char *from = standin_param(req, "from", "");
+	collect_t c = {.table = table,
+		       .from = *from ? from : NULL,
+		       .rows = json_array_new(),
+		       .limit = (size_t)standin_param_int(req, "limit",
+							  PAGE_MAX)};
+
+	if (is_faulty(st, req)) {
+		json_array_unref(c.rows);
+		return;
+	}
+	st->n_reads++;
+	g_tree_foreach(st->rows, collect_row, &c);
+	answer(st, req, 200, c.rows, c.has_more);
+}
+
+static void on_feed(struct evhttp_request *req, void *ctx)
+{
+	store_t *st = ctx;
+	g_autofree char *table = standin_param(req, "table", "");
+	uint64_t after = (uint64_t)standin_param_int(req, "after", 0);
+	int64_t wait = standin_param_int(req, "wait-ms", 0);
+	struct timeval tv = {wait / 1000, (wait % 1000) * 1000};
+	JsonArray *rows;
+	waiter_t *w;
+
+	if (is_faulty(st, req))
+		return;
+	st->n_reads++;
+	rows = changes(st, table, after);
+	if (json_array_get_length(rows) > 0) {
+		answer(st, req, 200, rows, false);
+		return;
+	}
+	json_array_unref(rows);
+	w = g_new0(waiter_t, 1);
+	w->store = st;
+	w->req = req;
+	w->table = g_strdup(table);
+	w->after = after;
+	w->timeout = event_new(st->base, -1, 0, on_wait_over, w);
+	event_add(w->timeout, &tv);
+	g_ptr_array_add(st->waiters, w);
+}
+
+static void on_fault(struct evhttp_request *req, void *ctx)
+{
+	store_t *st = ctx;
+	g_autofree char *mode = standin_param(req, "mode", "up");
+
+	st->fault_count = standin_param_int(req, "count", 0);
+	for (int i = 0; i < (int)G_N_ELEMENTS(mode_names); i++) {
+		if (strcmp(mode, mode_names[i]) == 0)
+			st->mode = (store_mode_t)i;
+	}
+	standin_reply(req, 200, json_object_new());
+}
+
+static void on_stats(struct evhttp_request *req, void *ctx)
+{
+	store_t *st = ctx;
+	JsonObject *body = json_object_new();
+
+	json_object_set_int_member(body, "writes", (gint64)st->n_writes);
+	json_object_set_int_member(body, "reads", (gint64)st->n_reads);
+	standin_reply(req, 200, body);
+}
+
+int main(int argc, char **argv)
+{
+	static const standin_route_t routes[] = {
+		{EVHTTP_REQ_POST, "/rows-tx", on_tx},
+		{EVHTTP_REQ_GET, "/rows-get", on_get},
+		{EVHTTP_REQ_GET, "/rows-feed", on_feed},
+		{EVHTTP_REQ_POST, "/fault", on_fault},
+		{EVHTTP_REQ_GET, "/stats", on_stats},
+	};
+	store_t st = {.base = event_base_new()};
+
+	if (argc != 3 || strcmp(argv[1], "--listen") != 0) {
+		fprintf(stderr, "usage: standin-store --listen IP:PORT\n");
+		return 2;
+	}
+	st.rows = g_tree_new_full(by_text, NULL, g_free, row_free);
+	st.waiters = g_ptr_array_new_with_free_func(waiter_free);
+	if (!standin_serve(st.base, argv[2], routes, G_N_ELEMENTS(routes),
+			   &st)) {
+		fprintf(stderr, "standin-store: cannot listen on %s\n",
+			argv[2]);
+		return 1;
+	}
+	return event_base_dispatch(st.base) < 0;
+}
