--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -4,7 +4,6 @@
 #include "daemon/tables.h"
 #include "platform/decode.h"
 
-#include <event2/listener.h>
 
 /* How long the store may hold the call for a new configuration. Together with
  * the time-out a silent connection is noticed within about two seconds. */
@@ -56,7 +55,7 @@
 	bh_term_t *term;
 	bh_sched_leader_t *leading;
 	bool is_lost;
-	struct evconnlistener *listener;
+	bh_acceptor_t *acceptor;
 	peers_t peers;
 	bh_link_t *link;
 	char *link_address;
@@ -563,9 +562,9 @@
 	TAILQ_INIT(&hub->peers);
 	hub->questions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, g_free);
-	hub->listener = bh_link_listen(rt, rt->settings->listen_frames,
+	hub->acceptor = bh_link_listen(rt, rt->settings->listen_frames,
 				       &peer_ops, hub, on_accepted);
-	if (!hub->listener) {
+	if (!hub->acceptor) {
 		g_hash_table_destroy(hub->questions);
 		g_free(hub);
 		return NULL;
@@ -587,7 +586,7 @@
 	bh_follow_free(hub->operator_rows);
 	bh_link_free(hub->link);
 	drop_peers(hub);
-	evconnlistener_free(hub->listener);
+	bh_acceptor_free(hub->acceptor);
 	bh_term_free(hub->term);
 	g_hash_table_destroy(hub->questions);
 	bh_config_free(hub->config);
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -21,12 +21,13 @@
 	bool is_dead;
 };
 
-typedef struct bh_acceptor {
+struct bh_acceptor {
+	struct evconnlistener *listener;
 	bh_runtime_t *rt;
 	const bh_link_ops_t *ops;
 	void *ctx;
 	void (*accepted)(void *ctx, bh_link_t *link);
-} bh_acceptor_t;
+};
 
 static void link_destroy(bh_link_t *link)
 {
@@ -212,16 +213,14 @@
 	return link->user;
 }
 
-struct evconnlistener *bh_link_listen(bh_runtime_t *rt, const char *address,
-				      const bh_link_ops_t *ops, void *ctx,
-				      void (*accepted)(void *ctx,
-						       bh_link_t *link))
+bh_acceptor_t *bh_link_listen(bh_runtime_t *rt, const char *address,
+			      const bh_link_ops_t *ops, void *ctx,
+			      void (*accepted)(void *ctx, bh_link_t *link))
 {
 	bh_acceptor_t *acceptor = g_new0(bh_acceptor_t, 1);
 	struct sockaddr_in in = {.sin_family = AF_INET};
 	g_autofree char *ip = NULL;
 	uint16_t port = 0;
-	struct evconnlistener *listener;
 
 	bh_address_parse(address, &ip, &port);
 	inet_pton(AF_INET, ip, &in.sin_addr);
@@ -230,12 +229,22 @@
 	acceptor->ops = ops;
 	acceptor->ctx = ctx;
 	acceptor->accepted = accepted;
-	listener = evconnlistener_new_bind(
+	acceptor->listener = evconnlistener_new_bind(
 		rt->base, on_accept, acceptor,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG,
 		(struct sockaddr *)&in, sizeof(in));
-	if (!listener)
-		bh_log_event(&rt->log, BH_LOG_ERROR, "cannot listen", "address",
-			     address, NULL);
-	return listener;
+	if (acceptor->listener)
+		return acceptor;
+	bh_log_event(&rt->log, BH_LOG_ERROR, "cannot listen", "address",
+		     address, NULL);
+	g_free(acceptor);
+	return NULL;
+}
+
+void bh_acceptor_free(bh_acceptor_t *acceptor)
+{
+	if (!acceptor)
+		return;
+	evconnlistener_free(acceptor->listener);
+	g_free(acceptor);
 }
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -12,6 +12,7 @@
 #define BH_LINK_BUFFER_MAX (4u << 20)
 
 typedef struct bh_link bh_link_t;
+typedef struct bh_acceptor bh_acceptor_t;
 
 /**
  * struct bh_link_ops - what the owner hears
@@ -56,9 +57,9 @@
  *
  * Return: NULL, after a log line, when the address is taken.
  */
-struct evconnlistener *bh_link_listen(bh_runtime_t *rt, const char *address,
-				      const bh_link_ops_t *ops, void *ctx,
-				      void (*accepted)(void *ctx,
-						       bh_link_t *link));
+bh_acceptor_t *bh_link_listen(bh_runtime_t *rt, const char *address,
+			      const bh_link_ops_t *ops, void *ctx,
+			      void (*accepted)(void *ctx, bh_link_t *link));
+void bh_acceptor_free(bh_acceptor_t *acceptor);
 
 #endif
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -6,7 +6,6 @@
 #include "platform/runner.h"
 #include "platform/store.h"
 
-#include <event2/listener.h>
 
 /* The worker holds a look for so long when nothing ends. */
 #define LOOK_WAIT_MS 400
@@ -63,7 +62,7 @@
 	bh_runner_t *runner;
 	struct evhttp *http;
 	struct evhttp *metrics;
-	struct evconnlistener *listener;
+	bh_acceptor_t *acceptor;
 	struct event *tick;
 	struct event *look;
 	bh_link_t *leader;
@@ -598,13 +597,13 @@
 	a->store = bh_store_new(rt->base, set->store);
 	a->runner = bh_runner_new(rt->base, set->worker);
 	a->look = event_new(rt->base, -1, 0, on_look, a);
-	a->listener = bh_link_listen(rt, set->listen_frames, &link_ops, a,
+	a->acceptor = bh_link_listen(rt, set->listen_frames, &link_ops, a,
 				     on_accepted);
 	a->http = bh_http_listen(rt, set->listen_http, on_http, a, NULL);
 	if (*set->metrics)
 		a->metrics = bh_http_listen(rt, set->metrics, on_metrics, a,
 					    NULL);
-	if (!a->listener || !a->http || (*set->metrics && !a->metrics)) {
+	if (!a->acceptor || !a->http || (*set->metrics && !a->metrics)) {
 		bh_sched_agent_free(a);
 		return NULL;
 	}
@@ -619,8 +618,8 @@
 	if (a->tick)
 		event_free(a->tick);
 	event_free(a->look);
-	if (a->listener)
-		evconnlistener_free(a->listener);
+	if (a->acceptor)
+		bh_acceptor_free(a->acceptor);
 	if (a->http)
 		evhttp_free(a->http);
 	if (a->metrics)
