boragehold explain; a look under an old token does not count for a new term

Leaders that answer but whose store is slow were replaced three times in 4 s.

Change: such a look is made again; an answering leader is replaced after 2.5 s without renewal, a silent one after 1.3 s. boragehold explain ID [LOG...] prints the story of a job out of all processes' logs.

--- a/cli/main.c
+++ b/cli/main.c
@@ -1,5 +1,6 @@
 #include "cli/client.h"
 #include "cli/load.h"
+#include "cli/explain.h"
 #include "cli/status.h"
 #include "daemon/settings.h"
 #include "wire/record.h"
@@ -162,6 +163,8 @@
 	{"watch", 1, 1, cli_watch, "JOB",
 	 "print a job's progress until all tasks ended"},
 	{"status", 0, 0, cli_status, "", "services and endpoints of the entry"},
+	{"explain", 1, 1000, cli_explain, "JOB [LOG...]",
+	 "print what the processes' logs say of a job, oldest first"},
 	{"top", 0, 0, cli_top, "", "status again every second"},
 	{"check-settings", 1, 1, cmd_check_settings, "FILE",
 	 "check a settings file of borageholdd"},
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -74,6 +74,7 @@
 	uint64_t ack;
 	int lost_looks;
 	bool is_looking;
+	uint64_t look_term;
 	bool is_down;
 	bool is_registering;
 	bool is_draining;
@@ -159,6 +160,12 @@
 		return;
 	}
 	note_boot(a, lists->boot);
+	/* Only a look under this term's token shows that the worker refuses
+	 * what an earlier leader still has on its way. */
+	if (a->look_term != a->term) {
+		look(a);
+		return;
+	}
 	send_report(a, lists);
 	/* The worker answers at once while it lists ends; looking again before
 	 * they are acknowledged would bring the same ones. */
@@ -182,6 +189,7 @@
 		return;
 	event_del(a->look);
 	a->is_looking = true;
+	a->look_term = a->term;
 	bh_runner_lists(a->runner, &call, on_lists, a);
 }
 
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -10,6 +10,10 @@
  * renewals, so that one that is refused does not cost a term. */
 #define REPLACE_AFTER_US (1300 * BH_USEC_PER_MS)
 
+/* A leader that answers but does not renew may only have a slow store; to
+ * replace it gains little. */
+#define REPLACE_ALIVE_US (2500 * BH_USEC_PER_MS)
+
 /* Between two looks at the row while there is doubt. */
 #define LOOK_EVERY_US (300 * BH_USEC_PER_MS)
 
@@ -44,6 +48,7 @@
 	bool is_confirmed;
 	bool is_suspect;
 	bool is_gone;
+	bool is_answering;
 	bh_usec_t doubt_since;
 	bh_usec_t still_since;
 	bh_usec_t stand_at;
@@ -301,7 +306,8 @@
 	if (!t->is_suspect)
 		return false;
 	return t->is_gone || now - MAX(t->still_since, t->doubt_since) >
-				     REPLACE_AFTER_US;
+				     (t->is_answering ? REPLACE_ALIVE_US
+						      : REPLACE_AFTER_US);
 }
 
 static void tick_follower(bh_term_t *t, bh_usec_t now)
@@ -379,6 +385,7 @@
 		t->doubt_since = bh_runtime_now();
 	t->is_suspect = true;
 	t->is_gone = is_gone;
+	t->is_answering = false;
 }
 
 void bh_term_trust(bh_term_t *t, int64_t renewed_ago_ms)
@@ -388,6 +395,7 @@
 		t->is_gone = false;
 	} else {
 		bh_term_suspect(t, false);
+		t->is_answering = true;
 	}
 }
 
