--- a/cli/explain.c
+++ b/cli/explain.c
@@ -41,16 +41,14 @@
 	const char *job = bh_json_text(bh_json_get(line, "job"));
 	const char *task = bh_json_text(bh_json_get(line, "task"));
 
-	return g_strcmp0(job, id) == 0 ||
-	       (task && g_str_has_prefix(task, id));
+	return g_strcmp0(job, id) == 0 || (task && g_str_has_prefix(task, id));
 }
 
 static char *describe(JsonNode *line)
 {
 	JsonObject *object = json_node_get_object(line);
 	g_autoptr(GList) names = json_object_get_members(object);
-	GString *out =
-		g_string_new(bh_json_text(bh_json_get(line, "event")));
+	GString *out = g_string_new(bh_json_text(bh_json_get(line, "event")));
 
 	for (GList *l = names; l; l = l->next) {
 		const char *value = bh_json_text(bh_json_get(line, l->data));
@@ -112,8 +110,7 @@
 
 int cli_explain(cli_context_t *cli, char **args)
 {
-	g_autoptr(GPtrArray) story =
-		g_ptr_array_new_with_free_func(entry_free);
+	g_autoptr(GPtrArray) story = g_ptr_array_new_with_free_func(entry_free);
 	bool is_ok = true;
 
 	(void)cli;
--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -68,9 +68,8 @@
 		return;
 	f->is_lost = !is_ok;
 	bh_log_event(&f->rt->log, is_ok ? BH_LOG_INFO : BH_LOG_WARN,
-		     is_ok ? "store regained" : "store lost", "table",
-		     f->table, "outcome", bh_store_status_name(reply->status),
-		     NULL);
+		     is_ok ? "store regained" : "store lost", "table", f->table,
+		     "outcome", bh_store_status_name(reply->status), NULL);
 }
 
 static void on_list(bh_follow_t *f, const bh_store_reply_t *reply)
--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -4,7 +4,6 @@
 #include "daemon/tables.h"
 #include "platform/decode.h"
 
-
 /* How long the store may hold the call for a new configuration. Together with
  * the time-out a silent connection is noticed within about two seconds. */
 #define CONFIG_WAIT_MS 1300
@@ -81,8 +80,7 @@
 	gsize len;
 
 	push.version = hub->config->version;
-	push.text.data =
-		(uint8_t *)g_bytes_get_data(hub->config_text, &len);
+	push.text.data = (uint8_t *)g_bytes_get_data(hub->config_text, &len);
 	push.text.len = len;
 	frame.body_case = BH__SCHED__FRAME__BODY_CONFIG;
 	frame.config = &push;
@@ -93,8 +91,7 @@
 {
 	peer_t *peer;
 
-	TAILQ_FOREACH(peer, &hub->peers, entry)
-	{
+	TAILQ_FOREACH(peer, &hub->peers, entry) {
 		if (peer->config_version < hub->config->version) {
 			push_config(hub, peer->link);
 			peer->config_version = hub->config->version;
@@ -173,8 +170,8 @@
 		ping.n_load = hub->n_loads;
 		ping.load = refs;
 	} else {
-		ping.renewed_ago_ms = (uint64_t)bh_follow_answered_ago_ms(
-			hub->operator_rows);
+		ping.renewed_ago_ms =
+			(uint64_t)bh_follow_answered_ago_ms(hub->operator_rows);
 	}
 	frame.body_case = BH__SCHED__FRAME__BODY_PING;
 	frame.ping = &ping;
@@ -375,8 +372,7 @@
 	hub->refusals = is_refused ? hub->refusals + 1 : 0;
 	leader_unlinked(hub);
 	bh_term_suspect(hub->term, hub->refusals >= REFUSALS_GONE);
-	hub->dialled_at = bh_runtime_now() - REDIAL_US +
-			  20 * BH_USEC_PER_MS;
+	hub->dialled_at = bh_runtime_now() - REDIAL_US + 20 * BH_USEC_PER_MS;
 }
 
 static const bh_link_ops_t leader_ops = {
@@ -493,8 +489,7 @@
 						    LOADS_MAX);
 		hub->loads_at = now;
 	}
-	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next)
-	{
+	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next) {
 		if (now - bh_link_heard_at(peer->link) > SILENT_AFTER_US) {
 			bh_link_free(peer->link);
 			peer_drop(hub, peer);
@@ -569,9 +564,8 @@
 		g_free(hub);
 		return NULL;
 	}
-	hub->operator_rows =
-		bh_follow_new(rt, store, BH_TABLE_OPERATOR, CONFIG_WAIT_MS,
-			      &operator_ops, hub);
+	hub->operator_rows = bh_follow_new(rt, store, BH_TABLE_OPERATOR,
+					   CONFIG_WAIT_MS, &operator_ops, hub);
 	hub->term = bh_term_new(rt, store, &term_ops, hub);
 	hub->tick = bh_runtime_every(rt, TICK_MS, on_tick, hub);
 	return hub;
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -74,8 +74,7 @@
 	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
 	g_autofree char *time =
 		g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	GString *line =
-		g_string_new(log->format == BH_LOG_JSON ? "{" : "");
+	GString *line = g_string_new(log->format == BH_LOG_JSON ? "{" : "");
 
 	append_pair(line, log->format, "time", time);
 	append_pair(line, log->format, "level", level_names[level]);
@@ -88,8 +87,7 @@
 static void line_end(bh_log_t *log, GString *line)
 {
 	g_string_append(line, log->format == BH_LOG_JSON ? "}\n" : "\n");
-	if (write(fileno(log->out), line->str, line->len) !=
-	    (gssize)line->len)
+	if (write(fileno(log->out), line->str, line->len) != (gssize)line->len)
 		log->dropped++;
 	g_string_free(line, TRUE);
 }
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -23,7 +23,6 @@
 void bh_metrics_value(GString *out, const char *name, const char *labels,
 		      double value);
 
-
 /**
  * bh_metrics_hist() - count, sum and quantiles of a latency histogram
  */
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -6,7 +6,6 @@
 #include "platform/runner.h"
 #include "platform/store.h"
 
-
 /* The worker holds a look for so long when nothing ends. */
 #define LOOK_WAIT_MS 400
 
@@ -25,8 +24,8 @@
 #define SILENT_AFTER_US (2000 * BH_USEC_PER_MS)
 
 /* An agent without a leader makes sure that its row is there. */
-#define REGISTER_EVERY_US (5 * BH_USEC_PER_SEC)
-#define REGISTER_AGAIN_US (400 * BH_USEC_PER_MS)
+#define REGISTER_EVERY_US   (5 * BH_USEC_PER_SEC)
+#define REGISTER_AGAIN_US   (400 * BH_USEC_PER_MS)
 #define REGISTER_TIMEOUT_MS 1500
 
 /* Tries of an order that gets no answer. */
@@ -305,8 +304,8 @@
 
 static void on_start(bh_sched_agent_t *a, const Bh__Sched__StartOrder *m)
 {
-	order_t *o = order_new(a, BH_ORDER_KIND_START, m->task, m->attempt,
-			       m->boot);
+	order_t *o =
+		order_new(a, BH_ORDER_KIND_START, m->task, m->attempt, m->boot);
 
 	o->spec = g_strdup(m->spec);
 	o->checkpoint = g_strdup(m->checkpoint);
@@ -323,8 +322,8 @@
 
 static void on_stop(bh_sched_agent_t *a, const Bh__Sched__StopOrder *m)
 {
-	order_t *o = order_new(a, BH_ORDER_KIND_STOP, m->task, m->attempt,
-			       m->boot);
+	order_t *o =
+		order_new(a, BH_ORDER_KIND_STOP, m->task, m->attempt, m->boot);
 
 	a->stops++;
 	order_send(o);
@@ -332,8 +331,8 @@
 
 static void on_pace(bh_sched_agent_t *a, const Bh__Sched__PaceOrder *m)
 {
-	order_t *o = order_new(a, BH_ORDER_KIND_PACE, m->task, m->attempt,
-			       m->boot);
+	order_t *o =
+		order_new(a, BH_ORDER_KIND_PACE, m->task, m->attempt, m->boot);
 
 	o->percent = m->percent;
 	order_send(o);
@@ -364,8 +363,8 @@
 static void on_hello(bh_sched_agent_t *a, bh_link_t *link,
 		     const Bh__Sched__Hello *hello)
 {
-	g_autofree char *term = g_strdup_printf("%" G_GUINT64_FORMAT,
-						hello->term);
+	g_autofree char *term =
+		g_strdup_printf("%" G_GUINT64_FORMAT, hello->term);
 
 	if (hello->term < a->term) {
 		/* The reply tells the sender of the newer term. */
@@ -452,8 +451,8 @@
 
 static void take_announcement(bh_sched_agent_t *a, bh_announcement_t *n)
 {
-	bool is_changed = n->info.state != a->info.state ||
-			  n->info.boot != a->info.boot;
+	bool is_changed =
+		n->info.state != a->info.state || n->info.boot != a->info.boot;
 
 	bh_worker_info_clear(&a->info);
 	a->info = n->info;
@@ -506,7 +505,8 @@
 static void on_http(struct evhttp_request *req, void *arg)
 {
 	bh_sched_agent_t *a = arg;
-	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	enum evhttp_cmd_type method = evhttp_request_get_command(req);
 
 	if (!path || !g_str_has_prefix(path, BEAT_PATH)) {
@@ -533,8 +533,7 @@
 			 (double)a->stops);
 	bh_metrics_value(out, "boragehold_agent_unclear_total", NULL,
 			 (double)a->unclear);
-	bh_metrics_value(out, "boragehold_agent_led", NULL,
-			 a->leader ? 1 : 0);
+	bh_metrics_value(out, "boragehold_agent_led", NULL, a->leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
 			 (double)a->rt->log.dropped);
 	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
@@ -579,8 +578,7 @@
 			event_base_loopexit(a->rt->base, NULL);
 		return;
 	}
-	if (a->leader &&
-	    now - bh_link_heard_at(a->leader) > SILENT_AFTER_US) {
+	if (a->leader && now - bh_link_heard_at(a->leader) > SILENT_AFTER_US) {
 		bh_link_free(a->leader);
 		a->leader = NULL;
 		bh_log_event(&a->rt->log, BH_LOG_WARN, "leader silent", NULL);
@@ -609,8 +607,8 @@
 				     on_accepted);
 	a->http = bh_http_listen(rt, set->listen_http, on_http, a, NULL);
 	if (*set->metrics)
-		a->metrics = bh_http_listen(rt, set->metrics, on_metrics, a,
-					    NULL);
+		a->metrics =
+			bh_http_listen(rt, set->metrics, on_metrics, a, NULL);
 	if (!a->acceptor || !a->http || (*set->metrics && !a->metrics)) {
 		bh_sched_agent_free(a);
 		return NULL;
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -10,7 +10,7 @@
 
 /* One try; a slow store answers within this. */
 #define STORE_TIMEOUT_MS 900
-#define STORE_AGAIN_MS	 60
+#define STORE_AGAIN_MS	 ((int64_t)60)
 
 /* Kept free of a caller's deadline for the answer's way back. */
 #define REPLY_SLACK_US (150 * BH_USEC_PER_MS)
@@ -28,7 +28,7 @@
 
 /* Part of the time until it is killed, after which it ends by itself. */
 #define DRAIN_PART 0.9
-#define TICK_MS	      100
+#define TICK_MS	   100
 
 /* Latency histograms: one a queue, for the first so many queues. */
 #define QUEUES_MAX 256
@@ -200,10 +200,10 @@
 
 static void try_again(pending_t *p)
 {
-	struct timeval delay = {0, STORE_AGAIN_MS * 1000 * p->tries};
+	struct timeval delay = {0, p->tries * STORE_AGAIN_MS * 1000};
 
 	if (p->tries >= STORE_TRIES || !p->req ||
-	    bh_runtime_now() + STORE_AGAIN_MS * p->tries * BH_USEC_PER_MS >
+	    bh_runtime_now() + p->tries * STORE_AGAIN_MS * BH_USEC_PER_MS >
 		    p->deadline - REPLY_SLACK_US) {
 		give_up(p);
 		return;
@@ -522,7 +522,8 @@
 	const bh_config_t *config = bh_hub_config(e->hub);
 	const char *host = evhttp_find_header(
 		evhttp_request_get_input_headers(req), "Host");
-	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	const bh_queue_t *queue;
 	const char *id;
 
@@ -624,8 +625,8 @@
 		e->ready = bh_http_listen(rt, set->listen_ready, on_ready, e,
 					  NULL);
 	if (*set->metrics)
-		e->metrics = bh_http_listen(rt, set->metrics, on_metrics, e,
-					    NULL);
+		e->metrics =
+			bh_http_listen(rt, set->metrics, on_metrics, e, NULL);
 	e->tick = bh_runtime_every(rt, TICK_MS, on_tick, e);
 	if (e->hub && e->front && (e->ready || !*set->listen_ready) &&
 	    (e->metrics || !*set->metrics))
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -212,9 +212,8 @@
 	.event = op_event,
 };
 
-static void on_advised(void *ctx, const char *phase,
-		       const bh_ticket_t *tickets, uint32_t n,
-		       uint32_t valid_ms)
+static void on_advised(void *ctx, const char *phase, const bh_ticket_t *tickets,
+		       uint32_t n, uint32_t valid_ms)
 {
 	bh_sched_leader_t *l = ctx;
 
@@ -540,8 +539,8 @@
 				 g_hash_table_lookup(l->notes, job->id), now);
 	}
 	g_snprintf(detail, sizeof(detail),
-		   "term=%" G_GUINT64_FORMAT " jobs=%u agents=%u took_ms=%"
-		   G_GINT64_FORMAT,
+		   "term=%" G_GUINT64_FORMAT
+		   " jobs=%u agents=%u took_ms=%" G_GINT64_FORMAT,
 		   bh_term_number(l->term), l->early->len,
 		   g_hash_table_size(l->members), (now - l->began_at) / 1000);
 	bh_log_pairs(&l->rt->log, BH_LOG_INFO, "loaded", NULL, detail);
@@ -581,7 +580,8 @@
 	bh_sched_leader_t *l = g_new0(bh_sched_leader_t, 1);
 	bh_sched_bounds_t bounds = {
 		.term = bh_term_number(term),
-		.lease_ms = (int64_t)MIN((double)set->lease_ms, set->lease_max_ms),
+		.lease_ms =
+			(int64_t)MIN((double)set->lease_ms, set->lease_max_ms),
 		.silence_ms = GRANT_SILENCE_MS,
 		.restore_ms = (int64_t)set->restore_ms,
 		.impact_ms = (int64_t)set->impact_ms,
@@ -633,8 +633,7 @@
 	g_free(l);
 }
 
-void bh_sched_leader_set_config(bh_sched_leader_t *l,
-				const bh_config_t *config)
+void bh_sched_leader_set_config(bh_sched_leader_t *l, const bh_config_t *config)
 {
 	l->config = config;
 	bh_sched_set_config(l->sched, config, bh_runtime_now());
@@ -680,9 +679,9 @@
 uint32_t bh_sched_leader_load(bh_sched_leader_t *l, bh_backlog_t *out,
 			      uint32_t max)
 {
-	return l->loads_left ? 0
-			     : bh_sched_load(l->sched, out, max,
-					     bh_runtime_now());
+	return l->loads_left
+		       ? 0
+		       : bh_sched_load(l->sched, out, max, bh_runtime_now());
 }
 
 void bh_sched_leader_tick(bh_sched_leader_t *l)
@@ -728,8 +727,7 @@
 		bh_metrics_value(out, "boragehold_ends_total", label,
 				 (double)st->ends[end]);
 	}
-	for (int state = BH_JOB_COMPLETED; state <= BH_JOB_CANCELLED;
-	     state++) {
+	for (int state = BH_JOB_COMPLETED; state <= BH_JOB_CANCELLED; state++) {
 		g_autofree char *label = g_strdup_printf(
 			"state=\"%s\"",
 			bh_job_state_name((bh_job_state_t)state));
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -90,19 +90,21 @@
 	INT(lease_ms, "ms", "30000", 500, 3600000,
 	    "lease of a task at its worker"),
 	NUMBER(lease_max_ms, "ms", "10000", 500, 3600000,
-	    "longest lease that a worker grants, with store"),
+	       "longest lease that a worker grants, with store"),
 	NUMBER(restore_ms, "ms", "100", 0, 600000,
-	    "time that a task takes to resume from a checkpoint, with store"),
+	       "time that a task takes to resume from a checkpoint, with "
+	       "store"),
 	NUMBER(impact_ms, "ms", "4000", 100, 3600000,
-	    "longest time that a lasting task may miss its objective because "
-	    "of fillers, with store"),
+	       "longest time that a lasting task may miss its objective "
+	       "because "
+	       "of fillers, with store"),
 	NUMBER(status_s, "s", "120", 1, 86400,
-	    "time that a job's final state is kept, with store"),
+	       "time that a job's final state is kept, with store"),
 	NUMBER(worker_drain_ms, "ms", "2000", 100, 600000,
-	    "time after which a draining worker takes no more work, with "
-	    "store"),
+	       "time after which a draining worker takes no more work, with "
+	       "store"),
 	NUMBER(stop_within_s, "s", "6", 0.1, 600,
-	    "time from SIGTERM to SIGKILL, with store"),
+	       "time from SIGTERM to SIGKILL, with store"),
 	NUMBER(remote_slowdown, "ratio", "1.5", 1, 100,
 	       "how much slower a task is away from its data, with store"),
 	NUMBER(processor_share, "cores", "1", 0.001, 1024,
--- a/daemon/tables.h
+++ b/daemon/tables.h
@@ -17,7 +17,7 @@
 #define BH_TABLE_AGENTS "agents"
 
 /* The operator's rows. */
-#define BH_TABLE_OPERATOR	"op"
+#define BH_TABLE_OPERATOR      "op"
 #define BH_KEY_OPERATOR_CONFIG "config"
 
 enum {
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -305,9 +305,9 @@
 		return true;
 	if (!t->is_suspect)
 		return false;
-	return t->is_gone || now - MAX(t->still_since, t->doubt_since) >
-				     (t->is_answering ? REPLACE_ALIVE_US
-						      : REPLACE_AFTER_US);
+	return t->is_gone ||
+	       now - MAX(t->still_since, t->doubt_since) >
+		       (t->is_answering ? REPLACE_ALIVE_US : REPLACE_AFTER_US);
 }
 
 static void tick_follower(bh_term_t *t, bh_usec_t now)
@@ -401,8 +401,8 @@
 
 void bh_term_heard(bh_term_t *t, uint64_t term)
 {
-	if (term > t->row.term && bh_runtime_now() - t->looked_at >
-					  LOOK_EVERY_US)
+	if (term > t->row.term &&
+	    bh_runtime_now() - t->looked_at > LOOK_EVERY_US)
 		look(t);
 }
 
--- a/sched/admit.c
+++ b/sched/admit.c
@@ -11,7 +11,7 @@
 #define RETRY_MAX_MS 20000
 
 static const bh_backlog_t *load_for(const bh_backlog_t *loads, uint32_t n,
-				 uint32_t priority)
+				    uint32_t priority)
 {
 	const bh_backlog_t *best = NULL;
 
--- a/sched/health.c
+++ b/sched/health.c
@@ -9,7 +9,7 @@
 #define BAD_STREAK_MAX 3
 
 /* First time out; each further one doubles it, up to the longest. */
-#define SHUN_FIRST_US (2 * BH_USEC_PER_SEC)
+#define SHUN_FIRST_US	   (2 * BH_USEC_PER_SEC)
 #define SHUN_DOUBLINGS_MAX 3
 
 /* Reports come every 400 ms, so that this many of them show no progress. */
@@ -26,8 +26,7 @@
 /* Time for which a run is watched before its speed is judged. */
 #define JUDGE_AFTER_US (1000 * BH_USEC_PER_MS)
 
-static void shun(bh_sched_t *s, bh_host_t *host, const char *why,
-		 bh_usec_t now)
+static void shun(bh_sched_t *s, bh_host_t *host, const char *why, bh_usec_t now)
 {
 	uint32_t doublings = MIN(host->quarantines, SHUN_DOUBLINGS_MAX);
 
@@ -55,8 +54,8 @@
 		return false;
 	return run->percent < 100 &&
 	       now - run->moved_at >
-		       MAX(STILL_AFTER_US, (bh_usec_t)step->estimate_ms *
-						   BH_USEC_PER_MS / 4);
+		       MAX(STILL_AFTER_US,
+			   (bh_usec_t)step->estimate_ms * BH_USEC_PER_MS / 4);
 }
 
 /* Return: -1 when it cannot be told yet. */
@@ -126,16 +125,15 @@
 	uint32_t n = 0;
 	const bh_run_t *run;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		const bh_phase_t *phase = run->task->phase;
 		int64_t left = time_left_ms(run, now);
 
 		if (run->state != BH_RUN_ACTIVE || phase->step->is_lasting ||
 		    phase->step->is_filler || left < 0 || run->percent >= 100)
 			continue;
-		rate_sum += (double)(bh_run_left_ms(run) + 1) /
-			    (double)(left + 1);
+		rate_sum +=
+			(double)(bh_run_left_ms(run) + 1) / (double)(left + 1);
 		n++;
 	}
 	if (n >= 2)
@@ -172,13 +170,12 @@
 {
 	bh_host_t *host;
 
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		bh_run_t *run;
 		bh_run_t *next;
 
 		judge_speed(host, now);
 		TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
-		check_run(s, run, now);
+			check_run(s, run, now);
 	}
 }
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -1,7 +1,5 @@
 #include "sched/sched_impl.h"
 
-#include <stdio.h>
-
 /* A worker's clock may run this much slower than ours (parts per hundred). */
 #define CLOCK_DRIFT_PERCENT 2
 
@@ -124,12 +122,13 @@
 	if (!task)
 		return;
 	run = bh_run_find(task, e->attempt);
-	bh_sched_log(s, "end", task->phase->rec->job->id,
-		     "task=%s attempt=%u worker=%s how=%s number=%"
-		     G_GUINT64_FORMAT " ran_ms=%" G_GINT64_FORMAT,
-		     e->task + BH_JOB_ID_LEN + 1, e->attempt, host->info.id,
-		     bh_end_name(e->how), e->number,
-		     run ? (now - run->ordered_at) / 1000 : -1);
+	bh_sched_log(
+		s, "end", task->phase->rec->job->id,
+		"task=%s attempt=%u worker=%s how=%s number=%" G_GUINT64_FORMAT
+		" ran_ms=%" G_GINT64_FORMAT,
+		e->task + BH_JOB_ID_LEN + 1, e->attempt, host->info.id,
+		bh_end_name(e->how), e->number,
+		run ? (now - run->ordered_at) / 1000 : -1);
 	if (e->attempt >= task->attempt) {
 		task->attempt = e->attempt;
 		adopt_checkpoint(s, task, e->checkpoint);
@@ -173,8 +172,7 @@
 static void stop_stray(bh_sched_t *s, bh_host_t *host, const bh_active_t *a)
 {
 	bh_sched_log(s, "stop", NULL, "task=%s attempt=%u worker=%s why=%s",
-		     a->task, a->attempt, host->info.id,
-		     "no job asks for it");
+		     a->task, a->attempt, host->info.id, "no job asks for it");
 	s->ops->stop(s->ctx, host->key, host->info.boot, a->task, a->attempt);
 }
 
@@ -245,12 +243,11 @@
 	bh_run_t *next;
 
 	TAILQ_FOREACH(run, &host->runs, link)
-	run->absences++;
+		run->absences++;
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
-	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
-	{
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
 		if (run->state == BH_RUN_ORDERED && run->absences &&
 		    run->ordered_at < host->linked_at)
 			bh_run_stop(s, run, "its order was lost", now);
@@ -292,8 +289,7 @@
 	bh_run_t *run;
 	bh_run_t *next;
 
-	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
-	{
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
 		if (run->state == BH_RUN_STOPPING)
 			continue;
 		if (run->task->phase->step->is_lasting ||
@@ -329,8 +325,7 @@
 	bh_host_t *host;
 	bool is_recovering = false;
 
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (now >= host->lapse_at &&
 		    (!host->is_synced || !TAILQ_EMPTY(&host->runs))) {
 			bh_sched_log(s, "host lapsed", NULL,
@@ -356,7 +351,7 @@
 	bh_pending_ack_t *ack;
 
 	TAILQ_FOREACH(rec, &s->committing, dirty_link)
-	oldest = MIN(oldest, rec->commit_since);
+		oldest = MIN(oldest, rec->commit_since);
 	while ((ack = g_queue_peek_head(&host->acks)) != NULL &&
 	       ack->change < oldest) {
 		host->acked = ack->number;
@@ -383,9 +378,8 @@
 	host->lapse_at = now;
 	host->is_synced = !may_hold_work;
 	if (may_hold_work)
-		host->lapse_at += (s->bounds.lease_ms * (100 +
-							 CLOCK_DRIFT_PERCENT) /
-					   100 +
+		host->lapse_at += (s->bounds.lease_ms *
+					   (100 + CLOCK_DRIFT_PERCENT) / 100 +
 				   s->bounds.silence_ms) *
 				  BH_USEC_PER_MS;
 	host->speed = 1;
@@ -521,8 +515,7 @@
 {
 	const bh_host_t *host;
 
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (!host->is_linked && host->is_synced &&
 		    TAILQ_EMPTY(&host->runs) && now >= host->lapse_at &&
 		    now - host->heard_at > FORGET_AFTER_US)
--- a/sched/job.c
+++ b/sched/job.c
@@ -1,7 +1,5 @@
 #include "sched/job.h"
 
-#include <stdio.h>
-
 static bool is_hex_digit(char c)
 {
 	return g_ascii_isdigit(c) || (c >= 'a' && c <= 'f') ||
@@ -150,8 +148,8 @@
 void bh_task_name_format(const bh_task_name_t *name,
 			 char out[BH_TASK_NAME_BYTES])
 {
-	snprintf(out, BH_TASK_NAME_BYTES, "%s.%u.%u.%u", name->job,
-		 name->occurrence, name->step, name->index);
+	g_snprintf(out, BH_TASK_NAME_BYTES, "%s.%u.%u.%u", name->job,
+		   name->occurrence, name->step, name->index);
 }
 
 bool bh_task_name_parse(const char *text, bh_task_name_t *out)
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -127,8 +127,8 @@
 			continue;
 		task = &phase->tasks[t->index];
 		task->n_failed = t->n_failed;
-		task->failed = g_memdup2(t->failed,
-					 t->n_failed * sizeof(uint32_t));
+		task->failed =
+			g_memdup2(t->failed, t->n_failed * sizeof(uint32_t));
 		task->checkpoint = g_strdup(t->checkpoint);
 	}
 	if (phase_is_done(phase))
@@ -367,8 +367,8 @@
 		if (account->failed[i] == attempt)
 			return;
 	}
-	account->failed = g_renew(uint32_t, account->failed,
-				  account->n_failed + 1);
+	account->failed =
+		g_renew(uint32_t, account->failed, account->n_failed + 1);
 	account->failed[account->n_failed++] = attempt;
 	bh_rec_touch(s, phase->rec);
 	if (limit && account->n_failed >= limit)
@@ -438,8 +438,7 @@
 	bh_rec_t *rec;
 
 	s->config = config;
-	TAILQ_FOREACH(rec, &s->recs, link)
-	{
+	TAILQ_FOREACH(rec, &s->recs, link) {
 		if (!bh_rec_is_over(rec))
 			update_terms(s, rec);
 	}
--- a/sched/pairs.h
+++ b/sched/pairs.h
@@ -39,8 +39,8 @@
 double bh_pairs_caution(const bh_pairs_t *pairs, const char *filler,
 			const char *lasting);
 
-typedef void (*bh_pair_cb_t)(void *ctx, const char *filler,
-			     const char *lasting, double harm, double upper);
+typedef void (*bh_pair_cb_t)(void *ctx, const char *filler, const char *lasting,
+			     double harm, double upper);
 
 /**
  * bh_pairs_each() - all that is known; a new leader takes it over by
--- a/sched/place.c
+++ b/sched/place.c
@@ -5,7 +5,6 @@
  */
 #include "sched/sched_impl.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 
 /* Weights of a host's score, in parts of a fully loaded host. */
@@ -108,8 +107,7 @@
 		       (int64_t)((double)host->used_cpu * host->filler_share);
 	const bh_run_t *run;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		if (run->task->phase->step->is_filler && run->pace > 0)
 			room -= bh_run_need(run);
 	}
@@ -171,8 +169,7 @@
 	const bh_run_t *run;
 	double n = 0;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		const bh_step_t *step = run->task->phase->step;
 
 		if (step->is_lasting && g_strcmp0(step->image, image) != 0)
@@ -217,14 +214,13 @@
 }
 
 bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
-			 const bh_host_t *not_on, bh_usec_t now)
+			      const bh_host_t *not_on, bh_usec_t now)
 {
 	bh_host_t *best = NULL;
 	bh_host_t *host;
 	double best_score = 0;
 
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		double value;
 
 		if (host == not_on || !is_eligible(s, task, host, now))
@@ -250,8 +246,7 @@
 		host = bh_sched_find_host(s, task, NULL, now);
 		if (!host)
 			return false;
-		bh_run_start(s, task, host, bh_task_next_attempt(s, task),
-			     now);
+		bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
 	}
 	return true;
 }
@@ -268,8 +263,8 @@
 	if (phase->waiting < n)
 		return true;
 	for (uint32_t i = 0; i < n; i++) {
-		attempt = MAX(attempt,
-			      bh_task_next_attempt(s, &phase->tasks[i]));
+		attempt =
+			MAX(attempt, bh_task_next_attempt(s, &phase->tasks[i]));
 		if (phase->tasks[i].checkpoint)
 			checkpoint = phase->tasks[i].checkpoint;
 	}
@@ -279,8 +274,8 @@
 
 		if (!host)
 			break;
-		runs[placed] = bh_run_new(s, task, host, attempt,
-					  BH_RUN_ORDERED, now);
+		runs[placed] =
+			bh_run_new(s, task, host, attempt, BH_RUN_ORDERED, now);
 	}
 	for (uint32_t i = 0; i < placed; i++) {
 		bh_task_t *task = runs[i]->task;
@@ -315,8 +310,7 @@
 	if (phase->advice_asked_at &&
 	    now - phase->advice_asked_at < ADVICE_AGAIN_US)
 		return true;
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (n < G_N_ELEMENTS(workers) &&
 		    bh_host_is_usable(s, host, now))
 			workers[n++] = host->info.id;
@@ -324,8 +318,8 @@
 	if (n == 0)
 		return true;
 	phase->advice_asked_at = now;
-	snprintf(name, sizeof(name), "%s.%u.%u", phase->rec->job->id,
-		 phase->occurrence, phase->step_index);
+	g_snprintf(name, sizeof(name), "%s.%u.%u", phase->rec->job->id,
+		   phase->occurrence, phase->step_index);
 	s->ops->advise(s->ctx, name, workers, n);
 	return true;
 }
@@ -337,8 +331,7 @@
 	bh_phase_t *next;
 	uint32_t misses = 0;
 
-	TAILQ_FOREACH_SAFE(phase, &s->open, link, next)
-	{
+	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
 		if (phase->waiting == 0) {
 			TAILQ_REMOVE(&s->open, phase, link);
 			phase->is_listed = false;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -1,5 +1,8 @@
 #include "sched/sched_impl.h"
 
+/* Keeps predicted waits finite while no worker is known. */
+#define ROOM_FLOOR 1000
+
 static void free_steps(bh_progress_t *progress)
 {
 	for (uint32_t i = 0; i < progress->n_steps; i++) {
@@ -40,8 +43,8 @@
 		note = &out->tasks[out->n_tasks++];
 		note->index = i;
 		note->n_failed = task->n_failed;
-		note->failed = g_memdup2(task->failed, task->n_failed *
-							       sizeof(uint32_t));
+		note->failed = g_memdup2(task->failed,
+					 task->n_failed * sizeof(uint32_t));
 		note->checkpoint = g_strdup(task->checkpoint);
 	}
 }
@@ -61,8 +64,7 @@
 {
 	bh_rec_t *rec;
 
-	TAILQ_FOREACH(rec, &s->recs, link)
-	{
+	TAILQ_FOREACH(rec, &s->recs, link) {
 		if (rec->job->first_due_ms && !bh_rec_is_over(rec))
 			bh_rec_open_phases(s, rec, now);
 	}
@@ -74,15 +76,13 @@
 	const bh_host_t *host;
 	uint64_t room = 0;
 
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		uint64_t lasting = 0;
 		const bh_run_t *run;
 
 		if (!bh_host_is_usable(s, host, now))
 			continue;
-		TAILQ_FOREACH(run, &host->runs, link)
-		{
+		TAILQ_FOREACH(run, &host->runs, link) {
 			if (run->task->phase->step->is_lasting)
 				lasting += run->task->phase->step->cpu_milli;
 		}
@@ -148,8 +148,7 @@
 
 	if (!s)
 		return;
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		while (!TAILQ_EMPTY(&host->runs))
 			bh_run_drop(s, TAILQ_FIRST(&host->runs));
 	}
@@ -172,8 +171,8 @@
 }
 
 void bh_sched_advised(bh_sched_t *s, const char *phase_name,
-		      const bh_ticket_t *tickets, uint32_t n,
-		      uint32_t valid_ms, bh_usec_t now)
+		      const bh_ticket_t *tickets, uint32_t n, uint32_t valid_ms,
+		      bh_usec_t now)
 {
 	g_autofree char *first = g_strdup_printf("%s.0", phase_name);
 	bh_task_t *task = bh_task_find(s, first);
@@ -183,11 +182,10 @@
 		return;
 	phase = task->phase;
 	g_clear_pointer(&phase->tickets, g_hash_table_destroy);
-	phase->tickets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	phase->tickets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (uint32_t i = 0; i < n; i++)
-		g_hash_table_insert(phase->tickets,
-				    g_strdup(tickets[i].worker),
+		g_hash_table_insert(phase->tickets, g_strdup(tickets[i].worker),
 				    g_strdup(tickets[i].ticket));
 	phase->tickets_until = now + valid_ms * BH_USEC_PER_MS;
 	s->must_place = true;
@@ -262,8 +260,7 @@
 		if (rec->dirty_since)
 			bh_rec_list_dirty(s, rec);
 	}
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		uint64_t before = host->acked;
 
 		bh_host_release_acks(s, host);
@@ -288,8 +285,7 @@
 {
 	const bh_rec_t *rec;
 
-	TAILQ_FOREACH(rec, &s->recs, link)
-	{
+	TAILQ_FOREACH(rec, &s->recs, link) {
 		if (rec->shown && !rec->dirty_since && !rec->commit_since &&
 		    unix_ms > rec->ended_ms + (uint64_t)s->bounds.status_ms)
 			return rec->job->id;
@@ -315,8 +311,7 @@
 	const bh_rec_t *rec;
 	uint32_t n = 0;
 
-	TAILQ_FOREACH(rec, &s->recs, link)
-	{
+	TAILQ_FOREACH(rec, &s->recs, link) {
 		if (!rec->has_started && !bh_rec_is_over(rec) &&
 		    strcmp(rec->job->queue, queue) == 0)
 			n++;
@@ -327,8 +322,8 @@
 uint32_t bh_sched_load(const bh_sched_t *s, bh_backlog_t *out, uint32_t max,
 		       bh_usec_t now)
 {
-	uint64_t filler_room = MAX(total_room(s, true, now), 1000);
-	uint64_t other_room = MAX(total_room(s, false, now), 1000);
+	uint64_t filler_room = total_room(s, true, now) + ROOM_FLOOR;
+	uint64_t other_room = total_room(s, false, now) + ROOM_FLOOR;
 	uint64_t fillers = 0;
 	uint64_t others = 0;
 	uint32_t n = 0;
@@ -337,8 +332,7 @@
 		const bh_rec_t *rec;
 		bool is_seen = false;
 
-		TAILQ_FOREACH(rec, &s->recs, link)
-		{
+		TAILQ_FOREACH(rec, &s->recs, link) {
 			if (bh_rec_is_over(rec) ||
 			    rec->job->terms.priority != p)
 				continue;
@@ -361,12 +355,11 @@
 	const bh_phase_t *phase;
 
 	*out = s->stats;
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		out->tasks_running += host->n_runs;
 		if (host->info.state == BH_WORKER_READY && host->is_linked)
 			out->hosts_ready++;
 	}
 	TAILQ_FOREACH(phase, &s->open, link)
-	out->tasks_waiting += phase->waiting;
+		out->tasks_waiting += phase->waiting;
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -157,8 +157,8 @@
 } bh_ticket_t;
 
 void bh_sched_advised(bh_sched_t *s, const char *phase,
-		      const bh_ticket_t *tickets, uint32_t n,
-		      uint32_t valid_ms, bh_usec_t now);
+		      const bh_ticket_t *tickets, uint32_t n, uint32_t valid_ms,
+		      bh_usec_t now);
 
 /**
  * bh_sched_run() - place what waits, steer what runs
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -323,7 +323,7 @@
  * Return: NULL when none has room.
  */
 bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
-			 const bh_host_t *not_on, bh_usec_t now);
+			      const bh_host_t *not_on, bh_usec_t now);
 
 /* steer.c */
 void bh_steer(bh_sched_t *s, bh_usec_t now);
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -6,7 +6,6 @@
  */
 #include "sched/sched_impl.h"
 
-
 /* Between two looks; gauges cover the last half second. */
 #define STEER_EVERY_US (200 * BH_USEC_PER_MS)
 
@@ -79,8 +78,7 @@
 
 static bool is_filler_run(const bh_run_t *run)
 {
-	return run->task->phase->step->is_filler &&
-	       run->state == BH_RUN_ACTIVE;
+	return run->task->phase->step->is_filler && run->state == BH_RUN_ACTIVE;
 }
 
 static bool is_serving_run(const bh_run_t *run)
@@ -123,8 +121,7 @@
 	const bh_run_t *run;
 	uint32_t n = 0;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		if (run->task->phase->step->is_filler &&
 		    run->state != BH_RUN_STOPPING && run->pace > 0)
 			add_press(out, &n, run->task->phase->step->image,
@@ -142,8 +139,7 @@
 	uint32_t kept = 0;
 	const bh_run_t *run;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		if (is_filler_run(run))
 			add_press(now, &n, run->task->phase->step->image,
 				  (double)run->gauge /
@@ -155,14 +151,15 @@
 		sizeof(host->n_recent[0]) * (BH_RECENT_REPORTS - 1));
 	host->n_recent[0] = n;
 	for (uint32_t i = 0; i < n; i++) {
-		now[i].image = g_intern_string(now[i].image ? now[i].image : "");
+		now[i].image =
+			g_intern_string(now[i].image ? now[i].image : "");
 		host->recent[0][i] = now[i];
 	}
 	for (uint32_t i = 0; i < host->n_press; i++)
 		host->press[i].share *= 1 - LAG_RATE;
 	for (uint32_t i = 0; i < n; i++)
-		add_press(host->press, &host->n_press,
-			  now[i].image, now[i].share * LAG_RATE);
+		add_press(host->press, &host->n_press, now[i].image,
+			  now[i].share * LAG_RATE);
 	for (uint32_t i = 0; i < host->n_press; i++) {
 		if (host->press[i].share > PRESS_FORGET)
 			host->press[kept++] = host->press[i];
@@ -204,8 +201,7 @@
 
 	filter_presses(host);
 	check_sick(host);
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		if (is_serving_run(run))
 			note_spike(run);
 		else if (is_filler_run(run) && run->pace == 100)
@@ -285,18 +281,17 @@
 
 	if (host->n_press == 0 || host->is_sick)
 		return;
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		const bh_phase_t *phase = run->task->phase;
 
 		if (!is_serving_run(run) || phase->base_ms <= 0)
 			continue;
-		bh_pairs_bound(s->pairs, phase->step->image, lasting,
-			       n_lasting, run->gauge / phase->base_ms - 1);
-		bh_pairs_learn(s->pairs, phase->step->image, host->press,
-			       host->n_press,
-			       MIN(run->gauge / phase->base_ms - 1,
-				   EXCESS_MAX));
+		bh_pairs_bound(s->pairs, phase->step->image, lasting, n_lasting,
+			       run->gauge / phase->base_ms - 1);
+		bh_pairs_learn(
+			s->pairs, phase->step->image, host->press,
+			host->n_press,
+			MIN(run->gauge / phase->base_ms - 1, EXCESS_MAX));
 	}
 }
 
@@ -343,14 +338,15 @@
 	const char *image = filler->task->phase->step->image;
 	double share = (double)bh_run_need(filler) /
 		       MAX(filler->host->info.cpu_milli, 1);
-	double full = bh_pairs_caution(s->pairs, image, phase->step->image) *
-		      share;
+	double full =
+		bh_pairs_caution(s->pairs, image, phase->step->image) * share;
 	double base = MAX(phase->base_ms, phase->usual_base_ms);
 	bh_press_t press[BH_PRESSES_MAX];
 	uint32_t n = presses_of(filler->host, press);
-	double others = bh_pairs_excess(s->pairs, phase->step->image, press, n) -
-			bh_pairs_harm(s->pairs, image, phase->step->image) *
-				share * filler->pace / 100;
+	double others =
+		bh_pairs_excess(s->pairs, phase->step->image, press, n) -
+		bh_pairs_harm(s->pairs, image, phase->step->image) * share *
+			filler->pace / 100;
 	double wanted;
 
 	if (full < PRESS_MIN || base <= 0)
@@ -368,8 +364,7 @@
 	const bh_run_t *run;
 	double part = 1;
 
-	TAILQ_FOREACH(run, &filler->host->runs, link)
-	{
+	TAILQ_FOREACH(run, &filler->host->runs, link) {
 		if (is_serving_run(run))
 			part = MIN(part, bearable_part(s, filler, run));
 	}
@@ -380,11 +375,10 @@
 {
 	const bh_run_t *run;
 
-	TAILQ_FOREACH(run, &filler->host->runs, link)
-	{
+	TAILQ_FOREACH(run, &filler->host->runs, link) {
 		if (is_serving_run(run) &&
-		    run->tail > run->task->phase->step->target_ms *
-					STRAIN_HIGH &&
+		    run->tail >
+			    run->task->phase->step->target_ms * STRAIN_HIGH &&
 		    added_by(s, filler, run) >= PRESS_MIN)
 			return true;
 	}
@@ -442,8 +436,7 @@
 	uint64_t got = 0;
 	const bh_run_t *run;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		if (!is_filler_run(run) || run->pace < 100 || !run->peak ||
 		    !run->gauge)
 			continue;
@@ -466,8 +459,7 @@
 
 	host->strain = 0;
 	host->is_harmed = false;
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		if (!is_serving_run(run))
 			continue;
 		host->strain =
@@ -484,8 +476,7 @@
 	bh_run_t *next;
 
 	update_strain(s, host, now);
-	TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
-	{
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
 		if (!is_filler_run(run))
 			continue;
 		steer_filler(s, run, now);
@@ -516,8 +507,7 @@
 	const bh_run_t *run;
 	double worst = 0;
 
-	TAILQ_FOREACH(run, &host->runs, link)
-	{
+	TAILQ_FOREACH(run, &host->runs, link) {
 		const bh_phase_t *phase = run->task->phase;
 		const char *image = phase->step->image;
 		double harm;
@@ -525,10 +515,10 @@
 
 		if (!phase->step->is_lasting || !phase->step->target_ms)
 			continue;
-		harm = is_cautious ? bh_pairs_caution(s->pairs, filler->image,
-						      image)
-				   : bh_pairs_harm(s->pairs, filler->image,
-						   image);
+		harm = is_cautious
+			       ? bh_pairs_caution(s->pairs, filler->image,
+						  image)
+			       : bh_pairs_harm(s->pairs, filler->image, image);
 		excess = bh_pairs_excess(s->pairs, image, press, n) +
 			 harm * share;
 		worst = MAX(worst, MAX(phase->base_ms, phase->usual_base_ms) *
@@ -558,16 +548,14 @@
 	if (now - s->steered_at < STEER_EVERY_US)
 		return;
 	s->steered_at = now;
-	TAILQ_FOREACH(rec, &s->recs, link)
-	{
-		for (uint32_t i = 0;
-		     i < rec->n_phases && !bh_rec_is_over(rec); i++) {
+	TAILQ_FOREACH(rec, &s->recs, link) {
+		for (uint32_t i = 0; i < rec->n_phases && !bh_rec_is_over(rec);
+		     i++) {
 			if (rec->phases[i].step->is_lasting)
 				update_base(s, &rec->phases[i]);
 		}
 	}
-	TAILQ_FOREACH(host, &s->hosts, link)
-	{
+	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (!host->is_linked)
 			continue;
 		if (host->gauged_at != host->heard_at) {
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -156,8 +156,7 @@
 	} else if (number(body, "expires-ms") <= clock_ms(h)) {
 		refuse(h, req, "late");
 	} else {
-		h->expires_ms =
-			MAX(h->expires_ms, number(body, "expires-ms"));
+		h->expires_ms = MAX(h->expires_ms, number(body, "expires-ms"));
 		t = g_new0(task_t, 1);
 		t->name = g_strdup(name);
 		t->attempt = attempt;
@@ -222,8 +221,7 @@
 	JsonObject *out;
 
 	if (!is_fenced(h, req, body)) {
-		h->expires_ms =
-			MAX(h->expires_ms, number(body, "expires-ms"));
+		h->expires_ms = MAX(h->expires_ms, number(body, "expires-ms"));
 		while (json_array_get_length(h->ended) > 0 &&
 		       json_array_get_int_element(
 			       json_array_get_array_element(h->ended, 0), 0) <=
@@ -326,10 +324,10 @@
 	h.start_us = standin_now_us();
 	h.tasks = g_ptr_array_new_with_free_func(task_free);
 	h.ended = json_array_new();
-	h.barred = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 g_free);
-	if (!h.log || !standin_serve(h.base, argv[2], routes,
-				     G_N_ELEMENTS(routes), &h)) {
+	h.barred =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (!h.log ||
+	    !standin_serve(h.base, argv[2], routes, G_N_ELEMENTS(routes), &h)) {
 		fprintf(stderr, "standin-jobhost: cannot use %s or %s\n",
 			argv[2], argv[4]);
 		return 1;
--- a/standins/store.c
+++ b/standins/store.c
@@ -87,8 +87,7 @@
 	json_object_set_string_member(out, "table", row->table);
 	json_object_set_string_member(out, "part", "");
 	json_object_set_string_member(out, "key", row->key);
-	json_object_set_int_member(out, "schema-version",
-				   (gint64)row->version);
+	json_object_set_int_member(out, "schema-version", (gint64)row->version);
 	if (row->value)
 		json_object_set_string_member(out, "value", row->value);
 	else
@@ -102,8 +101,7 @@
 	JsonObject *body = json_object_new();
 
 	json_object_set_array_member(body, "rows", rows);
-	json_object_set_int_member(body, "schema-version",
-				   (gint64)st->version);
+	json_object_set_int_member(body, "schema-version", (gint64)st->version);
 	json_object_set_int_member(body, "now-ms", standin_now_us() / 1000);
 	json_object_set_boolean_member(body, "has-more", has_more);
 	standin_reply(req, status, body);
@@ -273,11 +271,11 @@
 	store_t *st = ctx;
 	g_autofree char *table = standin_param(req, "table", "");
 	g_autofree char *from = standin_param(req, "from", "");
-	collect_t c = {.table = table,
-		       .from = *from ? from : NULL,
-		       .rows = json_array_new(),
-		       .limit = (size_t)standin_param_int(req, "limit",
-							  PAGE_MAX)};
+	collect_t c = {
+		.table = table,
+		.from = *from ? from : NULL,
+		.rows = json_array_new(),
+		.limit = (size_t)standin_param_int(req, "limit", PAGE_MAX)};
 
 	if (is_faulty(st, req)) {
 		json_array_unref(c.rows);
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -14,11 +14,21 @@
 #define SERVICE	   "s"
 
 const char *const sw_fault_names[SW_FAULTS] = {
-	"none",		   "leader-kill",	"leader-cut",
-	"worker-crash",	   "worker-dark",	"agent-cut",
-	"agent-restart",   "store-down",	"store-loses-answers",
-	"orders-lost",	   "orders-late",	"orders-slow",
-	"worker-fails-all", "tasks-stand-still", "worker-drains",
+	"none",
+	"leader-kill",
+	"leader-cut",
+	"worker-crash",
+	"worker-dark",
+	"agent-cut",
+	"agent-restart",
+	"store-down",
+	"store-loses-answers",
+	"orders-lost",
+	"orders-late",
+	"orders-slow",
+	"worker-fails-all",
+	"tasks-stand-still",
+	"worker-drains",
 };
 
 typedef struct sw_run_rec {
@@ -193,8 +203,7 @@
 		}
 		/* The rules let a task run again whose worker's lease lapsed
 		 * between its end and the acknowledgement. */
-		if (w && e->how == BH_END_DONE &&
-		    e->number > k->lapsed_number)
+		if (w && e->how == BH_END_DONE && e->number > k->lapsed_number)
 			seen_of(w, e->task)->is_done_acked = true;
 		if (w && e->how == BH_END_FAILED)
 			seen_of(w, e->task)->failed++;
@@ -299,8 +308,8 @@
 static bh_order_outcome_t worker_start(sw_world_t *w, sw_worker_t *k,
 				       const sw_message_t *m)
 {
-	uint32_t barred = GPOINTER_TO_UINT(
-		g_hash_table_lookup(k->barred, m->name));
+	uint32_t barred =
+		GPOINTER_TO_UINT(g_hash_table_lookup(k->barred, m->name));
 
 	if (m->term < k->term)
 		return BH_ORDER_FENCED;
@@ -374,8 +383,8 @@
 	m->has_answer = true;
 	if (has_fault(w, &w->workers[i], SW_ORDERS_LATE) &&
 	    g_rand_int_range(w->rand, 0, 3) == 0) {
-		m->at = w->now + g_rand_int_range(w->rand, 2, 12) *
-					 BH_USEC_PER_SEC;
+		m->at = w->now +
+			g_rand_int_range(w->rand, 2, 12) * BH_USEC_PER_SEC;
 		m->has_answer = false;
 	}
 	/* The agent's second try is carried out. */
@@ -551,10 +560,10 @@
 		step = &job->steps[parts.step];
 		a->task = g_strdup(run->name);
 		a->attempt = run->attempt;
-		a->percent = step->is_lasting
-				     ? (run->done_ms > 300 ? 100 : 50)
-				     : (uint32_t)(run->done_ms * 100 /
-						  run->need_ms);
+		a->percent =
+			step->is_lasting
+				? (run->done_ms > 300 ? 100 : 50)
+				: (uint32_t)(run->done_ms * 100 / run->need_ms);
 		if (step->is_checkpointing)
 			a->checkpoint = g_strdup_printf("%s@%.0f", run->name,
 							run->done_ms);
@@ -591,8 +600,7 @@
 				 .boot = k->boot,
 				 .service = (char *)SERVICE,
 				 .state = BH_WORKER_DOWN};
-	bh_worker_lists_t lists = {.boot = k->boot,
-				   .clock_ms = clock_of(w, k)};
+	bh_worker_lists_t lists = {.boot = k->boot, .clock_ms = clock_of(w, k)};
 
 	if (!k->is_up) {
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
@@ -611,8 +619,7 @@
 	for (guint i = 0; i < k->ended->len; i++) {
 		lists.ended[i] = g_array_index(k->ended, bh_ended_t, i);
 		lists.ended[i].task = g_strdup(lists.ended[i].task);
-		lists.ended[i].checkpoint =
-			g_strdup(lists.ended[i].checkpoint);
+		lists.ended[i].checkpoint = g_strdup(lists.ended[i].checkpoint);
 	}
 	k->report = lists;
 	k->report_boot = k->boot;
@@ -641,8 +648,7 @@
 	w->proven_at = w->now;
 	for (int i = 0; i < SW_WORKERS; i++) {
 		bh_sched_add_host(w->sched, w->workers[i].key,
-				  w->term > 1 &&
-					  w->off != SW_NO_RECOVERY_WAIT,
+				  w->term > 1 && w->off != SW_NO_RECOVERY_WAIT,
 				  w->now);
 		w->workers[i].is_linked = false;
 	}
@@ -650,8 +656,7 @@
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
 		GBytes *bytes = g_hash_table_lookup(w->progress, id);
 		gsize len = 0;
-		const void *data =
-			bytes ? g_bytes_get_data(bytes, &len) : NULL;
+		const void *data = bytes ? g_bytes_get_data(bytes, &len) : NULL;
 		bh_progress_t *progress =
 			bytes ? bh_progress_unpack(data, len) : NULL;
 
@@ -680,9 +685,8 @@
 	w->committed_at = w->now;
 	is_stored = !has_fault(w, NULL, SW_STORE_DOWN) &&
 		    !has_fault(w, NULL, SW_LEADER_CUT);
-	is_told = is_stored &&
-		  !(has_fault(w, NULL, SW_STORE_LOSES_ANSWERS) &&
-		    g_rand_int_range(w->rand, 0, 3) == 0);
+	is_told = is_stored && !(has_fault(w, NULL, SW_STORE_LOSES_ANSWERS) &&
+				 g_rand_int_range(w->rand, 0, 3) == 0);
 	if (is_told)
 		w->proven_at = w->now;
 	n = bh_sched_begin_commit(w->sched, ids, 90);
@@ -800,10 +804,10 @@
 					(GDestroyNotify)g_bytes_unref);
 	w->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_bytes_unref);
-	w->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					g_free);
-	w->poison = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  NULL);
+	w->seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->poison =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->messages = g_ptr_array_new_with_free_func(free_message);
 	w->config = bh_config_new(1, 1);
 	w->config->version = 1;
--- /dev/null
+++ b/tests/test_decode.c
@@ -0,0 +1,150 @@
+/*
+ * What callers, the operator and workers send: well formed, damaged, foreign.
+ */
+#include "platform/decode.h"
+#include "tests/test.h"
+
+static bh_job_t *decode_job(const char *text, const char **error)
+{
+	return bh_decode_job(text, strlen(text), error);
+}
+
+static void test_job(void **state)
+{
+	const char *error;
+	bh_job_t *job = decode_job(
+		"{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,"
+		"\"mem-mb\":256,\"estimate-ms\":900,\"affinity\":\"r1-3\"},"
+		"{\"count\":20,\"cpu\":2000,\"after\":[0],"
+		"\"checkpointing\":true,\"fills\":true,\"image\":\"i\","
+		"\"new-field\":{}}]}",
+		&error);
+
+	(void)state;
+	assert_non_null(job);
+	assert_int_equal(job->n_steps, 2);
+	assert_int_equal(job->steps[0].cpu_milli, 500);
+	assert_string_equal(job->steps[0].rack, "r1-3");
+	assert_int_equal(job->steps[1].after[0], 0);
+	assert_true(job->steps[1].is_checkpointing);
+	assert_true(job->steps[1].is_filler);
+	assert_int_equal(bh_job_chain_ms(job), 900);
+	bh_job_free(job);
+}
+
+static void test_bad_jobs_are_named(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"[",
+		"[]",
+		"{}",
+		"{\"spec\":1,\"steps\":[]}",
+		"{\"spec\":\"x\"}",
+		"{\"spec\":\"x\",\"steps\":[]}",
+		"{\"spec\":\"x\",\"steps\":[1]}",
+		"{\"spec\":\"x\",\"steps\":[{}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":-1}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":\"1\"}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1e300}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[\"a\"]}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":20000},{\"count\":1}]}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		const char *error = NULL;
+
+		assert_null(decode_job(bad[i], &error));
+		assert_non_null(error);
+	}
+}
+
+static void test_config(void **state)
+{
+	const char *text =
+		"{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.x\","
+		"\"path-prefix\":\"/p/\",\"service\":\"s\",\"priority\":2,"
+		"\"max-attempts\":4,\"slack-factor\":1.5,"
+		"\"target-duration-ms\":300},{\"name\":\"b\",\"host\":\"h.x\","
+		"\"path-prefix\":\"/p/q/\",\"service\":\"s\"}],"
+		"\"services\":[{\"name\":\"s\",\"admission-check\":true}],"
+		"\"limits\":{\"max-body-bytes\":1000}}";
+	bh_config_t *config = bh_decode_config(text, strlen(text));
+
+	(void)state;
+	assert_non_null(config);
+	assert_int_equal(config->version, 7);
+	assert_string_equal(bh_config_match(config, "h.x:80", "/p/1")->name,
+			    "a");
+	assert_string_equal(bh_config_match(config, "H.x", "/p/q/1")->name,
+			    "b");
+	assert_null(bh_config_match(config, "h.y", "/p/1"));
+	assert_null(bh_config_match(config, "h.x", "/q/1"));
+	assert_int_equal(bh_config_queue(config, "a")->max_attempts, 4);
+	bh_config_free(config);
+	assert_null(bh_decode_config("{\"routes\":[]}", 13));
+	assert_null(bh_decode_config("nonsense", 8));
+}
+
+static bool announce(const char *text, bh_announcement_t *out)
+{
+	return bh_decode_announcement("w", text, strlen(text), out);
+}
+
+#define WORKER(state)                                                          \
+	"{\"service\":\"s\",\"state\":" state ",\"seq-no\":4,\"born\":12,"     \
+	"\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0},"             \
+	"\"labels\":[\"a\",\"r1-3\",5],\"drain-remaining-ms\":900}"
+
+static void test_announcements(void **state)
+{
+	bh_announcement_t a;
+
+	(void)state;
+	assert_true(announce(WORKER("\"draining\""), &a));
+	assert_int_equal(a.info.state, BH_WORKER_DRAINING);
+	assert_int_equal(a.info.n_labels, 2);
+	assert_int_equal(a.info.boot, 12);
+	assert_int_equal(a.info.leaves_ms, 900);
+	bh_worker_info_clear(&a.info);
+	assert_false(announce(WORKER("\"asleep\""), &a));
+	assert_false(announce(WORKER("3"), &a));
+	assert_false(announce("{}", &a));
+	assert_false(announce("\xff\xfe", &a));
+	assert_false(announce("{\"service\":\"s\",\"state\":\"ready\","
+			      "\"seq-no\":\"4\",\"capacity\":{}}",
+			      &a));
+}
+
+static void test_task_names(void **state)
+{
+	bh_task_name_t name;
+	char text[BH_TASK_NAME_BYTES];
+
+	(void)state;
+	assert_true(bh_task_name_parse("5c0e7a21d94b36f8.0.1.17", &name));
+	assert_int_equal(name.index, 17);
+	bh_task_name_format(&name, text);
+	assert_string_equal(text, "5c0e7a21d94b36f8.0.1.17");
+	assert_false(bh_task_name_parse("5c0e7a21d94b36f8.0.1", &name));
+	assert_false(bh_task_name_parse("5c0e7a21d94b36f8.0.1.x", &name));
+	assert_false(
+		bh_task_name_parse("5c0e7a21d94b36f8.0.1.4294967296", &name));
+	assert_false(bh_task_name_parse("zc0e7a21d94b36f8.0.1.1", &name));
+	assert_false(bh_task_name_parse("short", &name));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job),
+		cmocka_unit_test(test_bad_jobs_are_named),
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_announcements),
+		cmocka_unit_test(test_task_names),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -196,8 +196,7 @@
 	assert_kept(w);
 	if (sw_state(w, JOB_A) != BH_JOB_COMPLETED ||
 	    sw_state(w, JOB_B) != BH_JOB_COMPLETED ||
-	    sw_state(w, JOB_C) != BH_JOB_COMPLETED ||
-	    sw_running(w, JOB_L) != 5)
+	    sw_state(w, JOB_C) != BH_JOB_COMPLETED || sw_running(w, JOB_L) != 5)
 		fail_msg("%s at %d ms: a %d b %d c %d, %u of 5 serve", fault,
 			 at_ms, sw_state(w, JOB_A), sw_state(w, JOB_B),
 			 sw_state(w, JOB_C), sw_running(w, JOB_L));
@@ -209,9 +208,8 @@
 	for (int f = 0; f < SW_FAULTS; f++) {
 		for (size_t m = 0; m < sizeof(moments) / sizeof(*moments);
 		     m++) {
-			sw_world_t *w = sw_new((uint32_t)(f * 100) +
-						       (uint32_t)m,
-					       SW_ALL_ON);
+			sw_world_t *w = sw_new(
+				(uint32_t)(f * 100) + (uint32_t)m, SW_ALL_ON);
 
 			submit_mix(w);
 			sw_run(w, MS(moments[m]) + MS(20));
--- /dev/null
+++ b/tests/test_sched_codec.c
@@ -0,0 +1,139 @@
+/*
+ * Rows and frames of the job scheduler: what is packed comes back, and damaged
+ * bytes do not.
+ */
+#include "tests/test.h"
+#include "wire/sched_codec.h"
+
+static bh_job_t *make_job(void)
+{
+	bh_job_t *job = g_new0(bh_job_t, 1);
+
+	g_strlcpy(job->id, "00000000000000aa", sizeof(job->id));
+	job->queue = g_strdup("q");
+	job->spec = g_strdup("spec");
+	job->terms.service = g_strdup("s");
+	job->terms.slack_percent = 150;
+	job->n_steps = 2;
+	job->steps = g_new0(bh_step_t, 2);
+	for (int i = 0; i < 2; i++) {
+		job->steps[i].count = 3;
+		job->steps[i].cpu_milli = 1500;
+		job->steps[i].image = g_strdup("im");
+		job->steps[i].after = g_new0(uint32_t, 1);
+	}
+	job->steps[1].n_after = 1;
+	job->steps[1].is_filler = true;
+	job->steps[1].is_speculative = true;
+	return job;
+}
+
+static void test_job_round_trip(void **state)
+{
+	bh_job_t *job = make_job();
+	GBytes *bytes = bh_job_pack(job);
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(bytes, &len);
+	bh_job_t *back = bh_job_unpack(data, len);
+
+	(void)state;
+	assert_non_null(back);
+	assert_string_equal(back->id, job->id);
+	assert_string_equal(back->terms.service, "s");
+	assert_int_equal(back->steps[1].n_after, 1);
+	assert_true(back->steps[1].is_filler);
+	assert_true(back->steps[1].is_speculative);
+	assert_false(back->steps[1].is_gang);
+	assert_null(back->steps[0].rack);
+	bh_job_free(back);
+	/* Cut short at any byte it is refused or still a whole job. */
+	for (gsize cut = 0; cut < len; cut++) {
+		back = bh_job_unpack(data, cut);
+		if (back)
+			assert_null(bh_job_check(back));
+		bh_job_free(back);
+	}
+	g_bytes_unref(bytes);
+	bh_job_free(job);
+}
+
+static void test_progress_round_trip(void **state)
+{
+	uint32_t failed[] = {1, 4097};
+	uint8_t done[] = {0x05};
+	bh_task_note_t task = {.index = 1,
+			       .n_failed = 2,
+			       .failed = failed,
+			       .checkpoint = (char *)"cp"};
+	bh_step_note_t step = {.step = 1,
+			       .n_done_bytes = 1,
+			       .done = done,
+			       .n_tasks = 1,
+			       .tasks = &task};
+	bh_progress_t progress = {
+		.state = BH_JOB_RUNNING, .n_steps = 1, .steps = &step};
+	GBytes *bytes = bh_progress_pack(&progress);
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+	bh_progress_t *back = bh_progress_unpack(data, len);
+
+	(void)state;
+	assert_non_null(back);
+	assert_int_equal(back->state, BH_JOB_RUNNING);
+	assert_int_equal(back->steps[0].done[0], 0x05);
+	assert_int_equal(back->steps[0].tasks[0].failed[1], 4097);
+	assert_string_equal(back->steps[0].tasks[0].checkpoint, "cp");
+	bh_progress_free(back);
+	g_bytes_unref(bytes);
+	assert_null(bh_progress_unpack("\xff\xff\xff", 3));
+}
+
+static void test_report_round_trip(void **state)
+{
+	bh_worker_info_t info = {.id = (char *)"w",
+				 .boot = 7,
+				 .state = BH_WORKER_READY,
+				 .cpu_milli = 16000,
+				 .n_labels = 1,
+				 .labels = {(char *)"r1-1"}};
+	bh_active_t active = {.task = (char *)"t", .attempt = 2, .gauge = 30};
+	bh_ended_t ended = {
+		.number = 9, .task = (char *)"u", .how = BH_END_LAPSED};
+	bh_worker_lists_t lists = {.boot = 7,
+				   .clock_ms = 1234,
+				   .n_active = 1,
+				   .active = &active,
+				   .n_ended = 1,
+				   .ended = &ended};
+	GByteArray *out = g_byte_array_new();
+	bh_frame_t *frame;
+	bh_report_t back;
+
+	(void)state;
+	bh_report_append(&info, &lists, 3, out);
+	frame = bh__sched__frame__unpack(
+		NULL, out->len - BH_SCHED_FRAME_HEADER_BYTES,
+		out->data + BH_SCHED_FRAME_HEADER_BYTES);
+	assert_non_null(frame);
+	bh_report_decode(frame->report, &back);
+	assert_string_equal(back.info.id, "w");
+	assert_string_equal(back.info.labels[0], "r1-1");
+	assert_int_equal(back.lists.clock_ms, 1234);
+	assert_int_equal(back.lists.active[0].gauge, 30);
+	assert_int_equal(back.lists.ended[0].how, BH_END_LAPSED);
+	assert_int_equal(back.term, 3);
+	bh_report_clear(&back);
+	bh__sched__frame__free_unpacked(frame, NULL);
+	g_byte_array_free(out, TRUE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job_round_trip),
+		cmocka_unit_test(test_progress_round_trip),
+		cmocka_unit_test(test_report_round_trip),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -384,8 +384,8 @@
 	size_t len = bh__sched__frame__get_packed_size(frame);
 	uint32_t header = GUINT32_TO_BE((uint32_t)len);
 
-	g_byte_array_set_size(
-		out, start + BH_SCHED_FRAME_HEADER_BYTES + (guint)len);
+	g_byte_array_set_size(out,
+			      start + BH_SCHED_FRAME_HEADER_BYTES + (guint)len);
 	memcpy(out->data + start, &header, sizeof(header));
 	bh__sched__frame__pack(frame, out->data + start + sizeof(header));
 }
