An entry that the store turns away reaches it through the leader

Change: daemon/relay.c: submissions, cancellations and reads go by the leader's link when the store refuses or does not answer; while it stays away the leader is asked first. A write that one way left open is never called refused.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -1,6 +1,7 @@
 #include "daemon/hub.h"
 #include "daemon/follow.h"
 #include "daemon/metrics.h"
+#include "daemon/relay.h"
 #include "daemon/tables.h"
 #include "platform/decode.h"
 
@@ -51,6 +52,7 @@
 	bh_config_t *config;
 	bh_config_t *old_config;
 	GBytes *config_text;
+	bh_relay_t *relay;
 	bh_term_t *term;
 	bh_sched_leader_t *leading;
 	bool is_lost;
@@ -236,6 +238,9 @@
 	case BH__SCHED__FRAME__BODY_PING:
 		on_peer_ping(hub, peer, frame->ping);
 		break;
+	case BH__SCHED__FRAME__BODY_STORE_CALL:
+		bh_relay_serve(hub->relay, link, frame->store_call);
+		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
 		take_config(hub, frame->config->text.data,
 			    frame->config->text.len, "entry");
@@ -253,6 +258,7 @@
 
 static void peer_drop(bh_hub_t *hub, peer_t *peer)
 {
+	bh_relay_drop_peer(hub->relay, peer->link);
 	TAILQ_REMOVE(&hub->peers, peer, entry);
 	g_free(peer);
 }
@@ -331,6 +337,9 @@
 	case BH__SCHED__FRAME__BODY_REPLY:
 		on_reply(hub, frame->reply);
 		break;
+	case BH__SCHED__FRAME__BODY_STORE_ANSWER:
+		bh_relay_on_answer(hub->relay, frame->store_answer);
+		break;
 	case BH__SCHED__FRAME__BODY_PING:
 		on_leader_ping(hub, frame->ping);
 		break;
@@ -348,6 +357,7 @@
 	bh_hub_t *hub = ctx;
 
 	hub->link_is_open = true;
+	bh_relay_set_leader(hub->relay, link);
 	hub->refusals = 0;
 	hub->leader_config = 0;
 	bh_log_event(&hub->rt->log, BH_LOG_INFO, "leader linked", "address",
@@ -359,6 +369,7 @@
 {
 	hub->link = NULL;
 	hub->link_is_open = false;
+	bh_relay_set_leader(hub->relay, NULL);
 }
 
 static void on_leader_closed(void *ctx, bh_link_t *link, bool is_refused)
@@ -521,6 +532,7 @@
 	keep_link(hub, now);
 	ping_all(hub, now);
 	expire_questions(hub, now);
+	bh_relay_tick(hub->relay, now);
 }
 
 static void ask(bh_hub_t *hub, const char *id, const char *queue,
@@ -554,6 +566,7 @@
 
 	hub->rt = rt;
 	hub->store = store;
+	hub->relay = bh_relay_new(store);
 	TAILQ_INIT(&hub->peers);
 	hub->questions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, g_free);
@@ -561,6 +574,7 @@
 				       &peer_ops, hub, on_accepted);
 	if (!hub->acceptor) {
 		g_hash_table_destroy(hub->questions);
+		bh_relay_free(hub->relay);
 		g_free(hub);
 		return NULL;
 	}
@@ -582,6 +596,7 @@
 	drop_peers(hub);
 	bh_acceptor_free(hub->acceptor);
 	bh_term_free(hub->term);
+	bh_relay_free(hub->relay);
 	g_hash_table_destroy(hub->questions);
 	bh_config_free(hub->config);
 	bh_config_free(hub->old_config);
@@ -645,6 +660,11 @@
 	bh_link_send(hub->link, &frame);
 }
 
+bh_relay_t *bh_hub_relay(bh_hub_t *hub)
+{
+	return hub->relay;
+}
+
 void bh_hub_resign(bh_hub_t *hub)
 {
 	bh_term_resign(hub->term);
--- a/daemon/hub.h
+++ b/daemon/hub.h
@@ -6,6 +6,7 @@
 #ifndef BH_DAEMON_HUB_H
 #define BH_DAEMON_HUB_H
 
+#include "daemon/relay.h"
 #include "daemon/sched_leader.h"
 
 typedef struct bh_hub bh_hub_t;
@@ -43,6 +44,11 @@
  * bh_hub_tell_job() - the leader should know of this job now
  */
 void bh_hub_tell_job(bh_hub_t *hub, const void *data, size_t len);
+
+/**
+ * bh_hub_relay() - the store, by this entry or through the leader
+ */
+bh_relay_t *bh_hub_relay(bh_hub_t *hub);
 void bh_hub_resign(bh_hub_t *hub);
 void bh_hub_metrics(bh_hub_t *hub, GString *out);
 
--- /dev/null
+++ b/daemon/relay.c
@@ -0,0 +1,350 @@
+#include "daemon/relay.h"
+
+/* A call by the leader: two ways between hosts and a store that serves it. */
+#define LEADER_TIMEOUT_US (1000 * BH_USEC_PER_MS)
+#define SERVE_TIMEOUT_MS  800
+
+/* After a call that the store turned away, the leader is asked first for so
+ * long: a silent store would cost every caller a time-out. */
+#define AWAY_US (2000 * BH_USEC_PER_MS)
+
+typedef struct call {
+	TAILQ_ENTRY(call) link;
+	bh_relay_t *relay;
+	uint64_t number;
+	char *table;
+	char *key;
+	bool is_put;
+	bool is_tried;
+	bool is_unclear;
+	bool is_at_leader; /* waits for its answer */
+	bool was_at_leader;
+	uint64_t version;
+	GBytes *value;
+	int64_t timeout_ms;
+	bh_usec_t asked_at;
+	bh_store_cb_t cb;
+	void *user;
+} call_t;
+
+typedef TAILQ_HEAD(calls, call) calls_t;
+
+/* A call made for another entry. */
+typedef struct served {
+	TAILQ_ENTRY(served) link;
+	bh_relay_t *relay;
+	bh_link_t *peer;
+	uint64_t number;
+	char *key;
+} served_t;
+
+typedef TAILQ_HEAD(served_calls, served) served_calls_t;
+
+struct bh_relay {
+	bh_store_t *store;
+	bh_link_t *leader;
+	calls_t calls;
+	served_calls_t served;
+	uint64_t last_number;
+	bh_usec_t away_at;
+};
+
+static void call_free(call_t *c)
+{
+	TAILQ_REMOVE(&c->relay->calls, c, link);
+	if (c->value)
+		g_bytes_unref(c->value);
+	g_free(c->table);
+	g_free(c->key);
+	g_free(c);
+}
+
+static void finish(call_t *c, const bh_store_reply_t *reply)
+{
+	bh_store_reply_t out = *reply;
+	bh_store_cb_t cb = c->cb;
+	void *user = c->user;
+
+	/* One way refused it, but another may have done it. */
+	if (c->is_unclear && out.status == BH_STORE_REFUSED)
+		out.status = BH_STORE_UNKNOWN;
+	call_free(c);
+	cb(user, &out);
+}
+
+static void ask_leader(call_t *c)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__StoreCall m = BH__SCHED__STORE_CALL__INIT;
+
+	c->is_at_leader = true;
+	c->was_at_leader = true;
+	c->asked_at = bh_runtime_now();
+	m.number = c->number;
+	m.table = c->table;
+	m.key = c->key;
+	m.is_put = c->is_put;
+	m.version = c->version;
+	if (c->value) {
+		gsize len;
+
+		m.value.data = (uint8_t *)g_bytes_get_data(c->value, &len);
+		m.value.len = len;
+	}
+	frame.body_case = BH__SCHED__FRAME__BODY_STORE_CALL;
+	frame.store_call = &m;
+	bh_link_send(c->relay->leader, &frame);
+}
+
+static bool can_ask_leader(const bh_relay_t *relay)
+{
+	return relay->leader && bh_link_is_open(relay->leader);
+}
+
+static void on_reply(void *user, const bh_store_reply_t *reply)
+{
+	call_t *c = user;
+
+	if (reply->status != BH_STORE_REFUSED &&
+	    reply->status != BH_STORE_UNKNOWN) {
+		c->relay->away_at = 0;
+		finish(c, reply);
+		return;
+	}
+	c->relay->away_at = bh_runtime_now();
+	if (reply->status == BH_STORE_UNKNOWN && c->is_put)
+		c->is_unclear = true;
+	if (!c->was_at_leader && can_ask_leader(c->relay))
+		ask_leader(c);
+	else
+		finish(c, reply);
+}
+
+static void ask_store(call_t *c)
+{
+	bh_store_tx_t *tx;
+	gsize len;
+	const void *data;
+
+	c->is_tried = true;
+	if (!c->is_put) {
+		bh_store_list(c->relay->store, c->table, c->key, 1,
+			      c->timeout_ms, on_reply, c);
+		return;
+	}
+	tx = bh_store_tx_new();
+	data = g_bytes_get_data(c->value, &len);
+	bh_store_tx_check(tx, c->table, c->key, c->version);
+	bh_store_tx_put(tx, c->table, c->key, data, len);
+	bh_store_commit(c->relay->store, tx, c->timeout_ms, on_reply, c);
+}
+
+static call_t *call_new(bh_relay_t *relay, const char *table, const char *key,
+			int64_t timeout_ms, bh_store_cb_t cb, void *user)
+{
+	call_t *c = g_new0(call_t, 1);
+
+	c->relay = relay;
+	c->number = ++relay->last_number;
+	c->table = g_strdup(table);
+	c->key = g_strdup(key);
+	c->timeout_ms = timeout_ms;
+	c->cb = cb;
+	c->user = user;
+	TAILQ_INSERT_TAIL(&relay->calls, c, link);
+	return c;
+}
+
+static void begin(call_t *c)
+{
+	const bh_relay_t *relay = c->relay;
+
+	if (relay->away_at && can_ask_leader(relay) &&
+	    bh_runtime_now() - relay->away_at < AWAY_US)
+		ask_leader(c);
+	else
+		ask_store(c);
+}
+
+/* The leader gave no answer; the store itself is tried if it was not yet. */
+static void leader_failed(call_t *c)
+{
+	bh_store_reply_t none = {.status = c->is_put ? BH_STORE_UNKNOWN
+						     : BH_STORE_REFUSED};
+
+	if (c->is_put)
+		c->is_unclear = true;
+	if (c->is_tried)
+		finish(c, &none);
+	else
+		ask_store(c);
+}
+
+static void served_free(served_t *s)
+{
+	TAILQ_REMOVE(&s->relay->served, s, link);
+	g_free(s->key);
+	g_free(s);
+}
+
+static void on_served(void *user, const bh_store_reply_t *reply)
+{
+	served_t *s = user;
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__StoreAnswer m = BH__SCHED__STORE_ANSWER__INIT;
+
+	m.number = s->number;
+	m.status = reply->status;
+	if (reply->n_rows && strcmp(reply->rows[0].key, s->key) == 0) {
+		m.has_row = true;
+		m.version = reply->rows[0].version;
+		m.value.data = reply->rows[0].value;
+		m.value.len = reply->rows[0].len;
+	}
+	frame.body_case = BH__SCHED__FRAME__BODY_STORE_ANSWER;
+	frame.store_answer = &m;
+	if (s->peer && bh_link_is_open(s->peer))
+		bh_link_send(s->peer, &frame);
+	served_free(s);
+}
+
+bh_relay_t *bh_relay_new(bh_store_t *store)
+{
+	bh_relay_t *relay = g_new0(bh_relay_t, 1);
+
+	relay->store = store;
+	TAILQ_INIT(&relay->calls);
+	TAILQ_INIT(&relay->served);
+	return relay;
+}
+
+void bh_relay_free(bh_relay_t *relay)
+{
+	call_t *c;
+	served_t *s;
+
+	while ((c = TAILQ_FIRST(&relay->calls)) != NULL)
+		call_free(c);
+	while ((s = TAILQ_FIRST(&relay->served)) != NULL)
+		served_free(s);
+	g_free(relay);
+}
+
+void bh_relay_set_leader(bh_relay_t *relay, bh_link_t *leader)
+{
+	call_t *c;
+	call_t *next;
+
+	relay->leader = leader;
+	TAILQ_FOREACH_SAFE(c, &relay->calls, link, next) {
+		if (c->is_at_leader)
+			c->asked_at = 0;
+	}
+}
+
+void bh_relay_get(bh_relay_t *relay, const char *table, const char *key,
+		  int64_t timeout_ms, bh_store_cb_t cb, void *user)
+{
+	begin(call_new(relay, table, key, timeout_ms, cb, user));
+}
+
+void bh_relay_put(bh_relay_t *relay, const char *table, const char *key,
+		  uint64_t version, GBytes *value, int64_t timeout_ms,
+		  bh_store_cb_t cb, void *user)
+{
+	call_t *c = call_new(relay, table, key, timeout_ms, cb, user);
+
+	c->is_put = true;
+	c->version = version;
+	c->value = g_bytes_ref(value);
+	begin(c);
+}
+
+void bh_relay_on_answer(bh_relay_t *relay, const Bh__Sched__StoreAnswer *answer)
+{
+	call_t *c;
+	bh_store_row_t row = {
+		.value = answer->value.data,
+		.len = answer->value.len,
+		.version = answer->version,
+	};
+	bh_store_reply_t reply = {
+		.status = MIN(answer->status, BH_STORE_UNKNOWN),
+		.rows = &row,
+		.n_rows = answer->has_row ? 1 : 0,
+	};
+
+	TAILQ_FOREACH(c, &relay->calls, link) {
+		if (c->number == answer->number && c->is_at_leader)
+			break;
+	}
+	if (!c)
+		return;
+	row.table = c->table;
+	row.key = c->key;
+	c->is_at_leader = false;
+	if (reply.status == BH_STORE_UNKNOWN && c->is_put)
+		c->is_unclear = true;
+	if (reply.status >= BH_STORE_REFUSED && !c->is_tried) {
+		ask_store(c);
+		return;
+	}
+	/* The texts belong to the call, which ends before its callback. */
+	row.table = (char *)g_intern_string(c->table);
+	row.key = g_strdup(c->key);
+	finish(c, &reply);
+	g_free(row.key);
+}
+
+void bh_relay_serve(bh_relay_t *relay, bh_link_t *peer,
+		    const Bh__Sched__StoreCall *call)
+{
+	served_t *s = g_new0(served_t, 1);
+	bh_store_tx_t *tx;
+
+	s->relay = relay;
+	s->peer = peer;
+	s->number = call->number;
+	s->key = g_strdup(call->key);
+	TAILQ_INSERT_TAIL(&relay->served, s, link);
+	if (!call->is_put) {
+		bh_store_list(relay->store, call->table, call->key, 1,
+			      SERVE_TIMEOUT_MS, on_served, s);
+		return;
+	}
+	tx = bh_store_tx_new();
+	bh_store_tx_check(tx, call->table, call->key, call->version);
+	bh_store_tx_put(tx, call->table, call->key, call->value.data,
+			call->value.len);
+	bh_store_commit(relay->store, tx, SERVE_TIMEOUT_MS, on_served, s);
+}
+
+void bh_relay_drop_peer(bh_relay_t *relay, const bh_link_t *peer)
+{
+	served_t *s;
+
+	TAILQ_FOREACH(s, &relay->served, link) {
+		if (s->peer == peer)
+			s->peer = NULL;
+	}
+}
+
+void bh_relay_tick(bh_relay_t *relay, bh_usec_t now)
+{
+	call_t *c;
+	bool is_found = true;
+
+	/* A callback may begin or end other calls: start over after each. */
+	while (is_found) {
+		is_found = false;
+		TAILQ_FOREACH(c, &relay->calls, link) {
+			if (!c->is_at_leader ||
+			    now - c->asked_at < LEADER_TIMEOUT_US)
+				continue;
+			c->is_at_leader = false;
+			leader_failed(c);
+			is_found = true;
+			break;
+		}
+	}
+}
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -263,15 +263,9 @@
 
 static void submit(pending_t *p)
 {
-	bh_store_tx_t *tx = bh_store_tx_new();
-	gsize len;
-	const void *data = g_bytes_get_data(p->row, &len);
-
 	p->tries++;
-	bh_store_tx_check(tx, BH_TABLE_JOBS, p->id, 0);
-	bh_store_tx_put(tx, BH_TABLE_JOBS, p->id, data, len);
-	bh_store_commit(p->entry->store, tx, try_timeout_ms(p), on_submitted,
-			p);
+	bh_relay_put(bh_hub_relay(p->entry->hub), BH_TABLE_JOBS, p->id, 0,
+		     p->row, try_timeout_ms(p), on_submitted, p);
 }
 
 static void set_terms(bh_job_t *job, const bh_queue_t *queue, const char *id)
@@ -349,9 +343,6 @@
 static void cancel_write(pending_t *p, const bh_store_row_t *row)
 {
 	bh_job_t *job = bh_job_unpack(row->value, row->len);
-	bh_store_tx_t *tx;
-	gsize len;
-	const void *data;
 
 	if (!job) {
 		log_answer(p, 500, "the stored job cannot be read");
@@ -369,12 +360,8 @@
 	job->is_cancelled = true;
 	p->row = bh_job_pack(job);
 	bh_job_free(job);
-	data = g_bytes_get_data(p->row, &len);
-	tx = bh_store_tx_new();
-	bh_store_tx_check(tx, BH_TABLE_JOBS, p->id, row->version);
-	bh_store_tx_put(tx, BH_TABLE_JOBS, p->id, data, len);
-	bh_store_commit(p->entry->store, tx, try_timeout_ms(p), on_cancelled,
-			p);
+	bh_relay_put(bh_hub_relay(p->entry->hub), BH_TABLE_JOBS, p->id,
+		     row->version, p->row, try_timeout_ms(p), on_cancelled, p);
 }
 
 static const bh_store_row_t *row_of(const bh_store_reply_t *reply,
@@ -403,8 +390,8 @@
 static void cancel_read(pending_t *p)
 {
 	p->tries++;
-	bh_store_list(p->entry->store, BH_TABLE_JOBS, p->id, 1,
-		      try_timeout_ms(p), on_cancel_read, p);
+	bh_relay_get(bh_hub_relay(p->entry->hub), BH_TABLE_JOBS, p->id,
+		     try_timeout_ms(p), on_cancel_read, p);
 }
 
 static void on_delete(bh_sched_entry_t *e, struct evhttp_request *req,
@@ -455,14 +442,14 @@
 	}
 	p->state = job->is_cancelled ? BH_JOB_CANCELLED : BH_JOB_QUEUED;
 	bh_job_free(job);
-	bh_store_list(p->entry->store, BH_TABLE_PROGRESS, p->id, 1,
-		      try_timeout_ms(p), on_progress_read, p);
+	bh_relay_get(bh_hub_relay(p->entry->hub), BH_TABLE_PROGRESS, p->id,
+		     try_timeout_ms(p), on_progress_read, p);
 }
 
 static void state_from_store(pending_t *p)
 {
-	bh_store_list(p->entry->store, BH_TABLE_JOBS, p->id, 1,
-		      try_timeout_ms(p), on_job_read, p);
+	bh_relay_get(bh_hub_relay(p->entry->hub), BH_TABLE_JOBS, p->id,
+		     try_timeout_ms(p), on_job_read, p);
 }
 
 static void on_state(void *user, bool is_answered, bh_job_state_t state,
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1087,6 +1087,96 @@
   assert(message->base.descriptor == &bh__sched__config_push__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__store_call__init
+                     (Bh__Sched__StoreCall         *message)
+{
+  static const Bh__Sched__StoreCall init_value = BH__SCHED__STORE_CALL__INIT;
+  *message = init_value;
+}
+size_t bh__sched__store_call__get_packed_size
+                     (const Bh__Sched__StoreCall *message)
+{
+  assert(message->base.descriptor == &bh__sched__store_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__store_call__pack
+                     (const Bh__Sched__StoreCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__store_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__store_call__pack_to_buffer
+                     (const Bh__Sched__StoreCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__store_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__StoreCall *
+       bh__sched__store_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__StoreCall *)
+     protobuf_c_message_unpack (&bh__sched__store_call__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__store_call__free_unpacked
+                     (Bh__Sched__StoreCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__store_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bh__sched__store_answer__init
+                     (Bh__Sched__StoreAnswer         *message)
+{
+  static const Bh__Sched__StoreAnswer init_value = BH__SCHED__STORE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t bh__sched__store_answer__get_packed_size
+                     (const Bh__Sched__StoreAnswer *message)
+{
+  assert(message->base.descriptor == &bh__sched__store_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__store_answer__pack
+                     (const Bh__Sched__StoreAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__store_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__store_answer__pack_to_buffer
+                     (const Bh__Sched__StoreAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__store_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__StoreAnswer *
+       bh__sched__store_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__StoreAnswer *)
+     protobuf_c_message_unpack (&bh__sched__store_answer__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__store_answer__free_unpacked
+                     (Bh__Sched__StoreAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__store_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__frame__init
                      (Bh__Sched__Frame         *message)
 {
@@ -3214,7 +3304,200 @@
   (ProtobufCMessageInit) bh__sched__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor bh__sched__store_call__field_descriptors[6] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreCall, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreCall, table),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreCall, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_put",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreCall, is_put),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreCall, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreCall, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__store_call__field_indices_by_name[] = {
+  3,   /* field[3] = is_put */
+  2,   /* field[2] = key */
+  0,   /* field[0] = number */
+  1,   /* field[1] = table */
+  5,   /* field[5] = value */
+  4,   /* field[4] = version */
+};
+static const ProtobufCIntRange bh__sched__store_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bh__sched__store_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.StoreCall",
+  "StoreCall",
+  "Bh__Sched__StoreCall",
+  "bh.sched",
+  sizeof(Bh__Sched__StoreCall),
+  6,
+  bh__sched__store_call__field_descriptors,
+  bh__sched__store_call__field_indices_by_name,
+  1,  bh__sched__store_call__number_ranges,
+  (ProtobufCMessageInit) bh__sched__store_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__store_answer__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreAnswer, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreAnswer, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_row",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreAnswer, has_row),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreAnswer, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StoreAnswer, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__store_answer__field_indices_by_name[] = {
+  2,   /* field[2] = has_row */
+  0,   /* field[0] = number */
+  1,   /* field[1] = status */
+  4,   /* field[4] = value */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange bh__sched__store_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bh__sched__store_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.StoreAnswer",
+  "StoreAnswer",
+  "Bh__Sched__StoreAnswer",
+  "bh.sched",
+  sizeof(Bh__Sched__StoreAnswer),
+  5,
+  bh__sched__store_answer__field_descriptors,
+  bh__sched__store_answer__field_indices_by_name,
+  1,  bh__sched__store_answer__number_ranges,
+  (ProtobufCMessageInit) bh__sched__store_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[14] =
 {
   {
     "hello",
@@ -3360,6 +3643,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_call",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, store_call),
+    &bh__sched__store_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_answer",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, store_answer),
+    &bh__sched__store_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__frame__field_indices_by_name[] = {
   11,   /* field[11] = config */
@@ -3374,11 +3681,13 @@
   6,   /* field[6] = result */
   3,   /* field[3] = start */
   4,   /* field[4] = stop */
+  13,   /* field[13] = store_answer */
+  12,   /* field[12] = store_call */
 };
 static const ProtobufCIntRange bh__sched__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bh__sched__frame__descriptor =
 {
@@ -3388,7 +3697,7 @@
   "Bh__Sched__Frame",
   "bh.sched",
   sizeof(Bh__Sched__Frame),
-  12,
+  14,
   bh__sched__frame__field_descriptors,
   bh__sched__frame__field_indices_by_name,
   1,  bh__sched__frame__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -39,6 +39,8 @@
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
 typedef struct Bh__Sched__Ping Bh__Sched__Ping;
 typedef struct Bh__Sched__ConfigPush Bh__Sched__ConfigPush;
+typedef struct Bh__Sched__StoreCall Bh__Sched__StoreCall;
+typedef struct Bh__Sched__StoreAnswer Bh__Sched__StoreAnswer;
 typedef struct Bh__Sched__Frame Bh__Sched__Frame;
 
 
@@ -415,6 +417,39 @@
     , 0, {0,NULL} }
 
 
+/*
+ * A call to the store that an entry has the leader make, since the store turns
+ * the entry away. With a value the row is put if it has the version, else read.
+ */
+struct  Bh__Sched__StoreCall
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *table;
+  char *key;
+  protobuf_c_boolean is_put;
+  uint64_t version;
+  ProtobufCBinaryData value;
+};
+#define BH__SCHED__STORE_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__store_call__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+
+
+struct  Bh__Sched__StoreAnswer
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint32_t status;
+  protobuf_c_boolean has_row;
+  uint64_t version;
+  ProtobufCBinaryData value;
+};
+#define BH__SCHED__STORE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__store_answer__descriptor) \
+    , 0, 0, 0, 0, {0,NULL} }
+
+
 typedef enum {
   BH__SCHED__FRAME__BODY__NOT_SET = 0,
   BH__SCHED__FRAME__BODY_HELLO = 1,
@@ -428,7 +463,9 @@
   BH__SCHED__FRAME__BODY_QUERY = 9,
   BH__SCHED__FRAME__BODY_REPLY = 10,
   BH__SCHED__FRAME__BODY_PING = 11,
-  BH__SCHED__FRAME__BODY_CONFIG = 12
+  BH__SCHED__FRAME__BODY_CONFIG = 12,
+  BH__SCHED__FRAME__BODY_STORE_CALL = 13,
+  BH__SCHED__FRAME__BODY_STORE_ANSWER = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BH__SCHED__FRAME__BODY__CASE)
 } Bh__Sched__Frame__BodyCase;
 
@@ -449,6 +486,8 @@
     Bh__Sched__QueryReply *reply;
     Bh__Sched__Ping *ping;
     Bh__Sched__ConfigPush *config;
+    Bh__Sched__StoreCall *store_call;
+    Bh__Sched__StoreAnswer *store_answer;
   };
 };
 #define BH__SCHED__FRAME__INIT \
@@ -912,6 +951,44 @@
 void   bh__sched__config_push__free_unpacked
                      (Bh__Sched__ConfigPush *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__StoreCall methods */
+void   bh__sched__store_call__init
+                     (Bh__Sched__StoreCall         *message);
+size_t bh__sched__store_call__get_packed_size
+                     (const Bh__Sched__StoreCall   *message);
+size_t bh__sched__store_call__pack
+                     (const Bh__Sched__StoreCall   *message,
+                      uint8_t             *out);
+size_t bh__sched__store_call__pack_to_buffer
+                     (const Bh__Sched__StoreCall   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__StoreCall *
+       bh__sched__store_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__store_call__free_unpacked
+                     (Bh__Sched__StoreCall *message,
+                      ProtobufCAllocator *allocator);
+/* Bh__Sched__StoreAnswer methods */
+void   bh__sched__store_answer__init
+                     (Bh__Sched__StoreAnswer         *message);
+size_t bh__sched__store_answer__get_packed_size
+                     (const Bh__Sched__StoreAnswer   *message);
+size_t bh__sched__store_answer__pack
+                     (const Bh__Sched__StoreAnswer   *message,
+                      uint8_t             *out);
+size_t bh__sched__store_answer__pack_to_buffer
+                     (const Bh__Sched__StoreAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__StoreAnswer *
+       bh__sched__store_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__store_answer__free_unpacked
+                     (Bh__Sched__StoreAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Frame methods */
 void   bh__sched__frame__init
                      (Bh__Sched__Frame         *message);
@@ -1005,6 +1082,12 @@
 typedef void (*Bh__Sched__ConfigPush_Closure)
                  (const Bh__Sched__ConfigPush *message,
                   void *closure_data);
+typedef void (*Bh__Sched__StoreCall_Closure)
+                 (const Bh__Sched__StoreCall *message,
+                  void *closure_data);
+typedef void (*Bh__Sched__StoreAnswer_Closure)
+                 (const Bh__Sched__StoreAnswer *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Frame_Closure)
                  (const Bh__Sched__Frame *message,
                   void *closure_data);
@@ -1038,6 +1121,8 @@
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ping__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__config_push__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__store_call__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__store_answer__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
