Serving tasks that are due get the memory that fillers hold

Ruled out: the wait after takeover alone (it ended at 38.5 s, the tasks were missing until 45 s). That wait was 6.6 s, since two agents that had left by scale-in kept their rows for 20 s.

Change: more urgent work that has waited 300 ms stops less urgent fillers, those with checkpoints first; rows of agents that nobody hears are dropped after 7 s.

Test: test_fillers_give_way_to_serving_tasks fails without it.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -16,8 +16,9 @@
 /* Part of what tasks ask for that they use, until fillers show it. */
 #define FILLER_SHARE_PRIOR 0.6
 
-/* A host that nobody has heard of for so long has left for good. */
-#define FORGET_AFTER_US (20 * BH_USEC_PER_SEC)
+/* A host that nobody has heard of for so long, longer than any lease, has left;
+ * a new leader would wait for it. An agent that lives registers again. */
+#define FORGET_AFTER_US (7 * BH_USEC_PER_SEC)
 
 static bh_host_t *host_find(const bh_sched_t *s, const char *key)
 {
--- a/sched/place.c
+++ b/sched/place.c
@@ -29,6 +29,10 @@
  * that its neighbours bear there. */
 #define FORCE_AFTER_US (2000 * BH_USEC_PER_MS)
 
+/* More urgent work waits so long for room before fillers give way, and for
+ * their stops before more of them do. */
+#define PREEMPT_AFTER_US (300 * BH_USEC_PER_MS)
+
 /* Each worker named lengthens the adviser's answer. */
 #define ADVICE_WORKERS_MAX 30
 
@@ -133,7 +137,8 @@
 	       now - task->waiting_since > FORCE_AFTER_US;
 }
 
-static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
+/* All but room. */
+static bool is_suitable(const bh_sched_t *s, const bh_task_t *task,
 			const bh_host_t *host, bh_usec_t now)
 {
 	const bh_phase_t *phase = task->phase;
@@ -152,6 +157,16 @@
 	if (phase->tickets &&
 	    !g_hash_table_contains(phase->tickets, host->info.id))
 		return false;
+	return true;
+}
+
+static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
+			const bh_host_t *host, bh_usec_t now)
+{
+	const bh_step_t *step = task->phase->step;
+
+	if (!is_suitable(s, task, host, now))
+		return false;
 	if (!has_room(host, step))
 		return false;
 	return !step->is_filler || must_run(task, now) ||
@@ -234,6 +249,85 @@
 	return best;
 }
 
+static bool may_give_way(const bh_run_t *run, const bh_phase_t *to)
+{
+	const bh_phase_t *phase = run->task->phase;
+
+	return phase->step->is_filler && run->state != BH_RUN_STOPPING &&
+	       phase->rec->job->terms.priority > to->rec->job->terms.priority;
+}
+
+/* Memory of a host that less urgent fillers hold, those without checkpoints
+ * left out unless @is_all. */
+static uint64_t memory_to_give(const bh_host_t *host, const bh_phase_t *to,
+			       bool is_all)
+{
+	const bh_run_t *run;
+	uint64_t memory = 0;
+
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (may_give_way(run, to) &&
+		    (is_all || run->task->phase->step->is_checkpointing))
+			memory += run->task->phase->step->memory_mb;
+	}
+	return memory;
+}
+
+static bool fits_without(const bh_host_t *host, const bh_phase_t *phase,
+			 bool is_all)
+{
+	const bh_step_t *step = phase->step;
+
+	return host->used_cpu + step->cpu_milli <= host->info.cpu_milli &&
+	       host->used_accelerators + step->accelerators <=
+		       host->info.accelerators &&
+	       host->used_memory + step->memory_mb <=
+		       host->info.memory_mb +
+			       memory_to_give(host, phase, is_all);
+}
+
+static void stop_fillers(bh_sched_t *s, bh_host_t *host, bh_phase_t *phase,
+			 bool is_all, bh_usec_t now)
+{
+	uint64_t wanted = host->used_memory + phase->step->memory_mb;
+	uint64_t freed = 0;
+	bh_run_t *run;
+	bh_run_t *next;
+
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
+		if (wanted <= host->info.memory_mb + freed)
+			return;
+		if (!may_give_way(run, phase) ||
+		    (!is_all && !run->task->phase->step->is_checkpointing))
+			continue;
+		freed += run->task->phase->step->memory_mb;
+		bh_run_stop(s, run, "more urgent work needs its memory", now);
+	}
+}
+
+/* Fillers hold memory while they wait or are paced down; a serving task that is
+ * due must not wait for them. One task's room at a time. */
+static void make_room(bh_sched_t *s, bh_phase_t *phase, const bh_task_t *task,
+		      bh_usec_t now)
+{
+	bh_host_t *host;
+
+	if (phase->step->is_filler ||
+	    now - task->waiting_since < PREEMPT_AFTER_US ||
+	    now - phase->preempted_at < PREEMPT_AFTER_US)
+		return;
+	for (int is_all = 0; is_all <= 1; is_all++) {
+		TAILQ_FOREACH(host, &s->hosts, link) {
+			if (!is_suitable(s, task, host, now) ||
+			    !fits_without(host, phase, is_all))
+				continue;
+			phase->preempted_at = now;
+			stop_fillers(s, host, phase, is_all, now);
+			return;
+		}
+	}
+}
+
 /* Return: false when there was no room for a task. */
 static bool place_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
 {
@@ -244,8 +338,10 @@
 		if (task->is_done || task->runs[0] || task->runs[1])
 			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
-		if (!host)
+		if (!host) {
+			make_room(s, phase, task, now);
 			return false;
+		}
 		bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
 	}
 	return true;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -118,6 +118,7 @@
 	GHashTable *tickets;
 	bh_usec_t tickets_until;
 	bh_usec_t advice_asked_at;
+	bh_usec_t preempted_at;
 	double base_ms;
 	double least_ms;
 	double usual_base_ms;
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -3,15 +3,16 @@
 
 #include <stdio.h>
 
-#define STEP_US	   (20 * BH_USEC_PER_MS)
-#define REPORT_US  (400 * BH_USEC_PER_MS)
-#define COMMIT_US  (40 * BH_USEC_PER_MS)
-#define ELECT_US   (2500 * BH_USEC_PER_MS)
-#define LEASE_MS   5000
-#define SILENCE_MS 3000
-#define STOP_US	   (100 * BH_USEC_PER_MS)
-#define QUEUE	   "q"
-#define SERVICE	   "s"
+#define STEP_US	     (20 * BH_USEC_PER_MS)
+#define REPORT_US    (400 * BH_USEC_PER_MS)
+#define COMMIT_US    (40 * BH_USEC_PER_MS)
+#define ELECT_US     (2500 * BH_USEC_PER_MS)
+#define LEASE_MS     5000
+#define SILENCE_MS   3000
+#define STOP_US	     (100 * BH_USEC_PER_MS)
+#define QUEUE	     "q"
+#define FILLER_QUEUE "f"
+#define SERVICE	     "s"
 
 const char *const sw_fault_names[SW_FAULTS] = {
 	"none",
@@ -821,8 +822,16 @@
 	w->poison =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->messages = g_ptr_array_new_with_free_func(free_message);
-	w->config = bh_config_new(1, 1);
+	w->config = bh_config_new(2, 1);
 	w->config->version = 1;
+	w->config->queues[1] = (bh_queue_t){.name = g_strdup(FILLER_QUEUE),
+					    .host = g_strdup("h"),
+					    .prefix = g_strdup("/f/"),
+					    .service = g_strdup(SERVICE),
+					    .priority = 2,
+					    .max_attempts = 3,
+					    .slack_factor = 2,
+					    .target_ms = 1000};
 	w->config->queues[0] = (bh_queue_t){.name = g_strdup(QUEUE),
 					    .host = g_strdup("h"),
 					    .prefix = g_strdup("/p/"),
@@ -880,7 +889,7 @@
 	bh_job_t *job = g_new0(bh_job_t, 1);
 
 	g_strlcpy(job->id, id, sizeof(job->id));
-	job->queue = g_strdup(QUEUE);
+	job->queue = g_strdup(strchr(flags, 'f') ? FILLER_QUEUE : QUEUE);
 	job->spec = g_strdup("spec");
 	job->accepted_ms = unix_ms(w);
 	job->terms.service = g_strdup(SERVICE);
@@ -893,7 +902,7 @@
 
 		s->count = count;
 		s->cpu_milli = cpu_milli;
-		s->memory_mb = 100;
+		s->memory_mb = strchr(flags, 'm') ? 30000 : 100;
 		s->estimate_ms = ms;
 		s->is_checkpointing = strchr(flags, 'c') != NULL;
 		s->is_speculative = strchr(flags, 's') != NULL;
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -53,7 +53,8 @@
 
 /**
  * sw_submit() - store a job and tell the leader
- * @flags: letters: c checkpointing, s speculative, l lasting, f filler, g gang
+ * @flags: letters: c checkpointing, s speculative, l lasting, f filler, g gang,
+ *	m much memory; fillers have a lower priority
  */
 void sw_submit(sw_world_t *w, const char *id, uint32_t steps, uint32_t count,
 	       uint32_t cpu_milli, uint32_t ms, const char *flags);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -150,6 +150,23 @@
 	sw_free(w);
 }
 
+/* Fillers hold all memory; serving tasks that are due get it. */
+static void test_fillers_give_way_to_serving_tasks(void **state)
+{
+	sw_world_t *w = sw_new(11, SW_ALL_ON);
+
+	(void)state;
+	sw_serve(w, JOB_L, 20, 0);
+	sw_submit(w, JOB_A, 1, 18, 500, 60000, "fcm");
+	sw_run(w, MS(1000));
+	assert_int_equal(sw_running(w, JOB_A), 18);
+	sw_submit(w, JOB_L, 1, 6, 2000, 500, "lm");
+	sw_run(w, MS(6000));
+	assert_int_equal(sw_running(w, JOB_L), 6);
+	assert_kept(w);
+	sw_free(w);
+}
+
 static void test_gang_starts_whole(void **state)
 {
 	sw_world_t *w = sw_new(6, SW_ALL_ON);
@@ -320,6 +337,7 @@
 		cmocka_unit_test(test_lasting_tasks_come_back),
 		cmocka_unit_test(
 			test_dark_worker_holds_up_a_new_leader_for_its_lease),
+		cmocka_unit_test(test_fillers_give_way_to_serving_tasks),
 		cmocka_unit_test(test_gang_starts_whole),
 		cmocka_unit_test(test_pressing_fillers_are_paced),
 		cmocka_unit_test(test_harmless_fillers_run_at_full_pace),
