A leader without the store is replaced sooner, and stops when it hears of the next

Ruled out: a pause, a slow store.

Change: the long wait before an answering leader is replaced holds only while the entry's own look at the row is slow; doubt begins after 0.9 s; a later term that is heard of ends placing and granting until the store confirms.

--- a/daemon/term.c
+++ b/daemon/term.c
@@ -10,15 +10,18 @@
  * renewals, so that one that is refused does not cost a term. */
 #define REPLACE_AFTER_US (1300 * BH_USEC_PER_MS)
 
-/* A leader that answers but does not renew may only have a slow store; to
- * replace it gains little. */
+/* A leader that answers but does not renew may only have a slow store, if this
+ * host's own look at the row is slow; to replace it would gain little. */
 #define REPLACE_ALIVE_US (2500 * BH_USEC_PER_MS)
 
+/* A look that takes longer shows that the store is slow for all. */
+#define SLOW_LOOK_US (150 * BH_USEC_PER_MS)
+
 /* Between two looks at the row while there is doubt. */
 #define LOOK_EVERY_US (300 * BH_USEC_PER_MS)
 
 /* A leader whose own word is that it has not renewed for so long is doubted. */
-#define DOUBT_AFTER_MS 1200
+#define DOUBT_AFTER_MS 900
 
 /* Longer than the store takes on a slow day; a call that takes longer is
  * settled by reading. */
@@ -53,6 +56,7 @@
 	bh_usec_t still_since;
 	bh_usec_t stand_at;
 	bh_usec_t looked_at;
+	bh_usec_t look_took;
 	bh_usec_t sent_at;
 	bh_usec_t proven_at;
 	bh_usec_t renewed_at;
@@ -133,6 +137,7 @@
 	bh_leader_row_t found = {0};
 
 	t->is_reading = false;
+	t->look_took = bh_runtime_now() - t->looked_at;
 	if (reply->status != BH_STORE_OK)
 		return;
 	if (t->is_leader && row &&
@@ -297,6 +302,13 @@
 		bh_term_commit(t, bh_store_tx_new(), NULL, NULL);
 }
 
+static bh_usec_t patience(const bh_term_t *t)
+{
+	return t->is_answering && t->look_took > SLOW_LOOK_US
+		       ? REPLACE_ALIVE_US
+		       : REPLACE_AFTER_US;
+}
+
 static bool may_stand(bh_term_t *t, bh_usec_t now)
 {
 	if (!t->is_known || t->is_busy || t->is_resigning)
@@ -306,8 +318,7 @@
 	if (!t->is_suspect)
 		return false;
 	return t->is_gone ||
-	       now - MAX(t->still_since, t->doubt_since) >
-		       (t->is_answering ? REPLACE_ALIVE_US : REPLACE_AFTER_US);
+	       now - MAX(t->still_since, t->doubt_since) > patience(t);
 }
 
 static void tick_follower(bh_term_t *t, bh_usec_t now)
@@ -401,6 +412,9 @@
 
 void bh_term_heard(bh_term_t *t, uint64_t term)
 {
+	/* Whoever knows a later term has it from its leader. */
+	if (term > t->row.term)
+		t->is_confirmed = false;
 	if (term > t->row.term &&
 	    bh_runtime_now() - t->looked_at > LOOK_EVERY_US)
 		look(t);
