Reading pass: settings without effect go, one callback for stored rows

Cause: worker_drain_ms, service and remote_slowdown were read and used nowhere; submissions and cancellations had a callback each with the same cases; the hub kept a configuration that nobody reads any longer; the leader's shell printed the scheduler's counters. Change: as said; behaviour stays.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -50,7 +50,6 @@
 	bh_store_t *store;
 	bh_follow_t *operator_rows;
 	bh_config_t *config;
-	bh_config_t *old_config;
 	GBytes *config_text;
 	bh_relay_t *relay;
 	bh_term_t *term;
@@ -111,6 +110,7 @@
 {
 	bh_config_t *config = bh_decode_config(text, len);
 	g_autofree char *version = NULL;
+	bh_config_t *old;
 
 	if (!config) {
 		bh_log_event(&hub->rt->log, BH_LOG_ERROR,
@@ -125,14 +125,14 @@
 	version = g_strdup_printf("%" G_GUINT64_FORMAT, config->version);
 	bh_log_event(&hub->rt->log, BH_LOG_INFO, "configuration", "version",
 		     version, "source", source, NULL);
-	bh_config_free(hub->old_config);
-	hub->old_config = hub->config;
+	old = hub->config;
 	hub->config = config;
 	if (hub->config_text)
 		g_bytes_unref(hub->config_text);
 	hub->config_text = g_bytes_new(text, len);
 	if (hub->leading)
 		bh_sched_leader_set_config(hub->leading, config);
+	bh_config_free(old);
 	spread_config(hub);
 }
 
@@ -599,7 +599,6 @@
 	bh_relay_free(hub->relay);
 	g_hash_table_destroy(hub->questions);
 	bh_config_free(hub->config);
-	bh_config_free(hub->old_config);
 	if (hub->config_text)
 		g_bytes_unref(hub->config_text);
 	g_free(hub->link_address);
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -228,3 +228,45 @@
 	bh_metrics_value(out, sum, labels, (double)hist->sum_us / 1e6);
 	bh_metrics_value(out, count, labels, (double)hist->count);
 }
+
+void bh_metrics_sched(GString *out, const bh_sched_t *sched)
+{
+	bh_sched_stats_t *st = g_new0(bh_sched_stats_t, 1);
+
+	bh_sched_stats(sched, st);
+	bh_metrics_value(out, "boragehold_starts_total", NULL,
+			 (double)st->starts);
+	bh_metrics_value(out, "boragehold_starts_refused_total", NULL,
+			 (double)st->rejected);
+	bh_metrics_value(out, "boragehold_stops_total", NULL,
+			 (double)st->stops);
+	bh_metrics_value(out, "boragehold_copies_total", NULL,
+			 (double)st->copies);
+	bh_metrics_value(out, "boragehold_quarantines_total", NULL,
+			 (double)st->quarantines);
+	bh_metrics_value(out, "boragehold_paces_total", NULL,
+			 (double)st->paces);
+	for (int end = BH_END_DONE; end <= BH_END_ALONE; end++) {
+		g_autofree char *label = g_strdup_printf(
+			"how=\"%s\"", bh_end_name((bh_end_t)end));
+
+		bh_metrics_value(out, "boragehold_ends_total", label,
+				 (double)st->ends[end]);
+	}
+	for (int state = BH_JOB_COMPLETED; state <= BH_JOB_CANCELLED; state++) {
+		g_autofree char *label = g_strdup_printf(
+			"state=\"%s\"",
+			bh_job_state_name((bh_job_state_t)state));
+
+		bh_metrics_value(out, "boragehold_jobs_ended_total", label,
+				 (double)st->jobs[state]);
+	}
+	bh_metrics_value(out, "boragehold_workers_ready", NULL,
+			 st->hosts_ready);
+	bh_metrics_value(out, "boragehold_tasks_waiting", NULL,
+			 st->tasks_waiting);
+	bh_metrics_value(out, "boragehold_tasks_running", NULL,
+			 st->tasks_running);
+	bh_metrics_hist(out, "boragehold_task_wait_seconds", NULL, &st->wait);
+	g_free(st);
+}
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -9,12 +9,14 @@
 #include "core/claims.h"
 #include "core/entry.h"
 #include "core/taskhost.h"
+#include "sched/sched.h"
 
 void bh_metrics_entry(GString *out, bh_entry_t *entry);
 void bh_metrics_claims(GString *out, const bh_claims_t *claims);
 void bh_metrics_agent(GString *out, const bh_agent_t *agent);
 void bh_metrics_taskhost(GString *out, const bh_taskhost_t *host);
 void bh_metrics_cell(GString *out, const bh_cell_t *cell);
+void bh_metrics_sched(GString *out, const bh_sched_t *sched);
 
 /**
  * bh_metrics_value() - one sample
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -234,7 +234,17 @@
 	finish(p, 200, g_strdup("{}"), 0);
 }
 
-static void on_submitted(void *user, const bh_store_reply_t *reply)
+/* The id's first submission stands, this one or another. */
+static void taken_before(pending_t *p, const bh_store_reply_t *reply)
+{
+	if (reply->n_rows && reply->rows[0].len) {
+		g_bytes_unref(p->row);
+		p->row = g_bytes_new(reply->rows[0].value, reply->rows[0].len);
+	}
+	accepted(p, "stored before");
+}
+
+static void on_stored(void *user, const bh_store_reply_t *reply)
 {
 	pending_t *p = user;
 
@@ -243,13 +253,10 @@
 		accepted(p, "stored");
 		break;
 	case BH_STORE_CONFLICT:
-		/* The id's first submission stands, ours or another's. */
-		if (reply->n_rows && reply->rows[0].len) {
-			g_bytes_unref(p->row);
-			p->row = g_bytes_new(reply->rows[0].value,
-					     reply->rows[0].len);
-		}
-		accepted(p, "stored before");
+		if (p->is_cancel)
+			try_again(p);
+		else
+			taken_before(p, reply);
 		break;
 	case BH_STORE_UNKNOWN:
 		p->is_unclear = true;
@@ -265,7 +272,7 @@
 {
 	p->tries++;
 	bh_relay_put(bh_hub_relay(p->entry->hub), BH_TABLE_JOBS, p->id, 0,
-		     p->row, try_timeout_ms(p), on_submitted, p);
+		     p->row, try_timeout_ms(p), on_stored, p);
 }
 
 static void set_terms(bh_job_t *job, const bh_queue_t *queue, const char *id)
@@ -322,24 +329,6 @@
 	bh_job_free(job);
 }
 
-static void on_cancelled(void *user, const bh_store_reply_t *reply)
-{
-	pending_t *p = user;
-
-	switch (reply->status) {
-	case BH_STORE_OK:
-		accepted(p, "stored");
-		break;
-	case BH_STORE_UNKNOWN:
-		p->is_unclear = true;
-		try_again(p);
-		break;
-	default:
-		try_again(p);
-		break;
-	}
-}
-
 static void cancel_write(pending_t *p, const bh_store_row_t *row)
 {
 	bh_job_t *job = bh_job_unpack(row->value, row->len);
@@ -361,7 +350,7 @@
 	p->row = bh_job_pack(job);
 	bh_job_free(job);
 	bh_relay_put(bh_hub_relay(p->entry->hub), BH_TABLE_JOBS, p->id,
-		     row->version, p->row, try_timeout_ms(p), on_cancelled, p);
+		     row->version, p->row, try_timeout_ms(p), on_stored, p);
 }
 
 static const bh_store_row_t *row_of(const bh_store_reply_t *reply,
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -586,7 +586,6 @@
 		.restore_ms = (int64_t)set->restore_ms,
 		.impact_ms = (int64_t)set->impact_ms,
 		.status_ms = (int64_t)(set->status_s * 1000),
-		.remote_slowdown = set->remote_slowdown,
 	};
 
 	l->rt = rt;
@@ -703,44 +702,7 @@
 
 void bh_sched_leader_metrics(bh_sched_leader_t *l, GString *out)
 {
-	bh_sched_stats_t *st = g_new0(bh_sched_stats_t, 1);
-
-	bh_sched_stats(l->sched, st);
 	bh_metrics_value(out, "boragehold_term", NULL,
 			 (double)bh_term_number(l->term));
-	bh_metrics_value(out, "boragehold_starts_total", NULL,
-			 (double)st->starts);
-	bh_metrics_value(out, "boragehold_starts_refused_total", NULL,
-			 (double)st->rejected);
-	bh_metrics_value(out, "boragehold_stops_total", NULL,
-			 (double)st->stops);
-	bh_metrics_value(out, "boragehold_copies_total", NULL,
-			 (double)st->copies);
-	bh_metrics_value(out, "boragehold_quarantines_total", NULL,
-			 (double)st->quarantines);
-	bh_metrics_value(out, "boragehold_paces_total", NULL,
-			 (double)st->paces);
-	for (int end = BH_END_DONE; end <= BH_END_ALONE; end++) {
-		g_autofree char *label = g_strdup_printf(
-			"how=\"%s\"", bh_end_name((bh_end_t)end));
-
-		bh_metrics_value(out, "boragehold_ends_total", label,
-				 (double)st->ends[end]);
-	}
-	for (int state = BH_JOB_COMPLETED; state <= BH_JOB_CANCELLED; state++) {
-		g_autofree char *label = g_strdup_printf(
-			"state=\"%s\"",
-			bh_job_state_name((bh_job_state_t)state));
-
-		bh_metrics_value(out, "boragehold_jobs_ended_total", label,
-				 (double)st->jobs[state]);
-	}
-	bh_metrics_value(out, "boragehold_workers_ready", NULL,
-			 st->hosts_ready);
-	bh_metrics_value(out, "boragehold_tasks_waiting", NULL,
-			 st->tasks_waiting);
-	bh_metrics_value(out, "boragehold_tasks_running", NULL,
-			 st->tasks_running);
-	bh_metrics_hist(out, "boragehold_task_wait_seconds", NULL, &st->wait);
-	g_free(st);
+	bh_metrics_sched(out, l->sched);
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -50,7 +50,6 @@
 	char *metrics;
 	char *store;
 	char *advice;
-	char *service;
 	int64_t max_body_bytes;
 	int64_t max_in_flight;
 	int64_t http_timeout_ms;
@@ -74,9 +73,7 @@
 	double restore_ms;
 	double impact_ms;
 	double status_s;
-	double worker_drain_ms;
 	double stop_within_s;
-	double remote_slowdown;
 	double processor_share;
 } bh_settings_t;
 
--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -26,8 +26,7 @@
 	{"role": "agent", "name": "jobagent-$1", "zone": "z",
 	 "listen_http": "$(addr $((300 + $1)))",
 	 "listen_frames": "$(addr $((400 + $1)))", "log_format": "json",
-	 "worker": "$(addr $((500 + $1)))", "service": "svc",
-	 "store": "$TABLE"}
+	 "worker": "$(addr $((500 + $1)))", "store": "$TABLE"}
 	END
 	start "jobagent-$1" "$BUILD/daemon/borageholdd" "$WORK/jobagent-$1.json"
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -62,7 +62,6 @@
 	int64_t restore_ms;
 	int64_t impact_ms;
 	int64_t status_ms;
-	double remote_slowdown;
 } bh_sched_bounds_t;
 
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -650,7 +650,6 @@
 		.restore_ms = 100,
 		.impact_ms = 4000,
 		.status_ms = 120000,
-		.remote_slowdown = 1.5,
 	};
 	GHashTableIter it;
 	gpointer id;
