Caution towards untried pairs goes: it had become the prior

Cause: trials had set the harm of untried pairs to that of the prior, so that bh_pairs_caution and bh_steer_risk were a second way to the same figure. Change: both go; bh_term_row, which nothing called, too.

--- a/daemon/term.c
+++ b/daemon/term.c
@@ -385,11 +385,6 @@
 	return t->row.term;
 }
 
-const bh_leader_row_t *bh_term_row(const bh_term_t *t)
-{
-	return &t->row;
-}
-
 void bh_term_suspect(bh_term_t *t, bool is_gone)
 {
 	if (!t->is_suspect)
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -34,7 +34,6 @@
 void bh_term_tick(bh_term_t *t);
 bool bh_term_is_leader(const bh_term_t *t);
 uint64_t bh_term_number(const bh_term_t *t);
-const bh_leader_row_t *bh_term_row(const bh_term_t *t);
 
 /**
  * bh_term_suspect() - the leader does not answer
--- a/sched/pairs.c
+++ b/sched/pairs.c
@@ -6,12 +6,6 @@
 #define HARM_PRIOR 1.0
 #define HARM_MAX   300.0
 
-/* A pair whose harm is bounded by this is no bad one. */
-#define HARM_TRIED 8.0
-
-/* Harm of a bad pair; what is not tried yet may be one. */
-#define HARM_BAD 1.0
-
 /* Part of the error that one look corrects. */
 #define LEARN_RATE 0.5
 
@@ -87,19 +81,6 @@
 	return pair ? MIN(pair->harm, pair->upper) : HARM_PRIOR;
 }
 
-double bh_pairs_caution(const bh_pairs_t *pairs, const char *filler,
-			const char *lasting)
-{
-	const pair_t *pair = pair_find(pairs, filler, lasting);
-	double harm = pair ? MIN(pair->harm, pair->upper) : HARM_PRIOR;
-
-	if (!pair)
-		return HARM_BAD;
-	if (pair->upper < HARM_TRIED)
-		return harm;
-	return MIN(pair->upper, MAX(harm, HARM_BAD));
-}
-
 void bh_pairs_each(const bh_pairs_t *pairs, bh_pair_cb_t cb, void *ctx)
 {
 	GHashTableIter it;
--- a/sched/pairs.h
+++ b/sched/pairs.h
@@ -33,12 +33,6 @@
 double bh_pairs_harm(const bh_pairs_t *pairs, const char *filler,
 		     const char *lasting);
 
-/**
- * bh_pairs_caution() - harm to reckon with before a pair has been tried
- */
-double bh_pairs_caution(const bh_pairs_t *pairs, const char *filler,
-			const char *lasting);
-
 typedef void (*bh_pair_cb_t)(void *ctx, const char *filler, const char *lasting,
 			     double harm, double upper);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -204,7 +204,7 @@
 	if (step->is_filler)
 		return used * host->filler_share + fillers +
 		       WEIGHT_STRAIN *
-			       MIN(bh_steer_risk(s, host, step), RISK_MAX);
+			       MIN(bh_steer_predict(s, host, step), RISK_MAX);
 	if (step->is_lasting)
 		return fillers - used +
 		       WEIGHT_MIX * other_images(host, step->image);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -345,12 +345,6 @@
 double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
 			const bh_step_t *filler);
 
-/**
- * bh_steer_risk() - the same, if pairs that were not tried are bad ones
- */
-double bh_steer_risk(const bh_sched_t *s, const bh_host_t *host,
-		     const bh_step_t *filler);
-
 void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
 
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -328,9 +328,7 @@
 	       run_share(filler);
 }
 
-/* Part of its speed at which the tail of @serving stays at the goal. A pair
- * that was not tried yet is taken for a bad one, so that it is tried at a share
- * that does little harm. */
+/* Part of its speed at which the tail of @serving stays at the goal. */
 static double bearable_part(const bh_sched_t *s, const bh_run_t *filler,
 			    const bh_run_t *serving)
 {
@@ -339,7 +337,7 @@
 	double share = (double)bh_run_need(filler) /
 		       MAX(filler->host->info.cpu_milli, 1);
 	double full =
-		bh_pairs_caution(s->pairs, image, phase->step->image) * share;
+		bh_pairs_harm(s->pairs, image, phase->step->image) * share;
 	double base = MAX(phase->base_ms, phase->usual_base_ms);
 	bh_press_t press[BH_PRESSES_MAX];
 	uint32_t n = presses_of(filler->host, press);
@@ -498,8 +496,8 @@
 			 now);
 }
 
-static double worst_strain(const bh_sched_t *s, const bh_host_t *host,
-			   const bh_step_t *filler, bool is_cautious)
+double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
+			const bh_step_t *filler)
 {
 	bh_press_t press[BH_PRESSES_MAX];
 	uint32_t n = presses_of(host, press);
@@ -510,17 +508,12 @@
 	TAILQ_FOREACH(run, &host->runs, link) {
 		const bh_phase_t *phase = run->task->phase;
 		const char *image = phase->step->image;
-		double harm;
 		double excess;
 
 		if (!phase->step->is_lasting || !phase->step->target_ms)
 			continue;
-		harm = is_cautious
-			       ? bh_pairs_caution(s->pairs, filler->image,
-						  image)
-			       : bh_pairs_harm(s->pairs, filler->image, image);
 		excess = bh_pairs_excess(s->pairs, image, press, n) +
-			 harm * share;
+			 bh_pairs_harm(s->pairs, filler->image, image) * share;
 		worst = MAX(worst, MAX(phase->base_ms, phase->usual_base_ms) *
 					   (1 + excess) /
 					   phase->step->target_ms);
@@ -528,18 +521,6 @@
 	return worst;
 }
 
-double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
-			const bh_step_t *filler)
-{
-	return worst_strain(s, host, filler, false);
-}
-
-double bh_steer_risk(const bh_sched_t *s, const bh_host_t *host,
-		     const bh_step_t *filler)
-{
-	return worst_strain(s, host, filler, true);
-}
-
 void bh_steer(bh_sched_t *s, bh_usec_t now)
 {
 	bh_host_t *host;
