Fillers move sooner and stay away from harmed hosts

Change: 200 ms; no filler comes to a harmed host; over begins at 0.92.

Test: test_no_filler_comes_to_a_harmed_host fails without it.

--- a/sched/place.c
+++ b/sched/place.c
@@ -169,6 +169,8 @@
 		return false;
 	if (!has_room(host, step))
 		return false;
+	if (step->is_filler && host->is_harmed)
+		return false;
 	return !step->is_filler || must_run(task, now) ||
 	       bh_steer_predict(s, host, step) <= STRAIN_FULL;
 }
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -35,12 +35,15 @@
 #define PRESS_MIN 0.05
 
 /* A filler that stood for so long moves to where it may run. */
-#define MOVE_AFTER_US (400 * BH_USEC_PER_MS)
+#define MOVE_AFTER_US (200 * BH_USEC_PER_MS)
 
 /* Part of the time that a tail may be over its objective because of fillers,
  * after which all of them stand until it is under it again. */
 #define HARM_PART 3
 
+/* A gauge above this part of the objective may hide a tail that is over it. */
+#define OVER_PART 0.92
+
 /* Progress above which work that has no checkpoint is not thrown away. */
 #define MOVE_PERCENT_MAX 30
 
@@ -176,7 +179,7 @@
 			    ? run->gauge
 			    : MIN(run->gauge, run->last_gauge);
 	run->last_gauge = run->gauge;
-	if (run->gauge <= run->task->phase->step->target_ms)
+	if (run->gauge <= run->task->phase->step->target_ms * OVER_PART)
 		run->over_since = 0;
 	else if (!run->over_since)
 		run->over_since = run->host->heard_at;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -202,6 +202,22 @@
 	sw_free(w);
 }
 
+/* Tails that stay at their objective: no filler may come, however long it has
+ * waited; one that came after two seconds broke HARM on woolshed-run. */
+static void test_no_filler_comes_to_a_harmed_host(void **state)
+{
+	sw_world_t *w = sw_new(12, SW_ALL_ON);
+
+	(void)state;
+	sw_serve(w, JOB_L, 48, 0);
+	sw_submit(w, JOB_L, 1, 24, 2400, 500, "l");
+	sw_run(w, MS(3000));
+	sw_submit(w, JOB_A, 1, 6, 3000, 4000, "fc");
+	sw_run(w, MS(4000));
+	assert_int_equal(sw_running(w, JOB_A), 0);
+	sw_free(w);
+}
+
 static void test_harmless_fillers_run_at_full_pace(void **state)
 {
 	sw_world_t *w = sw_new(8, SW_ALL_ON);
@@ -340,6 +356,7 @@
 		cmocka_unit_test(test_fillers_give_way_to_serving_tasks),
 		cmocka_unit_test(test_gang_starts_whole),
 		cmocka_unit_test(test_pressing_fillers_are_paced),
+		cmocka_unit_test(test_no_filler_comes_to_a_harmed_host),
 		cmocka_unit_test(test_harmless_fillers_run_at_full_pace),
 		cmocka_unit_test(test_matrix),
 		cmocka_unit_test(test_random),
