--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -63,7 +63,6 @@
 	int refusals;
 	bh_usec_t dialled_at;
 	uint64_t leader_config;
-	uint64_t pushed_version;
 	GHashTable *questions;
 	uint64_t last_question;
 	bh_backlog_t loads[LOADS_MAX];
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -63,7 +63,6 @@
 	bh_usec_t others_reach_store_at;
 	bh_usec_t began_at;
 	GPtrArray *early;
-	const bh_config_t *config;
 	struct event *run;
 };
 
@@ -634,7 +633,6 @@
 
 void bh_sched_leader_set_config(bh_sched_leader_t *l, const bh_config_t *config)
 {
-	l->config = config;
 	bh_sched_set_config(l->sched, config, bh_runtime_now());
 	schedule_run(l);
 }
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -15,7 +15,7 @@
 /**
  * struct bh_term_ops - what the owner hears
  * @changed: another process leads, or none (@row->address is empty)
- * @won: this process leads, in @term; @version is of the winning write
+ * @won: this process leads, in @term
  * @lost: it does not lead any longer
  */
 typedef struct bh_term_ops {
