"Old" to a start is no refusal: the task may have run

The answer to a start was lost; the agent asked again after the task had ended, the worker answered 409 "old", and the leader took that for "never started" and queued the task again. Ruled out: a lapsed lease between end and acknowledgement (the worker kept its boot and lease) and a second leader (one term throughout).

Change: the leader settles an "old" run and waits for the worker's lists; the agent reports any refusal after a try without an answer as unclear. The world of test_sched loses answers now, and holds that an end which comes to notice after a later attempt started is a broken rule.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -46,6 +46,7 @@
 	bh_sched_agent_t *agent;
 	int kind;
 	int tries_left;
+	bool was_unclear;
 	uint64_t term;
 	uint64_t boot;
 	uint32_t attempt;
@@ -290,10 +291,16 @@
 
 	/* The same attempt is there at most once, so that asking again is
 	 * safe. */
-	if (outcome == BH_ORDER_UNCLEAR && --o->tries_left > 0)
+	if (outcome == BH_ORDER_UNCLEAR && --o->tries_left > 0) {
+		o->was_unclear = true;
 		order_send(o);
-	else
-		order_finish(o, outcome);
+		return;
+	}
+	/* A refusal now says nothing of the try that got no answer. */
+	if (o->was_unclear && outcome != BH_ORDER_OK &&
+	    outcome != BH_ORDER_OLD && outcome != BH_ORDER_FENCED)
+		outcome = BH_ORDER_UNCLEAR;
+	order_finish(o, outcome);
 }
 
 static void order_send(order_t *o)
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -465,7 +465,9 @@
 
 	if (!host || !run || run->host != host)
 		return;
-	if (outcome == BH_ORDER_OK) {
+	/* "Old" may be this very attempt, started by a try whose answer was
+	 * lost, and ended since: the worker's lists will tell. */
+	if (outcome == BH_ORDER_OK || outcome == BH_ORDER_OLD) {
 		settle(run, now);
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -15,20 +15,11 @@
 #define SERVICE	     "s"
 
 const char *const sw_fault_names[SW_FAULTS] = {
-	"none",
-	"leader-kill",
-	"leader-cut",
-	"worker-crash",
-	"worker-dark",
-	"agent-cut",
-	"agent-restart",
-	"store-down",
-	"store-loses-answers",
-	"orders-lost",
-	"orders-late",
-	"orders-slow",
-	"worker-fails-all",
-	"tasks-stand-still",
+	"none",		 "leader-kill",	     "leader-cut",
+	"worker-crash",	 "worker-dark",	     "agent-cut",
+	"agent-restart", "store-down",	     "store-loses-answers",
+	"orders-lost",	 "orders-late",	     "orders-slow",
+	"answers-lost",	 "worker-fails-all", "tasks-stand-still",
 	"worker-drains",
 };
 
@@ -81,6 +72,7 @@
 	char *checkpoint;
 	uint64_t expires_ms;
 	bool has_answer;
+	bool is_retried;
 } sw_message_t;
 
 enum { START = 1, STOP, PACE };
@@ -90,6 +82,7 @@
 	uint32_t running;
 	uint32_t failed;
 	bool is_done_acked;
+	uint32_t rerun_attempt;
 	bool is_done;
 } sw_seen_t;
 
@@ -193,6 +186,16 @@
 	g_ptr_array_remove_index_fast(k->runs, i);
 }
 
+/* A task that started again after this end ran twice for certain now. */
+static void note_done(sw_world_t *w, const char *task, uint32_t attempt)
+{
+	sw_seen_t *seen = seen_of(w, task);
+
+	seen->is_done_acked = true;
+	if (attempt < seen->rerun_attempt)
+		breaks(w, "TWICE, started after its end", task);
+}
+
 static void clear_ended(sw_worker_t *k, uint64_t upto, sw_world_t *w)
 {
 	for (guint i = 0; i < k->ended->len;) {
@@ -205,7 +208,7 @@
 		/* The rules let a task run again whose worker's lease lapsed
 		 * between its end and the acknowledgement. */
 		if (w && e->how == BH_END_DONE && e->number > k->lapsed_number)
-			seen_of(w, e->task)->is_done_acked = true;
+			note_done(w, e->task, e->attempt);
 		if (w && e->how == BH_END_FAILED)
 			seen_of(w, e->task)->failed++;
 		g_free(e->task);
@@ -235,8 +238,8 @@
 	k->ack = 0;
 }
 
-static void check_start(sw_world_t *w, const char *name, const bh_step_t *step,
-			const char *checkpoint)
+static void check_start(sw_world_t *w, const char *name, uint32_t attempt,
+			const bh_step_t *step, const char *checkpoint)
 {
 	sw_seen_t *seen = seen_of(w, name);
 	bh_task_name_t parts;
@@ -248,6 +251,8 @@
 		breaks(w, "TWICE", name);
 	if (seen->is_done_acked && !step->is_speculative)
 		breaks(w, "TWICE after its end was taken note of", name);
+	if (seen->is_done && !step->is_speculative)
+		seen->rerun_attempt = attempt;
 	if (seen->failed >= job->terms.max_attempts && !step->is_lasting)
 		breaks(w, "BUDGET", name);
 	if (checkpoint && *checkpoint &&
@@ -279,7 +284,7 @@
 	bh_task_name_parse(m->name, &parts);
 	job = job_of(w, parts.job);
 	step = &job->steps[parts.step];
-	check_start(w, m->name, step, m->checkpoint);
+	check_start(w, m->name, m->attempt, step, m->checkpoint);
 	g_strlcpy(run->name, m->name, sizeof(run->name));
 	run->attempt = m->attempt;
 	run->need_ms = step->is_lasting ? 1e12 : step->estimate_ms;
@@ -508,6 +513,14 @@
 				outcome = worker_order(w, k, m);
 			}
 		}
+		/* The agent's second try is answered, by what stands then. */
+		if (has_fault(w, k, SW_ANSWERS_LOST) && m->kind == START &&
+		    !m->is_retried && outcome == BH_ORDER_OK) {
+			m->is_retried = true;
+			m->at = w->now + 340 * BH_USEC_PER_MS;
+			g_ptr_array_add(w->messages, m);
+			continue;
+		}
 		if (m->has_answer)
 			answer(w, m, k->is_up ? outcome : BH_ORDER_REFUSED);
 		g_free(m->checkpoint);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -102,6 +102,25 @@
 	}
 }
 
+/* The answer to a start is lost, and the task has ended when the agent tries
+ * again: "old" once passed for a refusal, and the task ran a second time. */
+static void test_lost_answer_is_no_refusal(void **state)
+{
+	(void)state;
+	for (int at = 0; at < 400; at += 20) {
+		sw_world_t *w = sw_new(13, SW_ALL_ON);
+
+		sw_run(w, MS(at) + MS(20));
+		for (int i = 0; i < SW_WORKERS; i++)
+			sw_fault(w, SW_ANSWERS_LOST, i, MS(3000));
+		sw_submit(w, JOB_A, 1, 12, 500, 300, "");
+		sw_run(w, MS(6000));
+		assert_kept(w);
+		assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+		sw_free(w);
+	}
+}
+
 static void test_cancelled_job_is_gone(void **state)
 {
 	sw_world_t *w = sw_new(4, SW_ALL_ON);
@@ -349,6 +368,7 @@
 		cmocka_unit_test(
 			test_failures_survive_a_leader_that_could_not_store),
 		cmocka_unit_test(test_slow_order_is_not_lost),
+		cmocka_unit_test(test_lost_answer_is_no_refusal),
 		cmocka_unit_test(test_cancelled_job_is_gone),
 		cmocka_unit_test(test_lasting_tasks_come_back),
 		cmocka_unit_test(
