test_sched: a reported rest of a lease counts the grant that is held

The world's agent told how much was left of the lease that the worker knew, not of the grant that the agent held and gave it once it answered again. Ruled out in sched_agent.c: on_grant takes a grant into expires_ms at once, and note_lease counts from that. A start carries no later lease than the grant before it.

Change: the world does as the agent does.

--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -608,10 +608,12 @@
 	bh_worker_lists_clear(&k->report);
 }
 
-/* The agent has set every lease of its worker. */
+/* The agent has set every lease of its worker; a grant that it holds reaches
+ * the worker once that answers again. */
 static uint32_t lease_left_ms(const sw_world_t *w, const sw_worker_t *k)
 {
-	int64_t left = (int64_t)k->expires_ms - (int64_t)clock_of(w, k);
+	uint64_t expires = MAX(k->expires_ms, k->grant_ms);
+	int64_t left = (int64_t)expires - (int64_t)clock_of(w, k);
 
 	return (uint32_t)MAX(left * 102 / 100, 1);
 }
