sched: a filler's harm, a job's objective and the free room are computed once

Cause: reading the whole change. Looking for a host predicted a filler's harm twice per host, once to allow it and once to score it; the pace that a neighbour bears looked one pair up three times; the rank of each waiting phase worked out its job's chain anew, with an allocation, although the record keeps it; the room was summed over the hosts twice. Besides: has_started followed from the state, added_at and due_at were never read, four parameters were unused, the work of a step was written out twice, and an empty callback stood where NULL is allowed.

Change: each is computed once; bh_step_work_ms(), bh_task_has_run().

What the leader's processor time gains was not measured.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -226,8 +226,7 @@
 	bh_sched_leader_t *l = user;
 
 	l->is_committing = false;
-	bh_sched_end_commit(l->sched, verdict == BH_TERM_STORED,
-			    bh_runtime_now());
+	bh_sched_end_commit(l->sched, verdict == BH_TERM_STORED);
 	schedule_run(l);
 }
 
@@ -285,12 +284,6 @@
 	bh_term_commit(l->term, tx, on_committed, l);
 }
 
-static void on_removed(void *user, bh_term_verdict_t verdict)
-{
-	(void)user;
-	(void)verdict;
-}
-
 /* Rows of jobs that nobody may ask for any longer, and of agents that left. */
 static void remove_old(bh_sched_leader_t *l, bh_usec_t now)
 {
@@ -320,7 +313,7 @@
 		n++;
 	}
 	if (n)
-		bh_term_commit(l->term, tx, on_removed, l);
+		bh_term_commit(l->term, tx, NULL, NULL);
 	else
 		bh_store_tx_free(tx);
 }
@@ -633,7 +626,7 @@
 
 void bh_sched_leader_set_config(bh_sched_leader_t *l, const bh_config_t *config)
 {
-	bh_sched_set_config(l->sched, config, bh_runtime_now());
+	bh_sched_set_config(l->sched, config);
 	schedule_run(l);
 }
 
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -183,8 +183,7 @@
 		return false;
 	if (task->runs[0] && task->runs[1])
 		return false;
-	return task->phase->step->is_speculative ||
-	       (!task->runs[0] && !task->runs[1]);
+	return task->phase->step->is_speculative || !bh_task_has_run(task);
 }
 
 static bh_run_t *match_active(bh_sched_t *s, bh_host_t *host,
@@ -201,7 +200,7 @@
 		stop_stray(s, host, a);
 		return NULL;
 	}
-	run = bh_run_new(s, task, host, a->attempt, BH_RUN_ACTIVE, now);
+	run = bh_run_new(task, host, a->attempt, BH_RUN_ACTIVE, now);
 	run->first_percent = a->percent;
 	bh_sched_log(s, "adopt", task->phase->rec->job->id,
 		     "task=%s attempt=%u worker=%s percent=%u",
@@ -299,10 +298,8 @@
 	}
 }
 
-bool bh_host_is_usable(const bh_sched_t *s, const bh_host_t *host,
-		       bh_usec_t now)
+bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now)
 {
-	(void)s;
 	return host->is_linked && host->is_synced && host->info.id &&
 	       host->info.boot && host->info.state == BH_WORKER_READY &&
 	       now - host->heard_at < REPORT_FRESH_US && host->expires_ms &&
--- a/sched/job.c
+++ b/sched/job.c
@@ -106,10 +106,14 @@
 	return longest;
 }
 
-uint64_t bh_job_objective_ms(const bh_job_t *job)
+uint64_t bh_job_objective_ms(const bh_job_t *job, uint64_t chain_ms)
 {
-	return bh_job_chain_ms(job) * job->terms.slack_percent / 100 +
-	       job->terms.target_ms;
+	return chain_ms * job->terms.slack_percent / 100 + job->terms.target_ms;
+}
+
+uint64_t bh_step_work_ms(const bh_step_t *step, uint32_t tasks)
+{
+	return (uint64_t)tasks * step->cpu_milli * step->estimate_ms / 1000;
 }
 
 uint64_t bh_job_work_ms(const bh_job_t *job, uint64_t *other)
@@ -119,8 +123,7 @@
 	*other = 0;
 	for (uint32_t i = 0; i < job->n_steps; i++) {
 		const bh_step_t *step = &job->steps[i];
-		uint64_t work = (uint64_t)step->count * step->cpu_milli *
-				step->estimate_ms / 1000;
+		uint64_t work = bh_step_work_ms(step, step->count);
 
 		if (step->is_lasting)
 			continue;
--- a/sched/job.h
+++ b/sched/job.h
@@ -122,8 +122,14 @@
 
 /**
  * bh_job_objective_ms() - time from acceptance in which it should end
+ * @chain_ms: its bh_job_chain_ms()
  */
-uint64_t bh_job_objective_ms(const bh_job_t *job);
+uint64_t bh_job_objective_ms(const bh_job_t *job, uint64_t chain_ms);
+
+/**
+ * bh_step_work_ms() - processor time that tasks of a step take
+ */
+uint64_t bh_step_work_ms(const bh_step_t *step, uint32_t tasks);
 
 /**
  * bh_job_work_ms() - processor time of its fillers, and of its other tasks
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -81,7 +81,7 @@
 		bh_task_t *task = &phase->tasks[i];
 
 		task->waiting_since = now;
-		if (!task->is_done && !task->runs[0] && !task->runs[1])
+		if (!task->is_done && !bh_task_has_run(task))
 			bh_task_set_waiting(task, true);
 	}
 	if (phase->waiting)
@@ -138,7 +138,6 @@
 static void restore(bh_rec_t *rec, const bh_progress_t *progress)
 {
 	rec->state = MAX(progress->state, BH_JOB_QUEUED);
-	rec->has_started = rec->state != BH_JOB_QUEUED;
 	rec->ended_ms = progress->ended_ms;
 	if (bh_rec_is_over(rec))
 		rec->shown = rec->state;
@@ -292,7 +291,7 @@
 		     " objective_ms=%" G_GUINT64_FORMAT,
 		     bh_job_state_name(state), rec->job->queue,
 		     s->unix_ms - rec->job->accepted_ms,
-		     bh_job_objective_ms(rec->job));
+		     bh_job_objective_ms(rec->job, rec->chain_ms));
 	stop_runs(s, rec, bh_job_state_name(state), now);
 	bh_rec_touch(s, rec);
 }
@@ -321,8 +320,8 @@
 {
 	bh_phase_t *phase = task->phase;
 
-	if (task->is_done || task->runs[0] || task->runs[1] ||
-	    !phase->is_open || bh_rec_is_over(phase->rec))
+	if (task->is_done || bh_task_has_run(task) || !phase->is_open ||
+	    bh_rec_is_over(phase->rec))
 		return;
 	task->waiting_since = now;
 	bh_task_set_waiting(task, true);
@@ -389,7 +388,6 @@
 	rec = g_new0(bh_rec_t, 1);
 	rec->job = job;
 	rec->state = BH_JOB_QUEUED;
-	rec->added_at = now;
 	rec->n_phases = bh_job_occurrences(job) * job->n_steps;
 	rec->phases = g_new0(bh_phase_t, rec->n_phases);
 	for (uint32_t i = 0; i < rec->n_phases; i++)
@@ -432,8 +430,7 @@
 	rec_free(rec);
 }
 
-void bh_sched_set_config(bh_sched_t *s, const bh_config_t *config,
-			 bh_usec_t now)
+void bh_sched_set_config(bh_sched_t *s, const bh_config_t *config)
 {
 	bh_rec_t *rec;
 
@@ -443,5 +440,4 @@
 			update_terms(s, rec);
 	}
 	s->must_place = true;
-	(void)now;
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -53,18 +53,16 @@
 
 static uint64_t rank_of(const bh_sched_t *s, const bh_phase_t *phase)
 {
-	const bh_rec_t *rec = phase->rec;
-	uint64_t rank = (uint64_t)rec->job->terms.priority
-			<< RANK_PRIORITY_SHIFT;
-	uint64_t due = rec->job->accepted_ms + bh_job_objective_ms(rec->job);
+	const bh_job_t *job = phase->rec->job;
+	uint64_t rank = (uint64_t)job->terms.priority << RANK_PRIORITY_SHIFT;
+	uint64_t due = job->accepted_ms;
 	int64_t left = left_ms_of(phase);
 
 	if (phase->step->is_lasting)
 		return rank;
-	if (rec->job->first_due_ms)
-		due = rec->job->first_due_ms +
-		      phase->occurrence * rec->job->interval_ms +
-		      bh_job_objective_ms(rec->job);
+	if (job->first_due_ms)
+		due = job->first_due_ms + phase->occurrence * job->interval_ms;
+	due += bh_job_objective_ms(job, phase->rec->chain_ms);
 	/* Late work goes by what it still needs, so that most of it ends. */
 	if ((int64_t)due - left < (int64_t)s->unix_ms)
 		return rank + RANK_LATE + (uint64_t)left;
@@ -138,13 +136,13 @@
 }
 
 /* All but room. */
-static bool is_suitable(const bh_sched_t *s, const bh_task_t *task,
-			const bh_host_t *host, bh_usec_t now)
+static bool is_suitable(const bh_task_t *task, const bh_host_t *host,
+			bh_usec_t now)
 {
 	const bh_phase_t *phase = task->phase;
 	const bh_step_t *step = phase->step;
 
-	if (!bh_host_is_usable(s, host, now) ||
+	if (!bh_host_is_usable(host, now) ||
 	    g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
 		return false;
 	if (step->label && !has_label(host, step->label))
@@ -160,19 +158,21 @@
 	return true;
 }
 
+/* @risk: strain that a filler would cause there, 0 for other tasks. */
 static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
-			const bh_host_t *host, bh_usec_t now)
+			const bh_host_t *host, double *risk, bh_usec_t now)
 {
 	const bh_step_t *step = task->phase->step;
 
-	if (!is_suitable(s, task, host, now))
-		return false;
-	if (!has_room(host, step))
+	*risk = 0;
+	if (!is_suitable(task, host, now) || !has_room(host, step))
 		return false;
-	if (step->is_filler && host->is_harmed)
+	if (!step->is_filler)
+		return true;
+	if (host->is_harmed)
 		return false;
-	return !step->is_filler || must_run(task, now) ||
-	       bh_steer_predict(s, host, step) <= STRAIN_FULL;
+	*risk = bh_steer_predict(s, host, step);
+	return must_run(task, now) || *risk <= STRAIN_FULL;
 }
 
 static double cpu_share(const bh_host_t *host, uint64_t cpu)
@@ -197,27 +197,25 @@
 
 /* Lasting tasks are packed, those of an image together, so that a filler finds
  * hosts without any that it disturbs. */
-static double load_score(const bh_sched_t *s, const bh_host_t *host,
-			 const bh_step_t *step)
+static double load_score(const bh_host_t *host, const bh_step_t *step,
+			 double risk)
 {
 	double used = cpu_share(host, host->used_cpu);
 	double fillers = cpu_share(host, host->filler_cpu);
 
 	if (step->is_filler)
 		return used * host->filler_share + fillers +
-		       WEIGHT_STRAIN *
-			       MIN(bh_steer_predict(s, host, step), RISK_MAX);
+		       WEIGHT_STRAIN * MIN(risk, RISK_MAX);
 	if (step->is_lasting)
 		return fillers - used +
 		       WEIGHT_MIX * other_images(host, step->image);
 	return used + fillers / 2;
 }
 
-static double score(const bh_sched_t *s, const bh_task_t *task,
-		    const bh_host_t *host)
+static double score(const bh_task_t *task, const bh_host_t *host, double risk)
 {
 	const bh_step_t *step = task->phase->step;
-	double value = load_score(s, host, step);
+	double value = load_score(host, step, risk);
 
 	if (step->rack && g_strcmp0(step->rack, host->rack) != 0)
 		value += WEIGHT_RACK;
@@ -238,11 +236,12 @@
 	double best_score = 0;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
+		double risk;
 		double value;
 
-		if (host == not_on || !is_eligible(s, task, host, now))
+		if (host == not_on || !is_eligible(s, task, host, &risk, now))
 			continue;
-		value = score(s, task, host);
+		value = score(task, host, risk);
 		if (!best || value < best_score) {
 			best = host;
 			best_score = value;
@@ -320,7 +319,7 @@
 		return;
 	for (int is_all = 0; is_all <= 1; is_all++) {
 		TAILQ_FOREACH(host, &s->hosts, link) {
-			if (!is_suitable(s, task, host, now) ||
+			if (!is_suitable(task, host, now) ||
 			    !fits_without(host, phase, is_all))
 				continue;
 			phase->preempted_at = now;
@@ -337,7 +336,7 @@
 		bh_task_t *task = &phase->tasks[i];
 		bh_host_t *host;
 
-		if (task->is_done || task->runs[0] || task->runs[1])
+		if (task->is_done || bh_task_has_run(task))
 			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
 		if (!host) {
@@ -373,7 +372,7 @@
 		if (!host)
 			break;
 		runs[placed] =
-			bh_run_new(s, task, host, attempt, BH_RUN_ORDERED, now);
+			bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
 	}
 	for (uint32_t i = 0; i < placed; i++) {
 		bh_task_t *task = runs[i]->task;
@@ -409,8 +408,7 @@
 	    now - phase->advice_asked_at < ADVICE_AGAIN_US)
 		return true;
 	TAILQ_FOREACH(host, &s->hosts, link) {
-		if (n < G_N_ELEMENTS(workers) &&
-		    bh_host_is_usable(s, host, now))
+		if (n < G_N_ELEMENTS(workers) && bh_host_is_usable(host, now))
 			workers[n++] = host->info.id;
 	}
 	if (n == 0)
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -12,6 +12,11 @@
 	host->n_runs += (uint32_t)sign;
 }
 
+bool bh_task_has_run(const bh_task_t *task)
+{
+	return task->runs[0] || task->runs[1];
+}
+
 bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt)
 {
 	for (int i = 0; i < BH_RUNS_MAX; i++) {
@@ -21,8 +26,8 @@
 	return NULL;
 }
 
-bh_run_t *bh_run_new(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
-		     uint32_t attempt, bh_run_state_t state, bh_usec_t now)
+bh_run_t *bh_run_new(bh_task_t *task, bh_host_t *host, uint32_t attempt,
+		     bh_run_state_t state, bh_usec_t now)
 {
 	bh_run_t *run = g_new0(bh_run_t, 1);
 	int slot = task->runs[0] ? 1 : 0;
@@ -37,13 +42,11 @@
 	bh_task_set_waiting(task, false);
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
-	task->phase->rec->has_started = true;
 	task->phase->rec->n_runs++;
 	if (task->phase->rec->state == BH_JOB_QUEUED)
 		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
 	host_charge(host, task->phase->step, 1);
-	(void)s;
 	return run;
 }
 
@@ -92,7 +95,7 @@
 		     (now - host->heard_at) / 1000,
 		     (int64_t)host->info.cpu_milli - (int64_t)host->used_cpu -
 			     (int64_t)host->filler_cpu);
-	bh_run_new(s, task, host, attempt, BH_RUN_ORDERED, now);
+	bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
 	s->stats.starts++;
 	s->ops->start(s->ctx, host->key, &start);
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -70,38 +70,42 @@
 	}
 }
 
+static uint64_t lasting_cpu(const bh_host_t *host)
+{
+	const bh_run_t *run;
+	uint64_t cpu = 0;
+
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (run->task->phase->step->is_lasting)
+			cpu += run->task->phase->step->cpu_milli;
+	}
+	return cpu;
+}
+
 /* Room of all hosts for fillers, and for other tasks, thousandths of a core. */
-static uint64_t total_room(const bh_sched_t *s, bool is_filler, bh_usec_t now)
+static void total_room(const bh_sched_t *s, uint64_t *fillers, uint64_t *others,
+		       bh_usec_t now)
 {
 	const bh_host_t *host;
-	uint64_t room = 0;
 
+	*fillers = ROOM_FLOOR;
+	*others = ROOM_FLOOR;
 	TAILQ_FOREACH(host, &s->hosts, link) {
-		uint64_t lasting = 0;
-		const bh_run_t *run;
+		uint64_t cpu = host->info.cpu_milli;
+		uint64_t used =
+			(uint64_t)((double)host->used_cpu * host->filler_share);
 
-		if (!bh_host_is_usable(s, host, now))
+		if (!bh_host_is_usable(host, now))
 			continue;
-		TAILQ_FOREACH(run, &host->runs, link) {
-			if (run->task->phase->step->is_lasting)
-				lasting += run->task->phase->step->cpu_milli;
-		}
-		if (is_filler)
-			lasting = (uint64_t)((double)host->used_cpu *
-					     host->filler_share);
-		room += host->info.cpu_milli -
-			MIN(lasting, host->info.cpu_milli);
+		*fillers += cpu - MIN(used, cpu);
+		*others += cpu - MIN(lasting_cpu(host), cpu);
 	}
-	return room;
 }
 
 /* Work of a phase that is left, core milliseconds. */
 static uint64_t phase_work(const bh_phase_t *phase)
 {
-	const bh_step_t *step = phase->step;
-
-	return (uint64_t)(step->count - phase->n_done) * step->cpu_milli *
-	       step->estimate_ms / 1000;
+	return bh_step_work_ms(phase->step, phase->step->count - phase->n_done);
 }
 
 static void add_backlog(const bh_rec_t *rec, uint64_t *fillers,
@@ -245,7 +249,7 @@
 	return out;
 }
 
-void bh_sched_end_commit(bh_sched_t *s, bool is_stored, bh_usec_t now)
+void bh_sched_end_commit(bh_sched_t *s, bool is_stored)
 {
 	bh_rec_t *rec;
 	bh_host_t *host;
@@ -267,7 +271,6 @@
 		if (host->acked != before && host->is_linked)
 			bh_host_send_grant(s, host);
 	}
-	(void)now;
 }
 
 void bh_sched_each_pair(const bh_sched_t *s, bh_sched_pair_cb_t cb, void *ctx)
@@ -301,9 +304,8 @@
 		return BH_JOB_UNKNOWN;
 	if (rec->shown)
 		return rec->shown;
-	if (rec->state >= BH_JOB_COMPLETED)
-		return BH_JOB_RUNNING;
-	return rec->has_started ? BH_JOB_RUNNING : BH_JOB_QUEUED;
+	/* An end is shown once it is stored. */
+	return bh_rec_is_over(rec) ? BH_JOB_RUNNING : rec->state;
 }
 
 uint32_t bh_sched_pending(const bh_sched_t *s, const char *queue)
@@ -312,7 +314,7 @@
 	uint32_t n = 0;
 
 	TAILQ_FOREACH(rec, &s->recs, link) {
-		if (!rec->has_started && !bh_rec_is_over(rec) &&
+		if (rec->state == BH_JOB_QUEUED &&
 		    strcmp(rec->job->queue, queue) == 0)
 			n++;
 	}
@@ -322,12 +324,13 @@
 uint32_t bh_sched_load(const bh_sched_t *s, bh_backlog_t *out, uint32_t max,
 		       bh_usec_t now)
 {
-	uint64_t filler_room = total_room(s, true, now) + ROOM_FLOOR;
-	uint64_t other_room = total_room(s, false, now) + ROOM_FLOOR;
+	uint64_t filler_room;
+	uint64_t other_room;
 	uint64_t fillers = 0;
 	uint64_t others = 0;
 	uint32_t n = 0;
 
+	total_room(s, &filler_room, &other_room, now);
 	for (uint32_t p = 0; p < max; p++) {
 		const bh_rec_t *rec;
 		bool is_seen = false;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -73,8 +73,7 @@
  * bh_sched_set_config() - use a configuration; the caller keeps owning it and
  * keeps it until the next call
  */
-void bh_sched_set_config(bh_sched_t *s, const bh_config_t *config,
-			 bh_usec_t now);
+void bh_sched_set_config(bh_sched_t *s, const bh_config_t *config);
 
 /**
  * struct bh_task_note - what is known of a task that is not done
@@ -179,7 +178,7 @@
  * bh_sched_progress() - what to store of a job
  */
 bh_progress_t *bh_sched_progress(const bh_sched_t *s, const char *id);
-void bh_sched_end_commit(bh_sched_t *s, bool is_stored, bh_usec_t now);
+void bh_sched_end_commit(bh_sched_t *s, bool is_stored);
 
 /**
  * bh_sched_each_pair() - what was learned of images, for the next leader
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -133,7 +133,6 @@
  * @dirty_since: change number of its oldest change that is not stored; 0: none
  * @commit_since: the same of the changes that a commit under way stores
  * @chain_ms: estimated longest chain of work that is left at its start
- * @due_at: time by which it should have ended
  */
 struct bh_rec {
 	TAILQ_ENTRY(bh_rec) link;
@@ -145,14 +144,11 @@
 	bh_job_state_t state;
 	bh_job_state_t shown;
 	bh_job_state_t committing;
-	bool has_started;
 	uint32_t n_runs;
 	uint64_t dirty_since;
 	uint64_t commit_since;
 	uint64_t ended_ms;
 	uint64_t chain_ms;
-	bh_usec_t added_at;
-	bh_usec_t due_at;
 };
 
 typedef TAILQ_HEAD(bh_recs, bh_rec) bh_recs_t;
@@ -274,8 +270,9 @@
 
 /* runs.c */
 bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt);
-bh_run_t *bh_run_new(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
-		     uint32_t attempt, bh_run_state_t state, bh_usec_t now);
+bool bh_task_has_run(const bh_task_t *task);
+bh_run_t *bh_run_new(bh_task_t *task, bh_host_t *host, uint32_t attempt,
+		     bh_run_state_t state, bh_usec_t now);
 
 /**
  * bh_run_drop() - an attempt is over; its room is free
@@ -292,8 +289,7 @@
 int64_t bh_run_left_ms(const bh_run_t *run);
 
 /* hosts.c */
-bool bh_host_is_usable(const bh_sched_t *s, const bh_host_t *host,
-		       bh_usec_t now);
+bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
 void bh_host_lapse(bh_sched_t *s, bh_host_t *host, const char *why,
 		   bh_usec_t now);
 void bh_hosts_expire(bh_sched_t *s, bh_usec_t now);
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -339,23 +339,23 @@
 	const char *image = filler->task->phase->step->image;
 	double share = (double)bh_run_need(filler) /
 		       MAX(filler->host->info.cpu_milli, 1);
-	double full =
-		bh_pairs_harm(s->pairs, image, phase->step->image) * share;
+	double harm = bh_pairs_harm(s->pairs, image, phase->step->image);
+	double full = harm * share;
 	double base = MAX(phase->base_ms, phase->usual_base_ms);
 	bh_press_t press[BH_PRESSES_MAX];
-	uint32_t n = presses_of(filler->host, press);
-	double others =
-		bh_pairs_excess(s->pairs, phase->step->image, press, n) -
-		bh_pairs_harm(s->pairs, image, phase->step->image) * share *
-			filler->pace / 100;
+	double others;
 	double wanted;
+	uint32_t n;
 
 	if (full < PRESS_MIN || base <= 0)
 		return 1;
+	n = presses_of(filler->host, press);
+	others = bh_pairs_excess(s->pairs, phase->step->image, press, n) -
+		 full * filler->pace / 100;
 	wanted = MAX(phase->step->target_ms * STRAIN_GOAL / base - 1, 0);
 	wanted = MAX(wanted - MAX(others, 0), wanted / 4) / full;
 	/* A smaller share would tell nothing, for ever. */
-	if (bh_pairs_harm(s->pairs, image, phase->step->image) < HARM_SUSPECT)
+	if (harm < HARM_SUSPECT)
 		wanted = MAX(wanted, TRIAL_SHARE / MAX(share, TRIAL_SHARE));
 	return wanted;
 }
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -670,7 +670,7 @@
 	gpointer id;
 
 	w->sched = bh_sched_new(&bounds, &ops, w, w->now, unix_ms(w));
-	bh_sched_set_config(w->sched, w->config, w->now);
+	bh_sched_set_config(w->sched, w->config);
 	w->is_leading = true;
 	w->proven_at = w->now;
 	for (int i = 0; i < SW_WORKERS; i++) {
@@ -726,7 +726,7 @@
 				    bh_progress_pack(progress));
 		bh_progress_free(progress);
 	}
-	bh_sched_end_commit(w->sched, is_told, w->now);
+	bh_sched_end_commit(w->sched, is_told);
 }
 
 static void link_agents(sw_world_t *w)
