One lease bound, one socket address, one histogram and scrape answer

Cause: reading the whole change. The bound of a lease on our clock was written in the leader's core and in the agent, each with its own constant; udp.c had the step from "IP:PORT" to a socket address that link.c and conn.c spelled out; add_latency() and bh_metrics_hist() print the same lines; four roles repeated the answer to a scrape.

Change: bh_lease_bound(), bh_address_sockaddr(), bh_metrics_reply(); add_latency() calls bh_metrics_hist(). One thing to see outside: the latencies of jobs gain the quantile 0.999 that those of requests had.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -214,8 +214,7 @@
 			 (double)bh_table_writes(role->table));
 	bh_metrics_value(out, "boragehold_table_reads_total", NULL,
 			 (double)bh_table_reads(role->table));
-	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
-	g_string_free(out, TRUE);
+	bh_metrics_reply(req, out);
 }
 
 static void on_http(struct evhttp_request *req, void *arg)
--- a/daemon/conn.c
+++ b/daemon/conn.c
@@ -2,7 +2,6 @@
 #include "daemon/settings.h"
 #include "wire/frame.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -118,15 +117,11 @@
 bh_conn_t *bh_conn_dial(struct event_base *base, const char *address,
 			const bh_conn_ops_t *ops, void *ctx)
 {
-	struct sockaddr_in to = {.sin_family = AF_INET};
-	g_autofree char *ip = NULL;
+	struct sockaddr_in to;
 	bh_conn_t *conn;
-	uint16_t port;
 
-	if (!address || !bh_address_parse(address, &ip, &port))
+	if (!address || !bh_address_sockaddr(address, &to))
 		return NULL;
-	to.sin_port = htons(port);
-	inet_pton(AF_INET, ip, &to.sin_addr);
 	conn = conn_new(base, -1, ops, ctx);
 	if (bufferevent_socket_connect(conn->bev, (struct sockaddr *)&to,
 				       sizeof(to)) == 0)
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -324,8 +324,7 @@
 			 (double)role->garbage_conns);
 	bh_metrics_value(out, "boragehold_garbage_datagrams_total", NULL,
 			 (double)bh_udp_garbage(role->udp));
-	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
-	g_string_free(out, TRUE);
+	bh_metrics_reply(req, out);
 }
 
 static JsonObject *endpoint_object(const bh_endpoint_t *ep, bh_usec_t now)
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -1,6 +1,5 @@
 #include "daemon/link.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -137,15 +136,11 @@
 bh_link_t *bh_link_dial(struct event_base *base, const char *address,
 			const bh_link_ops_t *ops, void *ctx)
 {
-	struct sockaddr_in in = {.sin_family = AF_INET};
-	g_autofree char *ip = NULL;
-	uint16_t port;
+	struct sockaddr_in in;
 	bh_link_t *link;
 
-	if (!bh_address_parse(address, &ip, &port))
+	if (!bh_address_sockaddr(address, &in))
 		return NULL;
-	inet_pton(AF_INET, ip, &in.sin_addr);
-	in.sin_port = htons(port);
 	link = link_new(base, -1, ops, ctx);
 	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	if (bufferevent_socket_connect(link->bev, (struct sockaddr *)&in,
@@ -218,21 +213,17 @@
 			      void (*accepted)(void *ctx, bh_link_t *link))
 {
 	bh_acceptor_t *acceptor = g_new0(bh_acceptor_t, 1);
-	struct sockaddr_in in = {.sin_family = AF_INET};
-	g_autofree char *ip = NULL;
-	uint16_t port = 0;
+	struct sockaddr_in in;
 
-	bh_address_parse(address, &ip, &port);
-	inet_pton(AF_INET, ip, &in.sin_addr);
-	in.sin_port = htons(port);
 	acceptor->rt = rt;
 	acceptor->ops = ops;
 	acceptor->ctx = ctx;
 	acceptor->accepted = accepted;
-	acceptor->listener = evconnlistener_new_bind(
-		rt->base, on_accept, acceptor,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG,
-		(struct sockaddr *)&in, sizeof(in));
+	if (bh_address_sockaddr(address, &in))
+		acceptor->listener = evconnlistener_new_bind(
+			rt->base, on_accept, acceptor,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+			LISTEN_BACKLOG, (struct sockaddr *)&in, sizeof(in));
 	if (acceptor->listener)
 		return acceptor;
 	bh_log_event(&rt->log, BH_LOG_ERROR, "cannot listen", "address",
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -1,4 +1,5 @@
 #include "daemon/metrics.h"
+#include "daemon/runtime.h"
 
 typedef struct bh_counter_row {
 	const char *name;
@@ -107,18 +108,7 @@
 
 	if (!hist)
 		return;
-	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++) {
-		g_autofree char *all = g_strdup_printf("%s,quantile=\"%g\"",
-						       labels, quantiles[i]);
-
-		bh_metrics_value(out, "boragehold_latency_seconds", all,
-				 (double)bh_hist_quantile(hist, quantiles[i]) /
-					 1e6);
-	}
-	bh_metrics_value(out, "boragehold_latency_seconds_sum", labels,
-			 (double)hist->sum_us / 1e6);
-	bh_metrics_value(out, "boragehold_latency_seconds_count", labels,
-			 (double)hist->count);
+	bh_metrics_hist(out, "boragehold_latency_seconds", labels, hist);
 }
 
 static void add_tenant(GString *out, const bh_tenant_t *t)
@@ -212,17 +202,16 @@
 void bh_metrics_hist(GString *out, const char *name, const char *labels,
 		     const bh_hist_t *hist)
 {
-	static const double levels[] = {0.5, 0.9, 0.99};
 	g_autofree char *sum = g_strdup_printf("%s_sum", name);
 	g_autofree char *count = g_strdup_printf("%s_count", name);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(levels); i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++) {
 		g_autofree char *all = g_strdup_printf(
 			"%s%squantile=\"%g\"", labels ? labels : "",
-			labels ? "," : "", levels[i]);
+			labels ? "," : "", quantiles[i]);
 
 		bh_metrics_value(out, name, all,
-				 (double)bh_hist_quantile(hist, levels[i]) /
+				 (double)bh_hist_quantile(hist, quantiles[i]) /
 					 1e6);
 	}
 	bh_metrics_value(out, sum, labels, (double)hist->sum_us / 1e6);
@@ -270,3 +259,9 @@
 	bh_metrics_hist(out, "boragehold_task_wait_seconds", NULL, &st->wait);
 	g_free(st);
 }
+
+void bh_metrics_reply(struct evhttp_request *req, GString *out)
+{
+	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
+	g_string_free(out, TRUE);
+}
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -11,6 +11,8 @@
 #include "core/taskhost.h"
 #include "sched/sched.h"
 
+#include <event2/http.h>
+
 void bh_metrics_entry(GString *out, bh_entry_t *entry);
 void bh_metrics_claims(GString *out, const bh_claims_t *claims);
 void bh_metrics_agent(GString *out, const bh_agent_t *agent);
@@ -31,4 +33,9 @@
 void bh_metrics_hist(GString *out, const char *name, const char *labels,
 		     const bh_hist_t *hist);
 
+/**
+ * bh_metrics_reply() - answer a scrape; @out is freed
+ */
+void bh_metrics_reply(struct evhttp_request *req, GString *out);
+
 #endif
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -28,9 +28,6 @@
 #define REGISTER_AGAIN_US   (400 * BH_USEC_PER_MS)
 #define REGISTER_TIMEOUT_MS 1500
 
-/* A worker's clock may run this much slower than ours. */
-#define CLOCK_DRIFT_PERCENT 2
-
 /* Tries of an order that gets no answer. */
 #define START_TRIES 3
 #define STOP_TRIES  4
@@ -115,8 +112,7 @@
 	if (a->expires_ms <= a->clock_ms)
 		return;
 	length = (bh_usec_t)(a->expires_ms - a->clock_ms) * BH_USEC_PER_MS;
-	a->lease_until =
-		a->clock_at + length + length * CLOCK_DRIFT_PERCENT / 100;
+	a->lease_until = a->clock_at + bh_lease_bound(length);
 }
 
 static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
@@ -578,8 +574,7 @@
 	bh_metrics_value(out, "boragehold_agent_led", NULL, a->leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
 			 (double)a->rt->log.dropped);
-	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
-	g_string_free(out, TRUE);
+	bh_metrics_reply(req, out);
 }
 
 static void on_registered(void *user, const bh_store_reply_t *reply)
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -566,8 +566,7 @@
 
 		bh_metrics_hist(out, "boragehold_request_seconds", label, hist);
 	}
-	bh_http_reply_text(req, 200, "text/plain; version=0.0.4", out->str);
-	g_string_free(out, TRUE);
+	bh_metrics_reply(req, out);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -387,3 +387,16 @@
 	*port = (uint16_t)number;
 	return TRUE;
 }
+
+gboolean bh_address_sockaddr(const char *text, struct sockaddr_in *out)
+{
+	g_autofree char *ip = NULL;
+	uint16_t port;
+
+	if (!bh_address_parse(text, &ip, &port))
+		return FALSE;
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons(port);
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -5,6 +5,7 @@
 #define BH_DAEMON_SETTINGS_H
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdint.h>
 
 #define BH_SETTINGS_ERROR (bh_settings_error_quark())
@@ -116,4 +117,11 @@
  */
 gboolean bh_address_parse(const char *text, char **ip, uint16_t *port);
 
+/**
+ * bh_address_sockaddr() - the socket address that "IP:PORT" names
+ *
+ * Return: false as bh_address_parse() does.
+ */
+gboolean bh_address_sockaddr(const char *text, struct sockaddr_in *out);
+
 #endif
--- a/daemon/udp.c
+++ b/daemon/udp.c
@@ -2,7 +2,6 @@
 #include "daemon/settings.h"
 #include "wire/frame.h"
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 
 #define READS_PER_WAKE 64
@@ -16,19 +15,6 @@
 	uint64_t garbage;
 };
 
-static bool to_sockaddr(const char *address, struct sockaddr_in *out)
-{
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
-	if (!bh_address_parse(address, &ip, &port))
-		return false;
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons(port);
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
-
 static void on_readable(evutil_socket_t fd, short what, void *arg)
 {
 	bh_udp_t *udp = arg;
@@ -58,7 +44,7 @@
 	bh_udp_t *udp;
 	int fd;
 
-	if (!to_sockaddr(address, &at))
+	if (!bh_address_sockaddr(address, &at))
 		return NULL;
 	fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
@@ -92,7 +78,7 @@
 {
 	struct sockaddr_in to;
 
-	if (!to_sockaddr(address, &to))
+	if (!bh_address_sockaddr(address, &to))
 		return;
 	g_byte_array_set_size(udp->scratch, 0);
 	bh_frame_pack(msg, udp->scratch);
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -1,8 +1,5 @@
 #include "sched/sched_impl.h"
 
-/* A worker's clock may run this much slower than ours (parts per hundred). */
-#define CLOCK_DRIFT_PERCENT 2
-
 /* Reports come every 400 ms; one that is older than three says little. */
 #define REPORT_FRESH_US (1500 * BH_USEC_PER_MS)
 
@@ -263,14 +260,18 @@
 	host->is_synced = true;
 }
 
+static bh_usec_t lease_bound(const bh_sched_t *s)
+{
+	return bh_lease_bound(s->bounds.lease_ms * BH_USEC_PER_MS);
+}
+
 static void extend_lease(bh_sched_t *s, bh_host_t *host, uint64_t clock_ms,
 			 bh_usec_t now)
 {
-	int64_t lease_us = s->bounds.lease_ms * BH_USEC_PER_MS;
 	uint64_t expires = clock_ms + (uint64_t)s->bounds.lease_ms;
 
 	host->expires_ms = MAX(host->expires_ms, expires);
-	host->lapse_at = now + lease_us + lease_us * CLOCK_DRIFT_PERCENT / 100;
+	host->lapse_at = now + lease_bound(s);
 }
 
 static void reset_boot(bh_sched_t *s, bh_host_t *host, const char *why,
@@ -376,10 +377,8 @@
 	host->lapse_at = now;
 	host->is_synced = !may_hold_work;
 	if (may_hold_work)
-		host->lapse_at += (s->bounds.lease_ms *
-					   (100 + CLOCK_DRIFT_PERCENT) / 100 +
-				   s->bounds.silence_ms) *
-				  BH_USEC_PER_MS;
+		host->lapse_at +=
+			lease_bound(s) + s->bounds.silence_ms * BH_USEC_PER_MS;
 	host->speed = 1;
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -9,6 +9,18 @@
 
 #define BH_WORKER_LABELS_MAX 8
 
+/* A worker's clock may run this much slower than ours (parts per hundred). */
+#define BH_CLOCK_DRIFT_PERCENT 2
+
+/**
+ * bh_lease_bound() - time on our clock after which a lease has surely run out
+ * @lease: its length on the worker's clock
+ */
+static inline bh_usec_t bh_lease_bound(bh_usec_t lease)
+{
+	return lease + lease * BH_CLOCK_DRIFT_PERCENT / 100;
+}
+
 /**
  * enum bh_worker_state - may work be started there
  * @BH_WORKER_SILENT: nobody has heard of it lately; what ran may run on
