--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -446,11 +446,7 @@
 	    strcmp(hub->link_address, hub->rt->settings->listen_frames) == 0)
 		return;
 	if (hub->link) {
-		bh_usec_t since = hub->link_is_open
-					  ? bh_link_heard_at(hub->link)
-					  : hub->dialled_at;
-
-		if (now - since <= SILENT_AFTER_US)
+		if (now - bh_link_heard_at(hub->link) <= SILENT_AFTER_US)
 			return;
 		bh_log_event(&hub->rt->log, BH_LOG_WARN, "leader silent",
 			     "address", hub->link_address, NULL);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -35,6 +35,7 @@
 	bh_relay_t *relay;
 	bh_link_t *peer;
 	uint64_t number;
+	char *table;
 	char *key;
 } served_t;
 
@@ -122,7 +123,6 @@
 
 static void ask_store(call_t *c)
 {
-	bh_store_tx_t *tx;
 	gsize len;
 	const void *data;
 
@@ -132,11 +132,9 @@
 			      c->timeout_ms, on_reply, c);
 		return;
 	}
-	tx = bh_store_tx_new();
 	data = g_bytes_get_data(c->value, &len);
-	bh_store_tx_check(tx, c->table, c->key, c->version);
-	bh_store_tx_put(tx, c->table, c->key, data, len);
-	bh_store_commit(c->relay->store, tx, c->timeout_ms, on_reply, c);
+	bh_store_put(c->relay->store, c->table, c->key, c->version, data, len,
+		     c->timeout_ms, on_reply, c);
 }
 
 static call_t *call_new(bh_relay_t *relay, const char *table, const char *key,
@@ -183,6 +181,7 @@
 static void served_free(served_t *s)
 {
 	TAILQ_REMOVE(&s->relay->served, s, link);
+	g_free(s->table);
 	g_free(s->key);
 	g_free(s);
 }
@@ -190,16 +189,17 @@
 static void on_served(void *user, const bh_store_reply_t *reply)
 {
 	served_t *s = user;
+	const bh_store_row_t *row = bh_store_row(reply, s->table, s->key);
 	bh_frame_t frame = BH__SCHED__FRAME__INIT;
 	Bh__Sched__StoreAnswer m = BH__SCHED__STORE_ANSWER__INIT;
 
 	m.number = s->number;
 	m.status = reply->status;
-	if (reply->n_rows && strcmp(reply->rows[0].key, s->key) == 0) {
+	if (row) {
 		m.has_row = true;
-		m.version = reply->rows[0].version;
-		m.value.data = reply->rows[0].value;
-		m.value.len = reply->rows[0].len;
+		m.version = row->version;
+		m.value.data = row->value;
+		m.value.len = row->len;
 	}
 	frame.body_case = BH__SCHED__FRAME__BODY_STORE_ANSWER;
 	frame.store_answer = &m;
@@ -280,8 +280,6 @@
 	}
 	if (!c)
 		return;
-	row.table = c->table;
-	row.key = c->key;
 	c->is_at_leader = false;
 	if (reply.status == BH_STORE_UNKNOWN && c->is_put)
 		c->is_unclear = true;
@@ -300,23 +298,20 @@
 		    const Bh__Sched__StoreCall *call)
 {
 	served_t *s = g_new0(served_t, 1);
-	bh_store_tx_t *tx;
 
 	s->relay = relay;
 	s->peer = peer;
 	s->number = call->number;
+	s->table = g_strdup(call->table);
 	s->key = g_strdup(call->key);
 	TAILQ_INSERT_TAIL(&relay->served, s, link);
-	if (!call->is_put) {
+	if (call->is_put)
+		bh_store_put(relay->store, call->table, call->key,
+			     call->version, call->value.data, call->value.len,
+			     SERVE_TIMEOUT_MS, on_served, s);
+	else
 		bh_store_list(relay->store, call->table, call->key, 1,
 			      SERVE_TIMEOUT_MS, on_served, s);
-		return;
-	}
-	tx = bh_store_tx_new();
-	bh_store_tx_check(tx, call->table, call->key, call->version);
-	bh_store_tx_put(tx, call->table, call->key, call->value.data,
-			call->value.len);
-	bh_store_commit(relay->store, tx, SERVE_TIMEOUT_MS, on_served, s);
 }
 
 void bh_relay_drop_peer(bh_relay_t *relay, const bh_link_t *peer)
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -353,18 +353,10 @@
 		     row->version, p->row, try_timeout_ms(p), on_stored, p);
 }
 
-static const bh_store_row_t *row_of(const bh_store_reply_t *reply,
-				    const char *id)
-{
-	return reply->n_rows && strcmp(reply->rows[0].key, id) == 0
-		       ? &reply->rows[0]
-		       : NULL;
-}
-
 static void on_cancel_read(void *user, const bh_store_reply_t *reply)
 {
 	pending_t *p = user;
-	const bh_store_row_t *row = row_of(reply, p->id);
+	const bh_store_row_t *row = bh_store_row(reply, BH_TABLE_JOBS, p->id);
 
 	if (reply->status != BH_STORE_OK) {
 		try_again(p);
@@ -395,7 +387,8 @@
 static void on_progress_read(void *user, const bh_store_reply_t *reply)
 {
 	pending_t *p = user;
-	const bh_store_row_t *row = row_of(reply, p->id);
+	const bh_store_row_t *row =
+		bh_store_row(reply, BH_TABLE_PROGRESS, p->id);
 	bh_progress_t *progress =
 		row ? bh_progress_unpack(row->value, row->len) : NULL;
 	bh_job_state_t state = p->state;
@@ -416,7 +409,7 @@
 static void on_job_read(void *user, const bh_store_reply_t *reply)
 {
 	pending_t *p = user;
-	const bh_store_row_t *row = row_of(reply, p->id);
+	const bh_store_row_t *row = bh_store_row(reply, BH_TABLE_JOBS, p->id);
 	bh_job_t *job;
 
 	if (reply->status != BH_STORE_OK) {
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -439,11 +439,7 @@
 static void member_tick(member_t *m, bh_usec_t now)
 {
 	if (m->link) {
-		bh_usec_t since = bh_link_is_open(m->link)
-					  ? bh_link_heard_at(m->link)
-					  : m->dialled_at;
-
-		if (now - since <= SILENT_AFTER_US)
+		if (now - bh_link_heard_at(m->link) <= SILENT_AFTER_US)
 			return;
 		bh_link_free(m->link);
 		member_unlinked(m);
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -119,21 +119,10 @@
 		t->ops->changed(t->ctx, &t->row);
 }
 
-static const bh_store_row_t *find_row(const bh_store_reply_t *reply)
-{
-	for (size_t i = 0; i < reply->n_rows; i++) {
-		if (strcmp(reply->rows[i].table, TABLE) == 0 &&
-		    strcmp(reply->rows[i].key, KEY) == 0 &&
-		    !reply->rows[i].is_deleted)
-			return &reply->rows[i];
-	}
-	return NULL;
-}
-
 static void on_read(void *user, const bh_store_reply_t *reply)
 {
 	bh_term_t *t = user;
-	const bh_store_row_t *row = find_row(reply);
+	const bh_store_row_t *row = bh_store_row(reply, TABLE, KEY);
 	bh_leader_row_t found = {0};
 
 	t->is_reading = false;
@@ -206,7 +195,7 @@
 		return;
 	}
 	if (reply->status == BH_STORE_CONFLICT)
-		learn(t, find_row(reply));
+		learn(t, bh_store_row(reply, TABLE, KEY));
 	t->stand_at = 0;
 	t->looked_at = 0;
 }
@@ -237,7 +226,7 @@
 		}
 		return BH_TERM_STORED;
 	case BH_STORE_CONFLICT:
-		row = find_row(reply);
+		row = bh_store_row(reply, TABLE, KEY);
 		if (row && bh_leader_row_unpack(row->value, row->len, &found) &&
 		    found.term == t->row.term && is_mine(t, &found)) {
 			t->version = row->version;
