demo: one function calls over HTTP

Cause: job_call() in demo/jobs.sh was http_call() of demo/cluster.sh again, with another Host line and the status kept.

Change: http_call() takes the Host line and sets STATUS; job_call() is one call of it. Before and after: tests/jobs 11 of 11.

--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -66,16 +66,19 @@
 # http_get ADDRESS PATH: prints the body; fails unless the status is 200
 http_get() { http_call GET "$1" "$2" ""; }
 
+# http_call METHOD ADDRESS PATH BODY [HEADER] [HOST]: prints the body, sets
+# STATUS, 0 without a connection
 http_call() {
-	local host=${2%:*} tcp=${2#*:} status line
+	local host=${2%:*} tcp=${2#*:} line
+	STATUS=0
 	exec 3<>"/dev/tcp/$host/$tcp" || return 1
 	printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %d\r\n%s\r\n%s' \
-		"$1" "$3" "$host" "${#4}" "${5:+$5$'\r\n'}" "$4" >&3
-	read -r _ status _ <&3
+		"$1" "$3" "${6:-$host}" "${#4}" "${5:+$5$'\r\n'}" "$4" >&3
+	read -r _ STATUS _ <&3
 	while IFS= read -r line <&3 && [ "$line" != $'\r' ]; do :; done
 	cat <&3
 	exec 3>&-
-	[ "$status" = 200 ]
+	[ "$STATUS" = 200 ]
 } 2>/dev/null
 
 # start_entry N ZONE [JSON-MEMBERS]
--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -39,18 +39,9 @@
 
 # job_call METHOD ENTRY ID BODY: prints the body, sets STATUS
 job_call() {
-	local tcp line
-	tcp=$(port $((100 + $2)))
-	STATUS=0
-	exec 3<>"/dev/tcp/127.0.0.1/$tcp" || return 1
-	printf '%s %s%s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
-		"$1" "$JOB_PREFIX" "$3" "$JOB_HOST" "${#4}" "$4" >&3
-	read -r _ STATUS _ <&3
-	while IFS= read -r line <&3 && [ "$line" != $'\r' ]; do :; done
-	cat <&3
-	exec 3>&-
-	[ "$STATUS" = 200 ]
-} 2>/dev/null
+	http_call "$1" "$(addr $((100 + $2)))" "$JOB_PREFIX$3" "$4" "" \
+		"$JOB_HOST"
+}
 
 # submit ENTRY ID TASKS: one step
 submit() {
