Harm between images is followed in headroom, by a filter for each serving image

Two reasons: tails grow without bound near saturation, so that harm measured as growth of the tail differed tenfold between calm and busy seconds; and blame was spread over all fillers beside a task. Ruled out: lack of room (fillers need half of what is left), the lag of gauges.

A Kalman filter for each serving image learns the harm of all fillers together; a phase's headroom without fillers is followed beside it. A host's fillers share what its serving tasks spare, the mildest first. Image names have a bound and no longer leak.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -2,13 +2,14 @@
 
 #include <stdarg.h>
 
-static void phase_init(bh_phase_t *phase, bh_rec_t *rec, uint32_t occurrence,
-		       uint32_t step, bh_usec_t now)
+static void phase_init(bh_phase_t *phase, bh_pairs_t *pairs, bh_rec_t *rec,
+		       uint32_t occurrence, uint32_t step, bh_usec_t now)
 {
 	phase->rec = rec;
 	phase->step = &rec->job->steps[step];
 	phase->occurrence = occurrence;
 	phase->step_index = step;
+	phase->image = bh_pairs_image(pairs, phase->step->image);
 	phase->tasks = g_new0(bh_task_t, phase->step->count);
 	for (uint32_t i = 0; i < phase->step->count; i++) {
 		phase->tasks[i].phase = phase;
@@ -391,7 +392,7 @@
 	rec->n_phases = bh_job_occurrences(job) * job->n_steps;
 	rec->phases = g_new0(bh_phase_t, rec->n_phases);
 	for (uint32_t i = 0; i < rec->n_phases; i++)
-		phase_init(&rec->phases[i], rec, i / job->n_steps,
+		phase_init(&rec->phases[i], s->pairs, rec, i / job->n_steps,
 			   i % job->n_steps, now);
 	update_terms(s, rec);
 	rec->chain_ms = bh_job_chain_ms(job);
--- a/sched/pairs.h
+++ b/sched/pairs.h
@@ -1,12 +1,13 @@
 /*
- * How much fillers disturb lasting tasks, learned by pairs of images from tail
- * latencies. A lasting task's tail is taken to be
+ * How much fillers disturb serving tasks, learned by pairs of images. A serving
+ * task's headroom is its objective over its tail latency. Near saturation tails
+ * grow without bound, but headroom falls in proportion to what presses:
  *
- *	base * (1 + sum over fillers of harm(filler, lasting) * share)
+ *	headroom = headroom alone - sum over fillers of harm * share
  *
- * where share is the part of the host's processors that a filler uses. Harm is
- * never negative, so that each look bounds it from above: what a tail has not
- * grown by, no filler beside it has added.
+ * where share is the part of the host's processors that a filler uses. Each
+ * serving image has a Kalman filter over the harm of all fillers seen beside
+ * it, so that blame goes to those of whom least is known.
  */
 #ifndef BH_SCHED_PAIRS_H
 #define BH_SCHED_PAIRS_H
@@ -15,54 +16,68 @@
 
 typedef struct bh_pairs bh_pairs_t;
 
+/* An image's number; numbers are never given twice. */
+typedef uint32_t bh_image_t;
+
 /**
  * struct bh_press - fillers of one image on a host
  * @share: part of the host's processors that they use
+ * @shift: how far the last report was from @share
  */
 typedef struct bh_press {
-	const char *image;
+	bh_image_t image;
 	double share;
+	double shift;
 } bh_press_t;
 
 bh_pairs_t *bh_pairs_new(void);
 void bh_pairs_free(bh_pairs_t *pairs);
 
 /**
- * bh_pairs_harm() - what is known of a pair, or the prior
+ * bh_pairs_image() - the number of an image
+ * @name: NULL and "" are the image of tasks that name none
  */
-double bh_pairs_harm(const bh_pairs_t *pairs, const char *filler,
-		     const char *lasting);
+bh_image_t bh_pairs_image(bh_pairs_t *pairs, const char *name);
 
-typedef void (*bh_pair_cb_t)(void *ctx, const char *filler, const char *lasting,
-			     double harm, double upper);
+/**
+ * bh_pairs_harm() - headroom lost for each host's worth of a filler
+ */
+double bh_pairs_harm(const bh_pairs_t *pairs, bh_image_t filler,
+		     bh_image_t lasting);
 
 /**
- * bh_pairs_each() - all that is known; a new leader takes it over by
- * bh_pairs_set()
+ * bh_pairs_drop() - predicted loss of headroom
+ * @variance: set to the prediction's variance
  */
-void bh_pairs_each(const bh_pairs_t *pairs, bh_pair_cb_t cb, void *ctx);
-void bh_pairs_set(bh_pairs_t *pairs, const char *filler, const char *lasting,
-		  double harm, double upper);
+double bh_pairs_drop(const bh_pairs_t *pairs, bh_image_t lasting,
+		     const bh_press_t *press, uint32_t n, double *variance);
 
 /**
- * bh_pairs_excess() - predicted growth of a lasting task's tail
+ * bh_pairs_learn() - headroom was seen beside fillers
+ * @excess: the drop that was seen, less the one predicted
+ * @noise: variance of what else may explain @excess
  */
-double bh_pairs_excess(const bh_pairs_t *pairs, const char *lasting,
-		       const bh_press_t *press, uint32_t n);
+void bh_pairs_learn(bh_pairs_t *pairs, bh_image_t lasting,
+		    const bh_press_t *press, uint32_t n, double excess,
+		    double noise);
 
 /**
- * bh_pairs_bound() - a tail was seen beside fillers that had been there a while
- * @press: the least share of each over that while
- * @excess: seen tail over its base, minus 1
+ * bh_pairs_age() - time has passed, in which images may have changed
  */
-void bh_pairs_bound(bh_pairs_t *pairs, const char *lasting,
-		    const bh_press_t *press, uint32_t n, double excess);
+void bh_pairs_age(bh_pairs_t *pairs, double seconds);
 
 /**
- * bh_pairs_learn() - a tail was seen beside fillers
- * @press: their shares with the lag of a gauge
+ * bh_pair_cb_t - a pair that is known; @doubt is the harm's standard deviation
  */
-void bh_pairs_learn(bh_pairs_t *pairs, const char *lasting,
-		    const bh_press_t *press, uint32_t n, double excess);
+typedef void (*bh_pair_cb_t)(void *ctx, const char *filler, const char *lasting,
+			     double harm, double doubt);
+
+/**
+ * bh_pairs_each() - all that is known; a new leader takes it over by
+ * bh_pairs_set()
+ */
+void bh_pairs_each(const bh_pairs_t *pairs, bh_pair_cb_t cb, void *ctx);
+void bh_pairs_set(bh_pairs_t *pairs, const char *filler, const char *lasting,
+		  double harm, double doubt);
 
 #endif
--- a/sched/place.c
+++ b/sched/place.c
@@ -8,18 +8,14 @@
 #include <stdlib.h>
 
 /* Weights of a host's score, in parts of a fully loaded host. */
-#define WEIGHT_RACK   3.0
-#define WEIGHT_SLOW   2.0
-#define WEIGHT_SHUN   4.0
-#define WEIGHT_STRAIN 2.0
-#define WEIGHT_MIX    0.3
+#define WEIGHT_RACK  3.0
+#define WEIGHT_SLOW  2.0
+#define WEIGHT_SHUN  4.0
+#define WEIGHT_SPARE 1.0
+#define WEIGHT_MIX   0.3
 
-/* A strain that is predicted to be higher is bad enough. */
-#define RISK_MAX 3.0
-
-/* A filler comes to a host only if no tail there is predicted to rise above
- * this part of its objective. */
-#define STRAIN_FULL 0.8
+/* Headroom short of the goal beyond which more is no worse. */
+#define SHORT_MAX 3.0
 
 /* Ranks of phases: priority first, then those that can still end in time. */
 #define RANK_PRIORITY_SHIFT 48
@@ -158,21 +154,21 @@
 	return true;
 }
 
-/* @risk: strain that a filler would cause there, 0 for other tasks. */
+/* @spare: headroom that a filler would leave there, 0 for other tasks. */
 static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
-			const bh_host_t *host, double *risk, bh_usec_t now)
+			const bh_host_t *host, double *spare, bh_usec_t now)
 {
 	const bh_step_t *step = task->phase->step;
 
-	*risk = 0;
+	*spare = 0;
 	if (!is_suitable(task, host, now) || !has_room(host, step))
 		return false;
 	if (!step->is_filler)
 		return true;
 	if (host->is_harmed)
 		return false;
-	*risk = bh_steer_predict(s, host, step);
-	return must_run(task, now) || *risk <= STRAIN_FULL;
+	*spare = bh_steer_spare(s, host, task->phase);
+	return must_run(task, now) || *spare >= 0;
 }
 
 static double cpu_share(const bh_host_t *host, uint64_t cpu)
@@ -198,24 +194,24 @@
 /* Lasting tasks are packed, those of an image together, so that a filler finds
  * hosts without any that it disturbs. */
 static double load_score(const bh_host_t *host, const bh_step_t *step,
-			 double risk)
+			 double spare)
 {
 	double used = cpu_share(host, host->used_cpu);
 	double fillers = cpu_share(host, host->filler_cpu);
 
 	if (step->is_filler)
-		return used * host->filler_share + fillers +
-		       WEIGHT_STRAIN * MIN(risk, RISK_MAX);
+		return used * host->filler_share + fillers -
+		       WEIGHT_SPARE * MAX(spare, -SHORT_MAX);
 	if (step->is_lasting)
 		return fillers - used +
 		       WEIGHT_MIX * other_images(host, step->image);
 	return used + fillers / 2;
 }
 
-static double score(const bh_task_t *task, const bh_host_t *host, double risk)
+static double score(const bh_task_t *task, const bh_host_t *host, double spare)
 {
 	const bh_step_t *step = task->phase->step;
-	double value = load_score(host, step, risk);
+	double value = load_score(host, step, spare);
 
 	if (step->rack && g_strcmp0(step->rack, host->rack) != 0)
 		value += WEIGHT_RACK;
@@ -236,12 +232,12 @@
 	double best_score = 0;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
-		double risk;
+		double spare;
 		double value;
 
-		if (host == not_on || !is_eligible(s, task, host, &risk, now))
+		if (host == not_on || !is_eligible(s, task, host, &spare, now))
 			continue;
-		value = score(task, host, risk);
+		value = score(task, host, spare);
 		if (!best || value < best_score) {
 			best = host;
 			best_score = value;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -279,9 +279,9 @@
 }
 
 void bh_sched_set_pair(bh_sched_t *s, const char *filler, const char *lasting,
-		       double harm, double upper)
+		       double harm, double doubt)
 {
-	bh_pairs_set(s->pairs, filler, lasting, harm, upper);
+	bh_pairs_set(s->pairs, filler, lasting, harm, doubt);
 }
 
 const char *bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -185,10 +185,10 @@
  */
 typedef void (*bh_sched_pair_cb_t)(void *ctx, const char *filler,
 				   const char *lasting, double harm,
-				   double upper);
+				   double doubt);
 void bh_sched_each_pair(const bh_sched_t *s, bh_sched_pair_cb_t cb, void *ctx);
 void bh_sched_set_pair(bh_sched_t *s, const char *filler, const char *lasting,
-		       double harm, double upper);
+		       double harm, double doubt);
 
 /**
  * bh_sched_expired() - a job that ended so long ago that it may be forgotten
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -22,9 +22,6 @@
 /* Images of fillers on a host; more are not told apart. */
 #define BH_PRESSES_MAX 32
 
-/* Reports after which a gauge shows all of what presses now. */
-#define BH_RECENT_REPORTS 3
-
 typedef enum bh_run_state {
 	BH_RUN_ORDERED,
 	BH_RUN_ACTIVE,
@@ -35,7 +32,8 @@
  * struct bh_run - an attempt at a task on a host
  * @moved_at: when its progress last changed
  * @seen_at: when a report first listed it
- * @tail: a serving task's tail latency in ms, without single spikes
+ * @headroom: a serving task's objective over its tail latency, at the last look
+ * @bias: how far its headroom has lately been from what was predicted
  * @over_since: when its tail rose over its objective; 0: it is not
  * @peak: most processor time that a filler used at full pace
  * @absences: reports in a row that did not list it
@@ -56,8 +54,8 @@
 	uint32_t percent;
 	uint32_t first_percent;
 	uint32_t gauge;
-	double tail;
-	double last_gauge;
+	double headroom;
+	double bias;
 	bh_usec_t over_since;
 	uint32_t peak;
 	bh_usec_t paced_at;
@@ -96,9 +94,9 @@
  * @waiting: tasks that have no run and are not done
  * @is_open: what it follows is done, and its time has come
  * @rate_sum: work per time of its runs, in units of the estimate
- * @base_ms: tail of its lasting tasks without fillers, as it seems now
- * @least_ms: least tail that one of its tasks ever showed
- * @usual_base_ms: the same over some seconds
+ * @image: number of the step's image
+ * @headroom: of its serving tasks without fillers, as it seems
+ * @headroom_variance: of that; 0 before the first look
  * @tickets: by worker id, where the queue needs advice
  */
 struct bh_phase {
@@ -119,9 +117,10 @@
 	bh_usec_t tickets_until;
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
-	double base_ms;
-	double least_ms;
-	double usual_base_ms;
+	bh_image_t image;
+	double headroom;
+	double headroom_variance;
+	bh_usec_t headroom_at;
 };
 
 typedef TAILQ_HEAD(bh_phases, bh_phase) bh_phases_t;
@@ -168,7 +167,6 @@
  * @expires_ms: last lease granted, on the worker's clock
  * @used: room of its tasks, fillers' processor time apart
  * @filler_share: part of its tasks' processor time that they really use
- * @recent: what pressed in each of the last reports, newest first
  * @press: what pressed on its lasting tasks, with the lag of their gauges
  * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
@@ -201,8 +199,6 @@
 	bh_usec_t gauged_at;
 	uint32_t n_press;
 	bh_press_t press[BH_PRESSES_MAX];
-	uint32_t n_recent[BH_RECENT_REPORTS];
-	bh_press_t recent[BH_RECENT_REPORTS][BH_PRESSES_MAX];
 	double speed;
 	uint32_t bad_streak;
 	const bh_rec_t *bad_job;
@@ -322,24 +318,36 @@
 bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
 			      const bh_host_t *not_on, bh_usec_t now);
 
-/* steer.c */
-void bh_steer(bh_sched_t *s, bh_usec_t now);
+/* gauges.c */
+
+/**
+ * bh_gauges_take() - learn from a host's last report
+ */
+void bh_gauges_take(bh_sched_t *s, bh_host_t *host, bh_usec_t now);
+bool bh_run_is_filling(const bh_run_t *run);
+bool bh_run_is_serving(const bh_run_t *run);
 
 /**
  * bh_run_need() - processor time that a filler uses at full pace
  */
 uint32_t bh_run_need(const bh_run_t *run);
 
+/* steer.c */
+void bh_steer(bh_sched_t *s, bh_usec_t now);
+
 /**
  * bh_steer_started() - give a filler the pace that its neighbours bear
  */
 void bh_steer_started(bh_sched_t *s, bh_run_t *run, bh_usec_t now);
 
 /**
- * bh_steer_predict() - worst strain of a host if a filler came to it
+ * bh_steer_spare() - headroom that would be left above the goal
+ *
+ * Return: the least over the host's serving tasks that a filler of @filler
+ * would disturb, if it came there and ran at full pace.
  */
-double bh_steer_predict(const bh_sched_t *s, const bh_host_t *host,
-			const bh_step_t *filler);
+double bh_steer_spare(const bh_sched_t *s, const bh_host_t *host,
+		      const bh_phase_t *filler);
 
 void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -302,7 +302,7 @@
 }
 
 static void add_pair(void *ctx, const char *filler, const char *lasting,
-		     double harm, double upper)
+		     double harm, double doubt)
 {
 	GPtrArray *pairs = ctx;
 	Bh__Sched__Pair *m = g_new0(Bh__Sched__Pair, 1);
@@ -311,7 +311,7 @@
 	m->filler = g_strdup(filler);
 	m->lasting = g_strdup(lasting);
 	m->harm = (float)harm;
-	m->upper = (float)upper;
+	m->doubt = (float)doubt;
 	g_ptr_array_add(pairs, m);
 }
 
@@ -344,7 +344,7 @@
 	for (size_t i = 0; i < m->n_pairs; i++)
 		bh_sched_set_pair(sched, m->pairs[i]->filler,
 				  m->pairs[i]->lasting, m->pairs[i]->harm,
-				  m->pairs[i]->upper);
+				  m->pairs[i]->doubt);
 	bh__sched__learned__free_unpacked(m, NULL);
 }
 
