Agent: a call to the worker that gets no answer is tried again after 150 ms

The worker is on the same host and answers within milliseconds. Ruled out: the store (answers in 18 to 46 ms), room (tasks started 1 ms after their turn).

Change: the first try waits 150 ms (looks: on top of the time that the worker may hold them), each further one twice as long, at most 700 ms; one try more.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -28,9 +28,14 @@
 #define REGISTER_AGAIN_US   (400 * BH_USEC_PER_MS)
 #define REGISTER_TIMEOUT_MS 1500
 
-/* Tries of an order that gets no answer. */
-#define START_TRIES 3
-#define STOP_TRIES  4
+/* Calls to the worker that get no answer. It is on the same host and answers
+ * within milliseconds; the first silence is most often a lost call, later ones
+ * a worker that is slow or stands still. */
+#define START_TRIES    4
+#define STOP_TRIES     5
+#define TRY_FIRST_MS   150
+#define TRY_LONGEST_MS 700
+#define TRY_GROWTH     2
 
 /* A planned end waits for orders under way at most so long. */
 #define DRAIN_MAX_US (1500 * BH_USEC_PER_MS)
@@ -43,6 +48,7 @@
 	bh_sched_agent_t *agent;
 	int kind;
 	int tries_left;
+	int64_t timeout_ms;
 	bool was_unclear;
 	uint64_t term;
 	uint64_t boot;
@@ -76,6 +82,7 @@
 	bh_usec_t lease_until;
 	uint64_t ack;
 	int lost_looks;
+	int64_t look_timeout_ms;
 	bool is_looking;
 	uint64_t look_term;
 	bool is_down;
@@ -180,6 +187,8 @@
 	if (is_fenced)
 		bh_log_event(&a->rt->log, BH_LOG_WARN, "fenced", NULL);
 	if (!lists) {
+		a->look_timeout_ms =
+			MIN(a->look_timeout_ms * TRY_GROWTH, TRY_LONGEST_MS);
 		if (is_gone)
 			note_down(a);
 		else
@@ -187,6 +196,7 @@
 		look_later(a, LOOK_AGAIN_MS);
 		return;
 	}
+	a->look_timeout_ms = TRY_FIRST_MS;
 	note_boot(a, lists->boot);
 	a->clock_ms = lists->clock_ms;
 	a->clock_at = bh_runtime_now();
@@ -213,6 +223,7 @@
 		.expires_ms = a->expires_ms,
 		.ack = a->ack,
 		.wait_ms = LOOK_WAIT_MS,
+		.timeout_ms = a->look_timeout_ms,
 	};
 
 	if (a->is_looking || a->is_draining || !a->leader)
@@ -289,6 +300,7 @@
 	 * safe. */
 	if (outcome == BH_ORDER_UNCLEAR && --o->tries_left > 0) {
 		o->was_unclear = true;
+		o->timeout_ms = MIN(o->timeout_ms * TRY_GROWTH, TRY_LONGEST_MS);
 		order_send(o);
 		return;
 	}
@@ -312,6 +324,7 @@
 		.checkpoint = o->checkpoint,
 		.ticket = o->ticket,
 		.percent = o->percent,
+		.timeout_ms = o->timeout_ms,
 	};
 
 	if (o->kind == BH_ORDER_KIND_START)
@@ -333,6 +346,7 @@
 	o->task = g_strdup(task);
 	o->attempt = attempt;
 	o->boot = boot;
+	o->timeout_ms = TRY_FIRST_MS;
 	o->tries_left = kind == BH_ORDER_KIND_START ? START_TRIES : STOP_TRIES;
 	o->worker = g_strdup(a->info.id);
 	a->orders++;
@@ -637,6 +651,7 @@
 
 	a->rt = rt;
 	a->scratch = g_byte_array_new();
+	a->look_timeout_ms = TRY_FIRST_MS;
 	a->store = bh_store_new(rt->base, set->store);
 	a->runner = bh_runner_new(rt->base, set->worker);
 	a->look = event_new(rt->base, -1, 0, on_look, a);
