--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 	clang-tidy cppcheck libevent-dev libglib2.0-dev libjson-glib-dev \
 	libprotobuf-c-dev libxxhash-dev libcmocka-dev
 
-.PHONY: demo check lint bench build deps docs format
+.PHONY: demo check lint bench build deps docs format soak
 all: build
 
 deps:
@@ -25,6 +25,13 @@
 lint: deps
 	ci/lint
 
+# The seeds that once failed, and SEEDS, by default a fresh one.
+SEEDS ?= $(shell date +%s)
+SOAK_SECONDS ?= 15
+soak: build
+	soak/many build/release $(SOAK_SECONDS) 3 \
+		$$(awk '!/^#/ {print $$1}' soak/seeds) $(SEEDS)
+
 bench: build
 	bench/run
 
--- a/sched/gauges.c
+++ b/sched/gauges.c
@@ -26,7 +26,7 @@
 #define SURPRISE_MAX 3.0
 
 /* Weight of a new look in a run's bias. */
-#define BIAS_RATE 0.4
+#define BIAS_RATE 0.2
 
 /* Headroom below which a tail may be over its objective between gauges. */
 #define OVER_HEADROOM 1.08
--- a/sched/place.c
+++ b/sched/place.c
@@ -11,7 +11,7 @@
 #define WEIGHT_RACK  3.0
 #define WEIGHT_SLOW  2.0
 #define WEIGHT_SHUN  4.0
-#define WEIGHT_SPARE 1.0
+#define WEIGHT_SPARE 3.0
 #define WEIGHT_MIX   0.3
 
 /* Headroom short of the goal beyond which more is no worse. */
--- /dev/null
+++ b/soak/world.sh
@@ -0,0 +1,291 @@
+# The processes of a soak, its clients and its clock. Sourced by soak/soak.
+
+JOBS=0
+CONFIG_VERSION=1
+STORE_MODE=up
+declare -A ENDING DISTURBED_AT PAUSED STARTED_AT
+DUE_AT=()
+DUE_DO=()
+
+now_ms() {
+	local t=$EPOCHREALTIME
+	echo $((${t/./} / 1000))
+}
+
+is_up() { [ -n "${PIDS[$1]:-}" ]; }
+
+# later MS COMMAND...: run from the main loop, which owns all processes
+later() {
+	DUE_AT+=($(($(now_ms) + $1)))
+	shift
+	DUE_DO+=("$*")
+}
+
+run_due() {
+	local i now
+	now=$(now_ms)
+	for i in "${!DUE_AT[@]}"; do
+		[ "${DUE_AT[$i]}" -le "$now" ] || continue
+		local command=${DUE_DO[$i]}
+		unset "DUE_AT[$i]" "DUE_DO[$i]"
+		$command
+	done
+}
+
+disturb() { DISTURBED_AT[$1]=$(now_ms); }
+quiet_for() { echo $(($(now_ms) - ${DISTURBED_AT[$1]:-0})); }
+
+kill_process() {
+	kill -CONT "${PIDS[$1]}"
+	unset "PAUSED[$1]" "ENDING[$1]"
+	stop_process "$1" KILL
+} 2>/dev/null
+
+pause() {
+	is_up "$1" || return
+	[ -n "${PAUSED[$1]:-}" ] && return
+	PAUSED[$1]=1
+	disturb "$1"
+	kill -STOP "${PIDS[$1]}"
+	later $((200 + RANDOM % 4000)) resume "$1" "${PIDS[$1]}"
+}
+
+# resume NAME PID: nothing if the process was replaced meanwhile
+resume() {
+	[ "${PIDS[$1]:-}" = "$2" ] || return
+	kill -CONT "$2"
+	unset "PAUSED[$1]"
+	disturb "$1"
+}
+
+restart_entry() {
+	local n=$1
+	is_up "entry-$n" && return
+	disturb "entry-$n"
+	STARTED_AT[entry-$n]=$(now_ms)
+	cat >"$WORK/entry-$n.json" <<-END
+	{"role": "entry", "name": "entry-$n", "zone": "z",
+	 "listen_http": "$(addr $((100 + n)))",
+	 "listen_ready": "$(addr $((150 + n)))",
+	 "metrics": "$(addr $((170 + n)))",
+	 "listen_frames": "$(addr $((200 + n)))", "log_format": "json",
+	 "lease_ms": 3000, "stop_within_s": 5,
+	 "store": "$(addr $((700 + n)))"}
+	END
+	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
+	start "entry-$n" "$BUILD/daemon/borageholdd" "$WORK/entry-$n.json"
+}
+
+restart_agent() {
+	local n=$1
+	is_up "agent-$n" && return
+	cat >"$WORK/agent-$n.json" <<-END
+	{"role": "agent", "name": "agent-$n", "zone": "z",
+	 "listen_http": "$(addr $((300 + n)))",
+	 "listen_frames": "$(addr $((400 + n)))", "log_format": "json",
+	 "worker": "$(addr $((720 + n)))", "store": "$TABLE"}
+	END
+	start "agent-$n" "$BUILD/daemon/borageholdd" "$WORK/agent-$n.json"
+}
+
+# Each life of a worker logs to a file of its own.
+start_worker_of() {
+	local n=$1
+	is_up "worker-$n" && return
+	WORKER_LIFE[n]=$((${WORKER_LIFE[n]:-0} + 1))
+	start "worker-$n" "$BUILD/standins/standin-jobhost" \
+		"worker-$n.${WORKER_LIFE[n]}" "$(addr $((500 + n)))" \
+		"$(addr $((300 + n)))" "$WORK/worker-$n.${WORKER_LIFE[n]}.tasks" \
+		$((200 + RANDOM % 600))
+}
+
+note_worker_killed() {
+	echo "$(now_ms) killed - 0 worker-$1.${WORKER_LIFE[$1]}" \
+		>>"$WORK/worker-$1.${WORKER_LIFE[$1]}.tasks"
+}
+
+start_link() {
+	start "link-$1" "$BUILD/standins/standin-proxy" --listen "$(addr "$1")" \
+		--to "$2" --control "$(addr $(($1 + 50)))"
+}
+
+set_link() {
+	local delay=0
+	[ "$2" = delay ] && delay=$((20 + RANDOM % 200))
+	call POST "$(addr $(($1 + 50)))" "/fault?mode=$2&delay_ms=$delay" "" 1 \
+		>/dev/null
+}
+
+end_link() {
+	disturb "$1"
+	set_link "$2" pass
+}
+
+set_store() {
+	disturb store
+	STORE_MODE=$1
+	call POST "$TABLE" "/fault?mode=$1" "" 1 >/dev/null
+}
+
+# put_config VERSION: each version adds a route, so that it can be told by
+# outsiders which one is in force
+put_config() {
+	local version=$1 body routes=""
+	[ "$STORE_MODE" = up ] || return
+	routes="{\"name\":\"batch\",\"host\":\"$JOB_HOST\",
+\"path-prefix\":\"$JOB_PREFIX\",\"service\":\"svc\",\"max-attempts\":5,
+\"slack-factor\":2,\"target-duration-ms\":60000,\"priority\":0},
+{\"name\":\"v$version\",\"host\":\"$JOB_HOST\",
+\"path-prefix\":\"/v$version/\",\"service\":\"svc\",\"max-attempts\":5,
+\"slack-factor\":2,\"target-duration-ms\":60000,\"priority\":0}"
+	body="{\"version\":$version,\"routes\":[$routes],\"services\":[{
+\"name\":\"svc\",\"admission-check\":true}],\"limits\":{}}"
+	call POST "$TABLE" /rows-tx "{\"puts\":[{\"table\":\"op\",\"part\":\"\",
+\"key\":\"config\",\"value\":\"$(base64 -w0 <<<"$body")\"}]}" 2 >/dev/null
+	[ "$STATUS" = 200 ] || return
+	CONFIG_VERSION=$version
+	CONFIG_AT=$(now_ms)
+}
+
+# call METHOD ADDRESS PATH BODY TIMEOUT-S [HOST]: prints the body, sets STATUS;
+# 0 without a whole answer
+call() {
+	local host=${2%:*} tcp=${2#*:} line length=0 body
+	STATUS=0
+	exec 4<>"/dev/tcp/$host/$tcp" || return 1
+	printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s' \
+		"$1" "$3" "${6:-$host}" "$(($5 * 1000))" "${#4}" "$4" >&4
+	read_answer "$5"
+	exec 4>&-
+	[ "$STATUS" = 200 ]
+} 2>/dev/null
+
+# read_answer TIMEOUT-S: from descriptor 4
+read_answer() {
+	local line status length=0 body
+	LAST=""
+	STATUS=0
+	IFS=' ' read -r -t "$1" _ status _ <&4 || return
+	while IFS= read -r -t "$1" line <&4 && [ "$line" != $'\r' ]; do
+		line=${line%$'\r'}
+		case ${line,,} in
+		content-length:*) length=${line##*:} ;;
+		connection:*close*) LAST=1 ;;
+		esac
+	done
+	body=""
+	[ "$((length))" -gt 0 ] &&
+		{ IFS= read -r -d '' -t "$1" -N "$((length))" body <&4 || return; }
+	STATUS=$status
+	printf '%s' "$body"
+}
+
+next_id() { printf '%08x%08x' "$SEED" "$JOBS"; }
+
+# A caller tries four times, at any entry; its outcome goes to a file.
+submit_job() {
+	local id=$1 try outcome=refused n
+	local body='{"spec":"soak","steps":[{"count":3,"cpu":500,"mem-mb":100,
+"estimate-ms":400},{"count":2,"cpu":500,"mem-mb":100,"estimate-ms":400,
+"after":[0]}]}'
+	for try in 1 2 3 4; do
+		n=$(((0x${id: -4} + try) % ENTRIES + 1))
+		call POST "$(addr $((100 + n)))" "$JOB_PREFIX$id" "$body" 3 \
+			"$JOB_HOST" >/dev/null
+		case $STATUS in
+		200)
+			echo "$(now_ms) $id" >>"$WORK/accepted"
+			return
+			;;
+		429 | 503) ;;
+		*) outcome=unclear ;;
+		esac
+		sleep 0.3
+	done
+	echo "$(now_ms) $id" >>"$WORK/$outcome"
+}
+
+cancel_some_job() {
+	local id
+	id=$(tail -n 5 "$WORK/accepted" 2>/dev/null | head -n 1 | cut -d' ' -f2)
+	[ -n "$id" ] || return
+	echo "$id" >>"$WORK/cancel-asked"
+	call DELETE "$(addr $((101 + 0x${id: -2} % ENTRIES)))" \
+		"$JOB_PREFIX$id" "" 3 "$JOB_HOST" >/dev/null
+	[ "$STATUS" = 200 ] && echo "$(now_ms) $id" >>"$WORK/cancelled"
+}
+
+# use_connection N: requests one after the other on one connection, until the
+# entry says that it was the last
+use_connection() {
+	exec 4<>"/dev/tcp/127.0.0.1/$(port $((100 + $1)))" || return
+	while sleep 0.1; do
+		printf 'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n' "$JOB_PREFIX" \
+			"$JOB_HOST" >&4 || break
+		read_answer 4 >/dev/null
+		[ "$STATUS" = 0 ] &&
+			echo "$(now_ms) entry-$1" >>"$WORK/cut-at-stop"
+		[ "$STATUS" = 0 ] || [ -n "$LAST" ] && break
+	done
+	exec 4>&-
+} 2>/dev/null
+
+leading_entry() {
+	local n
+	for n in $(seq "$ENTRIES"); do
+		is_up "entry-$n" || continue
+		[ -n "${PAUSED[entry-$n]:-}" ] && continue
+		call GET "$(addr $((170 + n)))" /metrics "" 1 |
+			grep -q '^boragehold_leading 1' && echo "$n" && return
+	done
+	return 1
+}
+
+start_world() {
+	local n
+	WORKER_LIFE=()
+	touch "$WORK/accepted" "$WORK/refused" "$WORK/unclear" "$WORK/cancelled" \
+		"$WORK/cancel-asked" "$WORK/faults" "$WORK/violations"
+	start store "$BUILD/standins/standin-store" --listen "$TABLE"
+	wait_for "$TABLE" /stats || return 1
+	put_config 2
+	for n in $(seq "$ENTRIES"); do
+		start_link $((700 + n)) "$TABLE"
+		restart_entry "$n"
+	done
+	for n in $(seq "$AGENTS"); do
+		start_link $((720 + n)) "$(addr $((500 + n)))"
+		start_worker_of "$n"
+		restart_agent "$n"
+	done
+	for n in $(seq "$ENTRIES"); do
+		wait_for "$(addr $((150 + n)))" /readiness || return 1
+	done
+}
+
+# Undoes all that is disturbed, at once.
+end_faults() {
+	local n name
+	for n in "${!DUE_AT[@]}"; do
+		DUE_AT[n]=0
+	done
+	run_due
+	set_store up
+	for name in "${!PIDS[@]}"; do
+		kill -CONT "${PIDS[$name]}"
+	done
+	while [ "${#ENDING[@]}" -gt 0 ]; do
+		check_processes
+		run_due
+		sleep 0.1
+	done
+	for n in $(seq "$ENTRIES"); do
+		set_link $((700 + n)) pass
+		restart_entry "$n"
+	done
+	for n in $(seq "$AGENTS"); do
+		set_link $((720 + n)) pass
+		start_worker_of "$n"
+		restart_agent "$n"
+	done
+} 2>/dev/null
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -29,6 +29,7 @@
 	int64_t born_ms;
 	int64_t start_us;
 	int64_t expires_ms;
+	bool is_lapsed;
 	int64_t term;
 	int64_t last_number;
 	int64_t beats;
@@ -212,6 +213,19 @@
 	return rows;
 }
 
+static void forget(jobhost_t *h, int64_t ack)
+{
+	while (json_array_get_length(h->ended) > 0) {
+		JsonArray *row = json_array_get_array_element(h->ended, 0);
+
+		if (json_array_get_int_element(row, 0) > ack)
+			return;
+		note(h, "acked", json_array_get_string_element(row, 1),
+		     json_array_get_int_element(row, 2));
+		json_array_remove_element(h->ended, 0);
+	}
+}
+
 /* Answers at once: tests do not need the wait. */
 static void on_hold(struct evhttp_request *req, void *ctx)
 {
@@ -222,11 +236,7 @@
 
 	if (!is_fenced(h, req, body)) {
 		h->expires_ms = MAX(h->expires_ms, number(body, "expires-ms"));
-		while (json_array_get_length(h->ended) > 0 &&
-		       json_array_get_int_element(
-			       json_array_get_array_element(h->ended, 0), 0) <=
-			       ack)
-			json_array_remove_element(h->ended, 0);
+		forget(h, ack);
 		out = json_object_new();
 		json_object_set_array_member(out, "active", list_active(h));
 		json_object_set_array_member(out, "finished",
@@ -243,6 +253,10 @@
 
 	(void)fd;
 	(void)what;
+	/* What ended before and was not taken note of counts no longer. */
+	if (!h->is_lapsed && clock_ms(h) >= h->expires_ms)
+		note(h, "lease-lapsed", "-", 0);
+	h->is_lapsed = clock_ms(h) >= h->expires_ms;
 	for (guint i = 0; i < h->tasks->len;) {
 		task_t *t = h->tasks->pdata[i];
 
