sched: all hosts and runs are looked at every 50 ms, not at each report

Cause: each report made the leader go over all hosts, runs and timed jobs, so that its work grew with the square of the number of hosts (300 hosts send 750 reports a second); the pace at which a host's speed is learned grew with it.

Change: leases, due times and the health of runs are looked at every 50 ms; a report's own news is still taken with it, and a recovery ends at once.

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -1,5 +1,9 @@
 #include "sched/sched_impl.h"
 
+/* Between two looks at all hosts and runs. What a report changes is seen with
+ * the report; what time alone changes may wait so long. */
+#define WATCH_EVERY_US (50 * BH_USEC_PER_MS)
+
 /* Keeps predicted waits finite while no worker is known. */
 #define ROOM_FLOOR 1000
 
@@ -197,12 +201,19 @@
 
 void bh_sched_run(bh_sched_t *s, bh_usec_t now, uint64_t unix_ms)
 {
+	bool is_due = now - s->watched_at >= WATCH_EVERY_US;
+
 	s->unix_ms = unix_ms;
-	bh_hosts_expire(s, now);
-	open_due(s, now);
+	if (is_due || s->is_recovering)
+		bh_hosts_expire(s, now);
+	if (is_due) {
+		s->watched_at = now;
+		open_due(s, now);
+	}
 	if (s->is_recovering)
 		return;
-	bh_health_check_runs(s, now);
+	if (is_due)
+		bh_health_check_runs(s, now);
 	bh_steer(s, now);
 	if (!s->must_place || !s->config)
 		return;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -231,6 +231,7 @@
 	bool must_place;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
+	bh_usec_t watched_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
 };
