sched: no circles among its files

Calls went round among gauges, health, hosts, place and steer, and between jobs and runs. The plan of a host's paces is a file of its own (plan.c), what several files share of tasks is tasks.c, and three functions moved to where they are used.

--- a/sched/gauges.c
+++ b/sched/gauges.c
@@ -209,6 +209,19 @@
 	return run->peak ? run->peak : run->task->phase->step->cpu_milli;
 }
 
+int64_t bh_host_filler_room(const bh_host_t *host)
+{
+	int64_t room = (int64_t)host->info.cpu_milli -
+		       (int64_t)((double)host->used_cpu * host->filler_share);
+	const bh_run_t *run;
+
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (run->task->phase->step->is_filler && run->pace > 0)
+			room -= bh_run_need(run);
+	}
+	return room;
+}
+
 void bh_gauges_take(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
 	bh_run_t *run;
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -1,8 +1,5 @@
 #include "sched/sched_impl.h"
 
-/* Reports come every 400 ms; one that is older than three says little. */
-#define REPORT_FRESH_US (1500 * BH_USEC_PER_MS)
-
 /* Lists may have been made just before an order was carried out. */
 #define ABSENT_AFTER_US (1000 * BH_USEC_PER_MS)
 #define ABSENT_REPORTS	2
@@ -299,15 +296,6 @@
 	}
 }
 
-bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now)
-{
-	return host->is_linked && host->is_synced && host->info.id &&
-	       host->info.boot && host->info.state == BH_WORKER_READY &&
-	       now - host->heard_at < REPORT_FRESH_US && host->expires_ms &&
-	       host->lapse_at - now > BH_USEC_PER_SEC &&
-	       now >= host->shunned_until && now >= host->full_until;
-}
-
 void bh_host_lapse(bh_sched_t *s, bh_host_t *host, const char *why,
 		   bh_usec_t now)
 {
@@ -468,7 +456,8 @@
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
 		if (task->phase->step->is_filler)
-			bh_steer_started(s, run, now);
+			bh_run_pace(s, run, bh_plan_pace_of(s, run),
+				    "its neighbours spare no more", now);
 		return;
 	}
 	s->stats.rejected++;
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -1,7 +1,5 @@
 #include "sched/sched_impl.h"
 
-#include <stdarg.h>
-
 static void phase_init(bh_phase_t *phase, bh_pairs_t *pairs, bh_rec_t *rec,
 		       uint32_t occurrence, uint32_t step, bh_usec_t now)
 {
@@ -185,25 +183,6 @@
 	terms->target_ms = queue->target_ms;
 }
 
-void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
-		  const char *format, ...)
-{
-	char detail[256];
-	va_list args;
-
-	if (!s->ops->event)
-		return;
-	va_start(args, format);
-	g_vsnprintf(detail, sizeof(detail), format, args);
-	va_end(args);
-	s->ops->event(s->ctx, what, job, detail);
-}
-
-bool bh_rec_is_over(const bh_rec_t *rec)
-{
-	return rec->state >= BH_JOB_COMPLETED;
-}
-
 bh_rec_t *bh_rec_find(const bh_sched_t *s, const char *id)
 {
 	return g_hash_table_lookup(s->by_id, id);
@@ -226,25 +205,6 @@
 						: NULL;
 }
 
-void bh_task_full_name(const bh_task_t *task, char out[BH_TASK_NAME_BYTES])
-{
-	bh_task_name_t name = {
-		.occurrence = task->phase->occurrence,
-		.step = task->phase->step_index,
-		.index = task->index,
-	};
-
-	memcpy(name.job, task->phase->rec->job->id, sizeof(name.job));
-	bh_task_name_format(&name, out);
-}
-
-uint32_t bh_task_next_attempt(const bh_sched_t *s, const bh_task_t *task)
-{
-	uint64_t base = (s->bounds.term - 1) * BH_ATTEMPTS_PER_TERM;
-
-	return MAX(task->attempt, (uint32_t)base) + 1;
-}
-
 /* The list stays in order of the oldest change, which decides what may be
  * acknowledged. */
 void bh_rec_list_dirty(bh_sched_t *s, bh_rec_t *rec)
@@ -297,17 +257,6 @@
 	bh_rec_touch(s, rec);
 }
 
-void bh_task_set_waiting(bh_task_t *task, bool is_waiting)
-{
-	if (task->is_waiting == is_waiting)
-		return;
-	task->is_waiting = is_waiting;
-	if (is_waiting)
-		task->phase->waiting++;
-	else
-		task->phase->waiting--;
-}
-
 void bh_phase_list(bh_sched_t *s, bh_phase_t *phase)
 {
 	s->must_place = true;
--- a/sched/place.c
+++ b/sched/place.c
@@ -35,6 +35,9 @@
 /* An adviser that has not answered by then is asked again. */
 #define ADVICE_AGAIN_US (1500 * BH_USEC_PER_MS)
 
+/* Reports come every 400 ms; one that is older than three says little. */
+#define REPORT_FRESH_US (1500 * BH_USEC_PER_MS)
+
 /* Phases that may find no room before the pass ends, a bound on its cost. */
 #define MISSES_MAX 200
 
@@ -99,19 +102,6 @@
 	return false;
 }
 
-int64_t bh_host_filler_room(const bh_host_t *host)
-{
-	int64_t room = (int64_t)host->info.cpu_milli -
-		       (int64_t)((double)host->used_cpu * host->filler_share);
-	const bh_run_t *run;
-
-	TAILQ_FOREACH(run, &host->runs, link) {
-		if (run->task->phase->step->is_filler && run->pace > 0)
-			room -= bh_run_need(run);
-	}
-	return room;
-}
-
 static bool has_room(const bh_host_t *host, const bh_step_t *step)
 {
 	if (host->used_memory + step->memory_mb > host->info.memory_mb ||
@@ -167,7 +157,7 @@
 		return true;
 	if (host->is_harmed)
 		return false;
-	*spare = bh_steer_spare(s, host, task->phase);
+	*spare = bh_plan_spare(s, host, task->phase);
 	return must_run(task, now) || *spare >= 0;
 }
 
@@ -224,6 +214,15 @@
 	return value;
 }
 
+bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now)
+{
+	return host->is_linked && host->is_synced && host->info.id &&
+	       host->info.boot && host->info.state == BH_WORKER_READY &&
+	       now - host->heard_at < REPORT_FRESH_US && host->expires_ms &&
+	       host->lapse_at - now > BH_USEC_PER_SEC &&
+	       now >= host->shunned_until && now >= host->full_until;
+}
+
 bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
 			      const bh_host_t *not_on, bh_usec_t now)
 {
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -12,11 +12,6 @@
 	host->n_runs += (uint32_t)sign;
 }
 
-bool bh_task_has_run(const bh_task_t *task)
-{
-	return task->runs[0] || task->runs[1];
-}
-
 bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt)
 {
 	for (int i = 0; i < BH_RUNS_MAX; i++) {
@@ -118,6 +113,28 @@
 		     run->attempt);
 }
 
+void bh_run_pace(bh_sched_t *s, bh_run_t *run, double percent, const char *why,
+		 bh_usec_t now)
+{
+	char name[BH_TASK_NAME_BYTES];
+	uint32_t pace = (uint32_t)CLAMP(percent, 0, 100);
+
+	if (pace == run->pace)
+		return;
+	bh_task_full_name(run->task, name);
+	bh_sched_log(s, "pace", run->task->phase->rec->job->id,
+		     "task=%s worker=%s from=%u to=%u strain=%.2f image=%s "
+		     "why=%s",
+		     name + BH_JOB_ID_LEN + 1, run->host->info.id, run->pace,
+		     pace, run->host->strain, run->task->phase->step->image,
+		     why);
+	run->pace = pace;
+	run->paced_at = now;
+	s->stats.paces++;
+	s->ops->pace(s->ctx, run->host->key, run->host->info.boot, name,
+		     run->attempt, pace);
+}
+
 void bh_run_save(bh_run_t *run, const char *checkpoint)
 {
 	if (!checkpoint || !*checkpoint ||
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -236,6 +236,18 @@
 	bh_sched_stats_t stats;
 };
 
+/* tasks.c */
+void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
+		  const char *format, ...) G_GNUC_PRINTF(4, 5);
+bool bh_rec_is_over(const bh_rec_t *rec);
+void bh_task_full_name(const bh_task_t *task, char out[BH_TASK_NAME_BYTES]);
+uint32_t bh_task_next_attempt(const bh_sched_t *s, const bh_task_t *task);
+/**
+ * bh_task_set_waiting() - keep its phase's count of waiting tasks
+ */
+void bh_task_set_waiting(bh_task_t *task, bool is_waiting);
+bool bh_task_has_run(const bh_task_t *task);
+
 /* jobs.c */
 bh_rec_t *bh_rec_find(const bh_sched_t *s, const char *id);
 bh_task_t *bh_task_find(const bh_sched_t *s, const char *name);
@@ -244,7 +256,6 @@
 void bh_rec_open_phases(bh_sched_t *s, bh_rec_t *rec, bh_usec_t now);
 void bh_rec_end(bh_sched_t *s, bh_rec_t *rec, bh_job_state_t state,
 		bh_usec_t now);
-bool bh_rec_is_over(const bh_rec_t *rec);
 void bh_task_done(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
 
 /**
@@ -257,17 +268,10 @@
  * bh_task_requeue() - count a task as waiting again if nothing runs it
  */
 void bh_task_requeue(bh_sched_t *s, bh_task_t *task, bh_usec_t now);
-/**
- * bh_task_set_waiting() - keep its phase's count of waiting tasks
- */
-void bh_task_set_waiting(bh_task_t *task, bool is_waiting);
 void bh_phase_list(bh_sched_t *s, bh_phase_t *phase);
-void bh_task_full_name(const bh_task_t *task, char out[BH_TASK_NAME_BYTES]);
-uint32_t bh_task_next_attempt(const bh_sched_t *s, const bh_task_t *task);
 
 /* runs.c */
 bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt);
-bool bh_task_has_run(const bh_task_t *task);
 bh_run_t *bh_run_new(bh_task_t *task, bh_host_t *host, uint32_t attempt,
 		     bh_run_state_t state, bh_usec_t now);
 
@@ -278,6 +282,8 @@
 void bh_run_start(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
 		  uint32_t attempt, bh_usec_t now);
 void bh_run_stop(bh_sched_t *s, bh_run_t *run, const char *why, bh_usec_t now);
+void bh_run_pace(bh_sched_t *s, bh_run_t *run, double percent, const char *why,
+		 bh_usec_t now);
 void bh_run_save(bh_run_t *run, const char *checkpoint);
 
 /**
@@ -286,7 +292,6 @@
 int64_t bh_run_left_ms(const bh_run_t *run);
 
 /* hosts.c */
-bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
 void bh_host_lapse(bh_sched_t *s, bh_host_t *host, const char *why,
 		   bh_usec_t now);
 void bh_hosts_expire(bh_sched_t *s, bh_usec_t now);
@@ -305,10 +310,7 @@
 
 /* place.c */
 
-/**
- * bh_host_filler_room() - processor time that is left for more fillers
- */
-int64_t bh_host_filler_room(const bh_host_t *host);
+bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now);
 
 /**
@@ -333,24 +335,45 @@
  */
 uint32_t bh_run_need(const bh_run_t *run);
 
-/* steer.c */
-void bh_steer(bh_sched_t *s, bh_usec_t now);
+/**
+ * bh_host_filler_room() - processor time that is left for more fillers
+ */
+int64_t bh_host_filler_room(const bh_host_t *host);
+
+/* plan.c */
+
+/* Fillers of a host that are steered; more are left alone. */
+#define BH_PACES_MAX 64
+
+typedef struct bh_pace {
+	bh_run_t *run;
+	double percent;
+} bh_pace_t;
+
+/**
+ * bh_plan_paces() - paces of a host's fillers that its serving tasks bear
+ * @out: room for BH_PACES_MAX
+ *
+ * Return: how many of @out were set.
+ */
+uint32_t bh_plan_paces(const bh_sched_t *s, const bh_host_t *host,
+		       bh_pace_t *out);
 
 /**
- * bh_steer_started() - give a filler the pace that its neighbours bear
+ * bh_plan_pace_of() - pace of one filler, in percent, the others as they are
  */
-void bh_steer_started(bh_sched_t *s, bh_run_t *run, bh_usec_t now);
+double bh_plan_pace_of(const bh_sched_t *s, bh_run_t *run);
 
 /**
- * bh_steer_spare() - headroom that would be left above the goal
+ * bh_plan_spare() - headroom that would be left above the goal
  *
  * Return: the least over the host's serving tasks that a filler of @filler
  * would disturb, if it came there and ran at full pace.
  */
-double bh_steer_spare(const bh_sched_t *s, const bh_host_t *host,
-		      const bh_phase_t *filler);
+double bh_plan_spare(const bh_sched_t *s, const bh_host_t *host,
+		     const bh_phase_t *filler);
 
-void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
-		  const char *format, ...) G_GNUC_PRINTF(4, 5);
+/* steer.c */
+void bh_steer(bh_sched_t *s, bh_usec_t now);
 
 #endif
--- a/tests/test_breaker.c
+++ b/tests/test_breaker.c
@@ -4,7 +4,6 @@
 #include "sched/breaker.h"
 #include "tests/test.h"
 
-
 /* An outage of three seconds under 50 submissions a second, each of which
  * fails 4 ms after it began: all but the first few and one in 200 ms are
  * turned away without a call, and the first after its end is taken. */
