A leader leads the term that it wrote; what is unclear cannot come over newer rows

Cause: a bid for the post wrote term 4; a look under way showed that row before the bid's own answer came, and the term was worked out only then, so that the process led "term 5" while the store held 4. The next unclear commit made it read the row again, take 4 for its term, drop all reports (term 5) and wait for a confirmation that never came; the others saw it renew. Two leaders could have held one token the same way. Ruled out: the store (commits went through), the links (agents linked, pings answered), a pause (no such line).

Change: the term of a bid is kept with the bid. A leader whose row names another term gives up the post. Beside it: after a commit without an answer the next one writes the leader's row. Until now it did so only when a renewal was due, and the late commit, whose condition still held, could have put old progress over newer.

--- a/daemon/term.c
+++ b/daemon/term.c
@@ -62,6 +62,8 @@
 	bh_usec_t renewed_at;
 	bh_usec_t ticked_at;
 	bool has_put;
+	bool must_put;
+	uint64_t stood_for;
 	bh_term_cb_t cb;
 	void *user;
 };
@@ -94,6 +96,7 @@
 {
 	bh_leader_row_t next = {0};
 	bool is_changed;
+	uint64_t led = t->is_leader ? t->row.term : 0;
 
 	if (row && !bh_leader_row_unpack(row->value, row->len, &next))
 		bh_log_event(&t->rt->log, BH_LOG_ERROR,
@@ -115,6 +118,8 @@
 	t->stand_at = 0;
 	if (!is_mine(t, &t->row))
 		lose(t, "another process leads");
+	else if (led && led != t->row.term)
+		lose(t, "the store holds another term");
 	if (!t->is_leader)
 		t->ops->changed(t->ctx, &t->row);
 }
@@ -166,10 +171,12 @@
 	g_bytes_unref(bytes);
 }
 
+/* A look may have shown the written row before the write was answered, so that
+ * the row that is known says nothing of the term that was written. */
 static void take_post(bh_term_t *t, uint64_t version)
 {
 	bh_leader_row_t row = {
-		.term = t->row.term + 1,
+		.term = t->stood_for,
 		.address = g_strdup(t->rt->settings->listen_frames),
 		.name = g_strdup(t->rt->settings->name),
 	};
@@ -180,6 +187,7 @@
 	t->is_leader = true;
 	t->is_confirmed = true;
 	t->is_unsure = false;
+	t->must_put = false;
 	t->proven_at = t->sent_at;
 	t->renewed_at = t->sent_at;
 	t->ops->won(t->ctx, row.term);
@@ -204,8 +212,9 @@
 {
 	bh_store_tx_t *tx = bh_store_tx_new();
 
+	t->stood_for = t->row.term + 1;
 	bh_store_tx_check(tx, TABLE, KEY, t->version);
-	put_row(t, tx, t->row.term + 1, t->rt->settings->listen_frames);
+	put_row(t, tx, t->stood_for, t->rt->settings->listen_frames);
 	t->is_busy = true;
 	t->sent_at = bh_runtime_now();
 	bh_store_commit(t->store, tx, CALL_TIMEOUT_MS, on_stand, t);
@@ -223,6 +232,7 @@
 		if (t->has_put) {
 			t->version = reply->version;
 			t->renewed_at = t->sent_at;
+			t->must_put = false;
 		}
 		return BH_TERM_STORED;
 	case BH_STORE_CONFLICT:
@@ -237,7 +247,10 @@
 		learn(t, row);
 		return BH_TERM_LOST;
 	case BH_STORE_UNKNOWN:
+		/* It may come late; a changed row makes its condition fail, so
+		 * that it cannot put old progress over newer. */
 		t->is_unsure = true;
+		t->must_put = true;
 		return BH_TERM_AGAIN;
 	default:
 		return BH_TERM_AGAIN;
@@ -415,7 +428,7 @@
 	bh_usec_t now = bh_runtime_now();
 
 	bh_store_tx_check(tx, TABLE, KEY, t->version);
-	t->has_put = now - t->renewed_at >= RENEW_EVERY_US / 2;
+	t->has_put = t->must_put || now - t->renewed_at >= RENEW_EVERY_US / 2;
 	if (t->has_put)
 		put_row(t, tx, t->row.term, t->rt->settings->listen_frames);
 	t->is_busy = true;
