A new leader leaves alone what workers run of jobs that it does not know yet

Ruled out: the fencing token (the order was carried out before the look under the new token). The same gap took note of ends of such jobs and forgot them.

Change: runs and ends of unknown jobs are kept by host, left alone for 2.5 s (longer than a poll of the jobs' table), given to their job as soon as it is known, and only then stopped or taken. An end that has to wait holds back the acknowledgement of those behind it.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -14,6 +14,10 @@
  * a new leader would wait for it. An agent that lives registers again. */
 #define FORGET_AFTER_US (7 * BH_USEC_PER_SEC)
 
+/* A job that an entry has stored reaches the leader within a poll of the jobs'
+ * table; what workers list of it is left alone for so long. */
+#define STRAY_WAIT_US (2500 * BH_USEC_PER_MS)
+
 static bh_host_t *host_find(const bh_sched_t *s, const char *key)
 {
 	return g_hash_table_lookup(s->by_key, key);
@@ -142,17 +146,80 @@
 		bh_task_requeue(s, task, now);
 }
 
+static void stray_free(bh_host_t *host, bh_stray_t *stray)
+{
+	TAILQ_REMOVE(&host->strays, stray, link);
+	g_free(stray->task);
+	g_free(stray->checkpoint);
+	g_free(stray);
+}
+
+static void forget_strays(bh_host_t *host, bool is_all)
+{
+	bh_stray_t *stray;
+	bh_stray_t *next;
+
+	TAILQ_FOREACH_SAFE(stray, &host->strays, link, next) {
+		if (is_all || !stray->is_listed)
+			stray_free(host, stray);
+	}
+}
+
+/* Return: whether its job may still become known. */
+static bool note_stray(bh_host_t *host, const bh_stray_t *seen, bh_usec_t now)
+{
+	bh_stray_t *stray;
+
+	TAILQ_FOREACH(stray, &host->strays, link) {
+		if (stray->attempt == seen->attempt &&
+		    strcmp(stray->task, seen->task) == 0)
+			break;
+	}
+	if (!stray) {
+		stray = g_new0(bh_stray_t, 1);
+		stray->task = g_strdup(seen->task);
+		stray->attempt = seen->attempt;
+		stray->since = now;
+		TAILQ_INSERT_TAIL(&host->strays, stray, link);
+	}
+	stray->is_listed = true;
+	stray->percent = seen->percent;
+	stray->number = seen->number;
+	stray->end = seen->end;
+	g_free(stray->checkpoint);
+	stray->checkpoint = g_strdup(seen->checkpoint);
+	return now - stray->since < STRAY_WAIT_US;
+}
+
+static bool is_early_end(bh_sched_t *s, bh_host_t *host, const bh_ended_t *e,
+			 bh_usec_t now)
+{
+	bh_stray_t seen = {.task = e->task,
+			   .attempt = e->attempt,
+			   .number = e->number,
+			   .end = e->how,
+			   .checkpoint = e->checkpoint};
+
+	return !bh_task_find(s, e->task) && note_stray(host, &seen, now);
+}
+
 static void handle_ends(bh_sched_t *s, bh_host_t *host,
 			const bh_worker_lists_t *lists, bh_usec_t now)
 {
 	bh_pending_ack_t *ack;
 	uint64_t before = host->last_ended;
+	bool is_early = false;
 
 	for (uint32_t i = 0; i < lists->n_ended; i++) {
 		const bh_ended_t *e = &lists->ended[i];
 
 		if (e->number <= before)
 			continue;
+		/* Ends are acknowledged in order: one that has to wait holds
+		 * back those behind it. */
+		is_early |= is_early_end(s, host, e, now);
+		if (is_early)
+			continue;
 		handle_end(s, host, e, now);
 		host->last_ended = MAX(host->last_ended, e->number);
 	}
@@ -185,13 +252,18 @@
 {
 	bh_task_t *task = bh_task_find(s, a->task);
 	bh_run_t *run = task ? bh_run_find(task, a->attempt) : NULL;
+	bh_stray_t seen = {.task = a->task,
+			   .attempt = a->attempt,
+			   .percent = a->percent,
+			   .checkpoint = a->checkpoint};
 
 	if (task)
 		task->attempt = MAX(task->attempt, a->attempt);
 	if (run && run->host == host)
 		return run;
 	if (!may_adopt(task)) {
-		stop_stray(s, host, a);
+		if (task || !note_stray(host, &seen, now))
+			stop_stray(s, host, a);
 		return NULL;
 	}
 	run = bh_run_new(task, host, a->attempt, BH_RUN_ACTIVE, now);
@@ -233,14 +305,18 @@
 static void handle_lists(bh_sched_t *s, bh_host_t *host,
 			 const bh_worker_lists_t *lists, bh_usec_t now)
 {
+	bh_stray_t *stray;
 	bh_run_t *run;
 	bh_run_t *next;
 
 	TAILQ_FOREACH(run, &host->runs, link)
 		run->absences++;
+	TAILQ_FOREACH(stray, &host->strays, link)
+		stray->is_listed = false;
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
+	forget_strays(host, false);
 	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
 		if (run->state == BH_RUN_ORDERED && run->absences &&
 		    run->ordered_at < host->linked_at)
@@ -303,6 +379,7 @@
 
 	while ((run = TAILQ_FIRST(&host->runs)) != NULL)
 		lose_run(s, run, why, now);
+	forget_strays(host, true);
 	host->is_synced = true;
 	host->lapse_at = now;
 }
@@ -330,6 +407,35 @@
 	s->is_recovering = is_recovering;
 }
 
+void bh_hosts_claim_strays(bh_sched_t *s, bh_usec_t now)
+{
+	bh_host_t *host;
+	bh_stray_t *stray;
+	bh_stray_t *next;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		TAILQ_FOREACH_SAFE(stray, &host->strays, link, next) {
+			bh_ended_t e = {.number = stray->number,
+					.task = stray->task,
+					.attempt = stray->attempt,
+					.how = stray->end,
+					.checkpoint = stray->checkpoint};
+			bh_active_t a = {.task = stray->task,
+					 .attempt = stray->attempt,
+					 .percent = stray->percent,
+					 .checkpoint = stray->checkpoint};
+
+			if (!bh_task_find(s, stray->task))
+				continue;
+			if (stray->end)
+				handle_end(s, host, &e, now);
+			else
+				handle_active(s, host, &a, now);
+			stray_free(host, stray);
+		}
+	}
+}
+
 void bh_host_release_acks(bh_sched_t *s, bh_host_t *host)
 {
 	const bh_rec_t *dirty = TAILQ_FIRST(&s->dirty);
@@ -370,6 +476,7 @@
 	host->speed = 1;
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
+	TAILQ_INIT(&host->strays);
 	g_queue_init(&host->acks);
 	TAILQ_INSERT_TAIL(&s->hosts, host, link);
 	g_hash_table_insert(s->by_key, host->key, host);
@@ -528,6 +635,7 @@
 	TAILQ_REMOVE(&s->hosts, host, link);
 	s->n_hosts--;
 	forget_acks(host);
+	forget_strays(host, true);
 	bh_worker_info_clear(&host->info);
 	g_free(host->key);
 	g_free(host);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -210,6 +210,7 @@
 		s->watched_at = now;
 		open_due(s, now);
 	}
+	bh_hosts_claim_strays(s, now);
 	if (s->is_recovering)
 		return;
 	if (is_due)
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -160,6 +160,26 @@
 	uint64_t change;
 } bh_pending_ack_t;
 
+/**
+ * struct bh_stray - a run or an end that a worker lists of a job not known yet
+ * @since: when it was first listed
+ * @is_listed: the last report listed it
+ * @end: how it ended, or BH_END_UNKNOWN while it runs
+ */
+typedef struct bh_stray {
+	TAILQ_ENTRY(bh_stray) link;
+	char *task;
+	uint32_t attempt;
+	uint32_t percent;
+	uint64_t number;
+	bh_end_t end;
+	char *checkpoint;
+	bh_usec_t since;
+	bool is_listed;
+} bh_stray_t;
+
+typedef TAILQ_HEAD(bh_strays, bh_stray) bh_strays_t;
+
 /**
  * struct bh_host - a host of the service, its agent and its worker
  * @is_synced: its lists were seen in this term
@@ -209,6 +229,7 @@
 	uint64_t last_ended;
 	uint64_t acked;
 	GQueue acks;
+	bh_strays_t strays;
 };
 
 typedef TAILQ_HEAD(bh_hosts, bh_host) bh_hosts_t;
@@ -295,6 +316,12 @@
 void bh_host_lapse(bh_sched_t *s, bh_host_t *host, const char *why,
 		   bh_usec_t now);
 void bh_hosts_expire(bh_sched_t *s, bh_usec_t now);
+
+/**
+ * bh_hosts_claim_strays() - give jobs that are known by now what workers listed
+ * of them before
+ */
+void bh_hosts_claim_strays(bh_sched_t *s, bh_usec_t now);
 void bh_host_release_acks(bh_sched_t *s, bh_host_t *host);
 void bh_host_send_grant(bh_sched_t *s, bh_host_t *host);
 
--- /dev/null
+++ b/tests/test_hosts.c
@@ -0,0 +1,210 @@
+/*
+ * What a new leader makes of its workers' lists while it does not know all jobs
+ * yet: an entry may have stored a job, and the former leader started it, after
+ * the new one had read the jobs.
+ */
+#include "sched/sched.h"
+#include "tests/test.h"
+
+#define HOST "10.0.0.1:1"
+#define JOB  "00000000000000aa"
+#define TASK JOB ".0.0.0"
+
+typedef struct orders {
+	int starts;
+	int stops;
+	uint64_t ack;
+} orders_t;
+
+static void on_start(void *ctx, const char *host, const bh_start_t *start)
+{
+	orders_t *o = ctx;
+
+	(void)host;
+	(void)start;
+	o->starts++;
+}
+
+static void on_stop(void *ctx, const char *host, uint64_t boot,
+		    const char *task, uint32_t attempt)
+{
+	orders_t *o = ctx;
+
+	(void)host;
+	(void)boot;
+	(void)task;
+	(void)attempt;
+	o->stops++;
+}
+
+static void on_grant(void *ctx, const char *host, uint64_t boot,
+		     uint64_t expires_ms, uint64_t ack)
+{
+	orders_t *o = ctx;
+
+	(void)host;
+	(void)boot;
+	(void)expires_ms;
+	o->ack = ack;
+}
+
+static const bh_sched_ops_t ops = {
+	.start = on_start,
+	.stop = on_stop,
+	.grant = on_grant,
+};
+
+static const bh_sched_bounds_t bounds = {
+	.term = 2,
+	.lease_ms = 5000,
+	.silence_ms = 1500,
+	.impact_ms = 4000,
+	.status_ms = 120000,
+};
+
+static bh_job_t *make_job(void)
+{
+	bh_job_t *job = g_new0(bh_job_t, 1);
+
+	g_strlcpy(job->id, JOB, sizeof(job->id));
+	job->queue = g_strdup("q");
+	job->spec = g_strdup("s");
+	job->n_steps = 1;
+	job->steps = g_new0(bh_step_t, 1);
+	job->steps[0].count = 1;
+	job->steps[0].cpu_milli = 500;
+	job->steps[0].memory_mb = 100;
+	job->steps[0].estimate_ms = 1000;
+	job->accepted_ms = 1000;
+	job->terms.service = g_strdup("svc");
+	job->terms.slack_percent = 200;
+	return job;
+}
+
+static bh_worker_info_t worker(void)
+{
+	bh_worker_info_t info = {.id = (char *)"w",
+				 .boot = 7,
+				 .service = (char *)"svc",
+				 .zone = (char *)"z",
+				 .state = BH_WORKER_READY,
+				 .cpu_milli = 8000,
+				 .memory_mb = 8000};
+
+	return info;
+}
+
+static bh_sched_t *begin(orders_t *o, const bh_config_t *config)
+{
+	bh_sched_t *s = bh_sched_new(&bounds, &ops, o, MS(1), 1000);
+
+	bh_sched_set_config(s, config);
+	bh_sched_add_host(s, HOST, true, MS(1));
+	bh_sched_host_linked(s, HOST, true, MS(1));
+	return s;
+}
+
+static void report(bh_sched_t *s, bh_active_t *active, bh_ended_t *ended,
+		   bh_usec_t now)
+{
+	bh_worker_info_t info = worker();
+	bh_worker_lists_t lists = {.clock_ms = (uint64_t)now / 1000,
+				   .boot = 7,
+				   .n_active = active ? 1 : 0,
+				   .active = active,
+				   .n_ended = ended ? 1 : 0,
+				   .ended = ended};
+
+	bh_sched_report(s, HOST, &info, &lists, true, now);
+	bh_sched_run(s, now, 1000 + (uint64_t)now / 1000);
+}
+
+static void store_all(bh_sched_t *s)
+{
+	const char *ids[8];
+
+	while (bh_sched_begin_commit(s, ids, 8))
+		bh_sched_end_commit(s, true);
+}
+
+/* A task of a job that is not known yet runs on, and is the job's own once it
+ * is known: stopping it and starting it elsewhere at once put it in two places
+ * (TWICE on recarga-quetzal, mix). */
+static void test_a_run_of_a_job_not_known_yet(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = begin(&o, config);
+	bh_active_t active = {
+		.task = (char *)TASK, .attempt = 1, .percent = 20};
+
+	(void)state;
+	report(s, &active, NULL, MS(50));
+	bh_sched_add_job(s, make_job(), NULL, MS(90));
+	bh_sched_run(s, MS(91), 1091);
+	assert_int_equal(o.starts, 0);
+	assert_int_equal(o.stops, 0);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_RUNNING);
+	report(s, &active, NULL, MS(400));
+	assert_int_equal(o.starts, 0);
+	assert_int_equal(o.stops, 0);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
+/* The end of such a task is not acknowledged before its job can note it. */
+static void test_an_end_of_a_job_not_known_yet(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = begin(&o, config);
+	bh_ended_t ended = {.number = 3,
+			    .task = (char *)TASK,
+			    .attempt = 1,
+			    .how = BH_END_DONE};
+
+	(void)state;
+	report(s, NULL, &ended, MS(50));
+	assert_int_equal(o.ack, 0);
+	bh_sched_add_job(s, make_job(), NULL, MS(90));
+	report(s, NULL, &ended, MS(110));
+	store_all(s);
+	assert_int_equal(o.starts, 0);
+	assert_int_equal(o.ack, 3);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_COMPLETED);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
+/* What no job asks for after some seconds is stopped, and its end taken. */
+static void test_what_no_job_asks_for_is_stopped(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = begin(&o, config);
+	bh_active_t active = {
+		.task = (char *)TASK, .attempt = 1, .percent = 20};
+	bh_ended_t ended = {.number = 3,
+			    .task = (char *)JOB ".0.0.1",
+			    .attempt = 1,
+			    .how = BH_END_STOPPED};
+
+	(void)state;
+	for (int ms = 50; ms < 5000; ms += 400)
+		report(s, &active, &ended, MS(ms));
+	assert_true(o.stops > 0);
+	assert_int_equal(o.ack, 3);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_run_of_a_job_not_known_yet),
+		cmocka_unit_test(test_an_end_of_a_job_not_known_yet),
+		cmocka_unit_test(test_what_no_job_asks_for_is_stopped),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
