A leader that is told to stop resigns at once

Ruled out: the store, the choice of the next leader.

Change: a leader that is to stop begins no further commit; it resigns when the one under way is answered.

Test: test_term, a leader that commits without a pause; fails on the code before.

--- a/daemon/term.c
+++ b/daemon/term.c
@@ -268,6 +268,8 @@
 	verdict = t->is_leader ? settle(t, reply) : BH_TERM_LOST;
 	if (cb)
 		cb(t->user, verdict);
+	if (t->is_resigning)
+		bh_term_tick(t);
 }
 
 static void on_resigned(void *user, const bh_store_reply_t *reply)
@@ -419,7 +421,9 @@
 
 bool bh_term_can_commit(const bh_term_t *t)
 {
-	return t->is_leader && !t->is_busy && !t->is_unsure;
+	/* A busy leader that stops would commit on and on instead of resigning.
+	 */
+	return t->is_leader && !t->is_busy && !t->is_unsure && !t->is_resigning;
 }
 
 void bh_term_commit(bh_term_t *t, bh_store_tx_t *tx, bh_term_cb_t cb,
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -311,10 +311,55 @@
 	end(&f);
 }
 
+static void commit_again(void *user, bh_term_verdict_t verdict)
+{
+	bh_term_t *term = user;
+
+	(void)verdict;
+	if (bh_term_can_commit(term))
+		bh_term_commit(term, bh_store_tx_new(), commit_again, term);
+}
+
+static bool is_vacant(const far_t *far)
+{
+	gsize len;
+	g_autofree guchar *data = g_base64_decode(far->value, &len);
+	bh_leader_row_t row = {0};
+	bool is_empty;
+
+	assert_true(bh_leader_row_unpack(data, len, &row));
+	is_empty = !row.address || !*row.address;
+	bh_leader_row_clear(&row);
+	return is_empty;
+}
+
+/* A leader that always has something to store resigns as soon as it is told to
+ * stop; the next one waited three seconds for it (inc-570c). */
+static void test_a_busy_leader_resigns(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	begin(&f, 3);
+	pass(&f.far, f.term, 100);
+	bh_term_suspect(f.term, true);
+	for (int i = 0; i < 200 && !bh_term_can_commit(f.term); i++)
+		pass(&f.far, f.term, 10);
+	f.far.answer_ms = 50;
+	commit_again(f.term, BH_TERM_STORED);
+	pass(&f.far, f.term, 100);
+	bh_term_resign(f.term);
+	pass(&f.far, f.term, 200);
+	assert_true(is_vacant(&f.far));
+	bh_term_forget(f.term);
+	end(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_look_overtakes_the_write),
+		cmocka_unit_test(test_a_busy_leader_resigns),
 		cmocka_unit_test(test_after_an_unclear_commit_the_row_changes),
 	};
 
