--- a/soak/checks.sh
+++ b/soak/checks.sh
@@ -6,7 +6,8 @@
 # After a cancellation was acknowledged no task of the job starts.
 CANCEL_MS=3000
 
-# A planned stop ends by itself within the time that its settings allow.
+# A planned stop ends by itself within the time that its settings allow; what
+# stands still meanwhile counts from when it goes on.
 STOP_MS=6000
 
 # Resident memory of a process of the system, for control.
@@ -37,7 +38,7 @@
 			check_ended "$name"
 			continue
 		fi
-		if [ -n "${ENDING[$name]:-}" ] &&
+		if [ -n "${ENDING[$name]:-}" ] && [ -z "${PAUSED[$name]:-}" ] &&
 			[ $(($(now_ms) - ${ENDING[$name]})) -gt "$STOP_MS" ]; then
 			violation "$name does not end after SIGTERM"
 			kill_process "$name"
--- a/soak/world.sh
+++ b/soak/world.sh
@@ -55,6 +55,7 @@
 	[ "${PIDS[$1]:-}" = "$2" ] || return
 	kill -CONT "$2"
 	unset "PAUSED[$1]"
+	[ -n "${ENDING[$1]:-}" ] && ENDING[$1]=$(now_ms)
 	disturb "$1"
 }
 
