Placement keeps room for a task that waits for it

Each pass gave the room that came free to whoever fitted; short tasks of 1.7 cores took every piece of it. Ruled out: a lost end, a limit on attempts, labels, memory, unusable hosts (the new line "no host" counts the reason for each host: 60 to 74 of 74 short of cores for 40 s).

A task that has waited 300 ms keeps room on the host where what ends there frees enough first; others get that room only if they end before by twice their estimate. All members of a gang keep theirs.

--- a/sched/place.c
+++ b/sched/place.c
@@ -41,6 +41,14 @@
 /* Phases that may find no room before the pass ends, a bound on its cost. */
 #define MISSES_MAX 200
 
+/* A task that found no room for so long gets a reservation; so many are held at
+ * a time, a bound on a pass's cost. */
+#define RESERVE_AFTER_US (300 * BH_USEC_PER_MS)
+#define RESERVATIONS_MAX 16
+
+/* Between two log lines on why a phase's tasks wait. */
+#define EXPLAIN_EVERY_US (2000 * BH_USEC_PER_MS)
+
 static int64_t left_ms_of(const bh_phase_t *phase)
 {
 	const bh_rec_t *rec = phase->rec;
@@ -121,9 +129,8 @@
 	       now - task->waiting_since > FORCE_AFTER_US;
 }
 
-/* All but room. */
-static bool is_suitable(const bh_task_t *task, const bh_host_t *host,
-			bh_usec_t now)
+bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
+			 bh_usec_t now)
 {
 	const bh_phase_t *phase = task->phase;
 	const bh_step_t *step = phase->step;
@@ -151,7 +158,8 @@
 	const bh_step_t *step = task->phase->step;
 
 	*spare = 0;
-	if (!is_suitable(task, host, now) || !has_room(host, step))
+	if (!bh_host_is_suitable(task, host, now) || !has_room(host, step) ||
+	    !bh_reserve_leaves(host, step))
 		return false;
 	if (!step->is_filler)
 		return true;
@@ -314,7 +322,7 @@
 		return;
 	for (int is_all = 0; is_all <= 1; is_all++) {
 		TAILQ_FOREACH(host, &s->hosts, link) {
-			if (!is_suitable(task, host, now) ||
+			if (!bh_host_is_suitable(task, host, now) ||
 			    !fits_without(host, phase, is_all))
 				continue;
 			phase->preempted_at = now;
@@ -324,6 +332,72 @@
 	}
 }
 
+/* Logs what keeps a task from each host, the first reason of each. */
+static void explain_wait(bh_sched_t *s, bh_phase_t *phase,
+			 const bh_task_t *task, bh_usec_t now)
+{
+	const bh_step_t *step = phase->step;
+	uint32_t unusable = 0;
+	uint32_t unsuitable = 0;
+	uint32_t memory = 0;
+	uint32_t cpu = 0;
+	uint32_t reserved = 0;
+	uint32_t harm = 0;
+	const bh_host_t *host;
+	char name[BH_TASK_NAME_BYTES];
+
+	if (now - phase->explained_at < EXPLAIN_EVERY_US)
+		return;
+	phase->explained_at = now;
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!bh_host_is_usable(host, now))
+			unusable++;
+		else if (!bh_host_is_suitable(task, host, now))
+			unsuitable++;
+		else if (host->used_memory + step->memory_mb >
+			 host->info.memory_mb)
+			memory++;
+		else if (!has_room(host, step))
+			cpu++;
+		else if (!bh_reserve_leaves(host, step))
+			reserved++;
+		else
+			harm++;
+	}
+	bh_task_full_name(task, name);
+	bh_sched_log(s, "no host", phase->rec->job->id,
+		     "task=%s waited_ms=%" G_GINT64_FORMAT
+		     " cpu=%u memory_mb=%u waiting=%u unusable=%u"
+		     " unsuitable=%u no_memory=%u no_cpu=%u reserved=%u"
+		     " would_disturb=%u",
+		     name + BH_JOB_ID_LEN + 1,
+		     (now - task->waiting_since) / 1000, step->cpu_milli,
+		     step->memory_mb, phase->waiting, unusable, unsuitable,
+		     memory, cpu, reserved, harm);
+}
+
+/* Keeps room for the first task that waits; a gang's members need theirs at the
+ * same time. */
+static void reserve(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	uint32_t wanted = phase->step->is_gang ? phase->step->count : 1;
+
+	if (phase->step->is_filler)
+		return;
+	for (uint32_t i = 0; i < phase->step->count && wanted; i++) {
+		const bh_task_t *task = &phase->tasks[i];
+
+		if (task->is_done || bh_task_has_run(task) ||
+		    now - task->waiting_since < RESERVE_AFTER_US)
+			continue;
+		if (s->n_reservations == RESERVATIONS_MAX)
+			return;
+		s->n_reservations++;
+		wanted--;
+		bh_reserve(s, task, now);
+	}
+}
+
 /* Return: false when there was no room for a task. */
 static bool place_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
 {
@@ -335,6 +409,7 @@
 			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
 		if (!host) {
+			explain_wait(s, phase, task, now);
 			make_room(s, phase, task, now);
 			return false;
 		}
@@ -422,6 +497,8 @@
 	bh_phase_t *next;
 	uint32_t misses = 0;
 
+	bh_reserve_clear(s);
+	s->n_reservations = 0;
 	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
 		if (phase->waiting == 0) {
 			TAILQ_REMOVE(&s->open, phase, link);
@@ -441,8 +518,10 @@
 			continue;
 		is_placed = phase->step->is_gang ? place_gang(s, phase, now)
 						 : place_phase(s, phase, now);
-		if (!is_placed)
+		if (!is_placed) {
+			reserve(s, phase, now);
 			misses++;
+		}
 	}
 	g_ptr_array_free(phases, TRUE);
 }
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -98,6 +98,7 @@
  * @headroom: of its serving tasks without fillers, as it seems
  * @headroom_variance: of that; 0 before the first look
  * @tickets: by worker id, where the queue needs advice
+ * @explained_at: when the log last told why a task of it waits
  */
 struct bh_phase {
 	TAILQ_ENTRY(bh_phase) link;
@@ -117,6 +118,7 @@
 	bh_usec_t tickets_until;
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
+	bh_usec_t explained_at;
 	bh_image_t image;
 	double headroom;
 	double headroom_variance;
@@ -180,6 +182,16 @@
 
 typedef TAILQ_HEAD(bh_strays, bh_stray) bh_strays_t;
 
+/**
+ * struct bh_room - processor time in thousandths of a core, memory in MB, and
+ * accelerators
+ */
+typedef struct bh_room {
+	uint64_t cpu;
+	uint64_t memory;
+	uint64_t accelerators;
+} bh_room_t;
+
 /**
  * struct bh_host - a host of the service, its agent and its worker
  * @is_synced: its lists were seen in this term
@@ -187,6 +199,8 @@
  * @expires_ms: last lease granted, on the worker's clock
  * @used: room of its tasks, fillers' processor time apart
  * @filler_share: part of its tasks' processor time that they really use
+ * @reserved: room that is kept for tasks that wait for it
+ * @reserved_in_ms: time until that room is predicted to be free
  * @press: what pressed on its lasting tasks, with the lag of their gauges
  * @gauged_at: the report whose gauges were taken in last
  * @strain: worst tail latency of its lasting tasks over their objective
@@ -212,6 +226,8 @@
 	uint64_t used_memory;
 	uint64_t used_accelerators;
 	uint64_t filler_cpu;
+	bh_room_t reserved;
+	int64_t reserved_in_ms;
 	double filler_share;
 	double strain;
 	bool is_harmed;
@@ -250,6 +266,7 @@
 	uint64_t change;
 	bool is_recovering;
 	bool must_place;
+	uint32_t n_reservations;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
 	bh_usec_t watched_at;
@@ -338,6 +355,12 @@
 /* place.c */
 
 bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
+
+/**
+ * bh_host_is_suitable() - whether a task may run there, room apart
+ */
+bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
+			 bh_usec_t now);
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now);
 
 /**
@@ -348,6 +371,22 @@
 bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
 			      const bh_host_t *not_on, bh_usec_t now);
 
+/* reserve.c */
+void bh_reserve_clear(bh_sched_t *s);
+
+/**
+ * bh_reserve() - keep room for a task where it will be free first
+ *
+ * Return: the host, or NULL when no host will have room by what ends there.
+ */
+bh_host_t *bh_reserve(bh_sched_t *s, const bh_task_t *task, bh_usec_t now);
+
+/**
+ * bh_reserve_leaves() - whether a task of a step would leave a host's reserved
+ * room alone
+ */
+bool bh_reserve_leaves(const bh_host_t *host, const bh_step_t *step);
+
 /* gauges.c */
 
 /**
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -186,6 +186,39 @@
 	sw_free(w);
 }
 
+/* Narrow tasks take each piece of room as it comes free: a task that needs
+ * nearly a whole host waited until the last of them had ended. */
+static void test_wide_task_beside_a_flood_of_narrow_ones(void **state)
+{
+	sw_world_t *w = sw_new(14, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_A, 1, 400, 3000, 400, "");
+	sw_run(w, MS(500));
+	sw_submit(w, JOB_L, 1, 1, 9000, 500, "l");
+	sw_run(w, MS(2500));
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_RUNNING);
+	assert_int_equal(sw_running(w, JOB_L), 1);
+	assert_kept(w);
+	sw_free(w);
+}
+
+/* The same for a gang of which every member needs much of a host. */
+static void test_wide_gang_beside_a_flood_of_narrow_ones(void **state)
+{
+	sw_world_t *w = sw_new(15, SW_ALL_ON);
+
+	(void)state;
+	sw_submit(w, JOB_A, 1, 600, 3000, 400, "");
+	sw_run(w, MS(500));
+	sw_submit(w, JOB_B, 1, 4, 8000, 500, "g");
+	sw_run(w, MS(6000));
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_RUNNING);
+	assert_int_equal(sw_state(w, JOB_B), BH_JOB_COMPLETED);
+	assert_kept(w);
+	sw_free(w);
+}
+
 static void test_gang_starts_whole(void **state)
 {
 	sw_world_t *w = sw_new(6, SW_ALL_ON);
@@ -374,6 +407,8 @@
 		cmocka_unit_test(
 			test_dark_worker_holds_up_a_new_leader_for_its_lease),
 		cmocka_unit_test(test_fillers_give_way_to_serving_tasks),
+		cmocka_unit_test(test_wide_task_beside_a_flood_of_narrow_ones),
+		cmocka_unit_test(test_wide_gang_beside_a_flood_of_narrow_ones),
 		cmocka_unit_test(test_gang_starts_whole),
 		cmocka_unit_test(test_pressing_fillers_are_paced),
 		cmocka_unit_test(test_no_filler_comes_to_a_harmed_host),
