Connections to a worker are kept between waves of orders

A kept one that went silent costs one try of 150 ms, as before.

Tests: waves share a connection (fails without), a silent one is given up.

--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -388,9 +388,8 @@
 {
 	for (uint32_t k = 0; k < w->pattern->n_kinds; k++) {
 		const lw_kind_t *kind = &w->pattern->kinds[k];
-		lw_job_t j = {.kind = kind,
-			      .first_ms = w->ms,
-			      .next_ms = w->ms};
+		lw_job_t j = {
+			.kind = kind, .first_ms = w->ms, .next_ms = w->ms};
 
 		if (w->ms < kind->from_ms || w->ms >= kind->until_ms ||
 		    (w->ms - kind->from_ms) % MAX(kind->every_ms, 1) >= STEP_MS)
@@ -486,8 +485,7 @@
 		const lw_job_t *j = &g_array_index(w->jobs, lw_job_t, i);
 
 		if (has_flag(j->kind, 'l') && !j->is_refused)
-			wanted[j->kind - w->pattern->kinds] +=
-				j->kind->count;
+			wanted[j->kind - w->pattern->kinds] += j->kind->count;
 	}
 	for (uint32_t i = 0; i < w->pattern->hosts; i++) {
 		const lw_run_t *run;
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,151 @@
+/*
+ * The pool of connections against a server in this process.
+ */
+#include "core/types.h"
+#include "platform/http_client.h"
+#include "tests/test.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+
+#define TIMEOUT_US (150 * BH_USEC_PER_MS)
+#define WAVE_US	   (400 * BH_USEC_PER_MS)
+
+/**
+ * struct server - answers each request, unless it is silent
+ * @accepted: connections so far
+ */
+typedef struct server {
+	struct event_base *base;
+	struct evhttp *http;
+	char address[32];
+	int accepted;
+	bool is_silent;
+	unsigned last_status;
+	int answers;
+} server_t;
+
+static struct bufferevent *on_connection(struct event_base *base, void *arg)
+{
+	server_t *s = arg;
+
+	s->accepted++;
+	return bufferevent_socket_new(base, -1, 0);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	const server_t *s = arg;
+
+	if (!s->is_silent)
+		evhttp_send_reply(req, 200, NULL, NULL);
+}
+
+static void server_open(server_t *s)
+{
+	struct evhttp_bound_socket *socket;
+	struct sockaddr_in at;
+	socklen_t len = sizeof(at);
+
+	memset(s, 0, sizeof(*s));
+	s->base = event_base_new();
+	s->http = evhttp_new(s->base);
+	evhttp_set_gencb(s->http, on_request, s);
+	evhttp_set_bevcb(s->http, on_connection, s);
+	socket = evhttp_bind_socket_with_handle(s->http, "127.0.0.1", 0);
+	assert_non_null(socket);
+	getsockname(evhttp_bound_socket_get_fd(socket), (struct sockaddr *)&at,
+		    &len);
+	g_snprintf(s->address, sizeof(s->address), "127.0.0.1:%d",
+		   ntohs(at.sin_port));
+}
+
+static void server_close(server_t *s)
+{
+	evhttp_free(s->http);
+	event_base_free(s->base);
+}
+
+static void pass(server_t *s, bh_usec_t us)
+{
+	struct timeval turn = {us / 1000000, us % 1000000};
+
+	event_base_loopexit(s->base, &turn);
+	event_base_dispatch(s->base);
+}
+
+static void on_answer(void *user, const bh_http_reply_t *reply)
+{
+	server_t *s = user;
+
+	s->last_status = reply->status;
+	s->answers++;
+}
+
+static void ask(server_t *s, bh_http_pool_t *pool)
+{
+	bh_http_call_t call = {.method = EVHTTP_REQ_GET,
+			       .path = "/",
+			       .timeout_us = TIMEOUT_US};
+
+	bh_http_send(pool, &call, on_answer, s);
+}
+
+/* Requests further apart than their time-out use one connection; each once
+ * opened another. */
+static void test_waves_share_a_connection(void **state)
+{
+	bh_http_pool_t *pool;
+	server_t s;
+
+	(void)state;
+	server_open(&s);
+	pool = bh_http_pool_new(s.base, s.address, 1000);
+	bh_http_pool_keep(pool, 10 * BH_USEC_PER_SEC);
+	for (int i = 0; i < 4; i++) {
+		ask(&s, pool);
+		pass(&s, WAVE_US);
+		assert_int_equal(s.last_status, 200);
+	}
+	assert_int_equal(s.answers, 4);
+	assert_int_equal(s.accepted, 1);
+	bh_http_pool_free(pool);
+	server_close(&s);
+}
+
+/* A kept connection that has gone silent costs one request its time-out, and
+ * the next one gets a new connection. */
+static void test_a_silent_connection_is_given_up(void **state)
+{
+	bh_http_pool_t *pool;
+	server_t s;
+
+	(void)state;
+	server_open(&s);
+	pool = bh_http_pool_new(s.base, s.address, 1000);
+	bh_http_pool_keep(pool, 10 * BH_USEC_PER_SEC);
+	ask(&s, pool);
+	pass(&s, WAVE_US);
+	s.is_silent = true;
+	ask(&s, pool);
+	pass(&s, WAVE_US);
+	assert_int_equal(s.answers, 2);
+	assert_int_equal(s.last_status, 0);
+	s.is_silent = false;
+	ask(&s, pool);
+	pass(&s, WAVE_US);
+	assert_int_equal(s.last_status, 200);
+	assert_int_equal(s.accepted, 2);
+	bh_http_pool_free(pool);
+	server_close(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_waves_share_a_connection),
+		cmocka_unit_test(test_a_silent_connection_is_given_up),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
