Jobs lie in 16 parts of their table

Cause: the store runs the transactions of a part one after another. All rows lay in one part; when the store is 60 to 73 times slower, that part takes about five a second, callers hand in more, its queue passes a second, and it refuses (answers after 280 ms, one try), which the entries took for a store that is down. Ruled out: time-outs (the stored ones took 650 to 900 ms, most refused ones were answered), lost answers, the leader.

Change: a job's row lies in the part that its id hashes to. What the leader writes under the condition that it leads stays in one part with its row. A table's parts are read at the same time. Expired rows go in two steps, the job's before its progress, since a transaction has one part. The stand-in store refuses transactions over parts, and can be slow in the same way.

Test: tests/jobs store_slow; with one part 14 and more of 30 submissions are not taken, now all.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -1,4 +1,5 @@
 #include "daemon/follow.h"
+#include "daemon/tables.h"
 
 /* Rows of a page; a page of large rows is cut by the store at 1 MB. */
 #define PAGE_ROWS 500
@@ -12,6 +13,19 @@
 #define AGAIN_FIRST_MS 100
 #define AGAIN_MAX_MS   800
 
+/**
+ * struct listing - a part of the table that is read through
+ * @from: key from which the next page is read; NULL: the first page
+ * @is_due: the call has to be made (again)
+ */
+typedef struct listing {
+	bh_follow_t *follow;
+	const char *part;
+	char *from;
+	bool is_due;
+	bool is_done;
+} listing_t;
+
 struct bh_follow {
 	bh_runtime_t *rt;
 	bh_store_t *store;
@@ -20,25 +34,28 @@
 	const bh_follow_ops_t *ops;
 	void *ctx;
 	uint64_t version;
-	char *from;
+	unsigned n_parts;
+	unsigned parts_left;
+	listing_t listings[BH_TABLE_PARTS];
 	bool is_listing;
 	bool is_loaded;
 	bool is_lost;
 	bool is_freed;
-	bool is_in_flight;
+	unsigned n_in_flight;
 	bool is_in_callback;
 	int64_t again_ms;
 	bh_usec_t answered_at;
 	struct event *again;
 };
 
-static void next_call(bh_follow_t *f);
+static void next_calls(bh_follow_t *f);
 
 static void destroy(bh_follow_t *f)
 {
 	event_free(f->again);
+	for (unsigned i = 0; i < f->n_parts; i++)
+		g_free(f->listings[i].from);
 	g_free(f->table);
-	g_free(f->from);
 	g_free(f);
 }
 
@@ -72,84 +89,141 @@
 		     "outcome", bh_store_status_name(reply->status), NULL);
 }
 
-static void on_list(bh_follow_t *f, const bh_store_reply_t *reply)
+static void begin_listing(bh_follow_t *f)
+{
+	f->is_listing = true;
+	f->version = UINT64_MAX;
+	f->parts_left = f->n_parts;
+	for (unsigned i = 0; i < f->n_parts; i++) {
+		g_clear_pointer(&f->listings[i].from, g_free);
+		f->listings[i].is_done = false;
+		f->listings[i].is_due = true;
+	}
+}
+
+static void end_listing(bh_follow_t *f)
+{
+	f->is_listing = false;
+	if (f->is_loaded)
+		return;
+	f->is_loaded = true;
+	f->ops->loaded(f->ctx);
+}
+
+static void take_page(listing_t *l, const bh_store_reply_t *reply)
 {
+	bh_follow_t *f = l->follow;
+
 	/* Changes made while pages were read come again with the feed. */
-	if (!f->from)
-		f->version = reply->version;
+	if (!l->from)
+		f->version = MIN(f->version, reply->version);
 	pass_rows(f, reply);
 	if (f->is_freed)
 		return;
 	if (reply->has_more && reply->n_rows) {
-		g_free(f->from);
+		g_free(l->from);
 		/* The next key in byte order after the last one read. */
-		f->from = g_strconcat(reply->rows[reply->n_rows - 1].key, "!",
+		l->from = g_strconcat(reply->rows[reply->n_rows - 1].key, "!",
 				      NULL);
-		next_call(f);
+		l->is_due = true;
 		return;
 	}
-	g_clear_pointer(&f->from, g_free);
-	f->is_listing = false;
-	if (!f->is_loaded) {
-		f->is_loaded = true;
-		f->ops->loaded(f->ctx);
+	l->is_done = true;
+	f->parts_left--;
+	if (f->parts_left == 0)
+		end_listing(f);
+}
+
+/* Return: false when the follower is gone. */
+static bool begin_reply(bh_follow_t *f, const bh_store_reply_t *reply)
+{
+	f->n_in_flight--;
+	if (f->is_freed) {
+		if (f->n_in_flight == 0)
+			destroy(f);
+		return false;
 	}
-	if (!f->is_freed)
-		next_call(f);
+	f->is_in_callback = true;
+	note_state(f, reply);
+	if (reply->status == BH_STORE_OK)
+		f->again_ms = AGAIN_FIRST_MS;
+	return true;
 }
 
-static void on_feed(bh_follow_t *f, const bh_store_reply_t *reply)
+static void end_reply(bh_follow_t *f)
 {
-	f->version = MAX(f->version, reply->version);
-	pass_rows(f, reply);
-	if (!f->is_freed)
-		next_call(f);
+	f->is_in_callback = false;
+	if (f->is_freed && f->n_in_flight == 0)
+		destroy(f);
 }
 
-static void on_reply(void *user, const bh_store_reply_t *reply)
+static void on_list(void *user, const bh_store_reply_t *reply)
 {
-	bh_follow_t *f = user;
+	listing_t *l = user;
+	bh_follow_t *f = l->follow;
 
-	f->is_in_flight = false;
-	if (f->is_freed) {
-		destroy(f);
+	if (!begin_reply(f, reply))
 		return;
+	if (reply->status == BH_STORE_OK) {
+		take_page(l, reply);
+		if (!f->is_freed)
+			next_calls(f);
+	} else {
+		l->is_due = true;
+		retry_later(f);
 	}
-	f->is_in_callback = true;
-	note_state(f, reply);
+	end_reply(f);
+}
+
+static void on_feed(void *user, const bh_store_reply_t *reply)
+{
+	bh_follow_t *f = user;
+
+	if (!begin_reply(f, reply))
+		return;
 	if (reply->status == BH_STORE_COMPACTED) {
-		f->is_listing = true;
-		next_call(f);
+		begin_listing(f);
+		next_calls(f);
 	} else if (reply->status != BH_STORE_OK) {
 		retry_later(f);
 	} else {
-		f->again_ms = AGAIN_FIRST_MS;
-		if (f->is_listing)
-			on_list(f, reply);
-		else
-			on_feed(f, reply);
+		f->version = MAX(f->version, reply->version);
+		pass_rows(f, reply);
+		if (!f->is_freed)
+			next_calls(f);
 	}
-	f->is_in_callback = false;
-	if (f->is_freed && !f->is_in_flight)
-		destroy(f);
+	end_reply(f);
+}
+
+static void list_part(bh_follow_t *f, listing_t *l)
+{
+	l->is_due = false;
+	f->n_in_flight++;
+	bh_store_list(f->store, f->table, l->part, l->from, PAGE_ROWS,
+		      LIST_TIMEOUT_MS, on_list, l);
 }
 
-static void next_call(bh_follow_t *f)
+/* Parts are read at the same time, so that a slow store costs one answer's
+ * time and not one for each part. */
+static void next_calls(bh_follow_t *f)
 {
-	f->is_in_flight = true;
-	if (f->is_listing)
-		bh_store_list(f->store, f->table, f->from, PAGE_ROWS,
-			      LIST_TIMEOUT_MS, on_reply, f);
-	else
+	if (!f->is_listing) {
+		f->n_in_flight++;
 		bh_store_feed(f->store, f->table, f->version, f->wait_ms,
-			      f->wait_ms + FEED_SLACK_MS, on_reply, f);
+			      f->wait_ms + FEED_SLACK_MS, on_feed, f);
+		return;
+	}
+	for (unsigned i = 0; i < f->n_parts; i++) {
+		if (f->listings[i].is_due)
+			list_part(f, &f->listings[i]);
+	}
 }
 
 static void on_again(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
 	(void)what;
-	next_call(arg);
+	next_calls(arg);
 }
 
 bh_follow_t *bh_follow_new(bh_runtime_t *rt, bh_store_t *store,
@@ -157,6 +231,7 @@
 			   const bh_follow_ops_t *ops, void *ctx)
 {
 	bh_follow_t *f = g_new0(bh_follow_t, 1);
+	const char *part;
 
 	f->rt = rt;
 	f->store = store;
@@ -164,11 +239,15 @@
 	f->wait_ms = wait_ms;
 	f->ops = ops;
 	f->ctx = ctx;
-	f->is_listing = true;
 	f->again_ms = AGAIN_FIRST_MS;
 	f->answered_at = bh_runtime_now();
 	f->again = event_new(rt->base, -1, 0, on_again, f);
-	next_call(f);
+	while ((part = bh_table_part_name(table, f->n_parts)) != NULL) {
+		f->listings[f->n_parts].follow = f;
+		f->listings[f->n_parts++].part = part;
+	}
+	begin_listing(f);
+	next_calls(f);
 	return f;
 }
 
@@ -178,7 +257,7 @@
 		return;
 	f->is_freed = true;
 	event_del(f->again);
-	if ((!f->is_in_flight || bh_store_is_closed(f->store)) &&
+	if ((f->n_in_flight == 0 || bh_store_is_closed(f->store)) &&
 	    !f->is_in_callback)
 		destroy(f);
 }
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -1,4 +1,5 @@
 #include "daemon/relay.h"
+#include "daemon/tables.h"
 
 /* A call by the leader: two ways between hosts and a store that serves it. */
 #define LEADER_TIMEOUT_US (1000 * BH_USEC_PER_MS)
@@ -123,18 +124,19 @@
 
 static void ask_store(call_t *c)
 {
+	const char *part = bh_table_part(c->table, c->key);
 	gsize len;
 	const void *data;
 
 	c->is_tried = true;
 	if (!c->is_put) {
-		bh_store_list(c->relay->store, c->table, c->key, 1,
+		bh_store_list(c->relay->store, c->table, part, c->key, 1,
 			      c->timeout_ms, on_reply, c);
 		return;
 	}
 	data = g_bytes_get_data(c->value, &len);
-	bh_store_put(c->relay->store, c->table, c->key, c->version, data, len,
-		     c->timeout_ms, on_reply, c);
+	bh_store_put(c->relay->store, c->table, part, c->key, c->version, data,
+		     len, c->timeout_ms, on_reply, c);
 }
 
 static call_t *call_new(bh_relay_t *relay, const char *table, const char *key,
@@ -297,6 +299,7 @@
 void bh_relay_serve(bh_relay_t *relay, bh_link_t *peer,
 		    const Bh__Sched__StoreCall *call)
 {
+	const char *part = bh_table_part(call->table, call->key);
 	served_t *s = g_new0(served_t, 1);
 
 	s->relay = relay;
@@ -306,11 +309,11 @@
 	s->key = g_strdup(call->key);
 	TAILQ_INSERT_TAIL(&relay->served, s, link);
 	if (call->is_put)
-		bh_store_put(relay->store, call->table, call->key,
+		bh_store_put(relay->store, call->table, part, call->key,
 			     call->version, call->value.data, call->value.len,
 			     SERVE_TIMEOUT_MS, on_served, s);
 	else
-		bh_store_list(relay->store, call->table, call->key, 1,
+		bh_store_list(relay->store, call->table, part, call->key, 1,
 			      SERVE_TIMEOUT_MS, on_served, s);
 }
 
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -612,8 +612,9 @@
 	const bh_settings_t *set = a->rt->settings;
 
 	a->is_registering = true;
-	bh_store_tx_put(tx, BH_TABLE_AGENTS, set->listen_frames, set->name,
-			strlen(set->name));
+	bh_store_tx_put(tx, BH_TABLE_AGENTS,
+			bh_table_part(BH_TABLE_AGENTS, set->listen_frames),
+			set->listen_frames, set->name, strlen(set->name));
 	bh_store_commit(a->store, tx, REGISTER_TIMEOUT_MS, on_registered, a);
 }
 
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -30,8 +30,9 @@
 #define LEARNED_EVERY_US (2000 * BH_USEC_PER_MS)
 
 /* Rows of ended jobs are removed a few at a time. */
-#define REMOVE_EVERY_US (1000 * BH_USEC_PER_MS)
-#define REMOVE_MAX	20
+#define REMOVE_EVERY_US	  (1000 * BH_USEC_PER_MS)
+#define REMOVE_MAX	  20
+#define REMOVE_TIMEOUT_MS 2000
 
 typedef struct member {
 	bh_sched_leader_t *leader;
@@ -42,6 +43,13 @@
 	bool is_linked;
 } member_t;
 
+/* Rows of ended jobs that are being removed. It outlives a leader that goes
+ * while the call is under way. */
+typedef struct removal {
+	bh_sched_leader_t *leader;
+	GPtrArray *ids;
+} removal_t;
+
 struct bh_sched_leader {
 	bh_runtime_t *rt;
 	bh_store_t *store;
@@ -63,6 +71,8 @@
 	bh_usec_t others_reach_store_at;
 	bh_usec_t began_at;
 	GPtrArray *early;
+	removal_t *removal;
+	GPtrArray *removed;
 	struct event *run;
 };
 
@@ -243,7 +253,7 @@
 	bytes = bh_learned_pack(l->sched);
 	data = g_bytes_get_data(bytes, &len);
 	if (len > 0)
-		bh_store_tx_put(tx, BH_TABLE_PROGRESS, BH_KEY_LEARNED, data,
+		bh_store_tx_put(tx, BH_TABLE_PROGRESS, "", BH_KEY_LEARNED, data,
 				len);
 	g_bytes_unref(bytes);
 }
@@ -274,7 +284,7 @@
 		gsize len;
 		const void *data = g_bytes_get_data(bytes, &len);
 
-		bh_store_tx_put(tx, BH_TABLE_PROGRESS, ids[i], data, len);
+		bh_store_tx_put(tx, BH_TABLE_PROGRESS, "", ids[i], data, len);
 		g_bytes_unref(bytes);
 		bh_progress_free(progress);
 	}
@@ -284,38 +294,109 @@
 	bh_term_commit(l->term, tx, on_committed, l);
 }
 
-/* Rows of jobs that nobody may ask for any longer, and of agents that left. */
-static void remove_old(bh_sched_leader_t *l, bh_usec_t now)
+static void removal_free(removal_t *r)
+{
+	g_ptr_array_free(r->ids, TRUE);
+	g_free(r);
+}
+
+static void on_jobs_removed(void *user, const bh_store_reply_t *reply)
 {
+	removal_t *r = user;
+	bh_sched_leader_t *l = r->leader;
+
+	if (l) {
+		l->removal = NULL;
+		for (guint i = 0; i < r->ids->len; i++) {
+			const char *id = r->ids->pdata[i];
+
+			if (reply->status != BH_STORE_OK)
+				break;
+			bh_sched_drop_job(l->sched, id);
+			g_ptr_array_add(l->removed, g_strdup(id));
+		}
+	}
+	removal_free(r);
+}
+
+/* Rows of jobs that nobody may ask for any longer, those of one part at a time.
+ * A job's row goes before its progress: the other way round the next leader
+ * would take it for a new job. That it has ended holds for every leader, so
+ * that this needs no proof of leading. */
+static void remove_jobs(bh_sched_leader_t *l)
+{
+	const char *ids[REMOVE_MAX];
+	uint32_t n = bh_sched_expired(l->sched, bh_runtime_unix_ms(), ids,
+				      REMOVE_MAX);
+	const char *part;
 	bh_store_tx_t *tx;
-	const char *id;
-	int n = 0;
 
-	if (now - l->removed_at < REMOVE_EVERY_US || l->loads_left ||
-	    !bh_term_can_commit(l->term))
+	if (n == 0 || l->removal)
 		return;
-	l->removed_at = now;
+	part = bh_table_part(BH_TABLE_JOBS, ids[0]);
 	tx = bh_store_tx_new();
-	while (n < REMOVE_MAX &&
-	       (id = bh_sched_expired(l->sched, bh_runtime_unix_ms()))) {
-		bh_store_tx_delete(tx, BH_TABLE_JOBS, id);
-		bh_store_tx_delete(tx, BH_TABLE_PROGRESS, id);
-		bh_sched_drop_job(l->sched, id);
-		n++;
-	}
-	id = bh_sched_lapsed_host(l->sched, now);
-	if (id) {
-		bh_log_event(&l->rt->log, BH_LOG_INFO, "agent forgotten",
-			     "host", id, NULL);
-		bh_store_tx_delete(tx, BH_TABLE_AGENTS, id);
-		g_hash_table_remove(l->members, id);
-		bh_sched_drop_host(l->sched, id);
-		n++;
+	l->removal = g_new0(removal_t, 1);
+	l->removal->leader = l;
+	l->removal->ids = g_ptr_array_new_with_free_func(g_free);
+	for (uint32_t i = 0; i < n; i++) {
+		if (strcmp(bh_table_part(BH_TABLE_JOBS, ids[i]), part) != 0)
+			continue;
+		bh_store_tx_delete(tx, BH_TABLE_JOBS, part, ids[i]);
+		g_ptr_array_add(l->removal->ids, g_strdup(ids[i]));
 	}
-	if (n)
-		bh_term_commit(l->term, tx, NULL, NULL);
-	else
-		bh_store_tx_free(tx);
+	bh_store_commit(l->store, tx, REMOVE_TIMEOUT_MS, on_jobs_removed,
+			l->removal);
+}
+
+static void on_progress_removed(void *user, bh_term_verdict_t verdict)
+{
+	bh_sched_leader_t *l = user;
+
+	if (verdict == BH_TERM_STORED)
+		g_ptr_array_set_size(l->removed, 0);
+}
+
+/* What the leader alone writes goes under its own condition. */
+static void remove_progress(bh_sched_leader_t *l)
+{
+	bh_store_tx_t *tx;
+
+	if (l->removed->len == 0 || !bh_term_can_commit(l->term))
+		return;
+	tx = bh_store_tx_new();
+	for (guint i = 0; i < l->removed->len; i++)
+		bh_store_tx_delete(tx, BH_TABLE_PROGRESS, "",
+				   l->removed->pdata[i]);
+	bh_term_commit(l->term, tx, on_progress_removed, l);
+}
+
+static void remove_agent(bh_sched_leader_t *l, bh_usec_t now)
+{
+	const char *host = bh_sched_lapsed_host(l->sched, now);
+	bh_store_tx_t *tx;
+
+	if (!host || !bh_term_can_commit(l->term))
+		return;
+	bh_log_event(&l->rt->log, BH_LOG_INFO, "agent forgotten", "host", host,
+		     NULL);
+	tx = bh_store_tx_new();
+	bh_store_tx_delete(tx, BH_TABLE_AGENTS,
+			   bh_table_part(BH_TABLE_AGENTS, host), host);
+	/* A row that stays costs the next leader a wait, no more. */
+	bh_term_commit(l->term, tx, NULL, NULL);
+	g_hash_table_remove(l->members, host);
+	bh_sched_drop_host(l->sched, host);
+}
+
+static void remove_old(bh_sched_leader_t *l, bh_usec_t now)
+{
+	if (now - l->removed_at < REMOVE_EVERY_US || l->loads_left)
+		return;
+	l->removed_at = now;
+	remove_progress(l);
+	if (l->removed->len == 0)
+		remove_jobs(l);
+	remove_agent(l, now);
 }
 
 static void on_report(member_t *m, const Bh__Sched__Report *from)
@@ -588,6 +669,7 @@
 	l->notes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 free_progress);
 	l->early = g_ptr_array_new();
+	l->removed = g_ptr_array_new_with_free_func(g_free);
 	l->run = event_new(rt->base, -1, 0, on_run, l);
 	if (*set->advice)
 		l->advice = bh_advice_new(rt->base, set->advice, on_advised, l);
@@ -615,6 +697,12 @@
 	for (guint i = 0; i < l->early->len; i++)
 		bh_job_free(l->early->pdata[i]);
 	g_ptr_array_free(l->early, TRUE);
+	g_ptr_array_free(l->removed, TRUE);
+	/* Of a closed store no answer comes. */
+	if (l->removal && bh_store_is_closed(l->store))
+		removal_free(l->removal);
+	else if (l->removal)
+		l->removal->leader = NULL;
 	bh_advice_free(l->advice);
 	bh_sched_free(l->sched);
 	g_free(l);
--- /dev/null
+++ b/daemon/tables.c
@@ -0,0 +1,33 @@
+#include "daemon/tables.h"
+
+#include <stdbool.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+static const char *const part_names[BH_TABLE_PARTS] = {
+	"0", "1", "2", "3", "4", "5", "6", "7",
+	"8", "9", "a", "b", "c", "d", "e", "f",
+};
+
+/* What the leader writes lies in one part, with the row that says who leads:
+ * a transaction has one part, and the leader's have to fail once another
+ * process leads. */
+static bool is_split(const char *table)
+{
+	return strcmp(table, BH_TABLE_JOBS) == 0;
+}
+
+const char *bh_table_part(const char *table, const char *key)
+{
+	if (!is_split(table))
+		return "";
+	return part_names[XXH32(key, strlen(key), 0) % BH_TABLE_PARTS];
+}
+
+const char *bh_table_part_name(const char *table, unsigned index)
+{
+	if (!is_split(table))
+		return index ? NULL : "";
+	return index < BH_TABLE_PARTS ? part_names[index] : NULL;
+}
--- a/daemon/tables.h
+++ b/daemon/tables.h
@@ -1,5 +1,6 @@
 /*
- * Tables of the platform's store, and what the frames' numbers mean.
+ * Tables of the platform's store, the parts that their rows lie in, and what
+ * the frames' numbers mean.
  */
 #ifndef BH_DAEMON_TABLES_H
 #define BH_DAEMON_TABLES_H
@@ -20,6 +21,23 @@
 #define BH_TABLE_OPERATOR      "op"
 #define BH_KEY_OPERATOR_CONFIG "config"
 
+/* Parts of a table that many hosts write to. The store runs a part's
+ * transactions one after another, so that parts bound how many it takes while
+ * it is slow. */
+#define BH_TABLE_PARTS 16
+
+/**
+ * bh_table_part() - the part that a row lies in
+ */
+const char *bh_table_part(const char *table, const char *key);
+
+/**
+ * bh_table_part_name() - the parts of a table, in order
+ *
+ * Return: NULL when it has no more.
+ */
+const char *bh_table_part_name(const char *table, unsigned index);
+
 enum {
 	BH_ORDER_KIND_START = 1,
 	BH_ORDER_KIND_STOP = 2,
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -2,6 +2,7 @@
 
 #define TABLE "leader"
 #define KEY   "leader"
+#define PART  ""
 
 /* A third of the time after which others take over. */
 #define RENEW_EVERY_US (500 * BH_USEC_PER_MS)
@@ -152,7 +153,8 @@
 		return;
 	t->is_reading = true;
 	t->looked_at = bh_runtime_now();
-	bh_store_list(t->store, TABLE, KEY, 1, CALL_TIMEOUT_MS, on_read, t);
+	bh_store_list(t->store, TABLE, PART, KEY, 1, CALL_TIMEOUT_MS, on_read,
+		      t);
 }
 
 static void put_row(bh_term_t *t, bh_store_tx_t *tx, uint64_t term,
@@ -167,7 +169,7 @@
 	gsize len;
 	const void *data = g_bytes_get_data(bytes, &len);
 
-	bh_store_tx_put(tx, TABLE, KEY, data, len);
+	bh_store_tx_put(tx, TABLE, PART, KEY, data, len);
 	g_bytes_unref(bytes);
 }
 
@@ -213,7 +215,7 @@
 	bh_store_tx_t *tx = bh_store_tx_new();
 
 	t->stood_for = t->row.term + 1;
-	bh_store_tx_check(tx, TABLE, KEY, t->version);
+	bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 	put_row(t, tx, t->stood_for, t->rt->settings->listen_frames);
 	t->is_busy = true;
 	t->sent_at = bh_runtime_now();
@@ -296,7 +298,7 @@
 		return;
 	if (t->is_resigning && !t->is_resigned) {
 		tx = bh_store_tx_new();
-		bh_store_tx_check(tx, TABLE, KEY, t->version);
+		bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 		put_row(t, tx, t->row.term, "");
 		t->is_busy = true;
 		bh_store_commit(t->store, tx, CALL_TIMEOUT_MS, on_resigned, t);
@@ -431,7 +433,7 @@
 {
 	bh_usec_t now = bh_runtime_now();
 
-	bh_store_tx_check(tx, TABLE, KEY, t->version);
+	bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 	t->has_put = t->must_put || now - t->renewed_at >= RENEW_EVERY_US / 2;
 	if (t->has_put)
 		put_row(t, tx, t->row.term, t->rt->settings->listen_frames);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -296,16 +296,19 @@
 	bh_pairs_set(s->pairs, filler, lasting, harm, doubt);
 }
 
-const char *bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms)
+uint32_t bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms,
+			  const char **ids, uint32_t max)
 {
 	const bh_rec_t *rec;
+	uint32_t n = 0;
 
 	TAILQ_FOREACH(rec, &s->recs, link) {
-		if (rec->shown && !rec->dirty_since && !rec->commit_since &&
+		if (n < max && rec->shown && !rec->dirty_since &&
+		    !rec->commit_since &&
 		    unix_ms > rec->ended_ms + (uint64_t)s->bounds.status_ms)
-			return rec->job->id;
+			ids[n++] = rec->job->id;
 	}
-	return NULL;
+	return n;
 }
 
 bh_job_state_t bh_sched_state(const bh_sched_t *s, const char *id)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -191,11 +191,12 @@
 		       double harm, double doubt);
 
 /**
- * bh_sched_expired() - a job that ended so long ago that it may be forgotten
+ * bh_sched_expired() - jobs that ended so long ago that they may be forgotten
  *
- * Return: its id, until it is dropped, or NULL.
+ * Return: how many of @ids were set, valid until the jobs are dropped.
  */
-const char *bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms);
+uint32_t bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms,
+			  const char **ids, uint32_t max);
 void bh_sched_drop_job(bh_sched_t *s, const char *id);
 
 /**
--- a/standins/store.c
+++ b/standins/store.c
@@ -7,6 +7,8 @@
  *   down  refuses everything
  *   lose  does what it is asked and never answers
  *   hang  does nothing and never answers
+ *   slow  takes ms=N for a transaction, those of a part one after another, and
+ *         refuses those for which more than a second is waiting
  */
 #include "platform/http_client.h"
 #include "platform/json.h"
@@ -22,12 +24,14 @@
 	MODE_DOWN,
 	MODE_LOSE,
 	MODE_HANG,
+	MODE_SLOW,
 } store_mode_t;
 
-static const char *const mode_names[] = {"up", "down", "lose", "hang"};
+static const char *const mode_names[] = {"up", "down", "lose", "hang", "slow"};
 
 typedef struct store_row {
 	char *table;
+	char *part;
 	char *key;
 	char *value; /* base64; NULL once deleted, kept for feeds */
 	uint64_t version;
@@ -43,11 +47,13 @@
 
 typedef struct store {
 	struct event_base *base;
-	GTree *rows; /* "table\nkey" to row */
+	GTree *rows; /* "table\npart\nkey" to row */
 	uint64_t version;
 	GPtrArray *waiters;
 	store_mode_t mode;
 	int64_t fault_count;
+	int64_t slow_ms;
+	GHashTable *busy_until; /* by part, of a slow store; us */
 	uint64_t n_writes;
 	uint64_t n_reads;
 } store_t;
@@ -57,6 +63,7 @@
 	store_row_t *row = data;
 
 	g_free(row->table);
+	g_free(row->part);
 	g_free(row->key);
 	g_free(row->value);
 	g_free(row);
@@ -68,14 +75,15 @@
 	return strcmp(a, b);
 }
 
-static char *name_of(const char *table, const char *key)
+static char *name_of(const char *table, const char *part, const char *key)
 {
-	return g_strconcat(table, "\n", key, NULL);
+	return g_strconcat(table, "\n", part, "\n", key, NULL);
 }
 
-static store_row_t *find(store_t *st, const char *table, const char *key)
+static store_row_t *find(store_t *st, const char *table, const char *part,
+			 const char *key)
 {
-	g_autofree char *name = name_of(table, key);
+	g_autofree char *name = name_of(table, part, key);
 
 	return g_tree_lookup(st->rows, name);
 }
@@ -85,7 +93,7 @@
 	JsonObject *out = json_object_new();
 
 	json_object_set_string_member(out, "table", row->table);
-	json_object_set_string_member(out, "part", "");
+	json_object_set_string_member(out, "part", row->part);
 	json_object_set_string_member(out, "key", row->key);
 	json_object_set_int_member(out, "schema-version", (gint64)row->version);
 	if (row->value)
@@ -118,6 +126,7 @@
 
 typedef struct collect {
 	const char *table;
+	const char *part; /* NULL: all */
 	uint64_t after;
 	const char *from;
 	JsonArray *rows;
@@ -132,8 +141,9 @@
 	collect_t *c = user;
 
 	(void)key;
-	if (strcmp(row->table, c->table) != 0 || row->version <= c->after ||
-	    (!row->value && !c->with_deleted) ||
+	if (strcmp(row->table, c->table) != 0 ||
+	    (c->part && strcmp(row->part, c->part) != 0) ||
+	    row->version <= c->after || (!row->value && !c->with_deleted) ||
 	    (c->from && strcmp(row->key, c->from) < 0))
 		return FALSE;
 	if (json_array_get_length(c->rows) == c->limit) {
@@ -207,8 +217,9 @@
 		JsonNode *check = bh_json_at(checks, i);
 		uint64_t want = (uint64_t)bh_json_number(
 			bh_json_get(check, "schema-version"));
-		store_row_t *row = find(st, text_of(check, "table"),
-					text_of(check, "key"));
+		store_row_t *row =
+			find(st, text_of(check, "table"),
+			     text_of(check, "part"), text_of(check, "key"));
 		uint64_t have = row && row->value ? row->version : 0;
 
 		if (have == want)
@@ -227,37 +238,48 @@
 		store_row_t *row = g_new0(store_row_t, 1);
 
 		row->table = g_strdup(text_of(entry, "table"));
+		row->part = g_strdup(text_of(entry, "part"));
 		row->key = g_strdup(text_of(entry, "key"));
 		if (!is_deleted)
 			row->value = g_strdup(text_of(entry, "value"));
 		row->version = st->version;
-		g_tree_replace(st->rows, name_of(row->table, row->key), row);
+		g_tree_replace(st->rows,
+			       name_of(row->table, row->part, row->key), row);
 	}
 }
 
-static void on_tx(struct evhttp_request *req, void *ctx)
+/* Return: the one part of a transaction, or NULL when it has several. */
+static const char *part_of(JsonNode *root)
+{
+	static const char *const lists[] = {"expected-rev", "puts", "remove"};
+	const char *part = NULL;
+
+	for (size_t k = 0; k < G_N_ELEMENTS(lists); k++) {
+		JsonNode *list = bh_json_get(root, lists[k]);
+
+		for (size_t i = 0; i < bh_json_size(list); i++) {
+			const char *next = text_of(bh_json_at(list, i), "part");
+
+			if (part && g_strcmp0(part, next) != 0)
+				return NULL;
+			part = next;
+		}
+	}
+	return part;
+}
+
+static void run_tx(store_t *st, struct evhttp_request *req, JsonNode *root)
 {
-	store_t *st = ctx;
 	bool is_lost = st->mode == MODE_LOSE;
-	JsonArray *rows;
-	JsonNode *root;
-	GBytes *bytes;
+	JsonArray *rows = json_array_new();
 	bool is_ok;
 
-	if (is_faulty(st, req))
-		return;
-	st->n_writes++;
-	bytes = bh_http_take_body(req);
-	root = bh_json_parse_bytes(bytes);
-	g_bytes_unref(bytes);
-	rows = json_array_new();
 	is_ok = matches(st, bh_json_get(root, "expected-rev"), rows);
 	if (is_ok) {
 		st->version++;
 		put_all(st, bh_json_get(root, "puts"), false);
 		put_all(st, bh_json_get(root, "remove"), true);
 	}
-	bh_json_free(root);
 	if (is_lost)
 		json_array_unref(rows);
 	else
@@ -266,13 +288,84 @@
 		serve_waiters(st);
 }
 
+typedef struct slow_tx {
+	store_t *store;
+	struct evhttp_request *req;
+	JsonNode *root;
+} slow_tx_t;
+
+static void on_slow_tx(evutil_socket_t fd, short what, void *arg)
+{
+	slow_tx_t *tx = arg;
+
+	(void)fd;
+	(void)what;
+	run_tx(tx->store, tx->req, tx->root);
+	bh_json_free(tx->root);
+	g_free(tx);
+}
+
+static void queue_tx(store_t *st, struct evhttp_request *req, JsonNode *root,
+		     const char *part)
+{
+	int64_t now = standin_now_us();
+	int64_t *until = g_hash_table_lookup(st->busy_until, part);
+	struct timeval delay;
+	slow_tx_t *tx;
+
+	if (!until) {
+		until = g_new0(int64_t, 1);
+		g_hash_table_insert(st->busy_until, g_strdup(part), until);
+	}
+	if (*until > now + G_USEC_PER_SEC) {
+		standin_reply(req, 429, json_object_new());
+		bh_json_free(root);
+		return;
+	}
+	*until = MAX(*until, now) + st->slow_ms * 1000;
+	delay.tv_sec = (*until - now) / G_USEC_PER_SEC;
+	delay.tv_usec = (*until - now) % G_USEC_PER_SEC;
+	tx = g_new0(slow_tx_t, 1);
+	tx->store = st;
+	tx->req = req;
+	tx->root = root;
+	event_base_once(st->base, -1, EV_TIMEOUT, on_slow_tx, tx, &delay);
+}
+
+static void on_tx(struct evhttp_request *req, void *ctx)
+{
+	store_t *st = ctx;
+	const char *part;
+	JsonNode *root;
+	GBytes *bytes;
+
+	if (is_faulty(st, req))
+		return;
+	st->n_writes++;
+	bytes = bh_http_take_body(req);
+	root = bh_json_parse_bytes(bytes);
+	g_bytes_unref(bytes);
+	part = part_of(root);
+	if (part && st->mode == MODE_SLOW) {
+		queue_tx(st, req, root, part);
+		return;
+	}
+	if (part)
+		run_tx(st, req, root);
+	else
+		standin_reply(req, 400, json_object_new());
+	bh_json_free(root);
+}
+
 static void on_get(struct evhttp_request *req, void *ctx)
 {
 	store_t *st = ctx;
 	g_autofree char *table = standin_param(req, "table", "");
+	g_autofree char *part = standin_param(req, "part", "");
 	g_autofree char *from = standin_param(req, "from", "");
 	collect_t c = {
 		.table = table,
+		.part = part,
 		.from = *from ? from : NULL,
 		.rows = json_array_new(),
 		.limit = (size_t)standin_param_int(req, "limit", PAGE_MAX)};
@@ -321,6 +414,7 @@
 	g_autofree char *mode = standin_param(req, "mode", "up");
 
 	st->fault_count = standin_param_int(req, "count", 0);
+	st->slow_ms = standin_param_int(req, "ms", 200);
 	for (int i = 0; i < (int)G_N_ELEMENTS(mode_names); i++) {
 		if (strcmp(mode, mode_names[i]) == 0)
 			st->mode = (store_mode_t)i;
@@ -354,6 +448,8 @@
 		return 2;
 	}
 	st.rows = g_tree_new_full(by_text, NULL, g_free, row_free);
+	st.busy_until =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	st.waiters = g_ptr_array_new_with_free_func(waiter_free);
 	if (!standin_serve(st.base, argv[2], routes, G_N_ELEMENTS(routes),
 			   &st)) {
