Hosts on which nothing runs do not hold up a new leader

Cause: a new leader starts nothing until each host that it knows from a row has answered or lapsed (6.6 s). Hosts whose workers had been taken away came back with all others after a loss of power: the agent there answers, the worker does not. Ruled out: loading (0.12 s), links (all within 0.2 s).

Change: an agent that stops as planned after its worker has ended removes its row. An agent makes its row only if there is none; one that made it and has passed on no start says at once that nothing can run on its worker, as it is the worker's only caller. Until its row is known to be there, it passes on no start: a leader to come knows by the row alone that work may run there.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -37,7 +37,8 @@
 #define TRY_LONGEST_MS 700
 #define TRY_GROWTH     2
 
-/* A planned end waits for orders under way at most so long. */
+/* A planned end waits for orders under way, and for its row to be removed, at
+ * most so long. */
 #define DRAIN_MAX_US (1500 * BH_USEC_PER_MS)
 
 #define TICK_MS 100
@@ -62,6 +63,13 @@
 	char *worker;
 } order_t;
 
+/**
+ * struct bh_sched_agent - the one caller of a worker
+ * @is_registered: its row is there, as far as this process knows
+ * @is_vacant: nothing can run on the worker: this process made the row, and has
+ *	passed on no start
+ * @lease_until: when the last lease that it set has surely run out; 0: unknown
+ */
 struct bh_sched_agent {
 	bh_runtime_t *rt;
 	bh_store_t *store;
@@ -87,9 +95,14 @@
 	uint64_t look_term;
 	bool is_down;
 	bool is_registering;
+	bool is_registered;
+	bool is_vacant;
+	bool has_started;
 	bool is_draining;
 	bh_usec_t drain_since;
 	bh_usec_t led_at;
+	bool is_deregistering;
+	bool is_deregistered;
 	bh_usec_t registered_at;
 	bh_usec_t pinged_at;
 	uint32_t orders;
@@ -134,8 +147,13 @@
 		info.id = NULL;
 	if (a->is_down)
 		info.state = BH_WORKER_DOWN;
+	/* A leader to come knows by the row alone that work may run here. */
+	else if (!a->is_registered && info.state == BH_WORKER_READY)
+		info.state = BH_WORKER_SILENT;
 	if (!lists && a->lease_until)
 		info.lease_left_ms = lease_left_ms(a);
+	else if (!lists && a->is_vacant)
+		info.lease_left_ms = 1;
 	g_byte_array_set_size(a->scratch, 0);
 	bh_report_append(&info, lists, a->term, a->scratch);
 	bh_link_send_bytes(a->leader, a->scratch->data, a->scratch->len);
@@ -363,11 +381,13 @@
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
 	if (a->info.state != BH_WORKER_READY || m->boot != a->boot ||
-	    a->is_draining) {
+	    a->is_draining || !a->is_registered) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
 	}
 	a->starts++;
+	a->has_started = true;
+	a->is_vacant = false;
 	order_send(o);
 }
 
@@ -433,6 +453,8 @@
 	}
 	bh_log_event(&a->rt->log, BH_LOG_INFO, "leader", "name", hello->leader,
 		     "term", term, NULL);
+	if (a->is_vacant)
+		send_report(a, NULL);
 	look(a);
 }
 
@@ -597,8 +619,13 @@
 	bh_usec_t now = bh_runtime_now();
 
 	a->is_registering = false;
-	if (reply->status == BH_STORE_OK) {
+	if (reply->status == BH_STORE_OK ||
+	    reply->status == BH_STORE_CONFLICT) {
+		/* Without a row no leader can have known of this host. */
+		if (reply->status == BH_STORE_OK && !a->has_started)
+			a->is_vacant = true;
 		a->registered_at = now;
+		a->is_registered = true;
 		return;
 	}
 	a->registered_at = now - REGISTER_EVERY_US + REGISTER_AGAIN_US;
@@ -608,14 +635,47 @@
 
 static void register_self(bh_sched_agent_t *a)
 {
-	bh_store_tx_t *tx = bh_store_tx_new();
 	const bh_settings_t *set = a->rt->settings;
 
 	a->is_registering = true;
-	bh_store_tx_put(tx, BH_TABLE_AGENTS,
-			bh_table_part(BH_TABLE_AGENTS, set->listen_frames),
-			set->listen_frames, set->name, strlen(set->name));
-	bh_store_commit(a->store, tx, REGISTER_TIMEOUT_MS, on_registered, a);
+	bh_store_put(a->store, BH_TABLE_AGENTS,
+		     bh_table_part(BH_TABLE_AGENTS, set->listen_frames),
+		     set->listen_frames, 0, set->name, strlen(set->name),
+		     REGISTER_TIMEOUT_MS, on_registered, a);
+}
+
+static void on_deregistered(void *user, const bh_store_reply_t *reply)
+{
+	bh_sched_agent_t *a = user;
+
+	a->is_deregistered = true;
+	bh_log_event(&a->rt->log, BH_LOG_INFO, "row removed", "outcome",
+		     bh_store_status_name(reply->status), NULL);
+}
+
+/* Nothing runs on a worker that has ended. Without the row a leader to come
+ * need not wait until what could have run here has lapsed. */
+static void deregister(bh_sched_agent_t *a)
+{
+	bh_store_tx_t *tx = bh_store_tx_new();
+	const char *key = a->rt->settings->listen_frames;
+
+	a->is_deregistering = true;
+	bh_store_tx_delete(tx, BH_TABLE_AGENTS,
+			   bh_table_part(BH_TABLE_AGENTS, key), key);
+	bh_store_commit(a->store, tx, REGISTER_TIMEOUT_MS, on_deregistered, a);
+}
+
+static void tick_draining(bh_sched_agent_t *a, bh_usec_t now)
+{
+	bool is_late = now - a->drain_since > DRAIN_MAX_US;
+
+	if (a->orders == 0 && a->is_down && !a->is_registering &&
+	    !a->is_deregistering)
+		deregister(a);
+	if (is_late || (a->orders == 0 && !a->is_registering &&
+			(!a->is_deregistering || a->is_deregistered)))
+		event_base_loopexit(a->rt->base, NULL);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -626,8 +686,7 @@
 	(void)fd;
 	(void)what;
 	if (a->is_draining) {
-		if (a->orders == 0 || now - a->drain_since > DRAIN_MAX_US)
-			event_base_loopexit(a->rt->base, NULL);
+		tick_draining(a, now);
 		return;
 	}
 	if (a->leader && now - bh_link_heard_at(a->leader) > SILENT_AFTER_US) {
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -14,6 +14,9 @@
  * a new leader would wait for it. An agent that lives registers again. */
 #define FORGET_AFTER_US (7 * BH_USEC_PER_SEC)
 
+/* Hosts that lapse sooner are those on which nothing ran, many at a start. */
+#define SILENT_LONG_US (1000 * BH_USEC_PER_MS)
+
 /* A job that an entry has stored reaches the leader within a poll of the jobs'
  * table; what workers list of it is left alone for so long. */
 #define STRAY_WAIT_US (2500 * BH_USEC_PER_MS)
@@ -392,9 +395,12 @@
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (now >= host->lapse_at &&
 		    (!host->is_synced || !TAILQ_EMPTY(&host->runs))) {
-			bh_sched_log(s, "host lapsed", NULL,
-				     "host=%s silent_ms=%" G_GINT64_FORMAT,
-				     host->key, (now - host->heard_at) / 1000);
+			if (now - host->heard_at > SILENT_LONG_US)
+				bh_sched_log(
+					s, "host lapsed", NULL,
+					"host=%s silent_ms=%" G_GINT64_FORMAT,
+					host->key,
+					(now - host->heard_at) / 1000);
 			bh_host_lapse(s, host, "its lease ran out", now);
 		}
 		if (!host->is_synced)
