A host that was shunned is taken back once a serving task works there

Cause: such a host takes one task at first and more once that has ended well. Ruled out: the reservation, which found no other host that lasting tasks leave enough of.

Change: runs of before do not count; a serving task that works counts as a good end; a lasting task that has waited for 2 s may try a shunned host.

Test: test_hosts, a probe that serves is enough; fails without.

--- a/sched/health.c
+++ b/sched/health.c
@@ -99,6 +99,11 @@
 	bh_task_t *task = run->task;
 	bool is_still = stands_still(run, now);
 
+	/* A task that lasts has no end that would say that all is well. */
+	if (run->host->is_probing && bh_run_is_probe(run, now) &&
+	    task->phase->step->is_lasting && run->percent >= 100)
+		bh_health_note(s, run->host, task, true, now);
+
 	if (is_still) {
 		bh_health_note(s, run->host, task, false, now);
 		task->shunned = run->host;
@@ -140,6 +145,12 @@
 		host->speed += 0.2 * (rate_sum / n - host->speed);
 }
 
+bool bh_run_is_probe(const bh_run_t *run, bh_usec_t now)
+{
+	return now >= run->host->shunned_until &&
+	       run->ordered_at >= run->host->shunned_until;
+}
+
 void bh_health_note(bh_sched_t *s, bh_host_t *host, const bh_task_t *task,
 		    bool is_good, bh_usec_t now)
 {
--- a/sched/place.c
+++ b/sched/place.c
@@ -46,9 +46,22 @@
 #define RESERVE_AFTER_US (300 * BH_USEC_PER_MS)
 #define RESERVATIONS_MAX 16
 
+/* A task that has to last and has waited so long tries a shunned host. */
+#define SHUNNED_AFTER_US (2000 * BH_USEC_PER_MS)
+
 /* Between two log lines on why a phase's tasks wait. */
 #define EXPLAIN_EVERY_US (2000 * BH_USEC_PER_MS)
 
+/* May take work, its own failures apart. */
+static bool is_reachable(const bh_host_t *host, bh_usec_t now)
+{
+	return host->is_linked && host->is_synced && host->info.id &&
+	       host->info.boot && host->info.state == BH_WORKER_READY &&
+	       now - host->heard_at < REPORT_FRESH_US && host->expires_ms &&
+	       host->lapse_at - now > BH_USEC_PER_SEC &&
+	       now >= host->full_until;
+}
+
 static int64_t left_ms_of(const bh_phase_t *phase)
 {
 	const bh_rec_t *rec = phase->rec;
@@ -129,18 +142,38 @@
 	       now - task->waiting_since > FORCE_AFTER_US;
 }
 
+/* One new task at a time; what ran there before says nothing. */
+static bool is_being_probed(const bh_host_t *host, bh_usec_t now)
+{
+	const bh_run_t *run;
+
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (bh_run_is_probe(run, now))
+			return true;
+	}
+	return false;
+}
+
+/* A doubtful host is better than none for a task that has to last. */
+static bool may_try_shunned(const bh_task_t *task, bh_usec_t now)
+{
+	return task->phase->step->is_lasting &&
+	       now - task->waiting_since > SHUNNED_AFTER_US;
+}
+
 bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
 			 bh_usec_t now)
 {
 	const bh_phase_t *phase = task->phase;
 	const bh_step_t *step = phase->step;
 
-	if (!bh_host_is_usable(host, now) ||
+	if (!is_reachable(host, now) ||
+	    (now < host->shunned_until && !may_try_shunned(task, now)) ||
 	    g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
 		return false;
 	if (step->label && !has_label(host, step->label))
 		return false;
-	if (host->is_probing && host->n_runs > 0)
+	if (host->is_probing && is_being_probed(host, now))
 		return false;
 	if (step->max_per_host &&
 	    count_on_host(phase, host) >= step->max_per_host)
@@ -224,11 +257,7 @@
 
 bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now)
 {
-	return host->is_linked && host->is_synced && host->info.id &&
-	       host->info.boot && host->info.state == BH_WORKER_READY &&
-	       now - host->heard_at < REPORT_FRESH_US && host->expires_ms &&
-	       host->lapse_at - now > BH_USEC_PER_SEC &&
-	       now >= host->shunned_until && now >= host->full_until;
+	return is_reachable(host, now) && now >= host->shunned_until;
 }
 
 bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -352,6 +352,11 @@
 		    bool is_good, bh_usec_t now);
 void bh_health_check_runs(bh_sched_t *s, bh_usec_t now);
 
+/**
+ * bh_run_is_probe() - whether it was started since its host was last shunned
+ */
+bool bh_run_is_probe(const bh_run_t *run, bh_usec_t now);
+
 /* place.c */
 
 bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -62,11 +62,11 @@
 	.status_ms = 120000,
 };
 
-static bh_job_t *make_job(void)
+static bh_job_t *make_job_as(const char *id)
 {
 	bh_job_t *job = g_new0(bh_job_t, 1);
 
-	g_strlcpy(job->id, JOB, sizeof(job->id));
+	g_strlcpy(job->id, id, sizeof(job->id));
 	job->queue = g_strdup("q");
 	job->spec = g_strdup("s");
 	job->n_steps = 1;
@@ -81,6 +81,11 @@
 	return job;
 }
 
+static bh_job_t *make_job(void)
+{
+	return make_job_as(JOB);
+}
+
 static bh_worker_info_t worker(void)
 {
 	bh_worker_info_t info = {.id = (char *)"w",
@@ -198,12 +203,61 @@
 	bh_config_free(config);
 }
 
+static void fail_task(bh_sched_t *s, const char *id, uint64_t number,
+		      bh_usec_t now)
+{
+	g_autofree char *task = g_strconcat(id, ".0.0.0", NULL);
+	bh_ended_t ended = {.number = number,
+			    .task = task,
+			    .attempt = 4097,
+			    .how = BH_END_FAILED};
+
+	bh_sched_add_job(s, make_job_as(id), NULL, now);
+	bh_sched_run(s, now, 1000);
+	report(s, NULL, &ended, now + MS(20));
+	bh_sched_cancel(s, id, now + MS(20));
+}
+
+/* A host that was shunned takes one task first. A serving task showed nothing,
+ * as it has no end, and the host stood empty beside it for good (LOST: lasting
+ * tasks without a place beside a host with room). */
+static void test_a_probe_that_serves_is_enough(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = begin(&o, config);
+	bh_job_t *lasting = make_job_as("00000000000000b1");
+	bh_active_t active = {.task = (char *)"00000000000000b1.0.0.0",
+			      .attempt = 4097,
+			      .percent = 100};
+
+	(void)state;
+	report(s, NULL, NULL, MS(20));
+	fail_task(s, "00000000000000c1", 1, MS(100));
+	fail_task(s, "00000000000000c2", 2, MS(200));
+	fail_task(s, "00000000000000c3", 3, MS(300));
+	lasting->steps[0].is_lasting = true;
+	bh_sched_add_job(s, lasting, NULL, MS(3000));
+	o.starts = 0;
+	report(s, NULL, NULL, MS(3100));
+	assert_int_equal(o.starts, 1);
+	bh_sched_add_job(s, make_job(), NULL, MS(3200));
+	report(s, NULL, NULL, MS(3300));
+	assert_int_equal(o.starts, 1);
+	report(s, &active, NULL, MS(3700));
+	report(s, &active, NULL, MS(4100));
+	assert_int_equal(o.starts, 2);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_run_of_a_job_not_known_yet),
 		cmocka_unit_test(test_an_end_of_a_job_not_known_yet),
 		cmocka_unit_test(test_what_no_job_asks_for_is_stopped),
+		cmocka_unit_test(test_a_probe_that_serves_is_enough),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
