A leader grants leases for 4 s after its last renewal at most

Cause: a leader that could not renew went on granting leases while no other entry said that it reached the store, "since nobody can have taken over". Not hearing proves nothing: on one side of a partition with some workers, it would have kept their work alive for ever while a successor, with the store and all other entries, waited for one lease and 1.5 s and started it again.

Grants end 4 s after the last stored renewal, and after 1.5 s when another entry reaches the store, as before. A successor waits for the rest of those 4 s, counted from when it saw the row as it is, with clocks 2 % apart. It waits for no grants of a leader whose process has ended, which resigned, or which was an earlier life of its own process; a leader that resigns grants nothing from that moment on. With leases of 5 s an outage of the store for all is ridden out for 9 s. Weighed: promises of all entries not to stand, which ride out any outage, need every entry that could stand to be known in the row, a new one included; not built.

Tests: test_grants; test_silence_proves_nothing fails with the rule of before.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -2,6 +2,7 @@
 #include "daemon/follow.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
+#include "sched/grants.h"
 
 /* How long the store may hold a call for changes. Entries announce jobs and
  * cancellations themselves, so that the feed only has to catch what is lost. */
@@ -22,10 +23,6 @@
 #define REDIAL_FIRST_US (100 * BH_USEC_PER_MS)
 #define REDIAL_MAX_US	(1000 * BH_USEC_PER_MS)
 
-/* A leader that cannot renew while others reach the store may have been
- * replaced; it grants no leases after so long. */
-#define GRANT_SILENCE_MS 1500
-
 /* With other changes; a kilobyte or two. */
 #define LEARNED_EVERY_US (2000 * BH_USEC_PER_MS)
 
@@ -80,15 +77,15 @@
 
 static bool may_grant(const bh_sched_leader_t *l)
 {
-	bh_usec_t now = bh_runtime_now();
+	bh_usec_t others = bh_runtime_now() - l->others_reach_store_at;
+	bh_grant_view_t view = {
+		.is_confirmed = bh_term_is_leader(l->term) &&
+				bh_term_is_confirmed(l->term),
+		.renewed_ago_ms = bh_term_put_ago_ms(l->term),
+		.others_reached_ago_ms = others / BH_USEC_PER_MS,
+	};
 
-	if (!bh_term_is_leader(l->term) || !bh_term_is_confirmed(l->term))
-		return false;
-	if (bh_term_renewed_ago_ms(l->term) < GRANT_SILENCE_MS)
-		return true;
-	/* Nobody can have taken over while nobody reaches the store. */
-	return now - l->others_reach_store_at >
-	       GRANT_SILENCE_MS * BH_USEC_PER_MS;
+	return bh_grant_is_allowed(&view);
 }
 
 static void schedule_run(bh_sched_leader_t *l)
@@ -651,7 +648,7 @@
 		.term = bh_term_number(term),
 		.lease_ms =
 			(int64_t)MIN((double)set->lease_ms, set->lease_max_ms),
-		.silence_ms = GRANT_SILENCE_MS,
+		.silence_ms = bh_term_predecessor_ms(term),
 		.restore_ms = (int64_t)set->restore_ms,
 		.impact_ms = (int64_t)set->impact_ms,
 		.status_ms = (int64_t)(set->status_s * 1000),
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -1,4 +1,5 @@
 #include "daemon/term.h"
+#include "sched/grants.h"
 
 #define TABLE "leader"
 #define KEY   "leader"
@@ -65,6 +66,8 @@
 	bool has_put;
 	bool must_put;
 	uint64_t stood_for;
+	bool is_predecessor_gone;
+	int64_t predecessor_ms;
 	bh_term_cb_t cb;
 	void *user;
 };
@@ -84,6 +87,13 @@
 	       g_strcmp0(row->address, t->rt->settings->listen_frames) == 0;
 }
 
+/* Nobody leads: none has yet, the last one resigned, or it was an earlier life
+ * of this process. */
+static bool is_vacant(const bh_term_t *t)
+{
+	return !t->row.address || !*t->row.address || is_mine(t, &t->row);
+}
+
 static void lose(bh_term_t *t, const char *why)
 {
 	if (!t->is_leader)
@@ -192,6 +202,11 @@
 	t->must_put = false;
 	t->proven_at = t->sent_at;
 	t->renewed_at = t->sent_at;
+	t->predecessor_ms =
+		t->is_predecessor_gone
+			? 0
+			: bh_grant_rest_ms((bh_runtime_now() - t->still_since) /
+					   1000);
 	t->ops->won(t->ctx, row.term);
 }
 
@@ -215,6 +230,7 @@
 	bh_store_tx_t *tx = bh_store_tx_new();
 
 	t->stood_for = t->row.term + 1;
+	t->is_predecessor_gone = t->is_gone || is_vacant(t);
 	bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 	put_row(t, tx, t->stood_for, t->rt->settings->listen_frames);
 	t->is_busy = true;
@@ -319,7 +335,7 @@
 {
 	if (!t->is_known || t->is_busy || t->is_resigning)
 		return false;
-	if (!t->row.address || !*t->row.address || is_mine(t, &t->row))
+	if (is_vacant(t))
 		return true;
 	if (!t->is_suspect)
 		return false;
@@ -454,9 +470,19 @@
 	return (bh_runtime_now() - t->proven_at) / 1000;
 }
 
+int64_t bh_term_put_ago_ms(const bh_term_t *t)
+{
+	return (bh_runtime_now() - t->renewed_at) / 1000;
+}
+
+int64_t bh_term_predecessor_ms(const bh_term_t *t)
+{
+	return t->predecessor_ms;
+}
+
 bool bh_term_is_confirmed(const bh_term_t *t)
 {
-	return t->is_confirmed;
+	return t->is_confirmed && !t->is_resigning;
 }
 
 void bh_term_resign(bh_term_t *t)
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -87,7 +87,20 @@
 int64_t bh_term_renewed_ago_ms(const bh_term_t *t);
 
 /**
- * bh_term_is_confirmed() - false after a pause, until the next proof
+ * bh_term_put_ago_ms() - age of the last renewal that is stored; a successor
+ * counts from it
+ */
+int64_t bh_term_put_ago_ms(const bh_term_t *t);
+
+/**
+ * bh_term_predecessor_ms() - as of the moment at which this process came to
+ * lead, how long the leader before may have gone on granting leases
+ */
+int64_t bh_term_predecessor_ms(const bh_term_t *t);
+
+/**
+ * bh_term_is_confirmed() - false after a pause, until the next proof, and from
+ * the moment at which this process resigns
  */
 bool bh_term_is_confirmed(const bh_term_t *t);
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -52,8 +52,7 @@
 /**
  * struct bh_sched_bounds - figures that the deployment sets
  * @lease_ms: length of a worker's lease
- * @silence_ms: a leader that was replaced may still have granted leases for
- *	so long after its last renewal
+ * @silence_ms: a leader that was replaced may still grant leases for so long
  */
 typedef struct bh_sched_bounds {
 	uint64_t term;
--- /dev/null
+++ b/tests/test_grants.c
@@ -0,0 +1,70 @@
+/*
+ * Leases that a leader grants while it cannot renew its row.
+ */
+#include "sched/grants.h"
+#include "tests/test.h"
+
+static bool allowed(int64_t renewed_ago_ms, int64_t others_reached_ago_ms)
+{
+	bh_grant_view_t view = {
+		.is_confirmed = true,
+		.renewed_ago_ms = renewed_ago_ms,
+		.others_reached_ago_ms = others_reached_ago_ms,
+	};
+
+	return bh_grant_is_allowed(&view);
+}
+
+/* A leader on one side of a partition with some agents, the store and all other
+ * entries on the other: hearing nobody, it once granted for ever, while its
+ * successor started the same tasks elsewhere. */
+static void test_silence_proves_nothing(void **state)
+{
+	(void)state;
+	for (int64_t ms = BH_GRANT_AFTER_RENEWAL_MS; ms < 60000; ms += 100)
+		assert_false(allowed(ms, INT32_MAX));
+}
+
+/* Whenever a successor may stand after it saw the row unchanged, no lease is
+ * granted after the time that it waits for, with clocks that differ. */
+static void test_a_successor_waits_for_the_last_grant(void **state)
+{
+	(void)state;
+	for (int64_t unchanged = 0; unchanged < 6000; unchanged += 50) {
+		int64_t ends = unchanged + bh_grant_rest_ms(unchanged);
+
+		/* The leader renewed before its row was seen. */
+		assert_false(allowed(ends * 98 / 100 + 1, INT32_MAX));
+	}
+}
+
+/* An outage of the store for all: leases of five seconds outlast 9 s of it. */
+static void test_an_outage_is_ridden_out(void **state)
+{
+	(void)state;
+	assert_true(allowed(3900, 60000));
+}
+
+/* Another entry reaches the store and may have stood. */
+static void test_doubt_ends_it_sooner(void **state)
+{
+	bh_grant_view_t paused = {.renewed_ago_ms = 10,
+				  .others_reached_ago_ms = 10};
+
+	(void)state;
+	assert_true(allowed(1400, 100));
+	assert_false(allowed(1600, 100));
+	assert_false(bh_grant_is_allowed(&paused));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_silence_proves_nothing),
+		cmocka_unit_test(test_a_successor_waits_for_the_last_grant),
+		cmocka_unit_test(test_an_outage_is_ridden_out),
+		cmocka_unit_test(test_doubt_ends_it_sooner),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
