--- a/sched/grants.h
+++ b/sched/grants.h
@@ -10,10 +10,10 @@
 
 /* A leader grants leases for so long after it last renewed its row, whatever it
  * hears, and a successor counts on that. */
-#define BH_GRANT_AFTER_RENEWAL_MS 4000
+#define BH_GRANT_AFTER_RENEWAL_MS ((int64_t)4000)
 
 /* No longer than this once another entry says that it reaches the store. */
-#define BH_GRANT_IN_DOUBT_MS 1500
+#define BH_GRANT_IN_DOUBT_MS ((int64_t)1500)
 
 /* Clocks of two hosts may differ in rate by so many parts in a hundred. */
 #define BH_GRANT_DRIFT_PERCENT 2
