Reading pass: state that nothing reads, room counted once

Follower: a listing's is_done was set and never read; parts_left says it. Agent: has_started is the count of starts being above 0. reserve.c: what runs on a host and what is kept there was put together twice. Behaviour as it was; no test changed.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -23,7 +23,6 @@
 	const char *part;
 	char *from;
 	bool is_due;
-	bool is_done;
 } listing_t;
 
 struct bh_follow {
@@ -99,7 +98,6 @@
 	f->parts_left = f->n_parts;
 	for (unsigned i = 0; i < f->n_parts; i++) {
 		g_clear_pointer(&f->listings[i].from, g_free);
-		f->listings[i].is_done = false;
 		f->listings[i].is_due = true;
 	}
 }
@@ -131,7 +129,6 @@
 		l->is_due = true;
 		return;
 	}
-	l->is_done = true;
 	f->parts_left--;
 	if (f->parts_left == 0)
 		end_listing(f);
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -97,7 +97,6 @@
 	bool is_registering;
 	bool is_registered;
 	bool is_vacant;
-	bool has_started;
 	bool is_draining;
 	bh_usec_t drain_since;
 	bh_usec_t led_at;
@@ -386,7 +385,6 @@
 		return;
 	}
 	a->starts++;
-	a->has_started = true;
 	a->is_vacant = false;
 	order_send(o);
 }
@@ -622,7 +620,7 @@
 	if (reply->status == BH_STORE_OK ||
 	    reply->status == BH_STORE_CONFLICT) {
 		/* Without a row no leader can have known of this host. */
-		if (reply->status == BH_STORE_OK && !a->has_started)
+		if (reply->status == BH_STORE_OK && a->starts == 0)
 			a->is_vacant = true;
 		a->registered_at = now;
 		a->is_registered = true;
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -54,6 +54,17 @@
 	return n;
 }
 
+/* What runs there and what is kept for others. */
+static bh_room_t taken_room(const bh_host_t *host)
+{
+	return (bh_room_t){
+		.cpu = host->used_cpu + host->reserved.cpu,
+		.memory = host->used_memory + host->reserved.memory,
+		.accelerators =
+			host->used_accelerators + host->reserved.accelerators,
+	};
+}
+
 static bool fits(const bh_host_t *host, const bh_room_t *used,
 		 const bh_step_t *step)
 {
@@ -67,12 +78,7 @@
  * will not leave enough. */
 static int64_t free_in_ms(const bh_host_t *host, const bh_step_t *step)
 {
-	bh_room_t used = {
-		.cpu = host->used_cpu + host->reserved.cpu,
-		.memory = host->used_memory + host->reserved.memory,
-		.accelerators =
-			host->used_accelerators + host->reserved.accelerators,
-	};
+	bh_room_t used = taken_room(host);
 	ending_t endings[ENDINGS_MAX];
 	uint32_t n = list_endings(host, endings);
 
@@ -130,12 +136,7 @@
 
 bool bh_reserve_leaves(const bh_host_t *host, const bh_step_t *step)
 {
-	bh_room_t used = {
-		.cpu = host->used_cpu + host->reserved.cpu,
-		.memory = host->used_memory + host->reserved.memory,
-		.accelerators =
-			host->used_accelerators + host->reserved.accelerators,
-	};
+	bh_room_t used = taken_room(host);
 	bh_step_t wanted = *step;
 
 	if (!host->reserved.cpu && !host->reserved.memory)
