--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -1,4 +1,5 @@
 #include "daemon/sched_entry.h"
+#include "daemon/drain.h"
 #include "daemon/hub.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
@@ -35,10 +36,6 @@
  * short enough for a caller to retry before it gives up. */
 #define STORE_DOWN_RETRY_AFTER_MS 1000
 
-/* How long a draining entry goes on accepting connections: the load balancer
- * sends them until about two checks have failed after the first 503. */
-#define DRAIN_OPEN_MS 3000
-
 /* Share of stop_within_s, the time until the process is killed, after which it
  * exits by itself. */
 #define DRAIN_SHARE 0.9
@@ -108,8 +105,7 @@
 	struct evhttp *metrics;
 	struct event *tick;
 	bool is_draining;
-	bh_usec_t drain_since;
-	uint32_t in_flight;
+	bh_drain_t drain;
 	uint64_t answers[6];
 	uint64_t accepted;
 	uint64_t refused;
@@ -145,7 +141,7 @@
 	p->deadline = p->began_at + (bh_usec_t)ms * BH_USEC_PER_MS;
 	p->queue = g_strdup(queue);
 	g_strlcpy(p->id, id, sizeof(p->id));
-	e->in_flight++;
+	e->drain.in_flight++;
 	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
 				      on_client_gone, p);
 	return p;
@@ -194,6 +190,7 @@
 	if (e->is_draining)
 		evhttp_add_header(headers, "Connection", "close");
 	bh_http_reply_text(req, status, "application/json", body);
+	e->drain.answered_at = bh_runtime_now();
 	g_free(body);
 }
 
@@ -219,7 +216,7 @@
 
 	if (p->is_submission)
 		TAILQ_REMOVE(&e->submissions, p, link);
-	e->in_flight--;
+	e->drain.in_flight--;
 	if (p->retry_timer)
 		event_free(p->retry_timer);
 	if (p->row)
@@ -678,7 +675,7 @@
 
 	bh_hub_metrics(e->hub, out);
 	bh_metrics_value(out, "boragehold_requests_in_flight", NULL,
-			 e->in_flight);
+			 e->drain.in_flight);
 	bh_metrics_value(out, "boragehold_jobs_accepted_total", NULL,
 			 (double)e->accepted);
 	bh_metrics_value(out, "boragehold_jobs_refused_total", NULL,
@@ -752,17 +749,12 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	bh_sched_entry_t *e = arg;
-	bh_usec_t since = bh_runtime_now() - e->drain_since;
-	bh_usec_t last = (bh_usec_t)(e->rt->settings->stop_within_s *
-				     DRAIN_SHARE * BH_USEC_PER_SEC);
+	bh_usec_t now = bh_runtime_now();
 
 	(void)fd;
 	(void)what;
-	watch_store(e, bh_runtime_now());
-	if (!e->is_draining)
-		return;
-	if ((since > DRAIN_OPEN_MS * BH_USEC_PER_MS && e->in_flight == 0) ||
-	    since > last)
+	watch_store(e, now);
+	if (e->is_draining && bh_drain_is_done(&e->drain, now))
 		event_base_loopexit(e->rt->base, NULL);
 }
 
@@ -816,6 +808,8 @@
 	if (e->is_draining)
 		return;
 	e->is_draining = true;
-	e->drain_since = bh_runtime_now();
+	e->drain.since = bh_runtime_now();
+	e->drain.limit_us = (bh_usec_t)(e->rt->settings->stop_within_s *
+					DRAIN_SHARE * BH_USEC_PER_SEC);
 	bh_hub_resign(e->hub);
 }
