order.c: index of an occurrence in the width of a size

Cause: clang-tidy: a product of two 32-bit numbers as a pointer offset. Change: one cast; an occurrence times its steps is at most 20000, so that nothing behaved otherwise.

--- a/sched/order.c
+++ b/sched/order.c
@@ -32,7 +32,7 @@
 {
 	const bh_job_t *job = phase->rec->job;
 	const bh_phase_t *first =
-		&phase->rec->phases[phase->occurrence * job->n_steps];
+		&phase->rec->phases[(size_t)phase->occurrence * job->n_steps];
 	uint64_t ms = 0;
 
 	for (uint32_t i = 0; i < job->n_steps; i++)
