Counters of configurations that entries send each other

The logs of an incident could not tell copies that entries send each other from a slow store: an entry logs a version once, whoever delivered it, and drops the others. boragehold_config_copies_sent_total and _received_total count them all.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -60,6 +60,8 @@
  * @refusals: consecutive refused connections to the leader
  * @leader_config_version: version that the leader has; 0 before its first ping
  * @pending_queries: queries that the leader has not answered, by number
+ * @config_copies_sent: configurations sent to other entries
+ * @config_copies_received: configurations received from other entries
  */
 struct bh_hub {
 	bh_runtime_t *rt;
@@ -86,6 +88,8 @@
 	bh_usec_t loads_updated_at;
 	bh_usec_t pinged_at;
 	uint64_t terms_won;
+	uint64_t config_copies_sent;
+	uint64_t config_copies_received;
 	struct event *tick;
 };
 
@@ -100,6 +104,7 @@
 	push.text.len = len;
 	frame.body_case = BH__SCHED__FRAME__BODY_CONFIG;
 	frame.config = &push;
+	hub->config_copies_sent++;
 	bh_link_send(link, &frame);
 }
 
@@ -151,6 +156,13 @@
 	propagate_config(hub);
 }
 
+static void on_config_copy(bh_hub_t *hub, const Bh__Sched__ConfigPush *push,
+			   const char *source)
+{
+	hub->config_copies_received++;
+	apply_config(hub, push->text.data, push->text.len, source);
+}
+
 static void on_operator_row(void *ctx, const bh_store_row_t *row)
 {
 	if (strcmp(row->key, BH_KEY_OPERATOR_CONFIG) == 0 && !row->is_deleted)
@@ -260,8 +272,7 @@
 		bh_relay_serve(hub->relay, link, frame->store_call);
 		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
-		apply_config(hub, frame->config->text.data,
-			     frame->config->text.len, "entry");
+		on_config_copy(hub, frame->config, "entry");
 		break;
 	default:
 		break;
@@ -364,8 +375,7 @@
 		on_leader_ping(hub, frame->ping);
 		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
-		apply_config(hub, frame->config->text.data,
-			     frame->config->text.len, "leader");
+		on_config_copy(hub, frame->config, "leader");
 		break;
 	default:
 		break;
@@ -692,6 +702,10 @@
 {
 	bh_metrics_value(out, "boragehold_config_version", NULL,
 			 hub->config ? (double)hub->config->version : 0);
+	bh_metrics_value(out, "boragehold_config_copies_sent_total", NULL,
+			 (double)hub->config_copies_sent);
+	bh_metrics_value(out, "boragehold_config_copies_received_total", NULL,
+			 (double)hub->config_copies_received);
 	bh_metrics_value(out, "boragehold_leading", NULL,
 			 hub->sched_leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_terms_won_total", NULL,
