Entries ask for copies of the configuration instead of being sent them

Callers saw, on a large deployment: a confirmed change late on some entries, and entries that did not answer for more than a second.

Cause: the leader sent the whole configuration to every connected entry at once, and again with every ping in which an entry still named an older version. The entries read it from the store anyway. With 55 entries and 300 kB a change is 16 MB, on links of 20 to 200 Mbit/s; pings waited behind the copies, links were closed as timed out and opened again, which sent more copies, and a receiver decoded each copy before it looked at its version. Class: retransmission without flow control, cost that grows with entries times size.

Change: pings report the version, as before, also right after a change. An entry that is behind asks one sender for one copy (ConfigRequest): at once if it cannot read the store, otherwise after 600 ms; again after 1.5 s without one. A copy that is not newer is dropped unread.

An entry of the build before that the store rejects gets no copies from a leader of this build.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -276,3 +276,8 @@
 {
 	return (bh_runtime_now() - f->answered_at) / 1000;
 }
+
+bool bh_follow_is_store_lost(const bh_follow_t *f)
+{
+	return f->is_store_lost;
+}
--- a/daemon/follow.h
+++ b/daemon/follow.h
@@ -38,4 +38,9 @@
  */
 int64_t bh_follow_answered_ago_ms(const bh_follow_t *f);
 
+/**
+ * bh_follow_is_store_lost() - whether the last call to the store failed
+ */
+bool bh_follow_is_store_lost(const bh_follow_t *f);
+
 #endif
--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -1,9 +1,9 @@
 #include "daemon/hub.h"
+#include "daemon/configs.h"
 #include "daemon/follow.h"
 #include "daemon/metrics.h"
 #include "daemon/relay.h"
 #include "daemon/tables.h"
-#include "platform/decode.h"
 
 /* How long the store may hold a poll for a new configuration. With the timeout
  * of the call on top, a dead connection is noticed within about two seconds. */
@@ -44,7 +44,6 @@
 typedef struct peer {
 	TAILQ_ENTRY(peer) entry;
 	bh_link_t *link;
-	uint64_t config_version;
 } peer_t;
 
 typedef TAILQ_HEAD(peers, peer) peers_t;
@@ -52,23 +51,18 @@
 /**
  * struct bh_hub - state that the entries share
  * @operator_rows: follows the table with the configuration
- * @config_text: @config as it was received, to be forwarded
  * @sched_leader: exists while this entry leads
  * @is_leadership_lost: @sched_leader is to be freed by the next tick
  * @peers: links that other entries opened
  * @link: link to the leader, or NULL
  * @refusals: consecutive refused connections to the leader
- * @leader_config_version: version that the leader has; 0 before its first ping
  * @pending_queries: queries that the leader has not answered, by number
- * @config_copies_sent: configurations sent to other entries
- * @config_copies_received: configurations received from other entries
  */
 struct bh_hub {
 	bh_runtime_t *rt;
 	bh_store_t *store;
 	bh_follow_t *operator_rows;
-	bh_config_t *config;
-	GBytes *config_text;
+	bh_configs_t *configs;
 	bh_relay_t *relay;
 	bh_term_t *term;
 	bh_sched_leader_t *sched_leader;
@@ -80,7 +74,6 @@
 	bool is_link_open;
 	int refusals;
 	bh_usec_t dialled_at;
-	uint64_t leader_config_version;
 	GHashTable *pending_queries;
 	uint64_t last_query;
 	bh_backlog_t loads[LOADS_MAX];
@@ -88,85 +81,31 @@
 	bh_usec_t loads_updated_at;
 	bh_usec_t pinged_at;
 	uint64_t terms_won;
-	uint64_t config_copies_sent;
-	uint64_t config_copies_received;
 	struct event *tick;
 };
 
-static void push_config(bh_hub_t *hub, bh_link_t *link)
+static bool is_store_lost(const bh_hub_t *hub)
 {
-	bh_frame_t frame = BH__SCHED__FRAME__INIT;
-	Bh__Sched__ConfigPush push = BH__SCHED__CONFIG_PUSH__INIT;
-	gsize len;
-
-	push.version = hub->config->version;
-	push.text.data = (uint8_t *)g_bytes_get_data(hub->config_text, &len);
-	push.text.len = len;
-	frame.body_case = BH__SCHED__FRAME__BODY_CONFIG;
-	frame.config = &push;
-	hub->config_copies_sent++;
-	bh_link_send(link, &frame);
-}
-
-static void propagate_config(bh_hub_t *hub)
-{
-	peer_t *peer;
-
-	TAILQ_FOREACH(peer, &hub->peers, entry) {
-		if (peer->config_version < hub->config->version) {
-			push_config(hub, peer->link);
-			peer->config_version = hub->config->version;
-		}
-	}
-	if (hub->is_link_open && hub->leader_config_version &&
-	    hub->leader_config_version < hub->config->version) {
-		push_config(hub, hub->link);
-		hub->leader_config_version = hub->config->version;
-	}
+	return bh_follow_is_store_lost(hub->operator_rows);
 }
 
-static void apply_config(bh_hub_t *hub, const void *text, size_t len,
-			 const char *source)
+static void on_config_applied(void *ctx)
 {
-	bh_config_t *config = bh_decode_config(text, len);
-	g_autofree char *version = NULL;
-	bh_config_t *old;
+	bh_hub_t *hub = ctx;
 
-	if (!config) {
-		bh_log_event(&hub->rt->log, BH_LOG_ERROR,
-			     "cannot decode the configuration", "source",
-			     source, NULL);
-		return;
-	}
-	if (hub->config && config->version <= hub->config->version) {
-		bh_config_free(config);
-		return;
-	}
-	version = g_strdup_printf("%" G_GUINT64_FORMAT, config->version);
-	bh_log_event(&hub->rt->log, BH_LOG_INFO, "configuration", "version",
-		     version, "source", source, NULL);
-	old = hub->config;
-	hub->config = config;
-	if (hub->config_text)
-		g_bytes_unref(hub->config_text);
-	hub->config_text = g_bytes_new(text, len);
 	if (hub->sched_leader)
-		bh_sched_leader_set_config(hub->sched_leader, config);
-	bh_config_free(old);
-	propagate_config(hub);
-}
-
-static void on_config_copy(bh_hub_t *hub, const Bh__Sched__ConfigPush *push,
-			   const char *source)
-{
-	hub->config_copies_received++;
-	apply_config(hub, push->text.data, push->text.len, source);
+		bh_sched_leader_set_config(hub->sched_leader,
+					   bh_configs_current(hub->configs));
+	/* The next tick reports the version to the other entries. */
+	hub->pinged_at = 0;
 }
 
 static void on_operator_row(void *ctx, const bh_store_row_t *row)
 {
+	bh_hub_t *hub = ctx;
+
 	if (strcmp(row->key, BH_KEY_OPERATOR_CONFIG) == 0 && !row->is_deleted)
-		apply_config(ctx, row->value, row->len, "store");
+		bh_configs_apply(hub->configs, row->value, row->len, "store");
 }
 
 static void on_operator_loaded(void *ctx)
@@ -185,7 +124,7 @@
 	Bh__Sched__QueueLoad *refs[LOADS_MAX];
 
 	ping.term = bh_term_number(hub->term);
-	ping.config_version = hub->config ? hub->config->version : 0;
+	ping.config_version = bh_configs_version(hub->configs);
 	if (hub->sched_leader) {
 		ping.renewed_ago_ms =
 			(uint64_t)bh_term_confirmed_ago_ms(hub->term);
@@ -242,12 +181,11 @@
 static void on_peer_ping(bh_hub_t *hub, peer_t *peer,
 			 const Bh__Sched__Ping *ping)
 {
-	peer->config_version = ping->config_version;
+	bh_configs_on_report(hub->configs, peer->link, ping->config_version,
+			     is_store_lost(hub));
 	bh_term_observe(hub->term, ping->term);
 	if (hub->sched_leader && ping->renewed_ago_ms < STORE_FRESH_MS)
 		bh_sched_leader_note_store_reachable(hub->sched_leader);
-	if (hub->config)
-		propagate_config(hub);
 }
 
 static void on_peer_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
@@ -272,7 +210,11 @@
 		bh_relay_serve(hub->relay, link, frame->store_call);
 		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
-		on_config_copy(hub, frame->config, "entry");
+		bh_configs_on_copy(hub->configs, frame->config, "entry");
+		break;
+	case BH__SCHED__FRAME__BODY_CONFIG_REQUEST:
+		bh_configs_on_request(hub->configs, link,
+				      frame->config_request);
 		break;
 	default:
 		break;
@@ -326,9 +268,11 @@
 
 /* Follower side: frames from the leader. */
 
-static void on_leader_ping(bh_hub_t *hub, const Bh__Sched__Ping *ping)
+static void on_leader_ping(bh_hub_t *hub, bh_link_t *link,
+			   const Bh__Sched__Ping *ping)
 {
-	hub->leader_config_version = MAX(ping->config_version, 1);
+	bh_configs_on_report(hub->configs, link, ping->config_version,
+			     is_store_lost(hub));
 	if (ping->term >= bh_term_number(hub->term))
 		bh_term_note_leader_ping(hub->term,
 					 (int64_t)ping->renewed_ago_ms);
@@ -340,8 +284,6 @@
 		hub->loads[i].wait_ms = ping->load[i]->wait_ms;
 		hub->loads[i].wait_filler_ms = ping->load[i]->wait_filler_ms;
 	}
-	if (hub->config)
-		propagate_config(hub);
 }
 
 static void on_reply(bh_hub_t *hub, const Bh__Sched__QueryReply *reply)
@@ -363,7 +305,6 @@
 {
 	bh_hub_t *hub = ctx;
 
-	(void)link;
 	switch (frame->body_case) {
 	case BH__SCHED__FRAME__BODY_REPLY:
 		on_reply(hub, frame->reply);
@@ -372,10 +313,14 @@
 		bh_relay_on_answer(hub->relay, frame->store_answer);
 		break;
 	case BH__SCHED__FRAME__BODY_PING:
-		on_leader_ping(hub, frame->ping);
+		on_leader_ping(hub, link, frame->ping);
 		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
-		on_config_copy(hub, frame->config, "leader");
+		bh_configs_on_copy(hub->configs, frame->config, "leader");
+		break;
+	case BH__SCHED__FRAME__BODY_CONFIG_REQUEST:
+		bh_configs_on_request(hub->configs, link,
+				      frame->config_request);
 		break;
 	default:
 		break;
@@ -389,7 +334,6 @@
 	hub->is_link_open = true;
 	bh_relay_set_leader(hub->relay, link);
 	hub->refusals = 0;
-	hub->leader_config_version = 0;
 	bh_log_event(&hub->rt->log, BH_LOG_INFO, "connected to the leader",
 		     "address", hub->link_address, NULL);
 	send_ping(hub, link);
@@ -457,8 +401,9 @@
 	hub->is_leadership_lost = false;
 	hub->terms_won++;
 	hub->sched_leader = bh_sched_leader_new(hub->rt, hub->store, hub->term);
-	if (hub->config)
-		bh_sched_leader_set_config(hub->sched_leader, hub->config);
+	if (bh_configs_current(hub->configs))
+		bh_sched_leader_set_config(hub->sched_leader,
+					   bh_configs_current(hub->configs));
 }
 
 static void on_lost(void *ctx, const char *why)
@@ -606,6 +551,7 @@
 		g_free(hub);
 		return NULL;
 	}
+	hub->configs = bh_configs_new(rt, on_config_applied, hub);
 	hub->operator_rows =
 		bh_follow_new(rt, store, BH_TABLE_OPERATOR, CONFIG_POLL_WAIT_MS,
 			      &operator_ops, hub);
@@ -627,16 +573,14 @@
 	bh_term_free(hub->term);
 	bh_relay_free(hub->relay);
 	g_hash_table_destroy(hub->pending_queries);
-	bh_config_free(hub->config);
-	if (hub->config_text)
-		g_bytes_unref(hub->config_text);
+	bh_configs_free(hub->configs);
 	g_free(hub->link_address);
 	g_free(hub);
 }
 
 const bh_config_t *bh_hub_config(const bh_hub_t *hub)
 {
-	return hub->config;
+	return bh_configs_current(hub->configs);
 }
 
 uint32_t bh_hub_loads(const bh_hub_t *hub, const bh_backlog_t **out,
@@ -700,12 +644,7 @@
 
 void bh_hub_metrics(bh_hub_t *hub, GString *out)
 {
-	bh_metrics_value(out, "boragehold_config_version", NULL,
-			 hub->config ? (double)hub->config->version : 0);
-	bh_metrics_value(out, "boragehold_config_copies_sent_total", NULL,
-			 (double)hub->config_copies_sent);
-	bh_metrics_value(out, "boragehold_config_copies_received_total", NULL,
-			 (double)hub->config_copies_received);
+	bh_configs_metrics(hub->configs, out);
 	bh_metrics_value(out, "boragehold_leading", NULL,
 			 hub->sched_leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_terms_won_total", NULL,
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &bh__sched__config_push__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__config_request__init
+                     (Bh__Sched__ConfigRequest         *message)
+{
+  static const Bh__Sched__ConfigRequest init_value = BH__SCHED__CONFIG_REQUEST__INIT;
+  *message = init_value;
+}
+size_t bh__sched__config_request__get_packed_size
+                     (const Bh__Sched__ConfigRequest *message)
+{
+  assert(message->base.descriptor == &bh__sched__config_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__config_request__pack
+                     (const Bh__Sched__ConfigRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__config_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__config_request__pack_to_buffer
+                     (const Bh__Sched__ConfigRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__config_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__ConfigRequest *
+       bh__sched__config_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__ConfigRequest *)
+     protobuf_c_message_unpack (&bh__sched__config_request__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__config_request__free_unpacked
+                     (Bh__Sched__ConfigRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__config_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__store_call__init
                      (Bh__Sched__StoreCall         *message)
 {
@@ -3317,6 +3362,44 @@
   (ProtobufCMessageInit) bh__sched__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bh__sched__config_request__field_descriptors[1] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__ConfigRequest, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__config_request__field_indices_by_name[] = {
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange bh__sched__config_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bh__sched__config_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.ConfigRequest",
+  "ConfigRequest",
+  "Bh__Sched__ConfigRequest",
+  "bh.sched",
+  sizeof(Bh__Sched__ConfigRequest),
+  1,
+  bh__sched__config_request__field_descriptors,
+  bh__sched__config_request__field_indices_by_name,
+  1,  bh__sched__config_request__number_ranges,
+  (ProtobufCMessageInit) bh__sched__config_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bh__sched__store_call__field_descriptors[6] =
 {
   {
@@ -3510,7 +3593,7 @@
   (ProtobufCMessageInit) bh__sched__store_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[15] =
 {
   {
     "hello",
@@ -3680,9 +3763,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_request",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, config_request),
+    &bh__sched__config_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__frame__field_indices_by_name[] = {
   11,   /* field[11] = config */
+  14,   /* field[14] = config_request */
   2,   /* field[2] = grant */
   0,   /* field[0] = hello */
   7,   /* field[7] = job */
@@ -3700,7 +3796,7 @@
 static const ProtobufCIntRange bh__sched__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor bh__sched__frame__descriptor =
 {
@@ -3710,7 +3806,7 @@
   "Bh__Sched__Frame",
   "bh.sched",
   sizeof(Bh__Sched__Frame),
-  14,
+  15,
   bh__sched__frame__field_descriptors,
   bh__sched__frame__field_indices_by_name,
   1,  bh__sched__frame__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
 typedef struct Bh__Sched__Ping Bh__Sched__Ping;
 typedef struct Bh__Sched__ConfigPush Bh__Sched__ConfigPush;
+typedef struct Bh__Sched__ConfigRequest Bh__Sched__ConfigRequest;
 typedef struct Bh__Sched__StoreCall Bh__Sched__StoreCall;
 typedef struct Bh__Sched__StoreAnswer Bh__Sched__StoreAnswer;
 typedef struct Bh__Sched__Frame Bh__Sched__Frame;
@@ -427,6 +428,20 @@
     , 0, {0,NULL} }
 
 
+/*
+ * Asks for the configuration if it is newer than this version; the answer is a
+ * ConfigPush.
+ */
+struct  Bh__Sched__ConfigRequest
+{
+  ProtobufCMessage base;
+  uint64_t version;
+};
+#define BH__SCHED__CONFIG_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__config_request__descriptor) \
+    , 0 }
+
+
 /*
  * A call to the store that an entry passes to the leader because the store
  * refused it or did not respond. With is_put the row is written if it has the
@@ -476,7 +491,8 @@
   BH__SCHED__FRAME__BODY_PING = 11,
   BH__SCHED__FRAME__BODY_CONFIG = 12,
   BH__SCHED__FRAME__BODY_STORE_CALL = 13,
-  BH__SCHED__FRAME__BODY_STORE_ANSWER = 14
+  BH__SCHED__FRAME__BODY_STORE_ANSWER = 14,
+  BH__SCHED__FRAME__BODY_CONFIG_REQUEST = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BH__SCHED__FRAME__BODY__CASE)
 } Bh__Sched__Frame__BodyCase;
 
@@ -499,6 +515,7 @@
     Bh__Sched__ConfigPush *config;
     Bh__Sched__StoreCall *store_call;
     Bh__Sched__StoreAnswer *store_answer;
+    Bh__Sched__ConfigRequest *config_request;
   };
 };
 #define BH__SCHED__FRAME__INIT \
@@ -962,6 +979,25 @@
 void   bh__sched__config_push__free_unpacked
                      (Bh__Sched__ConfigPush *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__ConfigRequest methods */
+void   bh__sched__config_request__init
+                     (Bh__Sched__ConfigRequest         *message);
+size_t bh__sched__config_request__get_packed_size
+                     (const Bh__Sched__ConfigRequest   *message);
+size_t bh__sched__config_request__pack
+                     (const Bh__Sched__ConfigRequest   *message,
+                      uint8_t             *out);
+size_t bh__sched__config_request__pack_to_buffer
+                     (const Bh__Sched__ConfigRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__ConfigRequest *
+       bh__sched__config_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__config_request__free_unpacked
+                     (Bh__Sched__ConfigRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__StoreCall methods */
 void   bh__sched__store_call__init
                      (Bh__Sched__StoreCall         *message);
@@ -1093,6 +1129,9 @@
 typedef void (*Bh__Sched__ConfigPush_Closure)
                  (const Bh__Sched__ConfigPush *message,
                   void *closure_data);
+typedef void (*Bh__Sched__ConfigRequest_Closure)
+                 (const Bh__Sched__ConfigRequest *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__StoreCall_Closure)
                  (const Bh__Sched__StoreCall *message,
                   void *closure_data);
@@ -1132,6 +1171,7 @@
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ping__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__config_push__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__config_request__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__store_call__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__store_answer__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__frame__descriptor;
