An entry that the store rejects learns of the next leader from other entries

Callers saw: changes that had been confirmed missing at one entry for as long as the store rejected it, and 503 for every submission there.

Cause: such an entry has one other way to the store, to the leader's address and to the configuration: its link to the leader. The same holds for an entry whose leader ends meanwhile, as it cannot read who is next. Class: one path to what must be known, lost together with the process at its end.

Change: entries know each other's addresses through the leader (Entries, sent when the set changes). While neither the store nor a leader can be asked, or for a leader that the store has not confirmed for 1.3 s, daemon/lookup.c opens short links to other entries in turn, asks for the leader's row, and reports its own version of the configuration, so that it can ask for a copy. A later term makes a leader step down; it then reaches the store through its successor. It is safe: stepping down always is, an adopted row carries no version, so that no election can be won with it, and an answer to an election that arrives after a later term became known wins no longer.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -1,6 +1,7 @@
 #include "daemon/hub.h"
 #include "daemon/configs.h"
 #include "daemon/follow.h"
+#include "daemon/lookup.h"
 #include "daemon/metrics.h"
 #include "daemon/relay.h"
 #include "daemon/tables.h"
@@ -30,6 +31,14 @@
 
 #define LOADS_MAX 16
 
+/* A leader that the store has not confirmed for longer may have been replaced,
+ * and asks other entries. */
+#define UNCONFIRMED_MAX_MS 1300
+
+/* Interval at which a leader lists the entries connected to it. Right after an
+ * election most of them are not connected yet. */
+#define LIST_ENTRIES_INTERVAL_US (2 * BH_USEC_PER_SEC)
+
 /* Consecutive refused connections after which the leader's process counts as
  * ended. */
 #define REFUSALS_UNTIL_DOWN 2
@@ -40,10 +49,17 @@
 	bh_usec_t sent_at;
 } pending_query_t;
 
-/* Another entry, connected to this one while this one leads. */
+/**
+ * struct peer - another entry, connected to this one, mostly while this one
+ * leads
+ * @address: its address for frames; NULL if it only asks a question
+ * @has_entries: it has been sent the present list of entries
+ */
 typedef struct peer {
 	TAILQ_ENTRY(peer) entry;
 	bh_link_t *link;
+	char *address;
+	bool has_entries;
 } peer_t;
 
 typedef TAILQ_HEAD(peers, peer) peers_t;
@@ -54,6 +70,8 @@
  * @sched_leader: exists while this entry leads
  * @is_leadership_lost: @sched_leader is to be freed by the next tick
  * @peers: links that other entries opened
+ * @lookup: asks other entries who leads
+ * @listed_at: when the leader last listed the entries
  * @link: link to the leader, or NULL
  * @refusals: consecutive refused connections to the leader
  * @pending_queries: queries that the leader has not answered, by number
@@ -69,6 +87,8 @@
 	bool is_leadership_lost;
 	bh_acceptor_t *acceptor;
 	peers_t peers;
+	bh_lookup_t *lookup;
+	bh_usec_t listed_at;
 	bh_link_t *link;
 	char *link_address;
 	bool is_link_open;
@@ -116,7 +136,8 @@
 static const bh_follow_ops_t operator_ops = {on_operator_row,
 					     on_operator_loaded};
 
-static void send_ping(bh_hub_t *hub, bh_link_t *link)
+/* @address: own address, or NULL */
+static void send_ping(bh_hub_t *hub, bh_link_t *link, char *address)
 {
 	bh_frame_t frame = BH__SCHED__FRAME__INIT;
 	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
@@ -124,6 +145,8 @@
 	Bh__Sched__QueueLoad *refs[LOADS_MAX];
 
 	ping.term = bh_term_number(hub->term);
+	if (address)
+		ping.address = address;
 	ping.config_version = bh_configs_version(hub->configs);
 	if (hub->sched_leader) {
 		ping.renewed_ago_ms =
@@ -178,9 +201,90 @@
 		send_query_reply(link, query->number, BH_JOB_UNKNOWN, pending);
 }
 
+static void send_leader(bh_hub_t *hub, bh_link_t *link)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Leader leader = BH__SCHED__LEADER__INIT;
+	const bh_leader_row_t *row = bh_term_row(hub->term);
+
+	leader.term = row->term;
+	if (row->address)
+		leader.address = row->address;
+	if (row->name)
+		leader.name = row->name;
+	frame.body_case = BH__SCHED__FRAME__BODY_LEADER;
+	frame.leader = &leader;
+	bh_link_send(link, &frame);
+}
+
+static void on_leader_query(bh_hub_t *hub, bh_link_t *link)
+{
+	send_leader(hub, link);
+	/* Tells the version of the configuration. */
+	send_ping(hub, link, NULL);
+}
+
+static void send_entries(bh_hub_t *hub, peer_t *to)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Entries entries = BH__SCHED__ENTRIES__INIT;
+	g_autoptr(GPtrArray) addresses = g_ptr_array_new();
+	peer_t *peer;
+
+	TAILQ_FOREACH(peer, &hub->peers, entry) {
+		if (peer->address && peer != to)
+			g_ptr_array_add(addresses, peer->address);
+	}
+	entries.addresses = (char **)addresses->pdata;
+	entries.n_addresses = addresses->len;
+	frame.body_case = BH__SCHED__FRAME__BODY_ENTRIES;
+	frame.entries = &entries;
+	bh_link_send(to->link, &frame);
+	to->has_entries = true;
+}
+
+/* The set of entries has changed: all of them need the new list. */
+static void expire_entries(bh_hub_t *hub)
+{
+	peer_t *peer;
+
+	TAILQ_FOREACH(peer, &hub->peers, entry)
+		peer->has_entries = false;
+}
+
+static bool is_confirmed_leader(const bh_hub_t *hub)
+{
+	return hub->sched_leader && !hub->is_leadership_lost &&
+	       bh_term_confirmed_ago_ms(hub->term) < UNCONFIRMED_MAX_MS;
+}
+
+/* A leader that may have been replaced keeps the list that it has, since its
+ * peers leave it for the next one. */
+static void list_entries(bh_hub_t *hub, bh_usec_t now)
+{
+	peer_t *peer;
+
+	if (!is_confirmed_leader(hub) || TAILQ_EMPTY(&hub->peers) ||
+	    now - hub->listed_at < LIST_ENTRIES_INTERVAL_US)
+		return;
+	hub->listed_at = now;
+	bh_lookup_clear(hub->lookup);
+	TAILQ_FOREACH(peer, &hub->peers, entry) {
+		if (!peer->address)
+			continue;
+		bh_lookup_add(hub->lookup, peer->address);
+		if (!peer->has_entries)
+			send_entries(hub, peer);
+	}
+}
+
 static void on_peer_ping(bh_hub_t *hub, peer_t *peer,
 			 const Bh__Sched__Ping *ping)
 {
+	if (*ping->address && !peer->address) {
+		peer->address = g_strdup(ping->address);
+		expire_entries(hub);
+	}
 	bh_configs_on_report(hub->configs, peer->link, ping->config_version,
 			     is_store_lost(hub));
 	bh_term_observe(hub->term, ping->term);
@@ -206,6 +310,9 @@
 	case BH__SCHED__FRAME__BODY_PING:
 		on_peer_ping(hub, peer, frame->ping);
 		break;
+	case BH__SCHED__FRAME__BODY_LEADER_QUERY:
+		on_leader_query(hub, link);
+		break;
 	case BH__SCHED__FRAME__BODY_STORE_CALL:
 		bh_relay_serve(hub->relay, link, frame->store_call);
 		break;
@@ -231,6 +338,9 @@
 {
 	bh_relay_drop_peer(hub->relay, peer->link);
 	TAILQ_REMOVE(&hub->peers, peer, entry);
+	if (peer->address)
+		expire_entries(hub);
+	g_free(peer->address);
 	g_free(peer);
 }
 
@@ -301,6 +411,14 @@
 	cb(user, true, MIN(reply->state, BH_JOB_CANCELLED), reply->pending);
 }
 
+static void on_entries(bh_hub_t *hub, const Bh__Sched__Entries *entries)
+{
+	bh_lookup_clear(hub->lookup);
+	for (size_t i = 0; i < entries->n_addresses; i++)
+		bh_lookup_add(hub->lookup, entries->addresses[i]);
+	bh_lookup_add(hub->lookup, hub->link_address);
+}
+
 static void on_leader_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
 {
 	bh_hub_t *hub = ctx;
@@ -315,6 +433,9 @@
 	case BH__SCHED__FRAME__BODY_PING:
 		on_leader_ping(hub, link, frame->ping);
 		break;
+	case BH__SCHED__FRAME__BODY_ENTRIES:
+		on_entries(hub, frame->entries);
+		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
 		bh_configs_on_copy(hub->configs, frame->config, "leader");
 		break;
@@ -336,7 +457,7 @@
 	hub->refusals = 0;
 	bh_log_event(&hub->rt->log, BH_LOG_INFO, "connected to the leader",
 		     "address", hub->link_address, NULL);
-	send_ping(hub, link);
+	send_ping(hub, link, hub->rt->settings->listen_frames);
 }
 
 static void clear_leader_link(bh_hub_t *hub)
@@ -400,6 +521,7 @@
 	bh_sched_leader_free(hub->sched_leader);
 	hub->is_leadership_lost = false;
 	hub->terms_won++;
+	hub->listed_at = bh_runtime_now();
 	hub->sched_leader = bh_sched_leader_new(hub->rt, hub->store, hub->term);
 	if (bh_configs_current(hub->configs))
 		bh_sched_leader_set_config(hub->sched_leader,
@@ -416,6 +538,58 @@
 	hub->is_leadership_lost = true;
 }
 
+/* Follower or former leader: frames from an entry that was asked who leads. */
+
+static void on_lookup_opened(void *ctx, bh_link_t *link)
+{
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__LeaderQuery query = BH__SCHED__LEADER_QUERY__INIT;
+
+	frame.body_case = BH__SCHED__FRAME__BODY_LEADER_QUERY;
+	frame.leader_query = &query;
+	bh_link_send(link, &frame);
+	send_ping(ctx, link, NULL);
+}
+
+static void on_lookup_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
+{
+	bh_hub_t *hub = ctx;
+	bh_leader_row_t row;
+
+	switch (frame->body_case) {
+	case BH__SCHED__FRAME__BODY_LEADER:
+		row.term = frame->leader->term;
+		row.address = frame->leader->address;
+		row.name = frame->leader->name;
+		bh_term_adopt(hub->term, &row);
+		break;
+	case BH__SCHED__FRAME__BODY_PING:
+		bh_configs_on_report(hub->configs, link,
+				     frame->ping->config_version,
+				     is_store_lost(hub));
+		break;
+	case BH__SCHED__FRAME__BODY_CONFIG:
+		bh_configs_on_copy(hub->configs, frame->config, "entry");
+		break;
+	case BH__SCHED__FRAME__BODY_CONFIG_REQUEST:
+		bh_configs_on_request(hub->configs, link,
+				      frame->config_request);
+		break;
+	default:
+		break;
+	}
+}
+
+static const bh_lookup_ops_t lookup_ops = {on_lookup_opened, on_lookup_frame};
+
+/* Whether neither the store nor a leader tells who leads. */
+static bool must_look_up(const bh_hub_t *hub)
+{
+	if (hub->sched_leader)
+		return !is_confirmed_leader(hub);
+	return !hub->is_link_open && is_store_lost(hub);
+}
+
 static const bh_term_ops_t term_ops = {on_changed, on_won, on_lost};
 
 static void maintain_leader_link(bh_hub_t *hub, bh_usec_t now)
@@ -478,11 +652,11 @@
 			bh_link_free(peer->link);
 			peer_drop(hub, peer);
 		} else if (hub->sched_leader) {
-			send_ping(hub, peer->link);
+			send_ping(hub, peer->link, NULL);
 		}
 	}
 	if (hub->is_link_open)
-		send_ping(hub, hub->link);
+		send_ping(hub, hub->link, NULL);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -503,6 +677,8 @@
 	if (hub->sched_leader)
 		bh_sched_leader_tick(hub->sched_leader);
 	maintain_leader_link(hub, now);
+	bh_lookup_tick(hub->lookup, must_look_up(hub), now);
+	list_entries(hub, now);
 	ping_all(hub, now);
 	expire_queries(hub, now);
 	bh_relay_tick(hub->relay, now);
@@ -552,6 +728,7 @@
 		return NULL;
 	}
 	hub->configs = bh_configs_new(rt, on_config_applied, hub);
+	hub->lookup = bh_lookup_new(rt, &lookup_ops, hub);
 	hub->operator_rows =
 		bh_follow_new(rt, store, BH_TABLE_OPERATOR, CONFIG_POLL_WAIT_MS,
 			      &operator_ops, hub);
@@ -568,6 +745,7 @@
 	bh_sched_leader_free(hub->sched_leader);
 	bh_follow_free(hub->operator_rows);
 	bh_link_free(hub->link);
+	bh_lookup_free(hub->lookup);
 	drop_peers(hub);
 	bh_acceptor_free(hub->acceptor);
 	bh_term_free(hub->term);
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -124,6 +124,15 @@
 	t->ops->lost(t->ctx, why);
 }
 
+static void replace_row(bh_term_t *t, bh_leader_row_t *next)
+{
+	bh_leader_row_clear(&t->row);
+	t->row = *next;
+	t->is_suspect = false;
+	t->is_gone = false;
+	t->campaign_at = 0;
+}
+
 /* Adopts the row as the store has it now. */
 static void update_row(bh_term_t *t, const bh_store_row_t *row)
 {
@@ -144,11 +153,7 @@
 		bh_leader_row_clear(&next);
 		return;
 	}
-	bh_leader_row_clear(&t->row);
-	t->row = next;
-	t->is_suspect = false;
-	t->is_gone = false;
-	t->campaign_at = 0;
+	replace_row(t, &next);
 	if (!is_own_row(t, &t->row))
 		step_down(t, "another process leads");
 	else if (led && led != t->row.term)
@@ -238,7 +243,7 @@
 	bh_term_t *t = user;
 
 	t->is_writing = false;
-	if (reply->status == BH_STORE_OK) {
+	if (reply->status == BH_STORE_OK && t->row.term <= t->campaign_term) {
 		become_leader(t, reply->version);
 		return;
 	}
@@ -462,6 +467,29 @@
 		read_row(t);
 }
 
+const bh_leader_row_t *bh_term_row(const bh_term_t *t)
+{
+	return &t->row;
+}
+
+void bh_term_adopt(bh_term_t *t, const bh_leader_row_t *row)
+{
+	bh_leader_row_t next = {
+		.term = row->term,
+		.address = g_strdup(row->address),
+		.name = g_strdup(row->name),
+	};
+
+	if (row->term <= t->row.term || !*row->address || is_own_row(t, row)) {
+		bh_leader_row_clear(&next);
+		return;
+	}
+	t->unchanged_since = bh_runtime_now();
+	replace_row(t, &next);
+	step_down(t, "another entry knows a later leader");
+	t->ops->changed(t->ctx, &t->row);
+}
+
 bool bh_term_can_commit(const bh_term_t *t)
 {
 	/* Once resigning, a leader under constant load would otherwise keep
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -52,6 +52,20 @@
  */
 void bh_term_observe(bh_term_t *t, uint64_t term);
 
+/**
+ * bh_term_row() - the leader's row as far as this process knows it
+ */
+const bh_leader_row_t *bh_term_row(const bh_term_t *t);
+
+/**
+ * bh_term_adopt() - another entry knows this leader; ignored unless its term is
+ * later than any known one
+ *
+ * Stands in for a read of the row while the store rejects this host. A campaign
+ * still needs the row's version, so that it fails until the row is read.
+ */
+void bh_term_adopt(bh_term_t *t, const bh_leader_row_t *row);
+
 /**
  * enum bh_term_commit_result - outcome of a transaction of the leader
  * @BH_TERM_STORED: it is stored
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -357,12 +357,67 @@
 	teardown(&f);
 }
 
+static void adopt(bh_term_t *term, uint64_t number)
+{
+	bh_leader_row_t row = {.term = number,
+			       .address = (char *)"127.0.0.1:7",
+			       .name = (char *)"third"};
+
+	bh_term_adopt(term, &row);
+}
+
+/* A leader that the store rejects is told of its successor by another entry. It
+ * led on, and missed changes, until the store accepted it again. */
+static void test_replaced_leader_learns_of_its_successor(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 3);
+	run_for(&f.fake, f.term, 100);
+	bh_term_suspect(f.term, true);
+	run_for(&f.fake, f.term, 300);
+	assert_true(bh_term_is_leader(f.term));
+	adopt(f.term, 3);
+	adopt(f.term, 4);
+	assert_true(bh_term_is_leader(f.term));
+	adopt(f.term, 5);
+	assert_false(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 5);
+	assert_string_equal(bh_term_row(f.term)->address, "127.0.0.1:7");
+	teardown(&f);
+}
+
+/* An entry hears of a later leader while the answer to its own election is
+ * under way. */
+static void test_late_answer_to_a_campaign_does_not_win(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 3);
+	f.fake.commit_reply_ms = 400;
+	run_for(&f.fake, f.term, 100);
+	bh_term_suspect(f.term, true);
+	for (int i = 0; i < 200 && f.fake.version == 10; i++)
+		run_for(&f.fake, f.term, 10);
+	adopt(f.term, 9);
+	for (int i = 0; i < 60; i++) {
+		run_for(&f.fake, f.term, 10);
+		assert_false(bh_term_is_leader(f.term));
+	}
+	assert_int_equal(f.fake.won, 0);
+	teardown(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_read_overtakes_write),
 		cmocka_unit_test(test_a_busy_leader_resigns),
 		cmocka_unit_test(test_after_an_unclear_commit_the_row_changes),
+		cmocka_unit_test(test_replaced_leader_learns_of_its_successor),
+		cmocka_unit_test(test_late_answer_to_a_campaign_does_not_win),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1042,6 +1042,96 @@
   assert(message->base.descriptor == &bh__sched__ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__entries__init
+                     (Bh__Sched__Entries         *message)
+{
+  static const Bh__Sched__Entries init_value = BH__SCHED__ENTRIES__INIT;
+  *message = init_value;
+}
+size_t bh__sched__entries__get_packed_size
+                     (const Bh__Sched__Entries *message)
+{
+  assert(message->base.descriptor == &bh__sched__entries__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__entries__pack
+                     (const Bh__Sched__Entries *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__entries__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__entries__pack_to_buffer
+                     (const Bh__Sched__Entries *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__entries__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Entries *
+       bh__sched__entries__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Entries *)
+     protobuf_c_message_unpack (&bh__sched__entries__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__entries__free_unpacked
+                     (Bh__Sched__Entries *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__entries__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bh__sched__leader_query__init
+                     (Bh__Sched__LeaderQuery         *message)
+{
+  static const Bh__Sched__LeaderQuery init_value = BH__SCHED__LEADER_QUERY__INIT;
+  *message = init_value;
+}
+size_t bh__sched__leader_query__get_packed_size
+                     (const Bh__Sched__LeaderQuery *message)
+{
+  assert(message->base.descriptor == &bh__sched__leader_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__leader_query__pack
+                     (const Bh__Sched__LeaderQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__leader_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__leader_query__pack_to_buffer
+                     (const Bh__Sched__LeaderQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__leader_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__LeaderQuery *
+       bh__sched__leader_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__LeaderQuery *)
+     protobuf_c_message_unpack (&bh__sched__leader_query__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__leader_query__free_unpacked
+                     (Bh__Sched__LeaderQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__leader_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__config_push__init
                      (Bh__Sched__ConfigPush         *message)
 {
@@ -3234,7 +3324,7 @@
   (ProtobufCMessageInit) bh__sched__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[5] =
 {
   {
     "term",
@@ -3284,8 +3374,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Ping, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__ping__field_indices_by_name[] = {
+  4,   /* field[4] = address */
   1,   /* field[1] = config_version */
   3,   /* field[3] = load */
   2,   /* field[2] = renewed_ago_ms */
@@ -3294,7 +3397,7 @@
 static const ProtobufCIntRange bh__sched__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bh__sched__ping__descriptor =
 {
@@ -3304,13 +3407,69 @@
   "Bh__Sched__Ping",
   "bh.sched",
   sizeof(Bh__Sched__Ping),
-  4,
+  5,
   bh__sched__ping__field_descriptors,
   bh__sched__ping__field_indices_by_name,
   1,  bh__sched__ping__number_ranges,
   (ProtobufCMessageInit) bh__sched__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bh__sched__entries__field_descriptors[1] =
+{
+  {
+    "addresses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bh__Sched__Entries, n_addresses),
+    offsetof(Bh__Sched__Entries, addresses),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__entries__field_indices_by_name[] = {
+  0,   /* field[0] = addresses */
+};
+static const ProtobufCIntRange bh__sched__entries__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bh__sched__entries__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Entries",
+  "Entries",
+  "Bh__Sched__Entries",
+  "bh.sched",
+  sizeof(Bh__Sched__Entries),
+  1,
+  bh__sched__entries__field_descriptors,
+  bh__sched__entries__field_indices_by_name,
+  1,  bh__sched__entries__number_ranges,
+  (ProtobufCMessageInit) bh__sched__entries__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define bh__sched__leader_query__field_descriptors NULL
+#define bh__sched__leader_query__field_indices_by_name NULL
+#define bh__sched__leader_query__number_ranges NULL
+const ProtobufCMessageDescriptor bh__sched__leader_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.LeaderQuery",
+  "LeaderQuery",
+  "Bh__Sched__LeaderQuery",
+  "bh.sched",
+  sizeof(Bh__Sched__LeaderQuery),
+  0,
+  bh__sched__leader_query__field_descriptors,
+  bh__sched__leader_query__field_indices_by_name,
+  0,  bh__sched__leader_query__number_ranges,
+  (ProtobufCMessageInit) bh__sched__leader_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bh__sched__config_push__field_descriptors[2] =
 {
   {
@@ -3593,7 +3752,7 @@
   (ProtobufCMessageInit) bh__sched__store_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[15] =
+static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -3775,13 +3934,52 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, entries),
+    &bh__sched__entries__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_query",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, leader_query),
+    &bh__sched__leader_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, leader),
+    &bh__sched__leader__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__frame__field_indices_by_name[] = {
   11,   /* field[11] = config */
   14,   /* field[14] = config_request */
+  15,   /* field[15] = entries */
   2,   /* field[2] = grant */
   0,   /* field[0] = hello */
   7,   /* field[7] = job */
+  17,   /* field[17] = leader */
+  16,   /* field[16] = leader_query */
   5,   /* field[5] = pace */
   10,   /* field[10] = ping */
   8,   /* field[8] = query */
@@ -3796,7 +3994,7 @@
 static const ProtobufCIntRange bh__sched__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor bh__sched__frame__descriptor =
 {
@@ -3806,7 +4004,7 @@
   "Bh__Sched__Frame",
   "bh.sched",
   sizeof(Bh__Sched__Frame),
-  15,
+  18,
   bh__sched__frame__field_descriptors,
   bh__sched__frame__field_indices_by_name,
   1,  bh__sched__frame__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Bh__Sched__QueryReply Bh__Sched__QueryReply;
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
 typedef struct Bh__Sched__Ping Bh__Sched__Ping;
+typedef struct Bh__Sched__Entries Bh__Sched__Entries;
+typedef struct Bh__Sched__LeaderQuery Bh__Sched__LeaderQuery;
 typedef struct Bh__Sched__ConfigPush Bh__Sched__ConfigPush;
 typedef struct Bh__Sched__ConfigRequest Bh__Sched__ConfigRequest;
 typedef struct Bh__Sched__StoreCall Bh__Sched__StoreCall;
@@ -142,7 +144,8 @@
 
 
 /*
- * Row that names the current leader.
+ * The current leader: its row in the store, and an entry's answer to a
+ * LeaderQuery.
  */
 struct  Bh__Sched__Leader
 {
@@ -411,10 +414,40 @@
   uint64_t renewed_ago_ms;
   size_t n_load;
   Bh__Sched__QueueLoad **load;
+  /*
+   * Of an entry, in its first ping on a connection: its address for frames.
+   */
+  char *address;
 };
 #define BH__SCHED__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__ping__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+
+
+/*
+ * leader -> entries: addresses of all entries that are connected to it
+ */
+struct  Bh__Sched__Entries
+{
+  ProtobufCMessage base;
+  size_t n_addresses;
+  char **addresses;
+};
+#define BH__SCHED__ENTRIES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__entries__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Asks an entry which leader it knows; the answer is a Leader.
+ */
+struct  Bh__Sched__LeaderQuery
+{
+  ProtobufCMessage base;
+};
+#define BH__SCHED__LEADER_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__leader_query__descriptor) \
+     }
 
 
 struct  Bh__Sched__ConfigPush
@@ -492,7 +525,10 @@
   BH__SCHED__FRAME__BODY_CONFIG = 12,
   BH__SCHED__FRAME__BODY_STORE_CALL = 13,
   BH__SCHED__FRAME__BODY_STORE_ANSWER = 14,
-  BH__SCHED__FRAME__BODY_CONFIG_REQUEST = 15
+  BH__SCHED__FRAME__BODY_CONFIG_REQUEST = 15,
+  BH__SCHED__FRAME__BODY_ENTRIES = 16,
+  BH__SCHED__FRAME__BODY_LEADER_QUERY = 17,
+  BH__SCHED__FRAME__BODY_LEADER = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BH__SCHED__FRAME__BODY__CASE)
 } Bh__Sched__Frame__BodyCase;
 
@@ -516,6 +552,9 @@
     Bh__Sched__StoreCall *store_call;
     Bh__Sched__StoreAnswer *store_answer;
     Bh__Sched__ConfigRequest *config_request;
+    Bh__Sched__Entries *entries;
+    Bh__Sched__LeaderQuery *leader_query;
+    Bh__Sched__Leader *leader;
   };
 };
 #define BH__SCHED__FRAME__INIT \
@@ -960,6 +999,44 @@
 void   bh__sched__ping__free_unpacked
                      (Bh__Sched__Ping *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__Entries methods */
+void   bh__sched__entries__init
+                     (Bh__Sched__Entries         *message);
+size_t bh__sched__entries__get_packed_size
+                     (const Bh__Sched__Entries   *message);
+size_t bh__sched__entries__pack
+                     (const Bh__Sched__Entries   *message,
+                      uint8_t             *out);
+size_t bh__sched__entries__pack_to_buffer
+                     (const Bh__Sched__Entries   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Entries *
+       bh__sched__entries__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__entries__free_unpacked
+                     (Bh__Sched__Entries *message,
+                      ProtobufCAllocator *allocator);
+/* Bh__Sched__LeaderQuery methods */
+void   bh__sched__leader_query__init
+                     (Bh__Sched__LeaderQuery         *message);
+size_t bh__sched__leader_query__get_packed_size
+                     (const Bh__Sched__LeaderQuery   *message);
+size_t bh__sched__leader_query__pack
+                     (const Bh__Sched__LeaderQuery   *message,
+                      uint8_t             *out);
+size_t bh__sched__leader_query__pack_to_buffer
+                     (const Bh__Sched__LeaderQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__LeaderQuery *
+       bh__sched__leader_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__leader_query__free_unpacked
+                     (Bh__Sched__LeaderQuery *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__ConfigPush methods */
 void   bh__sched__config_push__init
                      (Bh__Sched__ConfigPush         *message);
@@ -1126,6 +1203,12 @@
 typedef void (*Bh__Sched__Ping_Closure)
                  (const Bh__Sched__Ping *message,
                   void *closure_data);
+typedef void (*Bh__Sched__Entries_Closure)
+                 (const Bh__Sched__Entries *message,
+                  void *closure_data);
+typedef void (*Bh__Sched__LeaderQuery_Closure)
+                 (const Bh__Sched__LeaderQuery *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__ConfigPush_Closure)
                  (const Bh__Sched__ConfigPush *message,
                   void *closure_data);
@@ -1170,6 +1253,8 @@
 extern const ProtobufCMessageDescriptor bh__sched__query_reply__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ping__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__entries__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__leader_query__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__config_push__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__config_request__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__store_call__descriptor;
