After an outage the table of the configuration is listed, not read from history

Callers saw: seconds without an answer from an entry that the store accepts again, and changes late there, after a series of changes of a large configuration.

Cause: the feed of the store returns each change since the last one read, in replies of about 1 MB. The entry decoded every version in them, also those that the leader's copies had made old, before it compared versions. On a host with 0.12 cores one version of 300 kB takes 200 ms: the event loop stood still for 0.8 to 1 s a reply, the link to the leader timed out, and the entry fell behind those changes that came meanwhile. Class: recovery whose cost grows with the history instead of with the state.

Change: a table of few, large rows is listed again after a failed call, and of the changes in one reply only the last of each row is delivered. The tables of jobs, progress and agents are followed as before. New counter boragehold_config_decoded_total. The stand-in of the store now returns each change, as the store does, so that the fault shows in a test.

--- a/daemon/configs.c
+++ b/daemon/configs.c
@@ -6,6 +6,7 @@
 /**
  * struct bh_configs - the configuration in use
  * @text: @config as it was received, to be sent to other entries
+ * @decoded: configurations decoded, also those that were not newer
  * @copies_sent: copies sent to other entries
  * @copies_received: copies received from other entries
  */
@@ -16,6 +17,7 @@
 	bh_config_t *config;
 	GBytes *text;
 	bh_config_sync_t sync;
+	uint64_t decoded;
 	uint64_t copies_sent;
 	uint64_t copies_received;
 };
@@ -84,6 +86,7 @@
 	g_autofree char *version = NULL;
 	bh_config_t *old = c->config;
 
+	c->decoded++;
 	if (!config) {
 		bh_log_event(&c->rt->log, BH_LOG_ERROR,
 			     "cannot decode the configuration", "source",
@@ -134,6 +137,8 @@
 {
 	bh_metrics_value(out, "boragehold_config_version", NULL,
 			 (double)bh_configs_version(c));
+	bh_metrics_value(out, "boragehold_config_decoded_total", NULL,
+			 (double)c->decoded);
 	bh_metrics_value(out, "boragehold_config_copies_sent_total", NULL,
 			 (double)c->copies_sent);
 	bh_metrics_value(out, "boragehold_config_copies_received_total", NULL,
--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -78,10 +78,23 @@
 	event_add(f->retry_timer, &delay);
 }
 
+/* Whether a later row of the reply has the same key. Only tables without parts
+ * are followed with @is_small. */
+static bool is_replaced(const bh_store_reply_t *reply, size_t i)
+{
+	for (size_t k = i + 1; k < reply->n_rows; k++) {
+		if (strcmp(reply->rows[k].key, reply->rows[i].key) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void deliver_rows(bh_follow_t *f, const bh_store_reply_t *reply)
 {
-	for (size_t i = 0; i < reply->n_rows && !f->is_freed; i++)
-		f->ops->row(f->ctx, &reply->rows[i]);
+	for (size_t i = 0; i < reply->n_rows && !f->is_freed; i++) {
+		if (!f->ops->is_small || !is_replaced(reply, i))
+			f->ops->row(f->ctx, &reply->rows[i]);
+	}
 }
 
 static void update_store_state(bh_follow_t *f, const bh_store_reply_t *reply)
@@ -195,6 +208,8 @@
 		begin_listing(f);
 		send_calls(f);
 	} else if (reply->status != BH_STORE_OK) {
+		if (f->ops->is_small)
+			begin_listing(f);
 		retry_later(f);
 	} else {
 		f->version = MAX(f->version, reply->version);
--- a/daemon/follow.h
+++ b/daemon/follow.h
@@ -14,10 +14,13 @@
  * struct bh_follow_ops - callbacks to the owner
  * @row: a row as it is now, or its deletion
  * @loaded: all rows that existed at the start have been delivered
+ * @is_small: the table has few rows, which may be large: after a failed call it
+ *	is listed again, as the feed would return each change since
  */
 typedef struct bh_follow_ops {
 	void (*row)(void *ctx, const bh_store_row_t *row);
 	void (*loaded)(void *ctx);
+	bool is_small;
 } bh_follow_ops_t;
 
 /**
--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -133,8 +133,11 @@
 	(void)ctx;
 }
 
-static const bh_follow_ops_t operator_ops = {on_operator_row,
-					     on_operator_loaded};
+static const bh_follow_ops_t operator_ops = {
+	.row = on_operator_row,
+	.loaded = on_operator_loaded,
+	.is_small = true,
+};
 
 /* @address: own address, or NULL */
 static void send_ping(bh_hub_t *hub, bh_link_t *link, char *address)
--- a/standins/store.c
+++ b/standins/store.c
@@ -19,6 +19,10 @@
 
 #define PAGE_MAX 500
 
+/* Value bytes after which a feed's reply ends, and changes that are kept. */
+#define FEED_BYTES_MAX (1 << 20)
+#define HISTORY_MAX    4000
+
 typedef enum store_mode {
 	MODE_UP,
 	MODE_DOWN,
@@ -47,7 +51,9 @@
 
 typedef struct store {
 	struct event_base *base;
-	GTree *rows; /* "table\npart\nkey" to store_row_t */
+	GTree *rows;	    /* "table\npart\nkey" to store_row_t */
+	GQueue history;	    /* of store_row_t, each change in order */
+	uint64_t forgotten; /* version up to which history is gone */
 	uint64_t version;
 	GPtrArray *waiters;
 	store_mode_t mode;
@@ -104,18 +110,24 @@
 	return out;
 }
 
-static void reply_rows(store_t *st, struct evhttp_request *req, int status,
-		       JsonArray *rows, bool has_more)
+static void reply_rows_at(struct evhttp_request *req, int status,
+			  JsonArray *rows, bool has_more, uint64_t version)
 {
 	JsonObject *body = json_object_new();
 
 	json_object_set_array_member(body, "rows", rows);
-	json_object_set_int_member(body, "schema-version", (gint64)st->version);
+	json_object_set_int_member(body, "schema-version", (gint64)version);
 	json_object_set_int_member(body, "now-ms", standin_now_us() / 1000);
 	json_object_set_boolean_member(body, "has-more", has_more);
 	standin_reply(req, status, body);
 }
 
+static void reply_rows(store_t *st, struct evhttp_request *req, int status,
+		       JsonArray *rows, bool has_more)
+{
+	reply_rows_at(req, status, rows, has_more, st->version);
+}
+
 static void waiter_free(void *data)
 {
 	waiter_t *w = data;
@@ -127,13 +139,11 @@
 
 typedef struct collect {
 	const char *table;
-	const char *part; /* NULL: all */
-	uint64_t after;
+	const char *part;
 	const char *from;
 	JsonArray *rows;
 	size_t limit;
 	bool has_more;
-	bool with_deleted;
 } collect_t;
 
 static gboolean collect_row(gpointer key, gpointer value, gpointer user)
@@ -143,8 +153,7 @@
 
 	(void)key;
 	if (strcmp(row->table, c->table) != 0 ||
-	    (c->part && strcmp(row->part, c->part) != 0) ||
-	    row->version <= c->after || (!row->value && !c->with_deleted) ||
+	    strcmp(row->part, c->part) != 0 || !row->value ||
 	    (c->from && strcmp(row->key, c->from) < 0))
 		return FALSE;
 	if (json_array_get_length(c->rows) == c->limit) {
@@ -155,31 +164,45 @@
 	return FALSE;
 }
 
+/* Collects each change since @after, also those that later ones replaced, as
+ * far as one reply holds them.
+ *
+ * @version: set to the version up to which they are complete */
 static JsonArray *collect_changes(store_t *st, const char *table,
-				  uint64_t after)
+				  uint64_t after, uint64_t *version)
 {
-	collect_t c = {.table = table,
-		       .after = after,
-		       .rows = json_array_new(),
-		       .limit = PAGE_MAX,
-		       .with_deleted = true};
+	JsonArray *rows = json_array_new();
+	size_t bytes = 0;
 
-	g_tree_foreach(st->rows, collect_row, &c);
-	return c.rows;
+	for (GList *i = st->history.head; i; i = i->next) {
+		const store_row_t *row = i->data;
+
+		if (row->version <= after || strcmp(row->table, table) != 0)
+			continue;
+		if (bytes > FEED_BYTES_MAX && row->version > *version)
+			return rows;
+		json_array_add_object_element(rows, row_to_json(row));
+		bytes += row->value ? strlen(row->value) : 0;
+		*version = row->version;
+	}
+	*version = st->version;
+	return rows;
 }
 
 static void answer_waiters(store_t *st)
 {
 	for (guint i = 0; i < st->waiters->len;) {
 		waiter_t *w = st->waiters->pdata[i];
-		JsonArray *rows = collect_changes(st, w->table, w->after);
+		uint64_t version = 0;
+		JsonArray *rows =
+			collect_changes(st, w->table, w->after, &version);
 
 		if (json_array_get_length(rows) == 0) {
 			json_array_unref(rows);
 			i++;
 			continue;
 		}
-		reply_rows(st, w->req, 200, rows, false);
+		reply_rows_at(w->req, 200, rows, false, version);
 		g_ptr_array_remove_index(st->waiters, i);
 	}
 }
@@ -233,6 +256,23 @@
 	return is_ok;
 }
 
+static void keep_history(store_t *st, const store_row_t *row)
+{
+	store_row_t *copy = g_new0(store_row_t, 1);
+
+	copy->table = g_strdup(row->table);
+	copy->part = g_strdup(row->part);
+	copy->key = g_strdup(row->key);
+	copy->value = g_strdup(row->value);
+	copy->version = row->version;
+	g_queue_push_tail(&st->history, copy);
+	if (st->history.length <= HISTORY_MAX)
+		return;
+	copy = g_queue_pop_head(&st->history);
+	st->forgotten = copy->version;
+	row_free(copy);
+}
+
 static void apply_entries(store_t *st, JsonNode *entries, bool is_deleted)
 {
 	for (size_t i = 0; i < bh_json_size(entries); i++) {
@@ -245,6 +285,7 @@
 		if (!is_deleted)
 			row->value = g_strdup(get_string(entry, "value"));
 		row->version = st->version;
+		keep_history(st, row);
 		g_tree_replace(st->rows,
 			       make_row_key(row->table, row->part, row->key),
 			       row);
@@ -390,15 +431,20 @@
 	uint64_t after = (uint64_t)standin_param_int(req, "after", 0);
 	int64_t wait = standin_param_int(req, "wait-ms", 0);
 	struct timeval tv = {wait / 1000, (wait % 1000) * 1000};
+	uint64_t version = after;
 	JsonArray *rows;
 	waiter_t *w;
 
 	if (apply_fault(st, req))
 		return;
 	st->n_reads++;
-	rows = collect_changes(st, table, after);
+	if (after < st->forgotten) {
+		standin_reply(req, 410, json_object_new());
+		return;
+	}
+	rows = collect_changes(st, table, after, &version);
 	if (json_array_get_length(rows) > 0) {
-		reply_rows(st, req, 200, rows, false);
+		reply_rows_at(req, 200, rows, false, version);
 		return;
 	}
 	json_array_unref(rows);
