A task that crashes its workers is given up

Cause: a run that is lost with its worker counted as nobody's fault. Only an end `failed` counts against max-attempts, and a crashed worker reports none. Class: an unbounded retry, since the evidence of the failure is lost with the process that it kills.

Agents report since when a worker is gone, so that ages do not depend on how late the leader learns of it. A task is given up, and its job ends as failed, from a suspicion that falls with the number of crashes, at two crashes the earliest. Suspects are placed apart from each other and on workers that have not crashed lately; other tasks avoid them. What outlives the age at its crash is cleared. Crashes and suspicion are stored with the progress of the task. Events `worker crashed`, `task given up`, counters boragehold_worker_crashes_total, boragehold_jobs_given_up_total.

It works because a task at fault is the only one that is common to all of its crashes, and placement makes that show: neighbours differ from crash to crash.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -233,6 +233,10 @@
 			 (double)st->copies);
 	bh_metrics_value(out, "boragehold_quarantines_total", NULL,
 			 (double)st->quarantines);
+	bh_metrics_value(out, "boragehold_worker_crashes_total", NULL,
+			 (double)st->crashes);
+	bh_metrics_value(out, "boragehold_jobs_given_up_total", NULL,
+			 (double)st->given_up);
 	bh_metrics_value(out, "boragehold_paces_total", NULL,
 			 (double)st->paces);
 	for (int end = BH_END_DONE; end <= BH_END_ALONE; end++) {
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -79,6 +79,8 @@
  * @lease_until: time by which the last lease that it set has certainly expired;
  *	0: unknown
  * @ack: ends up to this number have been acknowledged by the leader
+ * @gone_since: when the first of the last polls broke off, which shows that the
+ *	worker's process has ended; 0: the last poll was answered
  * @is_registered: its row exists, as far as this process knows
  * @is_idle: nothing can run on the worker: this process created the row, and
  *	has passed on no start order
@@ -105,6 +107,8 @@
 	uint64_t ack;
 	int refused_polls;
 	int64_t poll_timeout_ms;
+	bh_usec_t poll_sent_at;
+	bh_usec_t gone_since;
 	bool is_polling;
 	uint64_t poll_term;
 	bool is_down;
@@ -148,6 +152,13 @@
 	a->lease_until = a->clock_read_at + bh_lease_bound(length);
 }
 
+static uint32_t gone_ms(const bh_sched_agent_t *a)
+{
+	if (!a->gone_since)
+		return 0;
+	return (uint32_t)((bh_runtime_now() - a->gone_since) / BH_USEC_PER_MS);
+}
+
 static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
 {
 	bh_worker_info_t info = a->info;
@@ -163,6 +174,7 @@
 	/* A future leader learns only from the row that work may run here. */
 	else if (!a->is_registered && info.state == BH_WORKER_READY)
 		info.state = BH_WORKER_SILENT;
+	info.gone_ms = gone_ms(a);
 	if (!lists && a->lease_until)
 		info.lease_left_ms = lease_left_ms(a);
 	else if (!lists && a->is_idle)
@@ -179,6 +191,17 @@
 	event_add(a->poll_timer, &delay);
 }
 
+/* A poll that times out may be a lost call or a worker that hangs. */
+static void note_failed_poll(bh_sched_agent_t *a)
+{
+	bh_usec_t now = bh_runtime_now();
+	bh_usec_t timeout =
+		(POLL_WAIT_MS + a->poll_timeout_ms) * BH_USEC_PER_MS;
+
+	if (!a->gone_since && now - a->poll_sent_at < timeout)
+		a->gone_since = now;
+}
+
 static void note_refused_poll(bh_sched_agent_t *a)
 {
 	a->refused_polls++;
@@ -218,6 +241,7 @@
 	if (is_fenced)
 		bh_log_event(&a->rt->log, BH_LOG_WARN, "fenced", NULL);
 	if (!lists) {
+		note_failed_poll(a);
 		a->poll_timeout_ms =
 			MIN(a->poll_timeout_ms * TRY_TIMEOUT_FACTOR,
 			    TRY_TIMEOUT_MAX_MS);
@@ -239,6 +263,7 @@
 		return;
 	}
 	send_report(a, lists);
+	a->gone_since = 0;
 	/* While it lists ends the worker answers at once; a poll before they
 	 * are acknowledged would return the same ones. */
 	if (lists->n_ended)
@@ -262,6 +287,7 @@
 		return;
 	event_del(a->poll_timer);
 	a->is_polling = true;
+	a->poll_sent_at = bh_runtime_now();
 	a->poll_term = a->term;
 	bh_runner_lists(a->runner, &call, on_lists, a);
 }
--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -43,9 +43,9 @@
 		"$JOB_HOST"
 }
 
-# submit ENTRY ID TASKS: one step
+# submit ENTRY ID TASKS [SPEC]: one step
 submit() {
-	job_call POST "$1" "$2" "{\"spec\":\"demo\",\"steps\":[{\"count\":$3,
+	job_call POST "$1" "$2" "{\"spec\":\"${4:-demo}\",\"steps\":[{\"count\":$3,
 		\"cpu\":500,\"mem-mb\":100,\"estimate-ms\":700}]}" >/dev/null
 }
 
--- /dev/null
+++ b/sched/blame.h
@@ -0,0 +1,66 @@
+/*
+ * Which task is at fault when a worker crashes. Load pattern: among many tasks
+ * a few crash each worker on which they start, and take its other tasks with
+ * them; some workers crash by themselves.
+ *
+ * Each task that ran on the worker, and the worker itself, gets a share of the
+ * suspicion: by its suspicion so far, and by how likely a task at fault would
+ * have crashed the worker at the age that the run had. A task that outlives the
+ * age at which its last worker crashed is cleared.
+ */
+#ifndef BH_SCHED_BLAME_H
+#define BH_SCHED_BLAME_H
+
+#include "core/types.h"
+
+/* Suspicion below which a task is treated as any other. */
+#define BH_SUSPICION_MIN 0.05
+
+/* Suspicion from which a task is kept apart from others with as much, so that
+ * the next crash tells which of them is at fault. */
+#define BH_SUSPICION_APART 0.2
+
+/**
+ * struct bh_blame - what is known of a task or of a worker
+ * @crashes: crashes since it was last cleared
+ * @suspicion: probability that it is at fault
+ * @age: of a task, how long it had run when its last worker crashed
+ */
+typedef struct bh_blame {
+	uint32_t crashes;
+	double suspicion;
+	bh_usec_t age;
+} bh_blame_t;
+
+/**
+ * struct bh_suspect - a task that ran on a worker when it crashed
+ * @blame: updated
+ * @age: how long it had run
+ */
+typedef struct bh_suspect {
+	bh_blame_t *blame;
+	bh_usec_t age;
+} bh_suspect_t;
+
+/**
+ * bh_blame_crash() - share out the suspicion after a crash
+ * @worker: updated as well
+ * @others: mean suspicion of all workers, from 0 to 1: where many crash by
+ *	themselves, this one may too
+ */
+void bh_blame_crash(bh_blame_t *worker, double others,
+		    const bh_suspect_t *suspects, uint32_t n);
+
+/**
+ * bh_blame_is_cleared() - whether a task that has run this long is innocent of
+ * the crashes under it
+ */
+bool bh_blame_is_cleared(const bh_blame_t *task, bh_usec_t age);
+
+/**
+ * bh_blame_is_guilty() - whether to give up a task, which takes at least two
+ * crashes
+ */
+bool bh_blame_is_guilty(const bh_blame_t *task);
+
+#endif
--- /dev/null
+++ b/sched/crash.c
@@ -0,0 +1,152 @@
+/*
+ * Crashes of workers: who is suspected of them, see blame.h, and the end of the
+ * jobs with a task that is found guilty.
+ */
+#include "sched/sched_impl.h"
+
+/* A run may have been ordered this much after the crash as it seems here, since
+ * the report of the crash takes time. */
+#define REPORT_DELAY_US (20 * BH_USEC_PER_MS)
+
+/* A worker that has not crashed for this long is no longer suspected. */
+#define WORKER_CLEAR_US (15 * BH_USEC_PER_SEC)
+
+/* Crashes from which those of a task are stored whatever its suspicion. */
+#define STORE_CRASHES 2
+
+static bool is_stored(const bh_blame_t *blame)
+{
+	return blame->crashes >= STORE_CRASHES ||
+	       (blame->crashes && blame->suspicion >= BH_SUSPICION_MIN);
+}
+
+static void log_crash(bh_sched_t *s, const bh_host_t *host, const char *why,
+		      const GPtrArray *tasks, bh_usec_t now)
+{
+	const bh_task_t *worst = NULL;
+	char name[BH_TASK_NAME_BYTES] = "-";
+
+	for (guint i = 0; i < tasks->len; i++) {
+		const bh_task_t *task = g_ptr_array_index(tasks, i);
+
+		if (!worst || task->blame.suspicion > worst->blame.suspicion)
+			worst = task;
+	}
+	if (worst)
+		bh_task_full_name(worst, name);
+	bh_sched_log(s, "worker crashed", NULL,
+		     "host=%s worker=%s gone_ms=%" G_GINT64_FORMAT
+		     " runs=%u suspect=%s crashes=%u age_ms=%" G_GINT64_FORMAT
+		     " suspicion=%.2f worker_suspicion=%.2f why=%s",
+		     host->key, host->info.id ? host->info.id : "-",
+		     (now - host->crashed_at) / 1000, tasks->len, name,
+		     worst ? worst->blame.crashes : 0,
+		     worst ? worst->blame.age / 1000 : 0,
+		     worst ? worst->blame.suspicion : 0, host->blame.suspicion,
+		     why);
+}
+
+static double mean_suspicion(const bh_sched_t *s)
+{
+	const bh_host_t *host;
+	double sum = 0;
+
+	TAILQ_FOREACH(host, &s->hosts, link)
+		sum += host->blame.suspicion;
+	return sum / MAX(s->n_hosts, 1);
+}
+
+/* Return: the tasks that ran when the worker crashed. */
+static GPtrArray *share_blame(bh_sched_t *s, bh_host_t *host)
+{
+	GPtrArray *tasks = g_ptr_array_new();
+	g_autofree bh_suspect_t *suspects =
+		g_new0(bh_suspect_t, host->n_runs + 1);
+	const bh_run_t *run;
+
+	TAILQ_FOREACH(run, &host->runs, link) {
+		bh_usec_t age = host->crashed_at - run->ordered_at;
+
+		if (age < -REPORT_DELAY_US)
+			continue;
+		suspects[tasks->len].blame = &run->task->blame;
+		suspects[tasks->len].age = MAX(age, 0);
+		g_ptr_array_add(tasks, run->task);
+	}
+	bh_blame_crash(&host->blame, mean_suspicion(s), suspects, tasks->len);
+	for (guint i = 0; i < tasks->len; i++) {
+		const bh_task_t *task = g_ptr_array_index(tasks, i);
+
+		if (is_stored(&task->blame))
+			bh_rec_mark_dirty(s, task->phase->rec);
+	}
+	return tasks;
+}
+
+static void end_if_guilty(bh_sched_t *s, const bh_task_t *task, bh_usec_t now)
+{
+	bh_rec_t *rec = task->phase->rec;
+	char name[BH_TASK_NAME_BYTES];
+
+	if (bh_rec_is_over(rec) || task->is_done ||
+	    !bh_blame_is_guilty(&task->blame))
+		return;
+	bh_task_full_name(task, name);
+	s->stats.given_up++;
+	bh_sched_log(
+		s, "task given up", rec->job->id,
+		"task=%s crashes=%u suspicion=%.2f age_ms=%" G_GINT64_FORMAT
+		" why=it crashes its workers",
+		name + BH_JOB_ID_LEN + 1, task->blame.crashes,
+		task->blame.suspicion, task->blame.age / 1000);
+	bh_rec_end(s, rec, BH_JOB_FAILED, now);
+}
+
+void bh_host_crashed(bh_sched_t *s, bh_host_t *host, const char *why,
+		     bh_usec_t crashed_at, bh_usec_t now)
+{
+	g_autoptr(GPtrArray) tasks = NULL;
+
+	s->stats.crashes++;
+	host->crashed_at = crashed_at;
+	tasks = share_blame(s, host);
+	log_crash(s, host, why, tasks, now);
+	bh_host_lose_runs(s, host, why, now);
+	for (guint i = 0; i < tasks->len; i++)
+		end_if_guilty(s, g_ptr_array_index(tasks, i), now);
+}
+
+void bh_crash_clear(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+{
+	const bh_run_t *run;
+
+	if (host->blame.crashes && now - host->crashed_at > WORKER_CLEAR_US)
+		host->blame = (bh_blame_t){0};
+	TAILQ_FOREACH(run, &host->runs, link) {
+		bh_task_t *task = run->task;
+
+		if (!task->blame.crashes || !run->seen_at ||
+		    run->reports_missed ||
+		    !bh_blame_is_cleared(&task->blame,
+					 host->heard_at - run->ordered_at))
+			continue;
+		if (is_stored(&task->blame))
+			bh_rec_mark_dirty(s, task->phase->rec);
+		task->blame = (bh_blame_t){0};
+	}
+}
+
+bool bh_task_is_suspect(const bh_task_t *task)
+{
+	return task->blame.crashes && task->blame.suspicion >= BH_SUSPICION_MIN;
+}
+
+void bh_host_update_suspicion(bh_host_t *host)
+{
+	const bh_run_t *run;
+
+	host->suspicion = 0;
+	TAILQ_FOREACH(run, &host->runs, link)
+		host->suspicion =
+			MAX(host->suspicion, run->task->blame.suspicion);
+}
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -378,10 +378,25 @@
 	host->lease_ends_at = now + lease_bound(s);
 }
 
-static void reset_boot(bh_sched_t *s, bh_host_t *host, const char *why,
+/* Whether the leader knew what ran on a worker that has ended, and the end was
+ * not planned. */
+static bool has_crashed(const bh_host_t *host)
+{
+	return host->is_synced && host->info.boot &&
+	       host->info.state != BH_WORKER_DRAINING &&
+	       host->info.state != BH_WORKER_DOWN;
+}
+
+/* @info: of the report that shows that the worker's process has ended */
+static void reset_boot(bh_sched_t *s, bh_host_t *host,
+		       const bh_worker_info_t *info, const char *why,
 		       bh_usec_t now)
 {
-	bh_host_lose_runs(s, host, why, now);
+	if (has_crashed(host))
+		bh_host_crashed(s, host, why,
+				now - info->gone_ms * BH_USEC_PER_MS, now);
+	else
+		bh_host_lose_runs(s, host, why, now);
 	clear_acks(host);
 	host->last_ended = 0;
 	host->acked = 0;
@@ -551,13 +566,13 @@
 	if (lists)
 		host->heard_at = now;
 	if (info->boot && host->info.boot && info->boot != host->info.boot)
-		reset_boot(s, host, "worker restarted", now);
+		reset_boot(s, host, info, "worker restarted", now);
+	else if (info->state == BH_WORKER_DOWN &&
+		 (before != BH_WORKER_DOWN || !host->is_synced))
+		reset_boot(s, host, info, "worker is down", now);
 	copy_info(host, info);
-	if (info->state == BH_WORKER_DOWN) {
-		if (before != BH_WORKER_DOWN || !host->is_synced)
-			reset_boot(s, host, "worker is down", now);
+	if (info->state == BH_WORKER_DOWN)
 		return;
-	}
 	if (before != info->state)
 		bh_sched_log(s, "worker state", NULL,
 			     "host=%s worker=%s state=%s leaves_ms=%u", key,
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -130,6 +130,7 @@
 		task->failed =
 			g_memdup2(t->failed, t->n_failed * sizeof(uint32_t));
 		task->checkpoint = g_strdup(t->checkpoint);
+		task->blame = t->blame;
 	}
 	if (phase_is_done(phase))
 		phase->rec->phases_done++;
--- a/sched/place.c
+++ b/sched/place.c
@@ -16,6 +16,9 @@
 #define WEIGHT_LAST_FAILED  4.0
 #define WEIGHT_SPARE	    3.0
 #define WEIGHT_MIXED_IMAGES 0.3
+#define WEIGHT_ENDANGERED   0.1
+#define WEIGHT_CRASHED	    3.0
+#define WEIGHT_SUSPICION    1.5
 
 /* A deficit of spare headroom above this is scored no worse. */
 #define SPARE_DEFICIT_MAX 3.0
@@ -53,6 +56,10 @@
 /* A long-running task that has waited this long may use a quarantined host. */
 #define QUARANTINED_HOST_AFTER_US (2000 * BH_USEC_PER_MS)
 
+/* Longest time for which a suspect waits for a host on which the next crash
+ * tells whether it is at fault. */
+#define SUSPECT_WAIT_US (1500 * BH_USEC_PER_MS)
+
 /* Least time between two log lines on why tasks of a phase wait. */
 #define EXPLAIN_EVERY_US (2000 * BH_USEC_PER_MS)
 
@@ -164,6 +171,23 @@
 	return true;
 }
 
+/* On a host with another suspect, or one that crashes by itself, a further
+ * crash tells nothing. */
+static bool tells_fault(const bh_sched_t *s, const bh_host_t *host)
+{
+	return host->suspicion < BH_SUSPICION_APART &&
+	       (!host->blame.crashes || !s->has_steady_host);
+}
+
+static bool must_wait_as_suspect(const bh_sched_t *s, const bh_task_t *task,
+				 const bh_host_t *host, bh_usec_t now)
+{
+	return task->blame.suspicion >= BH_SUSPICION_APART &&
+	       !task->phase->step->is_gang &&
+	       now - task->waiting_since < SUSPECT_WAIT_US &&
+	       !tells_fault(s, host);
+}
+
 /* @spare: set to the headroom above the goal that a filler would leave, 0 for
  * other tasks */
 static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
@@ -173,7 +197,8 @@
 
 	*spare = 0;
 	if (!bh_host_is_suitable(task, host, now) ||
-	    !has_free_resources(host, step) || !bh_reserve_allows(host, step))
+	    !has_free_resources(host, step) || !bh_reserve_allows(host, step) ||
+	    must_wait_as_suspect(s, task, host, now))
 		return false;
 	if (!step->is_filler)
 		return true;
@@ -221,6 +246,15 @@
 	return used + fillers / 2;
 }
 
+/* A suspect endangers the tasks beside it; on a host that has not crashed
+ * lately it shows whether it is at fault. */
+static double suspect_score(const bh_task_t *task, const bh_host_t *host)
+{
+	double value = WEIGHT_ENDANGERED * task->blame.suspicion * host->n_runs;
+
+	return host->blame.crashes ? value + WEIGHT_CRASHED : value;
+}
+
 static double score(const bh_task_t *task, const bh_host_t *host, double spare)
 {
 	const bh_step_t *step = task->phase->step;
@@ -234,6 +268,9 @@
 		value += WEIGHT_SLOW * (1 / MAX(host->speed, 0.1) - 1);
 	if (host->info.cold_ms)
 		value += WEIGHT_SLOW;
+	value += WEIGHT_SUSPICION * host->suspicion;
+	if (bh_task_is_suspect(task))
+		value += suspect_score(task, host);
 	return value;
 }
 
@@ -515,6 +552,18 @@
 	return true;
 }
 
+static void update_suspicion(bh_sched_t *s, bh_usec_t now)
+{
+	bh_host_t *host;
+
+	s->has_steady_host = false;
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		bh_host_update_suspicion(host);
+		if (!host->blame.crashes && bh_host_is_usable(host, now))
+			s->has_steady_host = true;
+	}
+}
+
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
 {
 	GPtrArray *phases = g_ptr_array_new();
@@ -524,6 +573,7 @@
 
 	bh_reserve_clear(s);
 	s->n_reservations = 0;
+	update_suspicion(s, now);
 	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
 		if (phase->waiting == 0) {
 			TAILQ_REMOVE(&s->open, phase, link);
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -44,6 +44,7 @@
 		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
 	host_charge(host, task->phase->step, 1);
+	host->suspicion = MAX(host->suspicion, task->blame.suspicion);
 	return run;
 }
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -25,7 +25,8 @@
 
 static bool has_progress(const bh_task_t *task)
 {
-	return !task->is_done && (task->n_failed || task->checkpoint);
+	return !task->is_done &&
+	       (task->n_failed || task->checkpoint || task->blame.crashes);
 }
 
 static void save_phase(const bh_phase_t *phase, bh_step_progress_t *out)
@@ -51,6 +52,7 @@
 		saved->failed = g_memdup2(task->failed,
 					  task->n_failed * sizeof(uint32_t));
 		saved->checkpoint = g_strdup(task->checkpoint);
+		saved->blame = task->blame;
 	}
 }
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -8,6 +8,7 @@
 #define BH_SCHED_SCHED_H
 
 #include "core/hist.h"
+#include "sched/blame.h"
 #include "sched/job.h"
 #include "sched/queues.h"
 #include "sched/worker.h"
@@ -93,18 +94,21 @@
 /**
  * struct bh_task_progress - stored progress of a task that is not done
  * @failed: numbers of the attempts that failed
+ * @blame: crashes of its workers
  */
 typedef struct bh_task_progress {
 	uint32_t index;
 	uint32_t n_failed;
 	uint32_t *failed;
 	char *checkpoint;
+	bh_blame_t blame;
 } bh_task_progress_t;
 
 /**
  * struct bh_step_progress - stored progress of a step of an occurrence
  * @done: bitmap of the tasks that are done
- * @tasks: those tasks that are not done and have failed or have a checkpoint
+ * @tasks: those tasks that are not done and have failed, have a checkpoint or
+ *	are suspected of crashing their workers
  */
 typedef struct bh_step_progress {
 	uint32_t occurrence;
@@ -310,6 +314,8 @@
  * @stops: attempts that were ordered to stop, orphans excluded
  * @copies: speculative copies started
  * @quarantines: times that a host was quarantined
+ * @crashes: crashes of workers on which tasks ran
+ * @given_up: jobs given up because of a task that crashes its workers
  * @paces: orders that changed a task's pace
  * @jobs: jobs that ended, by enum bh_job_state
  * @hosts_ready: hosts whose agent is connected and whose worker is ready
@@ -322,6 +328,8 @@
 	uint64_t stops;
 	uint64_t copies;
 	uint64_t quarantines;
+	uint64_t crashes;
+	uint64_t given_up;
 	uint64_t paces;
 	uint64_t jobs[BH_JOB_CANCELLED + 1];
 	uint32_t hosts_ready;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -92,6 +92,7 @@
  *	its first task
  * @is_waiting: counted in the phase's @waiting
  * @checkpoint: where the next attempt resumes, or NULL
+ * @blame: crashes of its workers
  * @avoided_host: host of its last failure, stall or refused start; others are
  *	preferred
  * @runs: its attempts that may be running; unused entries are NULL
@@ -105,6 +106,7 @@
 	bool is_done;
 	bool is_waiting;
 	char *checkpoint;
+	bh_blame_t blame;
 	const bh_host_t *avoided_host;
 	bh_usec_t waiting_since;
 	bh_run_t *runs[BH_RUNS_MAX];
@@ -262,6 +264,9 @@
  * @quarantined_until: no new tasks are placed there before
  * @is_probing: no task has succeeded since it was quarantined; it gets one task
  *	at a time
+ * @blame: its crashes
+ * @crashed_at: when it last crashed
+ * @suspicion: highest one of the tasks that run there
  * @full_until: no new tasks are placed there before, as it refused one for lack
  *	of resources
  * @last_ended: highest number of an end that was handled
@@ -300,6 +305,9 @@
 	uint32_t quarantines;
 	bh_usec_t quarantined_until;
 	bool is_probing;
+	bh_blame_t blame;
+	bh_usec_t crashed_at;
+	double suspicion;
 	bh_usec_t full_until;
 	uint64_t last_ended;
 	uint64_t acked;
@@ -317,6 +325,7 @@
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile
+ * @has_steady_host: some usable host has not crashed lately
  * @must_place: a placement may have become possible since the last pass
  * @checked_at: when hosts and runs were last checked for timeouts
  */
@@ -336,6 +345,7 @@
 	uint64_t change;
 	bool is_recovering;
 	bool must_place;
+	bool has_steady_host;
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
@@ -445,6 +455,32 @@
 void bh_host_release_acks(bh_sched_t *s, bh_host_t *host);
 void bh_host_send_grant(bh_sched_t *s, bh_host_t *host);
 
+/* crash.c */
+
+/**
+ * bh_host_crashed() - a worker has crashed: drop its runs, share out the
+ * suspicion, and end the jobs with a task that is found guilty
+ * @crashed_at: time of the crash
+ */
+void bh_host_crashed(bh_sched_t *s, bh_host_t *host, const char *why,
+		     bh_usec_t crashed_at, bh_usec_t now);
+
+/**
+ * bh_crash_clear() - clear the tasks and the worker of a host that have
+ * outlived their suspicion
+ */
+void bh_crash_clear(bh_sched_t *s, bh_host_t *host, bh_usec_t now);
+
+/**
+ * bh_task_is_suspect() - whether a task may be crashing its workers
+ */
+bool bh_task_is_suspect(const bh_task_t *task);
+
+/**
+ * bh_host_update_suspicion() - recompute @suspicion of a host
+ */
+void bh_host_update_suspicion(bh_host_t *host);
+
 /* health.c */
 
 /**
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -86,6 +86,8 @@
  * @boot: unix time of its start in ms; 0: not known
  * @leaves_ms: of a draining worker, the least time until it exits
  * @cold_ms: remaining time for which it is slow after its start
+ * @gone_ms: of a worker that is down or has restarted, the time since its agent
+ *	found it gone; 0: the agent does not know
  * @lease_left_ms: of a worker that does not answer its agent, the time after
  *	which none of its earlier tasks run any more; 0: the agent does not know
  */
@@ -103,6 +105,7 @@
 	uint32_t leaves_ms;
 	uint32_t cold_ms;
 	uint32_t lease_left_ms;
+	uint32_t gone_ms;
 } bh_worker_info_t;
 
 /**
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -10,16 +10,25 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define TICK_INTERVAL_MS     20
 #define ANNOUNCE_INTERVAL_MS 300
 #define CLOCK_START_MS	     1000
 
+/* The first task of each step of a job with this spec crashes its workers, this
+ * long after its start. */
+#define CRASHING_SPEC	  "crashes-worker"
+#define CRASHING_SUFFIX	  ".0"
+#define CRASH_AFTER_MS	  20
+#define CRASH_EXIT_STATUS 3
+
 typedef struct task {
 	char *name;
 	int64_t attempt;
 	int64_t started_at_us;
 	int64_t duration_ms;
+	bool is_crashing;
 } task_t;
 
 typedef struct jobhost {
@@ -140,6 +149,12 @@
 	return true;
 }
 
+static bool is_crashing(const char *name, const char *spec)
+{
+	return g_strcmp0(spec, CRASHING_SPEC) == 0 &&
+	       g_str_has_suffix(name, CRASHING_SUFFIX);
+}
+
 static void on_start(struct evhttp_request *req, void *ctx)
 {
 	jobhost_t *h = ctx;
@@ -167,6 +182,8 @@
 		t->attempt = attempt;
 		t->started_at_us = standin_now_us();
 		t->duration_ms = h->task_ms;
+		t->is_crashing = is_crashing(
+			name, bh_json_text(bh_json_get(body, "spec")));
 		g_ptr_array_add(h->tasks, t);
 		log_event(h, "start", name, attempt);
 		reply(h, req, 200, json_object_new());
@@ -251,6 +268,19 @@
 	bh_json_free(body);
 }
 
+static void crash_by_task(jobhost_t *h, int64_t now)
+{
+	for (guint i = 0; i < h->tasks->len; i++) {
+		const task_t *t = h->tasks->pdata[i];
+
+		if (!t->is_crashing ||
+		    (now - t->started_at_us) / 1000 < CRASH_AFTER_MS)
+			continue;
+		log_event(h, "crash", t->name, t->attempt);
+		_exit(CRASH_EXIT_STATUS);
+	}
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	jobhost_t *h = arg;
@@ -258,6 +288,7 @@
 
 	(void)fd;
 	(void)what;
+	crash_by_task(h, now);
 	/* An end that was not acknowledged before the lease lapsed no
 	 * longer counts; the line tells the checks in soak/ when that was. */
 	if (!h->is_lease_lapsed && clock_ms(h) >= h->lease_expires_ms)
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -10,9 +10,17 @@
 #define LEASE_MS	     5000
 #define PREDECESSOR_GRANT_MS 3000
 #define STOP_DELAY_US	     (100 * BH_USEC_PER_MS)
-#define QUEUE		     "q"
-#define FILLER_QUEUE	     "f"
-#define SERVICE		     "s"
+
+/* A worker that a task has crashed restarts after this time. */
+#define CRASH_US (3000 * BH_USEC_PER_MS)
+
+/* A task that crashes its workers may be started fewer than STARTS_ALLOWED
+ * times more after this many crashes. */
+#define CRASHES_ALLOWED 3
+#define STARTS_ALLOWED	3
+#define QUEUE		"q"
+#define FILLER_QUEUE	"f"
+#define SERVICE		"s"
 
 const char *const sw_fault_names[SW_FAULTS] = {
 	"none",		 "leader-kill",	       "leader-partitioned",
@@ -29,6 +37,7 @@
 	double done_ms;
 	double need_ms;
 	bool will_fail;
+	bh_usec_t crash_at;
 	bh_usec_t stop_at;
 	uint32_t pace;
 } sw_run_rec_t;
@@ -62,6 +71,7 @@
 	uint64_t grant_ms;
 	uint64_t ack;
 	bool is_linked;
+	bh_usec_t gone_since;
 	bh_usec_t reported_at;
 	/* The report that is being sent to the leader. */
 	bool has_report;
@@ -97,12 +107,16 @@
  * struct sw_history - the workers' record of a task
  * @running: attempts that are running
  * @failed: failed attempts that were acknowledged
+ * @crashes: workers that it has crashed
+ * @starts_after_crashes: starts after CRASHES_ALLOWED of these
  * @is_done_acked: a successful end was acknowledged
  * @rerun_attempt: attempt that started after the task was done; 0: none
  */
 typedef struct sw_history {
 	uint32_t running;
 	uint32_t failed;
+	uint32_t crashes;
+	uint32_t starts_after_crashes;
 	bool is_done_acked;
 	uint32_t rerun_attempt;
 	bool is_done;
@@ -117,6 +131,8 @@
 	GHashTable *progress;
 	GHashTable *histories;
 	GHashTable *poison;
+	GHashTable *deadly;
+	uint32_t crashes;
 	GPtrArray *messages;
 	bh_config_t *config;
 	bh_sched_t *sched;
@@ -272,6 +288,9 @@
 	job = job_of(w, parts.job);
 	if (history->running && !step->is_speculative)
 		report_violation(w, "TWICE", name);
+	if (history->crashes >= CRASHES_ALLOWED &&
+	    ++history->starts_after_crashes >= STARTS_ALLOWED)
+		report_violation(w, "BUDGET, crashes its workers", name);
 	if (history->is_done_acked && !step->is_speculative)
 		report_violation(
 			w, "TWICE, started after its end was acknowledged",
@@ -320,6 +339,10 @@
 			g_ascii_strtod(strrchr(m->checkpoint, '@') + 1, NULL);
 	run->will_fail = has_fault(w, k, SW_WORKER_FAILS_ALL) ||
 			 g_hash_table_contains(w->poison, parts.job);
+	if (g_hash_table_contains(w->deadly, m->name))
+		run->crash_at = w->now + GPOINTER_TO_INT(g_hash_table_lookup(
+						 w->deadly, m->name)) *
+						 BH_USEC_PER_MS;
 	history_of(w, m->name)->running++;
 	g_ptr_array_add(k->runs, run);
 	bh_job_free(job);
@@ -378,8 +401,23 @@
 	return BH_ORDER_OK;
 }
 
+static void crash_by_task(sw_world_t *w, sw_worker_t *k)
+{
+	for (guint i = 0; i < k->runs->len; i++) {
+		sw_run_rec_t *run = k->runs->pdata[i];
+
+		if (!run->crash_at || w->now < run->crash_at)
+			continue;
+		w->crashes++;
+		history_of(w, run->name)->crashes++;
+		k->fault_until[SW_WORKER_CRASH] = w->now + CRASH_US;
+		return;
+	}
+}
+
 static void worker_step(sw_world_t *w, sw_worker_t *k)
 {
+	crash_by_task(w, k);
 	if (clock_of(w, k) >= k->expires_ms)
 		k->lapsed_number = k->last_number;
 	for (guint i = 0; i < k->runs->len;) {
@@ -614,6 +652,11 @@
 	}
 }
 
+static uint32_t gone_ms(const sw_world_t *w, const sw_worker_t *k)
+{
+	return k->gone_since ? (uint32_t)((w->now - k->gone_since) / 1000) : 0;
+}
+
 static void deliver_report(sw_world_t *w, sw_worker_t *k)
 {
 	bh_worker_info_t info = {.id = k->id,
@@ -630,6 +673,9 @@
 	if (!k->has_report)
 		return;
 	k->has_report = false;
+	info.gone_ms = gone_ms(w, k);
+	if (k->is_up && k->is_linked && w->is_leading)
+		k->gone_since = 0;
 	if (k->is_up && k->is_linked && w->is_leading)
 		bh_sched_report(w->sched, k->key, &info, &k->report, may_grant,
 				w->now);
@@ -656,6 +702,7 @@
 	bh_worker_lists_t lists = {.boot = k->boot, .clock_ms = clock_of(w, k)};
 
 	if (!k->is_up) {
+		info.gone_ms = gone_ms(w, k);
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
 		return;
 	}
@@ -793,8 +840,10 @@
 
 	k->is_unreachable = has_fault(w, k, SW_WORKER_UNREACHABLE);
 	k->is_up = !has_fault(w, k, SW_WORKER_CRASH);
-	if (was_up && !k->is_up)
+	if (was_up && !k->is_up) {
+		k->gone_since = w->now;
 		reboot(w, k);
+	}
 	if (!k->is_draining && has_fault(w, k, SW_WORKER_DRAINS))
 		k->is_draining = true;
 	if (k->is_draining && !has_fault(w, k, SW_WORKER_DRAINS))
@@ -866,6 +915,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->poison =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->deadly =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->messages = g_ptr_array_new_with_free_func(free_message);
 	w->config = bh_config_new(2, 1);
 	w->config->version = 1;
@@ -921,6 +972,7 @@
 	g_hash_table_destroy(w->progress);
 	g_hash_table_destroy(w->histories);
 	g_hash_table_destroy(w->poison);
+	g_hash_table_destroy(w->deadly);
 	bh_config_free(w->config);
 	g_rand_free(w->rand);
 	g_free(w->serving);
@@ -985,6 +1037,17 @@
 	g_hash_table_add(w->poison, g_strdup(id));
 }
 
+void sw_deadly(sw_world_t *w, const char *task, int after_ms)
+{
+	g_hash_table_insert(w->deadly, g_strdup(task),
+			    GINT_TO_POINTER(after_ms));
+}
+
+uint32_t sw_crashes(const sw_world_t *w)
+{
+	return w->crashes;
+}
+
 void sw_fault(sw_world_t *w, sw_fault_t fault, int worker, bh_usec_t for_us)
 {
 	bh_usec_t until = w->now + for_us;
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -90,6 +90,18 @@
  */
 void sw_poison(sw_world_t *w, const char *id);
 
+/**
+ * sw_deadly() - let a task crash each worker on which it starts
+ * @task: its full name
+ * @after_ms: time from its start to the crash
+ */
+void sw_deadly(sw_world_t *w, const char *task, int after_ms);
+
+/**
+ * sw_crashes() - number of workers that tasks have crashed
+ */
+uint32_t sw_crashes(const sw_world_t *w);
+
 /**
  * sw_fault() - inject a fault for a time
  * @worker: index of the worker concerned; ignored for faults that concern all
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -303,14 +303,6 @@
 	sw_free(w);
 }
 
-static void submit_mix(sw_world_t *w)
-{
-	sw_submit(w, JOB_A, 2, 6, 500, 1000, "");
-	sw_submit(w, JOB_B, 1, 6, 1000, 1500, "c");
-	sw_submit(w, JOB_C, 1, 4, 500, 800, "s");
-	sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
-}
-
 static void assert_ended(sw_world_t *w, const char *fault, int at_ms)
 {
 	assert_no_violation(w);
@@ -322,6 +314,127 @@
 			 sw_state(w, JOB_C), sw_running(w, JOB_L));
 }
 
+/* Job A has the task that crashes its workers. */
+static void assert_ended_beside(sw_world_t *w, int ms)
+{
+	assert_no_violation(w);
+	if (sw_state(w, JOB_A) != BH_JOB_FAILED ||
+	    sw_state(w, JOB_B) != BH_JOB_COMPLETED ||
+	    sw_state(w, JOB_C) != BH_JOB_COMPLETED || sw_running(w, JOB_L) != 5)
+		fail_msg("%d ms: a %s b %s c %s, %u of 5 serve, %u crashes", ms,
+			 bh_job_state_name(sw_state(w, JOB_A)),
+			 bh_job_state_name(sw_state(w, JOB_B)),
+			 bh_job_state_name(sw_state(w, JOB_C)),
+			 sw_running(w, JOB_L), sw_crashes(w));
+}
+
+/* A task that crashes each worker on which it starts was started without end.
+ * It is given up; the tasks beside it end, also those that started with it. */
+static void test_task_that_crashes_workers_is_given_up(void **state)
+{
+	static const int after_ms[] = {0, 20, 300, 1500, 3000};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(after_ms); i++) {
+		sw_world_t *w = sw_new(31, SW_ALL_ON);
+
+		sw_deadly(w, JOB_A ".0.0.2", after_ms[i]);
+		sw_submit(w, JOB_B, 2, 12, 500, 1000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_advance(w, MS(400));
+		sw_submit(w, JOB_A, 1, 6, 500, 4000, "");
+		sw_submit(w, JOB_C, 1, 6, 500, 1000, "");
+		sw_advance(w, MS(60000));
+		assert_ended_beside(w, after_ms[i]);
+		sw_free(w);
+	}
+}
+
+/* The leader is killed while a task crashes worker after worker. The next one
+ * began to count again. */
+static void test_crashes_are_known_to_the_next_leader(void **state)
+{
+	(void)state;
+	for (int at = 100; at < 3000; at += 100) {
+		sw_world_t *w = sw_new((uint32_t)at, SW_ALL_ON);
+
+		sw_deadly(w, JOB_A ".0.0.0", 20);
+		sw_submit(w, JOB_A, 1, 4, 500, 1000, "");
+		sw_submit(w, JOB_B, 1, 12, 500, 1000, "");
+		sw_submit(w, JOB_C, 1, 4, 500, 1000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_advance(w, MS(at));
+		sw_fault(w, SW_LEADER_KILL, 0, MS(100));
+		sw_advance(w, MS(60000));
+		assert_ended_beside(w, at);
+		sw_free(w);
+	}
+}
+
+/* Each tenth job has a task that crashes its workers, so that others lose
+ * several workers in a row without fault of their own. */
+static void test_neighbours_of_a_task_that_crashes_workers_end(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 40; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		for (int i = 0; i < 30; i++) {
+			g_autofree char *id =
+				g_strdup_printf("0000000000000a%02d", i);
+			g_autofree char *task =
+				g_strdup_printf("%s.0.0.%d", id, i % 4);
+
+			if (i % 10 == 3)
+				sw_deadly(w, task, 20);
+			sw_submit(w, id, 1, 4, 500, 1000, "");
+			sw_advance(w, MS(300 + 37 * (seed % 7)));
+		}
+		sw_advance(w, MS(40000));
+		assert_no_violation(w);
+		for (int i = 0; i < 30; i++) {
+			g_autofree char *id =
+				g_strdup_printf("0000000000000a%02d", i);
+
+			if (sw_state(w, id) !=
+			    (i % 10 == 3 ? BH_JOB_FAILED : BH_JOB_COMPLETED))
+				fail_msg("seed %u: job %d is %s", seed, i,
+					 bh_job_state_name(sw_state(w, id)));
+		}
+		sw_free(w);
+	}
+}
+
+/* Workers that crash by themselves, again and again, are no task's fault. */
+static void test_tasks_on_workers_that_crash_are_not_given_up(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_submit(w, JOB_A, 1, 12, 500, 1000, "");
+		sw_submit(w, JOB_B, 1, 12, 500, 4000, "c");
+		sw_submit(w, JOB_C, 1, 12, 500, 500, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		for (uint32_t i = 0; i < 16; i++) {
+			sw_fault(w, SW_WORKER_CRASH, (int)(i + seed) % 3,
+				 MS(600));
+			sw_advance(w, MS(500 + 31 * (seed % 9)));
+		}
+		sw_advance(w, MS(40000));
+		assert_ended(w, "crashing workers", (int)seed);
+		sw_free(w);
+	}
+}
+
+static void submit_mix(sw_world_t *w)
+{
+	sw_submit(w, JOB_A, 2, 6, 500, 1000, "");
+	sw_submit(w, JOB_B, 1, 6, 1000, 1500, "c");
+	sw_submit(w, JOB_C, 1, 4, 500, 800, "s");
+	sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+}
+
 static void test_fault_matrix(void **state)
 {
 	(void)state;
@@ -430,6 +543,12 @@
 		cmocka_unit_test(test_interfering_fillers_are_slowed),
 		cmocka_unit_test(test_no_filler_on_host_over_objective),
 		cmocka_unit_test(test_harmless_fillers_run_at_full_pace),
+		cmocka_unit_test(test_task_that_crashes_workers_is_given_up),
+		cmocka_unit_test(test_crashes_are_known_to_the_next_leader),
+		cmocka_unit_test(
+			test_neighbours_of_a_task_that_crashes_workers_end),
+		cmocka_unit_test(
+			test_tasks_on_workers_that_crash_are_not_given_up),
 		cmocka_unit_test(test_fault_matrix),
 		cmocka_unit_test(test_random_faults),
 		cmocka_unit_test(test_disabled_mechanisms_are_detected),
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -64,7 +64,10 @@
 	bh_task_progress_t task = {.index = 1,
 				   .n_failed = 2,
 				   .failed = failed,
-				   .checkpoint = (char *)"cp"};
+				   .checkpoint = (char *)"cp",
+				   .blame = {.crashes = 2,
+					     .suspicion = 0.25,
+					     .age = 30 * BH_USEC_PER_MS}};
 	bh_step_progress_t step = {.step = 1,
 				   .n_done_bytes = 1,
 				   .done = done,
@@ -83,6 +86,9 @@
 	assert_int_equal(back->steps[0].done[0], 0x05);
 	assert_int_equal(back->steps[0].tasks[0].failed[1], 4097);
 	assert_string_equal(back->steps[0].tasks[0].checkpoint, "cp");
+	assert_int_equal(back->steps[0].tasks[0].blame.crashes, 2);
+	assert_true(back->steps[0].tasks[0].blame.suspicion == 0.25);
+	assert_int_equal(back->steps[0].tasks[0].blame.age, MS(30));
 	bh_progress_free(back);
 	g_bytes_unref(bytes);
 	assert_null(bh_progress_unpack("\xff\xff\xff", 3));
@@ -94,6 +100,7 @@
 				 .boot = 7,
 				 .state = BH_WORKER_READY,
 				 .cpu_milli = 16000,
+				 .gone_ms = 250,
 				 .n_labels = 1,
 				 .labels = {(char *)"r1-1"}};
 	bh_active_t active = {.task = (char *)"t", .attempt = 2, .gauge = 30};
@@ -118,6 +125,7 @@
 	bh_report_decode(frame->report, &back);
 	assert_string_equal(back.info.id, "w");
 	assert_string_equal(back.info.labels[0], "r1-1");
+	assert_int_equal(back.info.gone_ms, 250);
 	assert_int_equal(back.lists.clock_ms, 1234);
 	assert_int_equal(back.lists.active[0].gauge, 30);
 	assert_int_equal(back.lists.ended[0].how, BH_END_LAPSED);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1758,7 +1758,7 @@
   (ProtobufCMessageInit) bh__sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[6] =
 {
   {
     "index",
@@ -1796,16 +1796,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__TaskNote, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspicion_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__TaskNote, suspicion_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__TaskNote, crash_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__task_note__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
+  5,   /* field[5] = crash_age_ms */
+  3,   /* field[3] = crashes */
   1,   /* field[1] = failed */
   0,   /* field[0] = index */
+  4,   /* field[4] = suspicion_permille */
 };
 static const ProtobufCIntRange bh__sched__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bh__sched__task_note__descriptor =
 {
@@ -1815,7 +1854,7 @@
   "Bh__Sched__TaskNote",
   "bh.sched",
   sizeof(Bh__Sched__TaskNote),
-  3,
+  6,
   bh__sched__task_note__field_descriptors,
   bh__sched__task_note__field_indices_by_name,
   1,  bh__sched__task_note__number_ranges,
@@ -2373,7 +2412,7 @@
   (ProtobufCMessageInit) bh__sched__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[18] =
 {
   {
     "worker",
@@ -2579,6 +2618,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gone_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Report, gone_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__report__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -2588,6 +2639,7 @@
   15,   /* field[15] = cold_ms */
   5,   /* field[5] = cpu_milli */
   13,   /* field[13] = ended */
+  17,   /* field[17] = gone_ms */
   11,   /* field[11] = has_lists */
   8,   /* field[8] = labels */
   16,   /* field[16] = lease_left_ms */
@@ -2602,7 +2654,7 @@
 static const ProtobufCIntRange bh__sched__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor bh__sched__report__descriptor =
 {
@@ -2612,7 +2664,7 @@
   "Bh__Sched__Report",
   "bh.sched",
   sizeof(Bh__Sched__Report),
-  17,
+  18,
   bh__sched__report__field_descriptors,
   bh__sched__report__field_indices_by_name,
   1,  bh__sched__report__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -110,10 +110,17 @@
   size_t n_failed;
   uint32_t *failed;
   char *checkpoint;
+  /*
+   * Crashes of its workers, the probability in thousandths that it is at fault,
+   * and how long it had run at the last one.
+   */
+  uint32_t crashes;
+  uint32_t suspicion_permille;
+  uint32_t crash_age_ms;
 };
 #define BH__SCHED__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__task_note__descriptor) \
-    , 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Bh__Sched__StepNote
@@ -263,10 +270,15 @@
    * 0 when the agent does not know it.
    */
   uint32_t lease_left_ms;
+  /*
+   * With a worker that is down, or has restarted since the last report: time
+   * since it was found to be gone.
+   */
+  uint32_t gone_ms;
 };
 #define BH__SCHED__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -131,6 +131,11 @@
 		t->n_failed = note->tasks[i].n_failed;
 		t->failed = note->tasks[i].failed;
 		t->checkpoint = text_or_empty(note->tasks[i].checkpoint);
+		t->crashes = note->tasks[i].blame.crashes;
+		t->suspicion_permille =
+			(uint32_t)(note->tasks[i].blame.suspicion * 1000);
+		t->crash_age_ms =
+			(uint32_t)(note->tasks[i].blame.age / BH_USEC_PER_MS);
 		out->tasks[i] = t;
 	}
 	return out;
@@ -161,6 +166,11 @@
 				  from->tasks[i]->n_failed * sizeof(uint32_t));
 		out->tasks[i].checkpoint =
 			text_from_wire(from->tasks[i]->checkpoint);
+		out->tasks[i].blame.crashes = from->tasks[i]->crashes;
+		out->tasks[i].blame.suspicion =
+			from->tasks[i]->suspicion_permille / 1000.0;
+		out->tasks[i].blame.age =
+			from->tasks[i]->crash_age_ms * BH_USEC_PER_MS;
 	}
 }
 
@@ -179,6 +189,7 @@
 	out->leaves_ms = info->leaves_ms;
 	out->cold_ms = info->cold_ms;
 	out->lease_left_ms = info->lease_left_ms;
+	out->gone_ms = info->gone_ms;
 }
 
 static void lists_to_wire(const bh_worker_lists_t *lists,
@@ -432,6 +443,7 @@
 	info->leaves_ms = from->leaves_ms;
 	info->cold_ms = from->cold_ms;
 	info->lease_left_ms = from->lease_left_ms;
+	info->gone_ms = from->gone_ms;
 	out->term = from->term;
 	out->has_lists = from->has_lists;
 	out->lists.clock_ms = from->clock_ms;
