A new leader hears at once of a worker that is down

Cause: an agent reports once that its worker is down, to the leader of that time. A later leader hears nothing until the worker is back or a lease has run out, and places nothing meanwhile, as tasks might still run there. Class: a state that is told when it changes, and not to those who come later. Looked for elsewhere: an idle worker is told to each new leader, and so are lists, with the first poll.

Change: the agent answers a new leader's hello with the state of a worker that is down.

Test: tests/jobs worker_down_holds_up_next_leader; on the code before: "running after 3.5 s" for a job of 0.7 s on two other workers.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -494,7 +494,7 @@
 	}
 	bh_log_event(&a->rt->log, BH_LOG_INFO, "leader", "name", hello->leader,
 		     "term", term, NULL);
-	if (a->is_idle)
+	if (a->is_idle || a->is_down)
 		send_report(a, NULL);
 	poll_worker(a);
 }
