Suspects of a crash are spread until it is clear which one is at fault

Callers saw: tasks beside one that crashes its workers lost four workers in a row with it, while other workers were free of suspects.

Cause: of the tasks on a crashed worker all have a small suspicion. Only one of 0.2 or more kept them apart, and otherwise a weight below that of the load, so that those that had crashed together were placed together again. The time for which a suspect waits counted from the crash: after a change of leader, or with no host free, it was over before there was a choice. A recently crashed worker was avoided by suspects even if a task was at fault for that.

Change: suspects go by the sum of suspicion on a host, the worker's own included, before the load; a host takes suspects up to half of the suspicion, so that each crash clears half of it at least. They are held for 1.5 s from when a host without this rule would have taken them. A run that was neither answered nor listed is suspected less, as it may not have started. `no host` counts the hosts with suspects.

--- a/sched/blame.c
+++ b/sched/blame.c
@@ -11,6 +11,10 @@
 #define AGE_ERROR_S 0.05
 #define AGE_SPREAD  0.1
 
+/* Probability that an order had started its task on a worker that crashed
+ * before it answered. */
+#define UNCONFIRMED_STARTED 0.3
+
 /* A worker that crashes by itself does so at any time: as likely as a task of
  * which nothing is known at this age, in seconds. */
 #define WORKER_AGE_S 1.0
@@ -39,11 +43,12 @@
 	double spread = AGE_ERROR_S + AGE_SPREAD * last;
 	double any_age = 1 / (age + AGE_ERROR_S);
 	double same_age = exp(-fabs(age - last) / spread) / (2 * spread);
+	double started = suspect->is_confirmed ? 1 : UNCONFIRMED_STARTED;
 
 	if (!blame->crashes)
-		return SUSPICION_UNKNOWN * any_age;
+		return SUSPICION_UNKNOWN * any_age * started;
 	return MAX(blame->suspicion, SUSPICION_UNKNOWN) *
-	       MAX(any_age, same_age);
+	       MAX(any_age, same_age) * started;
 }
 
 static double worker_likelihood(const bh_blame_t *worker, double others)
--- a/sched/blame.h
+++ b/sched/blame.h
@@ -16,9 +16,9 @@
 /* Suspicion below which a task is treated as any other. */
 #define BH_SUSPICION_MIN 0.05
 
-/* Suspicion from which a task is kept apart from others with as much, so that
- * the next crash tells which of them is at fault. */
-#define BH_SUSPICION_APART 0.2
+/* Most suspicion that the suspects on one host have in sum, unless one has
+ * more: the next crash clears those of the other hosts. */
+#define BH_SUSPICION_TOGETHER 0.5
 
 /**
  * struct bh_blame - what is known of a task or of a worker
@@ -36,10 +36,12 @@
  * struct bh_suspect - a task that ran on a worker when it crashed
  * @blame: updated
  * @age: how long it had run
+ * @is_confirmed: it had started for certain
  */
 typedef struct bh_suspect {
 	bh_blame_t *blame;
 	bh_usec_t age;
+	bool is_confirmed;
 } bh_suspect_t;
 
 /**
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -56,24 +56,33 @@
 	return sum / MAX(s->n_hosts, 1);
 }
 
+static void add_suspect(GPtrArray *tasks, GArray *suspects, bh_task_t *task,
+			bh_usec_t age, bool is_confirmed)
+{
+	bh_suspect_t suspect = {.blame = &task->blame,
+				.age = MAX(age, 0),
+				.is_confirmed = is_confirmed};
+
+	if (age < -REPORT_DELAY_US || g_ptr_array_find(tasks, task, NULL))
+		return;
+	g_array_append_val(suspects, suspect);
+	g_ptr_array_add(tasks, task);
+}
+
 /* Return: the tasks that ran when the worker crashed. */
 static GPtrArray *share_blame(bh_sched_t *s, bh_host_t *host)
 {
 	GPtrArray *tasks = g_ptr_array_new();
-	g_autofree bh_suspect_t *suspects =
-		g_new0(bh_suspect_t, host->n_runs + 1);
+	g_autoptr(GArray) suspects =
+		g_array_new(FALSE, FALSE, sizeof(bh_suspect_t));
 	const bh_run_t *run;
 
-	TAILQ_FOREACH(run, &host->runs, link) {
-		bh_usec_t age = host->crashed_at - run->ordered_at;
-
-		if (age < -REPORT_DELAY_US)
-			continue;
-		suspects[tasks->len].blame = &run->task->blame;
-		suspects[tasks->len].age = MAX(age, 0);
-		g_ptr_array_add(tasks, run->task);
-	}
-	bh_blame_crash(&host->blame, mean_suspicion(s), suspects, tasks->len);
+	TAILQ_FOREACH(run, &host->runs, link)
+		add_suspect(tasks, suspects, run->task,
+			    host->crashed_at - run->ordered_at,
+			    run->is_confirmed);
+	bh_blame_crash(&host->blame, mean_suspicion(s),
+		       (const bh_suspect_t *)suspects->data, suspects->len);
 	for (guint i = 0; i < tasks->len; i++) {
 		const bh_task_t *task = g_ptr_array_index(tasks, i);
 
@@ -146,7 +155,8 @@
 	const bh_run_t *run;
 
 	host->suspicion = 0;
-	TAILQ_FOREACH(run, &host->runs, link)
-		host->suspicion =
-			MAX(host->suspicion, run->task->blame.suspicion);
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (bh_task_is_suspect(run->task))
+			host->suspicion += run->task->blame.suspicion;
+	}
 }
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -277,6 +277,7 @@
 	    bh_rec_is_over(phase->rec))
 		return;
 	task->waiting_since = now;
+	task->held_since = 0;
 	bh_task_set_waiting(task, true);
 	bh_phase_enqueue(s, phase);
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -17,8 +17,8 @@
 #define WEIGHT_SPARE	    3.0
 #define WEIGHT_MIXED_IMAGES 0.3
 #define WEIGHT_ENDANGERED   0.1
-#define WEIGHT_CRASHED	    3.0
 #define WEIGHT_SUSPICION    1.5
+#define WEIGHT_SUSPECTS	    20.0
 
 /* A deficit of spare headroom above this is scored no worse. */
 #define SPARE_DEFICIT_MAX 3.0
@@ -171,21 +171,25 @@
 	return true;
 }
 
-/* On a host with another suspect, or one that crashes by itself, a further
- * crash tells nothing. */
-static bool tells_fault(const bh_sched_t *s, const bh_host_t *host)
+/* Suspicion that something else on the host is at fault for its next crash:
+ * other suspects, or the worker itself. */
+static double other_suspicion(const bh_host_t *host)
 {
-	return host->suspicion < BH_SUSPICION_APART &&
-	       (!host->blame.crashes || !s->has_steady_host);
+	return host->suspicion + host->blame.suspicion;
 }
 
-static bool must_wait_as_suspect(const bh_sched_t *s, const bh_task_t *task,
-				 const bh_host_t *host, bh_usec_t now)
+/* If there is much other suspicion, a further crash tells little of a suspect.
+ */
+static bool must_wait_as_suspect(const bh_task_t *task, const bh_host_t *host,
+				 bh_usec_t now)
 {
-	return task->blame.suspicion >= BH_SUSPICION_APART &&
-	       !task->phase->step->is_gang &&
-	       now - task->waiting_since < SUSPECT_WAIT_US &&
-	       !tells_fault(s, host);
+	double others = other_suspicion(host);
+
+	return bh_task_is_suspect(task) && !task->phase->step->is_gang &&
+	       (!task->held_since ||
+		now - task->held_since < SUSPECT_WAIT_US) &&
+	       others >= BH_SUSPICION_MIN &&
+	       others + task->blame.suspicion > BH_SUSPICION_TOGETHER;
 }
 
 /* @spare: set to the headroom above the goal that a filler would leave, 0 for
@@ -197,8 +201,7 @@
 
 	*spare = 0;
 	if (!bh_host_is_suitable(task, host, now) ||
-	    !has_free_resources(host, step) || !bh_reserve_allows(host, step) ||
-	    must_wait_as_suspect(s, task, host, now))
+	    !has_free_resources(host, step) || !bh_reserve_allows(host, step))
 		return false;
 	if (!step->is_filler)
 		return true;
@@ -246,13 +249,12 @@
 	return used + fillers / 2;
 }
 
-/* A suspect endangers the tasks beside it; on a host that has not crashed
- * lately it shows whether it is at fault. */
+/* Suspects are spread over the hosts, so that a further crash clears most of
+ * them, and endanger few others. */
 static double suspect_score(const bh_task_t *task, const bh_host_t *host)
 {
-	double value = WEIGHT_ENDANGERED * task->blame.suspicion * host->n_runs;
-
-	return host->blame.crashes ? value + WEIGHT_CRASHED : value;
+	return WEIGHT_ENDANGERED * task->blame.suspicion * host->n_runs +
+	       WEIGHT_SUSPECTS * other_suspicion(host);
 }
 
 static double score(const bh_task_t *task, const bh_host_t *host, double spare)
@@ -268,9 +270,10 @@
 		value += WEIGHT_SLOW * (1 / MAX(host->speed, 0.1) - 1);
 	if (host->info.cold_ms)
 		value += WEIGHT_SLOW;
-	value += WEIGHT_SUSPICION * host->suspicion;
 	if (bh_task_is_suspect(task))
 		value += suspect_score(task, host);
+	else
+		value += WEIGHT_SUSPICION * host->suspicion;
 	return value;
 }
 
@@ -279,12 +282,13 @@
 	return accepts_work(host, now) && now >= host->quarantined_until;
 }
 
-bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
+bh_host_t *bh_sched_find_host(bh_sched_t *s, bh_task_t *task,
 			      const bh_host_t *excluded, bh_usec_t now)
 {
 	bh_host_t *best = NULL;
 	bh_host_t *host;
 	double best_score = 0;
+	bool is_held = false;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		double spare;
@@ -293,12 +297,18 @@
 		if (host == excluded ||
 		    !is_eligible(s, task, host, &spare, now))
 			continue;
+		if (must_wait_as_suspect(task, host, now)) {
+			is_held = true;
+			continue;
+		}
 		value = score(task, host, spare);
 		if (!best || value < best_score) {
 			best = host;
 			best_score = value;
 		}
 	}
+	if (!best && is_held && !task->held_since)
+		task->held_since = now;
 	return best;
 }
 
@@ -400,6 +410,7 @@
 	uint32_t memory = 0;
 	uint32_t cpu = 0;
 	uint32_t reserved = 0;
+	uint32_t suspects = 0;
 	uint32_t would_disturb = 0;
 	const bh_host_t *host;
 	char name[BH_TASK_NAME_BYTES];
@@ -419,6 +430,8 @@
 			cpu++;
 		else if (!bh_reserve_allows(host, step))
 			reserved++;
+		else if (must_wait_as_suspect(task, host, now))
+			suspects++;
 		else
 			would_disturb++;
 	}
@@ -427,11 +440,11 @@
 		     "task=%s waited_ms=%" G_GINT64_FORMAT
 		     " cpu=%u memory_mb=%u waiting=%u unusable=%u"
 		     " unsuitable=%u no_memory=%u no_cpu=%u reserved=%u"
-		     " would_disturb=%u",
+		     " suspects=%u would_disturb=%u",
 		     name + BH_JOB_ID_LEN + 1,
 		     (now - task->waiting_since) / 1000, step->cpu_milli,
 		     step->memory_mb, phase->waiting, unusable, unsuitable,
-		     memory, cpu, reserved, would_disturb);
+		     memory, cpu, reserved, suspects, would_disturb);
 }
 
 /* Reserves resources for the first task that waits, or for all members of a
@@ -552,28 +565,18 @@
 	return true;
 }
 
-static void update_suspicion(bh_sched_t *s, bh_usec_t now)
-{
-	bh_host_t *host;
-
-	s->has_steady_host = false;
-	TAILQ_FOREACH(host, &s->hosts, link) {
-		bh_host_update_suspicion(host);
-		if (!host->blame.crashes && bh_host_is_usable(host, now))
-			s->has_steady_host = true;
-	}
-}
-
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
 {
 	GPtrArray *phases = g_ptr_array_new();
 	bh_phase_t *phase;
 	bh_phase_t *next;
+	bh_host_t *host;
 	uint32_t unplaced = 0;
 
 	bh_reserve_clear(s);
 	s->n_reservations = 0;
-	update_suspicion(s, now);
+	TAILQ_FOREACH(host, &s->hosts, link)
+		bh_host_update_suspicion(host);
 	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
 		if (phase->waiting == 0) {
 			TAILQ_REMOVE(&s->open, phase, link);
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -37,6 +37,7 @@
 	run->progressed_at = now;
 	run->pace = 100;
 	bh_task_set_waiting(task, false);
+	task->held_since = 0;
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
 	task->phase->rec->n_runs++;
@@ -44,7 +45,8 @@
 		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
 	host_charge(host, task->phase->step, 1);
-	host->suspicion = MAX(host->suspicion, task->blame.suspicion);
+	if (bh_task_is_suspect(task))
+		host->suspicion += task->blame.suspicion;
 	return run;
 }
 
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -93,6 +93,8 @@
  * @is_waiting: counted in the phase's @waiting
  * @checkpoint: where the next attempt resumes, or NULL
  * @blame: crashes of its workers
+ * @held_since: when it was first kept from all hosts that it fits on, since a
+ *	crash there would not tell whether it is at fault; 0: it is not
  * @avoided_host: host of its last failure, stall or refused start; others are
  *	preferred
  * @runs: its attempts that may be running; unused entries are NULL
@@ -107,6 +109,7 @@
 	bool is_waiting;
 	char *checkpoint;
 	bh_blame_t blame;
+	bh_usec_t held_since;
 	const bh_host_t *avoided_host;
 	bh_usec_t waiting_since;
 	bh_run_t *runs[BH_RUNS_MAX];
@@ -266,7 +269,7 @@
  *	at a time
  * @blame: its crashes
  * @crashed_at: when it last crashed
- * @suspicion: highest one of the tasks that run there
+ * @suspicion: sum over the suspects that run there
  * @full_until: no new tasks are placed there before, as it refused one for lack
  *	of resources
  * @last_ended: highest number of an end that was handled
@@ -325,7 +328,6 @@
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile
- * @has_steady_host: some usable host has not crashed lately
  * @must_place: a placement may have become possible since the last pass
  * @checked_at: when hosts and runs were last checked for timeouts
  */
@@ -345,7 +347,6 @@
 	uint64_t change;
 	bool is_recovering;
 	bool must_place;
-	bool has_steady_host;
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
@@ -529,7 +530,7 @@
  *
  * Return: NULL if no host is eligible.
  */
-bh_host_t *bh_sched_find_host(bh_sched_t *s, const bh_task_t *task,
+bh_host_t *bh_sched_find_host(bh_sched_t *s, bh_task_t *task,
 			      const bh_host_t *excluded, bh_usec_t now);
 
 /* reserve.c */
--- a/sched/steer.c
+++ b/sched/steer.c
@@ -52,7 +52,7 @@
 /* A checkpointing filler loses no work by a move. */
 static void move_filler(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
 {
-	const bh_task_t *task = run->task;
+	bh_task_t *task = run->task;
 
 	if (run->pace > 0 || now - run->paced_at < MOVE_AFTER_US)
 		return;
