A crash that is known only after the lease has run out counts

Cause: at the end of a lease the leader forgets what ran on the worker. If the restart of the worker is reported later, no task is left that could be at fault, so that the worker gets all the suspicion, which protects the task in turn. A leader that has never seen a worker's lists blamed the worker the same way. Class: evidence dropped at a timeout although its cause is not known yet.

Change: the runs of an expired lease are kept until the worker's lists show that it lives, or a report that it crashed before. A crash is counted only by a leader that has seen the lists of that boot.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -69,6 +69,23 @@
 	g_ptr_array_add(tasks, task);
 }
 
+static void add_expired(bh_sched_t *s, const bh_host_t *host, GPtrArray *tasks,
+			GArray *suspects)
+{
+	if (host->crashed_at > host->expired_at)
+		return;
+	for (guint i = 0; i < host->expired->len; i++) {
+		const bh_expired_run_t *run =
+			&g_array_index(host->expired, bh_expired_run_t, i);
+		bh_task_t *task = bh_task_find(s, run->task);
+
+		if (task && !task->is_done)
+			add_suspect(tasks, suspects, task,
+				    host->crashed_at - run->ordered_at,
+				    run->is_confirmed);
+	}
+}
+
 /* Return: the tasks that ran when the worker crashed. */
 static GPtrArray *share_blame(bh_sched_t *s, bh_host_t *host)
 {
@@ -81,6 +98,7 @@
 		add_suspect(tasks, suspects, run->task,
 			    host->crashed_at - run->ordered_at,
 			    run->is_confirmed);
+	add_expired(s, host, tasks, suspects);
 	bh_blame_crash(&host->blame, mean_suspicion(s),
 		       (const bh_suspect_t *)suspects->data, suspects->len);
 	for (guint i = 0; i < tasks->len; i++) {
@@ -121,10 +139,27 @@
 	tasks = share_blame(s, host);
 	log_crash(s, host, why, tasks, now);
 	bh_host_lose_runs(s, host, why, now);
+	g_array_set_size(host->expired, 0);
 	for (guint i = 0; i < tasks->len; i++)
 		end_if_guilty(s, g_ptr_array_index(tasks, i), now);
 }
 
+void bh_host_keep_expired(bh_host_t *host, bh_usec_t now)
+{
+	const bh_run_t *run;
+
+	if (!TAILQ_EMPTY(&host->runs))
+		g_array_set_size(host->expired, 0);
+	TAILQ_FOREACH(run, &host->runs, link) {
+		bh_expired_run_t expired = {.ordered_at = run->ordered_at,
+					    .is_confirmed = run->is_confirmed};
+
+		bh_task_full_name(run->task, expired.task);
+		g_array_append_val(host->expired, expired);
+		host->expired_at = now;
+	}
+}
+
 void bh_crash_clear(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
 	const bh_run_t *run;
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -344,6 +344,7 @@
 		run->reports_missed++;
 	TAILQ_FOREACH(orphan, &host->orphans, link)
 		orphan->is_listed = false;
+	g_array_set_size(host->expired, 0);
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
@@ -362,6 +363,7 @@
 			lose_run(s, run, "worker no longer reports it", now);
 	}
 	host->is_synced = true;
+	host->listed_boot = lists->boot;
 }
 
 static bh_usec_t lease_bound(const bh_sched_t *s)
@@ -383,6 +385,7 @@
 static bool has_crashed(const bh_host_t *host)
 {
 	return host->is_synced && host->info.boot &&
+	       host->listed_boot == host->info.boot &&
 	       host->info.state != BH_WORKER_DRAINING &&
 	       host->info.state != BH_WORKER_DOWN;
 }
@@ -445,6 +448,7 @@
 					"host=%s silent_ms=%" G_GINT64_FORMAT,
 					host->key,
 					(now - host->heard_at) / 1000);
+			bh_host_keep_expired(host, now);
 			bh_host_lose_runs(s, host, "lease expired", now);
 		}
 		if (!host->is_synced)
@@ -528,6 +532,7 @@
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
 	TAILQ_INIT(&host->orphans);
+	host->expired = g_array_new(FALSE, FALSE, sizeof(bh_expired_run_t));
 	g_queue_init(&host->acks);
 	TAILQ_INSERT_TAIL(&s->hosts, host, link);
 	g_hash_table_insert(s->by_key, host->key, host);
@@ -690,6 +695,7 @@
 	s->n_hosts--;
 	clear_acks(host);
 	remove_orphans(host, true);
+	g_array_free(host->expired, TRUE);
 	bh_worker_info_clear(&host->info);
 	g_free(host->key);
 	g_free(host);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -235,12 +235,22 @@
 	uint64_t accelerators;
 } bh_host_resources_t;
 
+/**
+ * struct bh_expired_run - a run that ended with its worker's lease
+ */
+typedef struct bh_expired_run {
+	char task[BH_TASK_NAME_BYTES];
+	bh_usec_t ordered_at;
+	bool is_confirmed;
+} bh_expired_run_t;
+
 /**
  * struct bh_host - a host with its agent and its worker
  * @key: address of the agent
  * @rack: which of the worker's labels names the rack, or NULL
  * @is_linked: the agent is connected
  * @is_synced: the worker's lists were seen in this term, or its lease expired
+ * @listed_boot: boot of the worker whose lists came last
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
@@ -270,6 +280,8 @@
  * @blame: its crashes
  * @crashed_at: when it last crashed
  * @suspicion: sum over the suspects that run there
+ * @expired: array of struct bh_expired_run: its runs at the time @expired_at,
+ *	when its lease expired, until it is known whether its worker had crashed
  * @full_until: no new tasks are placed there before, as it refused one for lack
  *	of resources
  * @last_ended: highest number of an end that was handled
@@ -283,6 +295,7 @@
 	const char *rack;
 	bool is_linked;
 	bool is_synced;
+	uint64_t listed_boot;
 	bh_usec_t linked_at;
 	bh_usec_t heard_at;
 	bh_usec_t lease_ends_at;
@@ -311,6 +324,8 @@
 	bh_blame_t blame;
 	bh_usec_t crashed_at;
 	double suspicion;
+	GArray *expired;
+	bh_usec_t expired_at;
 	bh_usec_t full_until;
 	uint64_t last_ended;
 	uint64_t acked;
@@ -466,6 +481,12 @@
 void bh_host_crashed(bh_sched_t *s, bh_host_t *host, const char *why,
 		     bh_usec_t crashed_at, bh_usec_t now);
 
+/**
+ * bh_host_keep_expired() - keep the runs of a host whose lease expires: its
+ * worker may have crashed before
+ */
+void bh_host_keep_expired(bh_host_t *host, bh_usec_t now);
+
 /**
  * bh_crash_clear() - clear the tasks and the worker of a host that have
  * outlived their suspicion
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -14,6 +14,9 @@
 /* A worker that a task has crashed restarts after this time. */
 #define CRASH_US (3000 * BH_USEC_PER_MS)
 
+/* Longer than a lease and the leader's margin. */
+#define CUT_OFF_US (6500 * BH_USEC_PER_MS)
+
 /* A task that crashes its workers may be started fewer than STARTS_ALLOWED
  * times more after this many crashes. */
 #define CRASHES_ALLOWED 3
@@ -136,6 +139,7 @@
 	GHashTable *poison;
 	GHashTable *deadly;
 	uint32_t crashes;
+	bool cuts_off_crashed;
 	GPtrArray *messages;
 	bh_config_t *config;
 	bh_sched_t *sched;
@@ -414,6 +418,9 @@
 		w->crashes++;
 		history_of(w, run->name)->crashes++;
 		k->fault_until[SW_WORKER_CRASH] = w->now + CRASH_US;
+		if (w->cuts_off_crashed)
+			k->fault_until[SW_AGENT_DISCONNECTED] =
+				w->now + CUT_OFF_US;
 		return;
 	}
 }
@@ -1046,6 +1053,11 @@
 			    GINT_TO_POINTER(after_ms));
 }
 
+void sw_cut_off_crashed(sw_world_t *w)
+{
+	w->cuts_off_crashed = true;
+}
+
 uint32_t sw_crashes(const sw_world_t *w)
 {
 	return w->crashes;
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -97,6 +97,12 @@
  */
 void sw_deadly(sw_world_t *w, const char *task, int after_ms);
 
+/**
+ * sw_cut_off_crashed() - let agents lose their connection to the leader when a
+ * task crashes their workers, for longer than a lease
+ */
+void sw_cut_off_crashed(sw_world_t *w);
+
 /**
  * sw_crashes() - number of workers that tasks have crashed
  */
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -371,6 +371,27 @@
 	}
 }
 
+/* The leader hears nothing of a worker that has crashed until its lease has run
+ * out. Its runs were then forgotten, and the worker held to be at fault. */
+static void test_crash_known_after_lease_expiry_counts(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_cut_off_crashed(w);
+		sw_deadly(w, JOB_A ".0.0.1", 20 * (int)seed);
+		sw_submit(w, JOB_B, 1, 12, 500, 1000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_advance(w, MS(400));
+		sw_submit(w, JOB_A, 1, 4, 500, 1000, "");
+		sw_submit(w, JOB_C, 1, 4, 500, 1000, "");
+		sw_advance(w, MS(120000));
+		assert_ended_beside(w, (int)seed);
+		sw_free(w);
+	}
+}
+
 /* Each tenth job has a task that crashes its workers, so that others lose
  * several workers in a row without fault of their own. */
 static void test_neighbours_of_a_task_that_crashes_workers_end(void **state)
@@ -545,6 +566,7 @@
 		cmocka_unit_test(test_harmless_fillers_run_at_full_pace),
 		cmocka_unit_test(test_task_that_crashes_workers_is_given_up),
 		cmocka_unit_test(test_crashes_are_known_to_the_next_leader),
+		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
 		cmocka_unit_test(
