Runs that the leader does not want count against a worker's room

Callers saw: nothing on workers that check their room (all of the deployments we have), where such starts are refused for lack of room. On a worker that starts what it is told to: more work than it has room for (LIMIT).

Cause: a new leader orders runs to stop that it does not adopt, such as those of a cancelled job, and does not count what they use until they have ended. The same holds for runs of jobs that it does not know yet. Class: accounting by what was ordered, not by what the other side reports.

Change: a listed run that is not one of the leader's counts with its step's resources until a report no longer lists it. A room that shrinks and grows was followed already: each report carries it.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -310,9 +310,16 @@
 			  bh_usec_t now)
 {
 	bh_run_t *run = match_active(s, host, a, now);
-
-	if (!run)
+	const bh_task_t *task;
+
+	if (!run) {
+		task = bh_task_find(s, a->task);
+		if (task)
+			bh_host_charge_unclaimed(host, task->phase->step);
+		else
+			host->has_unknown_run = true;
 		return;
+	}
 	run->reports_missed = 0;
 	if (!run->is_confirmed)
 		confirm_run(run, now);
@@ -344,6 +351,7 @@
 		run->reports_missed++;
 	TAILQ_FOREACH(orphan, &host->orphans, link)
 		orphan->is_listed = false;
+	bh_host_clear_unclaimed(host);
 	g_array_set_size(host->expired, 0);
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
@@ -429,6 +437,7 @@
 
 	while ((run = TAILQ_FIRST(&host->runs)) != NULL)
 		lose_run(s, run, why, now);
+	bh_host_clear_unclaimed(host);
 	remove_orphans(host, true);
 	host->is_synced = true;
 	host->lease_ends_at = now;
--- a/sched/place.c
+++ b/sched/place.c
@@ -70,7 +70,7 @@
 	       host->info.boot && host->info.state == BH_WORKER_READY &&
 	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
-	       now >= host->full_until;
+	       now >= host->full_until && !host->has_unknown_run;
 }
 
 static int by_rank(const void *a, const void *b)
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -14,6 +14,27 @@
 	host->n_runs += (uint32_t)sign;
 }
 
+void bh_host_charge_unclaimed(bh_host_t *host, const bh_step_t *step)
+{
+	uint64_t cpu = step->is_filler ? 0 : step->cpu_milli;
+
+	host->unclaimed.cpu += cpu;
+	host->unclaimed.memory += step->memory_mb;
+	host->unclaimed.accelerators += step->accelerators;
+	host->used_cpu += cpu;
+	host->used_memory += step->memory_mb;
+	host->used_accelerators += step->accelerators;
+}
+
+void bh_host_clear_unclaimed(bh_host_t *host)
+{
+	host->used_cpu -= host->unclaimed.cpu;
+	host->used_memory -= host->unclaimed.memory;
+	host->used_accelerators -= host->unclaimed.accelerators;
+	host->unclaimed = (bh_host_resources_t){0};
+	host->has_unknown_run = false;
+}
+
 bh_run_t *bh_run_find(const bh_task_t *task, uint32_t attempt)
 {
 	for (int i = 0; i < BH_RUNS_MAX; i++) {
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -260,6 +260,10 @@
  * @used_memory: memory that its tasks request, fillers included, as are
  *	accelerators
  * @filler_cpu: processor time that its fillers request
+ * @unclaimed: the part of the used resources that belongs to runs which the
+ *	worker lists and which are not in @runs
+ * @has_unknown_run: the worker lists a run of a job that is not known, so that
+ *	its resources are not known either
  * @reserved: resources reserved for waiting tasks
  * @reserved_free_in_ms: predicted time until the reserved resources are free
  * @filler_share: estimated part of @used_cpu that is really used
@@ -306,6 +310,8 @@
 	uint64_t used_memory;
 	uint64_t used_accelerators;
 	uint64_t filler_cpu;
+	bh_host_resources_t unclaimed;
+	bool has_unknown_run;
 	bh_host_resources_t reserved;
 	int64_t reserved_free_in_ms;
 	double filler_share;
@@ -435,6 +441,13 @@
 void bh_run_pace(bh_sched_t *s, bh_run_t *run, double percent, const char *why,
 		 bh_usec_t now);
 
+/**
+ * bh_host_charge_unclaimed() - count the resources of a run that the worker
+ * lists and that the leader does not want, until it has ended
+ */
+void bh_host_charge_unclaimed(bh_host_t *host, const bh_step_t *step);
+void bh_host_clear_unclaimed(bh_host_t *host);
+
 /**
  * bh_run_set_checkpoint() - keep a reported checkpoint; NULL and "" are ignored
  */
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -23,6 +23,11 @@
 #define CRASH_AFTER_MS	  20
 #define CRASH_EXIT_STATUS 3
 
+/* Its room, in tasks that each ask for this many thousandths of a core. It
+ * starts what it is told to, whether that fits or not. */
+#define CPU_MILLI      16000
+#define TASK_CPU_MILLI 500
+
 typedef struct task {
 	char *name;
 	int64_t attempt;
@@ -44,6 +49,7 @@
 	int64_t last_ended_seq;
 	int64_t last_announce_seq;
 	int64_t task_ms;
+	int64_t cpu_milli;
 	GPtrArray *tasks;
 	JsonArray *ended;
 	GHashTable *ended_attempts;
@@ -186,6 +192,8 @@
 			name, bh_json_text(bh_json_get(body, "spec")));
 		g_ptr_array_add(h->tasks, t);
 		log_event(h, "start", name, attempt);
+		if (h->tasks->len * TASK_CPU_MILLI > h->cpu_milli)
+			log_event(h, "over", name, attempt);
 		reply(h, req, 200, json_object_new());
 	}
 	bh_json_free(body);
@@ -215,6 +223,18 @@
 	reply(ctx, req, 200, json_object_new());
 }
 
+/* The body is {"cpu": N}: the room from now on. */
+static void on_room(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	JsonNode *body = parse_body(req);
+
+	h->cpu_milli = get_int(body, "cpu");
+	log_event(h, "room", "-", h->cpu_milli);
+	bh_json_free(body);
+	reply(h, req, 200, json_object_new());
+}
+
 static JsonArray *list_active(jobhost_t *h)
 {
 	JsonArray *rows = json_array_new();
@@ -327,7 +347,7 @@
 
 	(void)fd;
 	(void)what;
-	json_object_set_int_member(capacity, "cpu", 16000);
+	json_object_set_int_member(capacity, "cpu", h->cpu_milli);
 	json_object_set_int_member(capacity, "mem-mb", 64000);
 	json_object_set_int_member(capacity, "gpu", 0);
 	json_array_add_string_element(labels, "a");
@@ -359,8 +379,9 @@
 		{EVHTTP_REQ_POST, "/run-stop", on_stop},
 		{EVHTTP_REQ_POST, "/pace", on_pace},
 		{EVHTTP_REQ_POST, "/hold", on_hold},
+		{EVHTTP_REQ_POST, "/room", on_room},
 	};
-	jobhost_t h = {.base = event_base_new()};
+	jobhost_t h = {.base = event_base_new(), .cpu_milli = CPU_MILLI};
 
 	if (argc != 6) {
 		fprintf(stderr, "usage: standin-jobhost ID IP:PORT "
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -22,8 +22,14 @@
 #define CRASHES_ALLOWED 3
 #define STARTS_ALLOWED	3
 
-#define CPU_MILLI    10000
-#define MEMORY_MB    100000
+#define CPU_MILLI      10000
+#define MEMORY_MB      100000
+#define SHRINK_DIVISOR 4
+
+/* From this time on starts must respect a room that has shrunk: contact-ms and
+ * an announcement interval. */
+#define SHRUNK_COUNTS_AFTER_US (4500 * BH_USEC_PER_MS)
+
 #define QUEUE	     "q"
 #define FILLER_QUEUE "f"
 #define SERVICE	     "s"
@@ -34,7 +40,7 @@
 	"agent-restart", "store-down",	       "store-loses-answers",
 	"orders-lost",	 "orders-late",	       "orders-slow",
 	"answers-lost",	 "worker-fails-all",   "tasks-stall",
-	"worker-drains",
+	"worker-drains", "room-shrinks",
 };
 
 typedef struct sw_run_rec {
@@ -78,6 +84,7 @@
 	uint64_t ack;
 	bool is_linked;
 	bh_usec_t gone_since;
+	bh_usec_t shrunk_since;
 	bh_usec_t reported_at;
 	/* The report that is being sent to the leader. */
 	bool has_report;
@@ -326,6 +333,33 @@
 	bh_job_free(job);
 }
 
+/* Workers carry out each start, whether it fits or not. */
+static void check_room(sw_world_t *w, sw_worker_t *k)
+{
+	bool is_small = k->shrunk_since &&
+			w->now - k->shrunk_since > SHRUNK_COUNTS_AFTER_US;
+	uint32_t divisor = is_small ? SHRINK_DIVISOR : 1;
+	uint32_t cpu = 0;
+	uint32_t memory = 0;
+
+	for (guint i = 0; i < k->runs->len; i++) {
+		const sw_run_rec_t *run = k->runs->pdata[i];
+		bh_task_name_t parts;
+		bh_job_t *job;
+		const bh_step_t *step;
+
+		bh_task_name_parse(run->name, &parts);
+		job = job_of(w, parts.job);
+		step = &job->steps[parts.step];
+		if (!step->is_filler)
+			cpu += step->cpu_milli;
+		memory += step->memory_mb;
+		bh_job_free(job);
+	}
+	if (cpu > CPU_MILLI / divisor || memory > MEMORY_MB / divisor)
+		report_violation(w, "LIMIT", k->id);
+}
+
 static void start_run(sw_world_t *w, sw_worker_t *k, const sw_message_t *m)
 {
 	sw_run_rec_t *run = g_new0(sw_run_rec_t, 1);
@@ -353,6 +387,7 @@
 	history_of(w, m->name)->running++;
 	g_ptr_array_add(k->runs, run);
 	bh_job_free(job);
+	check_room(w, k);
 }
 
 static sw_run_rec_t *find_run(sw_worker_t *k, const char *name,
@@ -683,6 +718,10 @@
 	if (!k->has_report)
 		return;
 	k->has_report = false;
+	if (k->shrunk_since) {
+		info.cpu_milli /= SHRINK_DIVISOR;
+		info.memory_mb /= SHRINK_DIVISOR;
+	}
 	info.gone_ms = gone_ms(w, k);
 	if (k->is_up && k->is_linked && w->is_leading)
 		k->gone_since = 0;
@@ -854,6 +893,10 @@
 		k->gone_since = w->now;
 		reboot(w, k);
 	}
+	if (!has_fault(w, k, SW_ROOM_SHRINKS))
+		k->shrunk_since = 0;
+	else if (!k->shrunk_since)
+		k->shrunk_since = w->now;
 	if (!k->is_draining && has_fault(w, k, SW_WORKER_DRAINS))
 		k->is_draining = true;
 	if (k->is_draining && !has_fault(w, k, SW_WORKER_DRAINS))
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -34,6 +34,7 @@
  * @SW_WORKER_FAILS_ALL: all tasks that start on the worker fail
  * @SW_TASKS_STALL: the worker's tasks make no progress
  * @SW_WORKER_DRAINS: the worker is draining, and restarts afterwards
+ * @SW_ROOM_SHRINKS: the worker has a quarter of its processors and memory
  */
 typedef enum sw_fault {
 	SW_NONE,
@@ -52,6 +53,7 @@
 	SW_WORKER_FAILS_ALL,
 	SW_TASKS_STALL,
 	SW_WORKER_DRAINS,
+	SW_ROOM_SHRINKS,
 	SW_FAULTS,
 } sw_fault_t;
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -448,6 +448,46 @@
 	}
 }
 
+/* More work than fits, some of which is cancelled, on workers that start what
+ * they are told to, while rooms shrink and grow and other faults strike. */
+static void test_starts_fit_in_rooms_that_shrink(void **state)
+{
+	static const char *const flags[] = {"", "c", "s", "g", "m", "l"};
+
+	(void)state;
+	for (uint32_t seed = 1; seed <= 60; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+		GRand *r = g_rand_new_with_seed(seed);
+
+		for (int i = 0; i < 40; i++) {
+			g_autofree char *id =
+				g_strdup_printf("0000000000000a%02d", i);
+
+			sw_submit(w, id, 1, 3 + (uint32_t)i % 4,
+				  1000 + 500 * ((uint32_t)i % 5), 2000,
+				  flags[g_rand_int_range(r, 0, 6)]);
+			if (i % 3 == 0)
+				sw_fault(w, SW_ROOM_SHRINKS,
+					 g_rand_int_range(r, 0, SW_WORKERS),
+					 MS(g_rand_int_range(r, 1000, 9000)));
+			if (i % 5 == 4)
+				sw_fault(w,
+					 (sw_fault_t)g_rand_int_range(
+						 r, 1, SW_ROOM_SHRINKS),
+					 g_rand_int_range(r, 0, SW_WORKERS),
+					 MS(g_rand_int_range(r, 100, 4000)));
+			sw_advance(w, MS(g_rand_int_range(r, 50, 600)));
+			if (i % 4 == 3)
+				sw_cancel(w, id);
+		}
+		sw_advance(w, MS(20000));
+		if (sw_violation(w))
+			fail_msg("seed %u: %s", seed, sw_violation(w));
+		g_rand_free(r);
+		sw_free(w);
+	}
+}
+
 static void submit_mix(sw_world_t *w)
 {
 	sw_submit(w, JOB_A, 2, 6, 500, 1000, "");
@@ -490,7 +530,8 @@
 
 	submit_mix(w);
 	for (int i = 0; i < 6; i++) {
-		sw_fault_t f = (sw_fault_t)g_rand_int_range(r, 1, SW_FAULTS);
+		sw_fault_t f =
+			(sw_fault_t)g_rand_int_range(r, 1, SW_ROOM_SHRINKS);
 
 		/* A worker that fails all tasks may use up the attempts. */
 		if (f == SW_WORKER_FAILS_ALL)
@@ -571,6 +612,7 @@
 			test_neighbours_of_a_task_that_crashes_workers_end),
 		cmocka_unit_test(
 			test_tasks_on_workers_that_crash_are_not_given_up),
+		cmocka_unit_test(test_starts_fit_in_rooms_that_shrink),
 		cmocka_unit_test(test_fault_matrix),
 		cmocka_unit_test(test_random_faults),
 		cmocka_unit_test(test_disabled_mechanisms_are_detected),
