A worker that has ended is noticed after two polls 50 ms apart

Callers saw: tasks lost with a worker started again 0.4 s later than they could.

Cause: after a poll that breaks off, the agent waits 200 ms before it polls again, and twice as long before two refused polls tell that the worker has ended. The delay is meant for polls that time out.

Change: after a poll that broke off or was refused, the agent asks again after 50 ms, until the worker counts as down. It takes two refused polls as before.

No test of its own: a timing within what tests/jobs task_crashes_workers allows.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -12,8 +12,10 @@
 /* Delay after a poll that returned ends, if not acknowledged sooner. */
 #define POLL_AFTER_ENDS_MS 60
 
-/* Delay after a failed poll. */
-#define POLL_RETRY_MS 200
+/* Delay after a failed poll, and after one that broke off or was refused: the
+ * worker has probably ended. */
+#define POLL_RETRY_MS	   200
+#define POLL_RETRY_GONE_MS 50
 
 /* Refused polls, with no answered one in between, after which the worker counts
  * as ended. */
@@ -249,7 +251,9 @@
 			note_refused_poll(a);
 		else
 			send_report(a, NULL);
-		schedule_poll(a, POLL_RETRY_MS);
+		schedule_poll(a, a->gone_since && !a->is_down
+					 ? POLL_RETRY_GONE_MS
+					 : POLL_RETRY_MS);
 		return;
 	}
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
