--- a/soak/checks.sh
+++ b/soak/checks.sh
@@ -17,11 +17,28 @@
 declare -A SERVED
 violation() { echo "$(now_ms) $*" >>"$WORK/violations"; }
 
+# The exit status of a worker that a task has crashed
+CRASH_STATUS=3
+
+# A task that crashes its workers may be started at most twice more after three
+# crashes.
+CRASHES_MAX=5
+
+# Starts must respect a room that has shrunk from this time on: contact-ms and an
+# announcement.
+SHRUNK_COUNTS_MS=4500
+
 check_ended() {
 	local name=$1 status
 	wait "${PIDS[$name]}" 2>/dev/null
 	status=$?
 	unset "PIDS[$name]" "PAUSED[$name]"
+	if [[ $name = worker-* ]] && [ "$status" = $CRASH_STATUS ]; then
+		unset "SMALL_ROOM[${name#worker-}]"
+		note_worker_killed "${name#worker-}"
+		schedule 2000 restart_crashed_worker "${name#worker-}"
+		return
+	fi
 	if [ -z "${ENDING[$name]:-}" ] || [ "$status" != 0 ]; then
 		violation "$name exited unexpectedly, status $status"
 	fi
@@ -71,13 +88,16 @@
 }
 
 # check_state ID: succeeds when an accepted job is in an expected final state; a
-# cancellation that was not acknowledged may have been applied
+# cancellation that was not acknowledged may have been applied; check_tasks looks
+# into those that have failed
 check_state() {
 	local id=$1 n body state
 	n=$(((0x${id: -2}) % ENTRIES + 1))
 	body=$(call GET "$(addr $((100 + n)))" "$JOB_PREFIX$id" "" 3 "$JOB_HOST")
 	state=$(sed 's/.*"state": *"\([a-z]*\)".*/\1/' <<<"$body")
-	if grep -q " $id" "$WORK/cancelled"; then
+	if [ "$state" = failed ]; then
+		echo "$id" >>"$WORK/failed"
+	elif grep -q " $id" "$WORK/cancelled"; then
 		[[ $state = cancelled || $state = completed ]]
 	elif grep -q "$id" "$WORK/cancel-asked"; then
 		[[ $state = cancelled || $state = completed ]]
@@ -86,15 +106,27 @@
 	fi
 }
 
+# check_crashing_state ID: the job is given up
+check_crashing_state() {
+	local n body
+	n=$(((0x${1: -2}) % ENTRIES + 1))
+	body=$(call GET "$(addr $((100 + n)))" "$JOB_PREFIX$1" "" 3 "$JOB_HOST")
+	[[ $body = *failed* ]]
+}
+
 check_jobs_end() {
 	local id until left=()
 	until=$(($(now_ms) + RECOVERY_MS))
 	wait_for_clients
-	mapfile -t left < <(cut -d' ' -f2 "$WORK/accepted" | sort -u)
+	mapfile -t left < <(cut -d' ' -f2 "$WORK/accepted" "$WORK/crashing" | sort -u)
 	while [ "${#left[@]}" -gt 0 ] && [ "$(now_ms)" -lt "$until" ]; do
 		local still=()
 		for id in "${left[@]}"; do
-			check_state "$id" || still+=("$id")
+			if grep -q " $id" "$WORK/crashing"; then
+				check_crashing_state "$id"
+			else
+				check_state "$id"
+			fi || still+=("$id")
 		done
 		left=("${still[@]}")
 		check_processes
@@ -120,12 +152,24 @@
 # Checks the workers' logs, merged in order of time: a task runs in one place at
 # a time, does not start again after an acknowledged end (an end acknowledged
 # only after the worker's lease lapsed does not count), steps run in order,
-# attempt numbers rise, no task of a refused job runs, and none starts after its
-# job was cancelled.
+# attempt numbers rise, no task of a refused job runs, none starts after its job was
+# cancelled, a task that crashes its workers is started no more than it may be, no
+# start exceeds the room, and a job fails only if two workers ended under one of its
+# tasks.
 check_tasks() {
 	sort -n -s "$WORK"/worker-*.tasks >"$WORK/all.tasks"
-	awk -v cancel_ms="$CANCEL_MS" '
+	awk -v cancel_ms="$CANCEL_MS" -v crashes_max="$CRASHES_MAX" \
+		-v shrunk_ms="$SHRUNK_COUNTS_MS" '
+	function end_worker(worker, t, part) {
+		for (t in where) {
+			if (where[t] != worker) continue
+			delete where[t]
+			split(t, part, ".")
+			if (++ended_under[t] == 2) may_fail[part[1]] = 1
+		}
+	}
 	FILENAME ~ /refused$/ { refused[$2] = 1; next }
+	FILENAME ~ /failed$/ { failed[$1] = 1; next }
 	FILENAME ~ /cancelled$/ { cancelled[$2] = $1; next }
 	FILENAME ~ /faults$/ { next }
 	FNR == 1 { pass++ }
@@ -137,8 +181,18 @@
 		next }
 	pass == 1 { next }
 	{ split($3, part, "."); job = part[1] }
+	$2 == "room" { shrunk[$5] = $4 < 16000 ? $1 : 0; next }
+	$2 == "crash" {
+		end_worker($5)
+		if (++crashes[$3] == crashes_max + 1)
+			print "crashed more than " crashes_max " workers: " $3
+		next }
+	$2 == "over" {
+		if (!shrunk[$5] || $1 > shrunk[$5] + shrunk_ms)
+			print "start exceeds the room: " $3 " on " $5
+		next }
 	$2 == "killed" {
-		for (t in where) if (where[t] == $5) delete where[t]
+		end_worker($5)
 		next }
 	$2 == "start" {
 		if (t = where[$3]) print "runs in two places: " $3 " on " t " and " $5
@@ -158,8 +212,12 @@
 	  if ($2 == "done") {
 		if (acked[$3 " " $4 " " $5]) end_acked[$3] = 1
 		if (part[3] == 0 && !done[$3]) ended[job]++
-		done[$3] = 1 } }' \
-		"$WORK/refused" "$WORK/cancelled" "$WORK/all.tasks" \
+		done[$3] = 1 } }
+	END {
+		for (job in failed)
+			if (!may_fail[job])
+				print "failed without cause: " job }' \
+		"$WORK/refused" "$WORK/failed" "$WORK/cancelled" "$WORK/all.tasks" \
 		"$WORK/all.tasks" >>"$WORK/violations"
 	[ -s "$WORK/cut-at-stop" ] &&
 		sed 's/^/connection cut during a planned stop: /' "$WORK/cut-at-stop" \
@@ -168,7 +226,8 @@
 
 report() {
 	local counts
-	counts="$(wc -l <"$WORK/accepted") accepted, $(wc -l <"$WORK/refused") \
+	counts="$(wc -l <"$WORK/accepted") accepted, $(wc -l <"$WORK/crashing") \
+with a crashing task, $(grep -c ' crash ' "$WORK/all.tasks") crashes, $(wc -l <"$WORK/refused") \
 refused, $(wc -l <"$WORK/unclear") unclear, $(wc -l <"$WORK/cancelled") \
 cancelled, $(grep -c ' start ' "$WORK/all.tasks") starts, \
 $(grep -cv boot "$WORK/faults") faults, ${CONFIG_CHECKS:-0} configuration \
