--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -5,6 +5,7 @@
 #include "platform/decode.h"
 #include "platform/runner.h"
 #include "platform/store.h"
+#include "sched/run_log.h"
 
 /* How long the worker may hold a poll while no task ends. */
 #define POLL_WAIT_MS 200
@@ -83,6 +84,8 @@
  * @ack: ends up to this number have been acknowledged by the leader
  * @gone_since: when the first of the last polls broke off, which shows that the
  *	worker's process has ended; 0: the last poll was answered
+ * @crash: the worker's last crash
+ * @is_crash_sent: the present leader has been sent it
  * @is_registered: its row exists, as far as this process knows
  * @is_idle: nothing can run on the worker: this process created the row, and
  *	has passed on no start order
@@ -111,6 +114,9 @@
 	int64_t poll_timeout_ms;
 	bh_usec_t poll_sent_at;
 	bh_usec_t gone_since;
+	bh_run_log_t *run_log;
+	bh_crash_t crash;
+	bool is_crash_sent;
 	bool is_polling;
 	uint64_t poll_term;
 	bool is_down;
@@ -154,11 +160,16 @@
 	a->lease_until = a->clock_read_at + bh_lease_bound(length);
 }
 
-static uint32_t gone_ms(const bh_sched_agent_t *a)
+/* Before the report by which the leader loses what ran there, so that the tasks
+ * are suspects once they wait. */
+static void send_crash(bh_sched_agent_t *a)
 {
-	if (!a->gone_since)
-		return 0;
-	return (uint32_t)((bh_runtime_now() - a->gone_since) / BH_USEC_PER_MS);
+	if (!a->crash.boot || a->is_crash_sent)
+		return;
+	a->is_crash_sent = true;
+	g_byte_array_set_size(a->scratch, 0);
+	bh_crash_append(&a->crash, a->term, a->scratch);
+	bh_link_send_bytes(a->leader, a->scratch->data, a->scratch->len);
 }
 
 static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
@@ -167,6 +178,7 @@
 
 	if (!a->leader)
 		return;
+	send_crash(a);
 	info.boot = a->boot;
 	/* An announcement is valid only for the boot that sent it. */
 	if (a->info.boot && a->boot && a->info.boot != a->boot)
@@ -176,7 +188,6 @@
 	/* A future leader learns only from the row that work may run here. */
 	else if (!a->is_registered && info.state == BH_WORKER_READY)
 		info.state = BH_WORKER_SILENT;
-	info.gone_ms = gone_ms(a);
 	if (!lists && a->lease_until)
 		info.lease_left_ms = lease_left_ms(a);
 	else if (!lists && a->is_idle)
@@ -204,12 +215,27 @@
 		a->gone_since = now;
 }
 
+static void note_crash(bh_sched_agent_t *a)
+{
+	bh_usec_t now = bh_runtime_now();
+
+	if (a->info.boot == a->boot && a->info.state == BH_WORKER_DRAINING) {
+		bh_run_log_clear(a->run_log);
+		return;
+	}
+	bh_run_log_crashed(a->run_log, a->boot,
+			   a->gone_since ? a->gone_since : now, &a->crash);
+	a->is_crash_sent = false;
+}
+
 static void note_refused_poll(bh_sched_agent_t *a)
 {
 	a->refused_polls++;
 	if (a->refused_polls < REFUSED_POLLS_UNTIL_DOWN || a->is_down)
 		return;
 	a->is_down = true;
+	if (a->boot)
+		note_crash(a);
 	bh_log_event(&a->rt->log, BH_LOG_WARN, "worker is down", "worker",
 		     a->info.id ? a->info.id : "", NULL);
 	send_report(a, NULL);
@@ -217,6 +243,8 @@
 
 static void note_boot(bh_sched_agent_t *a, uint64_t boot)
 {
+	if (a->boot && boot != a->boot && !a->is_down)
+		note_crash(a);
 	if (a->is_down || boot != a->boot) {
 		g_autofree char *text =
 			g_strdup_printf("%" G_GUINT64_FORMAT, boot);
@@ -258,6 +286,7 @@
 	}
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
 	note_boot(a, lists->boot);
+	bh_run_log_listed(a->run_log, lists, bh_runtime_now());
 	a->clock_ms = lists->clock_ms;
 	a->clock_read_at = bh_runtime_now();
 	/* Only a poll with this term's fencing token proves that the worker
@@ -266,8 +295,8 @@
 		poll_worker(a);
 		return;
 	}
-	send_report(a, lists);
 	a->gone_since = 0;
+	send_report(a, lists);
 	/* While it lists ends the worker answers at once; a poll before they
 	 * are acknowledged would return the same ones. */
 	if (lists->n_ended)
@@ -330,6 +359,16 @@
 	bh_link_send(o->agent->leader, &frame);
 }
 
+static void note_start_outcome(bh_sched_agent_t *a, const order_t *o,
+			       bh_order_outcome_t outcome)
+{
+	if (outcome == BH_ORDER_OK)
+		bh_run_log_started(a->run_log, o->task, o->attempt,
+				   bh_runtime_now());
+	else if (outcome != BH_ORDER_UNCLEAR)
+		bh_run_log_refused(a->run_log, o->task, o->attempt);
+}
+
 static void order_finish(order_t *o, bh_order_outcome_t outcome)
 {
 	bh_sched_agent_t *a = o->agent;
@@ -346,6 +385,8 @@
 	}
 	if (outcome == BH_ORDER_UNCLEAR)
 		a->unclear++;
+	if (o->kind == BH_ORDER_KIND_START)
+		note_start_outcome(a, o, outcome);
 	if (o->kind != BH_ORDER_KIND_PACE)
 		send_result(o, outcome);
 	a->orders--;
@@ -433,6 +474,7 @@
 	}
 	a->starts++;
 	a->is_idle = false;
+	bh_run_log_ordered(a->run_log, m->task, m->attempt, bh_runtime_now());
 	order_send(o);
 }
 
@@ -498,6 +540,7 @@
 	}
 	bh_log_event(&a->rt->log, BH_LOG_INFO, "leader", "name", hello->leader,
 		     "term", term, NULL);
+	a->is_crash_sent = false;
 	if (a->is_idle || a->is_down)
 		send_report(a, NULL);
 	poll_worker(a);
@@ -761,6 +804,7 @@
 
 	a->rt = rt;
 	a->scratch = g_byte_array_new();
+	a->run_log = bh_run_log_new();
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
 	a->store = bh_store_new(rt->base, set->store);
 	a->runner = bh_runner_new(rt->base, set->worker);
@@ -795,6 +839,8 @@
 	bh_runner_free(a->runner);
 	bh_store_free(a->store);
 	bh_worker_info_clear(&a->info);
+	bh_run_log_free(a->run_log);
+	bh_crash_clear(&a->crash);
 	g_byte_array_free(a->scratch, TRUE);
 	g_free(a);
 }
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -435,6 +435,19 @@
 	schedule_run(l);
 }
 
+static void on_crash(agent_link_t *m, const Bh__Sched__Crash *from)
+{
+	bh_sched_leader_t *l = m->leader;
+	bh_crash_t crash;
+
+	if (from->term != bh_term_number(l->term))
+		return;
+	bh_crash_decode(from, &crash);
+	bh_sched_crash(l->sched, m->address, &crash, bh_runtime_now());
+	bh_crash_clear(&crash);
+	schedule_run(l);
+}
+
 static void on_result(agent_link_t *m, const Bh__Sched__OrderResult *r)
 {
 	bh_sched_leader_t *l = m->leader;
@@ -460,6 +473,9 @@
 	case BH__SCHED__FRAME__BODY_REPORT:
 		on_report(m, frame->report);
 		break;
+	case BH__SCHED__FRAME__BODY_CRASH:
+		on_crash(m, frame->crash);
+		break;
 	case BH__SCHED__FRAME__BODY_RESULT:
 		on_result(m, frame->result);
 		break;
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -4,10 +4,6 @@
  */
 #include "sched/sched_impl.h"
 
-/* A run may have been ordered this much after the crash as it seems here, since
- * the report of the crash takes time. */
-#define REPORT_DELAY_US (20 * BH_USEC_PER_MS)
-
 /* A worker that has not crashed for this long is no longer suspected. */
 #define WORKER_CLEAR_US (15 * BH_USEC_PER_SEC)
 
@@ -20,8 +16,8 @@
 	       (blame->crashes && blame->suspicion >= BH_SUSPICION_MIN);
 }
 
-static void log_crash(bh_sched_t *s, const bh_host_t *host, const char *why,
-		      const GPtrArray *tasks, bh_usec_t now)
+static void log_crash(bh_sched_t *s, const bh_host_t *host,
+		      const GPtrArray *tasks)
 {
 	const bh_task_t *worst = NULL;
 	char name[BH_TASK_NAME_BYTES] = "-";
@@ -35,15 +31,13 @@
 	if (worst)
 		bh_task_full_name(worst, name);
 	bh_sched_log(s, "worker crashed", NULL,
-		     "host=%s worker=%s gone_ms=%" G_GINT64_FORMAT
+		     "host=%s boot=%" G_GUINT64_FORMAT
 		     " runs=%u suspect=%s crashes=%u age_ms=%" G_GINT64_FORMAT
-		     " suspicion=%.2f worker_suspicion=%.2f why=%s",
-		     host->key, host->info.id ? host->info.id : "-",
-		     (now - host->crashed_at) / 1000, tasks->len, name,
+		     " suspicion=%.2f worker_suspicion=%.2f",
+		     host->key, host->crashed_boot, tasks->len, name,
 		     worst ? worst->blame.crashes : 0,
-		     worst ? worst->blame.age / 1000 : 0,
-		     worst ? worst->blame.suspicion : 0, host->blame.suspicion,
-		     why);
+		     worst ? worst->blame.age / BH_USEC_PER_MS : 0,
+		     worst ? worst->blame.suspicion : 0, host->blame.suspicion);
 }
 
 static double mean_suspicion(const bh_sched_t *s)
@@ -56,51 +50,29 @@
 	return sum / MAX(s->n_hosts, 1);
 }
 
-static void add_suspect(GPtrArray *tasks, GArray *suspects, bh_task_t *task,
-			bh_usec_t age, bool is_confirmed)
+/* Return: the tasks that ran when the worker crashed and are not over. */
+static GPtrArray *share_blame(bh_sched_t *s, bh_host_t *host,
+			      const bh_crash_t *crash)
 {
-	bh_suspect_t suspect = {.blame = &task->blame,
-				.age = MAX(age, 0),
-				.is_confirmed = is_confirmed};
-
-	if (age < -REPORT_DELAY_US || g_ptr_array_find(tasks, task, NULL))
-		return;
-	g_array_append_val(suspects, suspect);
-	g_ptr_array_add(tasks, task);
-}
+	GPtrArray *tasks = g_ptr_array_new();
+	g_autofree bh_suspect_t *suspects =
+		g_new0(bh_suspect_t, crash->n_runs + 1);
 
-static void add_expired(bh_sched_t *s, const bh_host_t *host, GPtrArray *tasks,
-			GArray *suspects)
-{
-	if (host->crashed_at > host->expired_at)
-		return;
-	for (guint i = 0; i < host->expired->len; i++) {
-		const bh_expired_run_t *run =
-			&g_array_index(host->expired, bh_expired_run_t, i);
+	for (uint32_t i = 0; i < crash->n_runs; i++) {
+		const bh_crashed_run_t *run = &crash->runs[i];
 		bh_task_t *task = bh_task_find(s, run->task);
 
-		if (task && !task->is_done)
-			add_suspect(tasks, suspects, task,
-				    host->crashed_at - run->ordered_at,
-				    run->is_confirmed);
+		if (!task || task->is_done || bh_rec_is_over(task->phase->rec))
+			continue;
+		suspects[tasks->len] = (bh_suspect_t){
+			.blame = &task->blame,
+			.age = run->age_ms * BH_USEC_PER_MS,
+			.is_confirmed = run->is_confirmed,
+		};
+		g_ptr_array_add(tasks, task);
 	}
-}
-
-/* Return: the tasks that ran when the worker crashed. */
-static GPtrArray *share_blame(bh_sched_t *s, bh_host_t *host)
-{
-	GPtrArray *tasks = g_ptr_array_new();
-	g_autoptr(GArray) suspects =
-		g_array_new(FALSE, FALSE, sizeof(bh_suspect_t));
-	const bh_run_t *run;
-
-	TAILQ_FOREACH(run, &host->runs, link)
-		add_suspect(tasks, suspects, run->task,
-			    host->crashed_at - run->ordered_at,
-			    run->is_confirmed);
-	add_expired(s, host, tasks, suspects);
-	bh_blame_crash(&host->blame, mean_suspicion(s),
-		       (const bh_suspect_t *)suspects->data, suspects->len);
+	bh_blame_crash(&host->blame, crash->boot, mean_suspicion(s), suspects,
+		       tasks->len);
 	for (guint i = 0; i < tasks->len; i++) {
 		const bh_task_t *task = g_ptr_array_index(tasks, i);
 
@@ -125,42 +97,28 @@
 		"task=%s crashes=%u suspicion=%.2f age_ms=%" G_GINT64_FORMAT
 		" why=it crashes its workers",
 		name + BH_JOB_ID_LEN + 1, task->blame.crashes,
-		task->blame.suspicion, task->blame.age / 1000);
+		task->blame.suspicion, task->blame.age / BH_USEC_PER_MS);
 	bh_rec_end(s, rec, BH_JOB_FAILED, now);
 }
 
-void bh_host_crashed(bh_sched_t *s, bh_host_t *host, const char *why,
-		     bh_usec_t crashed_at, bh_usec_t now)
+void bh_sched_crash(bh_sched_t *s, const char *key, const bh_crash_t *crash,
+		    bh_usec_t now)
 {
+	bh_host_t *host = g_hash_table_lookup(s->by_key, key);
 	g_autoptr(GPtrArray) tasks = NULL;
 
+	if (!host || !crash->boot || crash->boot == host->crashed_boot)
+		return;
 	s->stats.crashes++;
-	host->crashed_at = crashed_at;
-	tasks = share_blame(s, host);
-	log_crash(s, host, why, tasks, now);
-	bh_host_lose_runs(s, host, why, now);
-	g_array_set_size(host->expired, 0);
+	host->crashed_at = now;
+	host->crashed_boot = crash->boot;
+	tasks = share_blame(s, host, crash);
+	log_crash(s, host, tasks);
 	for (guint i = 0; i < tasks->len; i++)
 		end_if_guilty(s, g_ptr_array_index(tasks, i), now);
 }
 
-void bh_host_keep_expired(bh_host_t *host, bh_usec_t now)
-{
-	const bh_run_t *run;
-
-	if (!TAILQ_EMPTY(&host->runs))
-		g_array_set_size(host->expired, 0);
-	TAILQ_FOREACH(run, &host->runs, link) {
-		bh_expired_run_t expired = {.ordered_at = run->ordered_at,
-					    .is_confirmed = run->is_confirmed};
-
-		bh_task_full_name(run->task, expired.task);
-		g_array_append_val(host->expired, expired);
-		host->expired_at = now;
-	}
-}
-
-void bh_crash_clear(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+void bh_host_clear_suspects(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
 	const bh_run_t *run;
 
--- a/sched/health.c
+++ b/sched/health.c
@@ -206,7 +206,7 @@
 		bh_run_t *next;
 
 		update_speed(host, now);
-		bh_crash_clear(s, host, now);
+		bh_host_clear_suspects(s, host, now);
 		TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
 			check_run(s, run, now);
 	}
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -352,7 +352,6 @@
 	TAILQ_FOREACH(orphan, &host->orphans, link)
 		orphan->is_listed = false;
 	bh_host_clear_unclaimed(host);
-	g_array_set_size(host->expired, 0);
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
@@ -371,7 +370,6 @@
 			lose_run(s, run, "worker no longer reports it", now);
 	}
 	host->is_synced = true;
-	host->listed_boot = lists->boot;
 }
 
 static bh_usec_t lease_bound(const bh_sched_t *s)
@@ -388,26 +386,10 @@
 	host->lease_ends_at = now + lease_bound(s);
 }
 
-/* Whether the leader knew what ran on a worker that has ended, and the end was
- * not planned. */
-static bool has_crashed(const bh_host_t *host)
-{
-	return host->is_synced && host->info.boot &&
-	       host->listed_boot == host->info.boot &&
-	       host->info.state != BH_WORKER_DRAINING &&
-	       host->info.state != BH_WORKER_DOWN;
-}
-
-/* @info: of the report that shows that the worker's process has ended */
-static void reset_boot(bh_sched_t *s, bh_host_t *host,
-		       const bh_worker_info_t *info, const char *why,
+static void reset_boot(bh_sched_t *s, bh_host_t *host, const char *why,
 		       bh_usec_t now)
 {
-	if (has_crashed(host))
-		bh_host_crashed(s, host, why,
-				now - info->gone_ms * BH_USEC_PER_MS, now);
-	else
-		bh_host_lose_runs(s, host, why, now);
+	bh_host_lose_runs(s, host, why, now);
 	clear_acks(host);
 	host->last_ended = 0;
 	host->acked = 0;
@@ -457,7 +439,6 @@
 					"host=%s silent_ms=%" G_GINT64_FORMAT,
 					host->key,
 					(now - host->heard_at) / 1000);
-			bh_host_keep_expired(host, now);
 			bh_host_lose_runs(s, host, "lease expired", now);
 		}
 		if (!host->is_synced)
@@ -541,7 +522,6 @@
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
 	TAILQ_INIT(&host->orphans);
-	host->expired = g_array_new(FALSE, FALSE, sizeof(bh_expired_run_t));
 	g_queue_init(&host->acks);
 	TAILQ_INSERT_TAIL(&s->hosts, host, link);
 	g_hash_table_insert(s->by_key, host->key, host);
@@ -580,10 +560,10 @@
 	if (lists)
 		host->heard_at = now;
 	if (info->boot && host->info.boot && info->boot != host->info.boot)
-		reset_boot(s, host, info, "worker restarted", now);
+		reset_boot(s, host, "worker restarted", now);
 	else if (info->state == BH_WORKER_DOWN &&
 		 (before != BH_WORKER_DOWN || !host->is_synced))
-		reset_boot(s, host, info, "worker is down", now);
+		reset_boot(s, host, "worker is down", now);
 	copy_info(host, info);
 	if (info->state == BH_WORKER_DOWN)
 		return;
@@ -704,7 +684,6 @@
 	s->n_hosts--;
 	clear_acks(host);
 	remove_orphans(host, true);
-	g_array_free(host->expired, TRUE);
 	bh_worker_info_clear(&host->info);
 	g_free(host->key);
 	g_free(host);
--- a/sched/place.c
+++ b/sched/place.c
@@ -178,18 +178,22 @@
 	return host->suspicion + host->blame.suspicion;
 }
 
-/* If there is much other suspicion, a further crash tells little of a suspect.
- */
-static bool must_wait_as_suspect(const bh_task_t *task, const bh_host_t *host,
-				 bh_usec_t now)
+/* Whether another crash on the host would tell if a task is at fault. */
+static bool tells_fault(const bh_task_t *task, const bh_host_t *host)
 {
 	double others = other_suspicion(host);
 
-	return bh_task_is_suspect(task) && !task->phase->step->is_gang &&
+	return others < BH_SUSPICION_MIN || !bh_task_is_suspect(task) ||
+	       others + task->blame.suspicion <= BH_SUSPICION_TOGETHER;
+}
+
+static bool must_wait_as_suspect(const bh_task_t *task, const bh_host_t *host,
+				 bh_usec_t now)
+{
+	return task->blame.crashes && !task->phase->step->is_gang &&
 	       (!task->held_since ||
 		now - task->held_since < SUSPECT_WAIT_US) &&
-	       others >= BH_SUSPICION_MIN &&
-	       others + task->blame.suspicion > BH_SUSPICION_TOGETHER;
+	       !tells_fault(task, host);
 }
 
 /* @spare: set to the headroom above the goal that a filler would leave, 0 for
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -172,6 +172,14 @@
 		     const bh_worker_lists_t *lists, bool may_grant,
 		     bh_usec_t now);
 
+/**
+ * bh_sched_crash() - a worker has crashed; to be called before the report by
+ * which its runs are lost. Shares out the suspicion, and ends the jobs with a
+ * task that is found guilty. An agent may report a crash again, to each leader.
+ */
+void bh_sched_crash(bh_sched_t *s, const char *host, const bh_crash_t *crash,
+		    bh_usec_t now);
+
 /**
  * bh_sched_start_result() - handle the outcome of an order to start an attempt
  */
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -235,22 +235,12 @@
 	uint64_t accelerators;
 } bh_host_resources_t;
 
-/**
- * struct bh_expired_run - a run that ended with its worker's lease
- */
-typedef struct bh_expired_run {
-	char task[BH_TASK_NAME_BYTES];
-	bh_usec_t ordered_at;
-	bool is_confirmed;
-} bh_expired_run_t;
-
 /**
  * struct bh_host - a host with its agent and its worker
  * @key: address of the agent
  * @rack: which of the worker's labels names the rack, or NULL
  * @is_linked: the agent is connected
  * @is_synced: the worker's lists were seen in this term, or its lease expired
- * @listed_boot: boot of the worker whose lists came last
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
@@ -281,11 +271,10 @@
  * @quarantined_until: no new tasks are placed there before
  * @is_probing: no task has succeeded since it was quarantined; it gets one task
  *	at a time
- * @blame: its crashes
- * @crashed_at: when it last crashed
+ * @blame: crashes of its worker
+ * @crashed_at: when the last one was reported
+ * @crashed_boot: boot of the worker that crashed last, 0: none
  * @suspicion: sum over the suspects that run there
- * @expired: array of struct bh_expired_run: its runs at the time @expired_at,
- *	when its lease expired, until it is known whether its worker had crashed
  * @full_until: no new tasks are placed there before, as it refused one for lack
  *	of resources
  * @last_ended: highest number of an end that was handled
@@ -299,7 +288,6 @@
 	const char *rack;
 	bool is_linked;
 	bool is_synced;
-	uint64_t listed_boot;
 	bh_usec_t linked_at;
 	bh_usec_t heard_at;
 	bh_usec_t lease_ends_at;
@@ -329,9 +317,8 @@
 	bool is_probing;
 	bh_blame_t blame;
 	bh_usec_t crashed_at;
+	uint64_t crashed_boot;
 	double suspicion;
-	GArray *expired;
-	bh_usec_t expired_at;
 	bh_usec_t full_until;
 	uint64_t last_ended;
 	uint64_t acked;
@@ -487,24 +474,10 @@
 /* crash.c */
 
 /**
- * bh_host_crashed() - a worker has crashed: drop its runs, share out the
- * suspicion, and end the jobs with a task that is found guilty
- * @crashed_at: time of the crash
- */
-void bh_host_crashed(bh_sched_t *s, bh_host_t *host, const char *why,
-		     bh_usec_t crashed_at, bh_usec_t now);
-
-/**
- * bh_host_keep_expired() - keep the runs of a host whose lease expires: its
- * worker may have crashed before
- */
-void bh_host_keep_expired(bh_host_t *host, bh_usec_t now);
-
-/**
- * bh_crash_clear() - clear the tasks and the worker of a host that have
+ * bh_host_clear_suspects() - clear the tasks and the worker of a host that have
  * outlived their suspicion
  */
-void bh_crash_clear(bh_sched_t *s, bh_host_t *host, bh_usec_t now);
+void bh_host_clear_suspects(bh_sched_t *s, bh_host_t *host, bh_usec_t now);
 
 /**
  * bh_task_is_suspect() - whether a task may be crashing its workers
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -50,3 +50,11 @@
 	g_free(lists->ended);
 	memset(lists, 0, sizeof(*lists));
 }
+
+void bh_crash_clear(bh_crash_t *crash)
+{
+	for (uint32_t i = 0; i < crash->n_runs; i++)
+		g_free(crash->runs[i].task);
+	g_free(crash->runs);
+	*crash = (bh_crash_t){0};
+}
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -80,14 +80,36 @@
 	char *checkpoint;
 } bh_ended_t;
 
+/**
+ * struct bh_crashed_run - an attempt that ran on a worker when it crashed
+ * @age_ms: how long it had run
+ * @is_confirmed: it had started for certain
+ */
+typedef struct bh_crashed_run {
+	char *task;
+	uint32_t age_ms;
+	bool is_confirmed;
+} bh_crashed_run_t;
+
+/**
+ * struct bh_crash - the unplanned end of a worker's process, as its agent saw
+ * it
+ * @boot: of the process that ended; 0: there was no crash
+ */
+typedef struct bh_crash {
+	uint64_t boot;
+	uint32_t n_runs;
+	bh_crashed_run_t *runs;
+} bh_crash_t;
+
+void bh_crash_clear(bh_crash_t *crash);
+
 /**
  * struct bh_worker_info - description and state of a worker
  * @id: its name; NULL until it has announced itself
  * @boot: unix time of its start in ms; 0: not known
  * @leaves_ms: of a draining worker, the least time until it exits
  * @cold_ms: remaining time for which it is slow after its start
- * @gone_ms: of a worker that is down or has restarted, the time since its agent
- *	found it gone; 0: the agent does not know
  * @lease_left_ms: of a worker that does not answer its agent, the time after
  *	which none of its earlier tasks run any more; 0: the agent does not know
  */
@@ -105,7 +127,6 @@
 	uint32_t leaves_ms;
 	uint32_t cold_ms;
 	uint32_t lease_left_ms;
-	uint32_t gone_ms;
 } bh_worker_info_t;
 
 /**
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -49,6 +49,7 @@
 	double done_ms;
 	double need_ms;
 	bool will_fail;
+	bh_usec_t started_at;
 	bh_usec_t crash_at;
 	bh_usec_t stop_at;
 	uint32_t pace;
@@ -83,7 +84,8 @@
 	uint64_t grant_ms;
 	uint64_t ack;
 	bool is_linked;
-	bh_usec_t gone_since;
+	bh_crash_t crash;
+	uint64_t crash_term;
 	bh_usec_t shrunk_since;
 	bh_usec_t reported_at;
 	/* The report that is being sent to the leader. */
@@ -270,6 +272,24 @@
 	}
 }
 
+static void record_crash(const sw_world_t *w, sw_worker_t *k)
+{
+	bh_crash_clear(&k->crash);
+	k->crash.boot = k->boot;
+	k->crash.runs = g_new0(bh_crashed_run_t, k->runs->len + 1);
+	for (guint i = 0; i < k->runs->len; i++) {
+		const sw_run_rec_t *run = k->runs->pdata[i];
+
+		k->crash.runs[k->crash.n_runs++] = (bh_crashed_run_t){
+			.task = g_strdup(run->name),
+			.age_ms = (uint32_t)((w->now - run->started_at) /
+					     BH_USEC_PER_MS),
+			.is_confirmed = true,
+		};
+	}
+	k->crash_term = 0;
+}
+
 static void reboot(sw_world_t *w, sw_worker_t *k)
 {
 	while (k->runs->len) {
@@ -375,6 +395,7 @@
 	run->attempt = m->attempt;
 	run->need_ms = step->is_long_running ? 1e12 : step->estimate_ms;
 	run->pace = 100;
+	run->started_at = w->now;
 	if (m->checkpoint && strrchr(m->checkpoint, '@'))
 		run->done_ms =
 			g_ascii_strtod(strrchr(m->checkpoint, '@') + 1, NULL);
@@ -697,9 +718,13 @@
 	}
 }
 
-static uint32_t gone_ms(const sw_world_t *w, const sw_worker_t *k)
+/* Agents report the last crash of their worker once to each leader. */
+static void report_crash(sw_world_t *w, sw_worker_t *k)
 {
-	return k->gone_since ? (uint32_t)((w->now - k->gone_since) / 1000) : 0;
+	if (!k->crash.boot || k->crash_term == w->term)
+		return;
+	k->crash_term = w->term;
+	bh_sched_crash(w->sched, k->key, &k->crash, w->now);
 }
 
 static void deliver_report(sw_world_t *w, sw_worker_t *k)
@@ -722,12 +747,12 @@
 		info.cpu_milli /= SHRINK_DIVISOR;
 		info.memory_mb /= SHRINK_DIVISOR;
 	}
-	info.gone_ms = gone_ms(w, k);
-	if (k->is_up && k->is_linked && w->is_leading)
-		k->gone_since = 0;
-	if (k->is_up && k->is_linked && w->is_leading)
-		bh_sched_report(w->sched, k->key, &info, &k->report, may_grant,
-				w->now);
+	if (!k->is_up || !k->is_linked || !w->is_leading) {
+		bh_worker_lists_clear(&k->report);
+		return;
+	}
+	report_crash(w, k);
+	bh_sched_report(w->sched, k->key, &info, &k->report, may_grant, w->now);
 	bh_worker_lists_clear(&k->report);
 }
 
@@ -751,7 +776,7 @@
 	bh_worker_lists_t lists = {.boot = k->boot, .clock_ms = clock_of(w, k)};
 
 	if (!k->is_up) {
-		info.gone_ms = gone_ms(w, k);
+		report_crash(w, k);
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
 		return;
 	}
@@ -890,7 +915,7 @@
 	k->is_unreachable = has_fault(w, k, SW_WORKER_UNREACHABLE);
 	k->is_up = !has_fault(w, k, SW_WORKER_CRASH);
 	if (was_up && !k->is_up) {
-		k->gone_since = w->now;
+		record_crash(w, k);
 		reboot(w, k);
 	}
 	if (!has_fault(w, k, SW_ROOM_SHRINKS))
@@ -1016,6 +1041,7 @@
 
 		bh_worker_lists_clear(&k->report);
 		clear_ended(k, UINT64_MAX, NULL);
+		bh_crash_clear(&k->crash);
 		g_ptr_array_free(k->runs, TRUE);
 		g_array_free(k->ended, TRUE);
 		g_hash_table_destroy(k->closed_attempts);
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -22,7 +22,7 @@
 					 {&tasks[2], MS(9000), true}};
 
 	(void)state;
-	bh_blame_crash(&worker, 0, suspects, 3);
+	bh_blame_crash(&worker, 1, 0, suspects, 3);
 	assert_true(tasks[0].suspicion > 0.5);
 	assert_true(tasks[1].suspicion < 0.1);
 	assert_true(tasks[2].suspicion < tasks[1].suspicion);
@@ -40,7 +40,7 @@
 					 {&tasks[1], MS(10), false}};
 
 	(void)state;
-	bh_blame_crash(&worker, 0, suspects, 2);
+	bh_blame_crash(&worker, 1, 0, suspects, 2);
 	assert_true(tasks[1].suspicion < tasks[0].suspicion / 2);
 	assert_true(tasks[1].suspicion >= BH_SUSPICION_MIN);
 }
@@ -55,7 +55,7 @@
 		bh_blame_t worker = {0};
 
 		assert_false(bh_blame_is_guilty(&task));
-		bh_blame_crash(&worker, 0, &suspect, 1);
+		bh_blame_crash(&worker, (uint64_t)i, 0, &suspect, 1);
 		assert_int_equal(task.crashes, i);
 		assert_true(worker.suspicion < 0.1);
 	}
@@ -74,7 +74,7 @@
 	while (!bh_blame_is_guilty(&task) && crashes++ < CRASHES_MAX) {
 		bh_blame_t worker = {0};
 
-		bh_blame_crash(&worker, 0, &suspect, 1);
+		bh_blame_crash(&worker, (uint64_t)crashes, 0, &suspect, 1);
 	}
 	assert_true(bh_blame_is_guilty(&task));
 }
@@ -99,7 +99,7 @@
 	bh_blame_t tasks[8] = {0};
 
 	(void)state;
-	bh_blame_crash(&idle, 0, NULL, 0);
+	bh_blame_crash(&idle, 1, 0, NULL, 0);
 	assert_true(idle.suspicion > 0.99);
 	for (int i = 0; i < 2 * CRASHES_MAX; i++) {
 		bh_blame_t worker = idle;
@@ -109,7 +109,8 @@
 			suspects[k] = (bh_suspect_t){
 				&tasks[k], MS(300 + (100 * i + 70 * k) % 400),
 				true};
-		bh_blame_crash(&worker, idle.suspicion, suspects, 8);
+		bh_blame_crash(&worker, (uint64_t)i + 1, idle.suspicion,
+			       suspects, 8);
 		for (int k = 0; k < 8; k++)
 			assert_false(bh_blame_is_guilty(&tasks[k]));
 	}
@@ -142,8 +143,8 @@
 			suspects[n_suspects++] =
 				(bh_suspect_t){&tasks[i], MS(20), true};
 		}
-		bh_blame_crash(&worker, 0, suspects, n_suspects);
-		crashes++;
+		bh_blame_crash(&worker, (uint64_t)++crashes, 0, suspects,
+			       n_suspects);
 		for (int i = 1; i < TASKS; i++)
 			assert_false(bh_blame_is_guilty(&tasks[i]));
 	}
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -371,6 +371,31 @@
 	}
 }
 
+/* The leader ends as a worker crashes, four times. A crash that was seen by no
+ * leader was not counted. */
+static void test_crash_without_leader_counts(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+		uint32_t crashes = 0;
+
+		sw_deadly(w, JOB_A ".0.0.0", 20);
+		sw_submit(w, JOB_B, 1, 12, 500, 1000, "");
+		sw_submit(w, JOB_C, 1, 4, 500, 1000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_submit(w, JOB_A, 1, 4, 500, 1000, "");
+		for (int i = 0; i < 3000; i++) {
+			sw_advance(w, MS(20));
+			if (sw_crashes(w) > crashes && crashes < 4)
+				sw_fault(w, SW_LEADER_KILL, 0, MS(100));
+			crashes = sw_crashes(w);
+		}
+		assert_ended_beside(w, (int)seed);
+		sw_free(w);
+	}
+}
+
 /* The leader hears nothing of a worker that has crashed until its lease has run
  * out. Its runs were then forgotten, and the worker held to be at fault. */
 static void test_crash_known_after_lease_expiry_counts(void **state)
@@ -607,6 +632,7 @@
 		cmocka_unit_test(test_harmless_fillers_run_at_full_pace),
 		cmocka_unit_test(test_task_that_crashes_workers_is_given_up),
 		cmocka_unit_test(test_crashes_are_known_to_the_next_leader),
+		cmocka_unit_test(test_crash_without_leader_counts),
 		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -66,6 +66,7 @@
 				   .failed = failed,
 				   .checkpoint = (char *)"cp",
 				   .blame = {.crashes = 2,
+					     .boots = {7, 9},
 					     .suspicion = 0.25,
 					     .age = 30 * BH_USEC_PER_MS}};
 	bh_step_progress_t step = {.step = 1,
@@ -89,6 +90,7 @@
 	assert_int_equal(back->steps[0].tasks[0].blame.crashes, 2);
 	assert_true(back->steps[0].tasks[0].blame.suspicion == 0.25);
 	assert_int_equal(back->steps[0].tasks[0].blame.age, MS(30));
+	assert_int_equal(back->steps[0].tasks[0].blame.boots[1], 9);
 	bh_progress_free(back);
 	g_bytes_unref(bytes);
 	assert_null(bh_progress_unpack("\xff\xff\xff", 3));
@@ -100,7 +102,6 @@
 				 .boot = 7,
 				 .state = BH_WORKER_READY,
 				 .cpu_milli = 16000,
-				 .gone_ms = 250,
 				 .n_labels = 1,
 				 .labels = {(char *)"r1-1"}};
 	bh_active_t active = {.task = (char *)"t", .attempt = 2, .gauge = 30};
@@ -125,7 +126,6 @@
 	bh_report_decode(frame->report, &back);
 	assert_string_equal(back.info.id, "w");
 	assert_string_equal(back.info.labels[0], "r1-1");
-	assert_int_equal(back.info.gone_ms, 250);
 	assert_int_equal(back.lists.clock_ms, 1234);
 	assert_int_equal(back.lists.active[0].gauge, 30);
 	assert_int_equal(back.lists.ended[0].how, BH_END_LAPSED);
@@ -135,12 +135,40 @@
 	g_byte_array_free(out, TRUE);
 }
 
+static void test_crash_round_trip(void **state)
+{
+	bh_crashed_run_t run = {
+		.task = (char *)"t", .age_ms = 12, .is_confirmed = true};
+	bh_crash_t crash = {.boot = 8, .n_runs = 1, .runs = &run};
+	GByteArray *out = g_byte_array_new();
+	bh_frame_t *frame;
+	bh_crash_t back;
+
+	(void)state;
+	bh_crash_append(&crash, 3, out);
+	frame = bh__sched__frame__unpack(
+		NULL, out->len - BH_SCHED_FRAME_HEADER_BYTES,
+		out->data + BH_SCHED_FRAME_HEADER_BYTES);
+	assert_non_null(frame);
+	assert_int_equal(frame->crash->term, 3);
+	bh_crash_decode(frame->crash, &back);
+	assert_int_equal(back.boot, 8);
+	assert_int_equal(back.n_runs, 1);
+	assert_string_equal(back.runs[0].task, "t");
+	assert_int_equal(back.runs[0].age_ms, 12);
+	assert_true(back.runs[0].is_confirmed);
+	bh_crash_clear(&back);
+	bh__sched__frame__free_unpacked(frame, NULL);
+	g_byte_array_free(out, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_job_round_trip),
 		cmocka_unit_test(test_progress_round_trip),
 		cmocka_unit_test(test_report_round_trip),
+		cmocka_unit_test(test_crash_round_trip),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -502,6 +502,96 @@
   assert(message->base.descriptor == &bh__sched__ended__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__crashed_run__init
+                     (Bh__Sched__CrashedRun         *message)
+{
+  static const Bh__Sched__CrashedRun init_value = BH__SCHED__CRASHED_RUN__INIT;
+  *message = init_value;
+}
+size_t bh__sched__crashed_run__get_packed_size
+                     (const Bh__Sched__CrashedRun *message)
+{
+  assert(message->base.descriptor == &bh__sched__crashed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__crashed_run__pack
+                     (const Bh__Sched__CrashedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__crashed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__crashed_run__pack_to_buffer
+                     (const Bh__Sched__CrashedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__crashed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__CrashedRun *
+       bh__sched__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__CrashedRun *)
+     protobuf_c_message_unpack (&bh__sched__crashed_run__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__crashed_run__free_unpacked
+                     (Bh__Sched__CrashedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__crashed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bh__sched__crash__init
+                     (Bh__Sched__Crash         *message)
+{
+  static const Bh__Sched__Crash init_value = BH__SCHED__CRASH__INIT;
+  *message = init_value;
+}
+size_t bh__sched__crash__get_packed_size
+                     (const Bh__Sched__Crash *message)
+{
+  assert(message->base.descriptor == &bh__sched__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__crash__pack
+                     (const Bh__Sched__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__crash__pack_to_buffer
+                     (const Bh__Sched__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Crash *
+       bh__sched__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Crash *)
+     protobuf_c_message_unpack (&bh__sched__crash__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__crash__free_unpacked
+                     (Bh__Sched__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__report__init
                      (Bh__Sched__Report         *message)
 {
@@ -1758,7 +1848,7 @@
   (ProtobufCMessageInit) bh__sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[7] =
 {
   {
     "index",
@@ -1832,10 +1922,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_boots",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bh__Sched__TaskNote, n_crashed_boots),
+    offsetof(Bh__Sched__TaskNote, crashed_boots),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__task_note__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
   5,   /* field[5] = crash_age_ms */
+  6,   /* field[6] = crashed_boots */
   3,   /* field[3] = crashes */
   1,   /* field[1] = failed */
   0,   /* field[0] = index */
@@ -1844,7 +1947,7 @@
 static const ProtobufCIntRange bh__sched__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bh__sched__task_note__descriptor =
 {
@@ -1854,7 +1957,7 @@
   "Bh__Sched__TaskNote",
   "bh.sched",
   sizeof(Bh__Sched__TaskNote),
-  6,
+  7,
   bh__sched__task_note__field_descriptors,
   bh__sched__task_note__field_indices_by_name,
   1,  bh__sched__task_note__number_ranges,
@@ -2412,7 +2515,135 @@
   (ProtobufCMessageInit) bh__sched__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor bh__sched__crashed_run__field_descriptors[3] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__CrashedRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__CrashedRun, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_confirmed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__CrashedRun, is_confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__crashed_run__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  2,   /* field[2] = is_confirmed */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange bh__sched__crashed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bh__sched__crashed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.CrashedRun",
+  "CrashedRun",
+  "Bh__Sched__CrashedRun",
+  "bh.sched",
+  sizeof(Bh__Sched__CrashedRun),
+  3,
+  bh__sched__crashed_run__field_descriptors,
+  bh__sched__crashed_run__field_indices_by_name,
+  1,  bh__sched__crashed_run__number_ranges,
+  (ProtobufCMessageInit) bh__sched__crashed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__crash__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Crash, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Crash, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Crash, n_runs),
+    offsetof(Bh__Sched__Crash, runs),
+    &bh__sched__crashed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__crash__field_indices_by_name[] = {
+  1,   /* field[1] = boot */
+  2,   /* field[2] = runs */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange bh__sched__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bh__sched__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Crash",
+  "Crash",
+  "Bh__Sched__Crash",
+  "bh.sched",
+  sizeof(Bh__Sched__Crash),
+  3,
+  bh__sched__crash__field_descriptors,
+  bh__sched__crash__field_indices_by_name,
+  1,  bh__sched__crash__number_ranges,
+  (ProtobufCMessageInit) bh__sched__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[17] =
 {
   {
     "worker",
@@ -2618,18 +2849,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "gone_ms",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bh__Sched__Report, gone_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned bh__sched__report__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -2639,7 +2858,6 @@
   15,   /* field[15] = cold_ms */
   5,   /* field[5] = cpu_milli */
   13,   /* field[13] = ended */
-  17,   /* field[17] = gone_ms */
   11,   /* field[11] = has_lists */
   8,   /* field[8] = labels */
   16,   /* field[16] = lease_left_ms */
@@ -2654,7 +2872,7 @@
 static const ProtobufCIntRange bh__sched__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor bh__sched__report__descriptor =
 {
@@ -2664,7 +2882,7 @@
   "Bh__Sched__Report",
   "bh.sched",
   sizeof(Bh__Sched__Report),
-  18,
+  17,
   bh__sched__report__field_descriptors,
   bh__sched__report__field_indices_by_name,
   1,  bh__sched__report__number_ranges,
@@ -3804,7 +4022,7 @@
   (ProtobufCMessageInit) bh__sched__store_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -4022,10 +4240,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, crash),
+    &bh__sched__crash__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__frame__field_indices_by_name[] = {
   11,   /* field[11] = config */
   14,   /* field[14] = config_request */
+  18,   /* field[18] = crash */
   15,   /* field[15] = entries */
   2,   /* field[2] = grant */
   0,   /* field[0] = hello */
@@ -4046,7 +4277,7 @@
 static const ProtobufCIntRange bh__sched__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor bh__sched__frame__descriptor =
 {
@@ -4056,7 +4287,7 @@
   "Bh__Sched__Frame",
   "bh.sched",
   sizeof(Bh__Sched__Frame),
-  18,
+  19,
   bh__sched__frame__field_descriptors,
   bh__sched__frame__field_indices_by_name,
   1,  bh__sched__frame__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct Bh__Sched__AgentRow Bh__Sched__AgentRow;
 typedef struct Bh__Sched__Active Bh__Sched__Active;
 typedef struct Bh__Sched__Ended Bh__Sched__Ended;
+typedef struct Bh__Sched__CrashedRun Bh__Sched__CrashedRun;
+typedef struct Bh__Sched__Crash Bh__Sched__Crash;
 typedef struct Bh__Sched__Report Bh__Sched__Report;
 typedef struct Bh__Sched__Hello Bh__Sched__Hello;
 typedef struct Bh__Sched__Grant Bh__Sched__Grant;
@@ -117,10 +119,15 @@
   uint32_t crashes;
   uint32_t suspicion_permille;
   uint32_t crash_age_ms;
+  /*
+   * Boots of the workers that crashed, the last ones.
+   */
+  size_t n_crashed_boots;
+  uint64_t *crashed_boots;
 };
 #define BH__SCHED__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__task_note__descriptor) \
-    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
 struct  Bh__Sched__StepNote
@@ -240,6 +247,38 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Bh__Sched__CrashedRun
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t age_ms;
+  /*
+   * Its start was answered or listed.
+   */
+  protobuf_c_boolean is_confirmed;
+};
+#define BH__SCHED__CRASHED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__crashed_run__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * agent -> leader, once to each leader: the last crash of the worker, whose
+ * process had this boot, and what ran on it
+ */
+struct  Bh__Sched__Crash
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint64_t boot;
+  size_t n_runs;
+  Bh__Sched__CrashedRun **runs;
+};
+#define BH__SCHED__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__crash__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /*
  * agent -> leader
  */
@@ -270,15 +309,10 @@
    * 0 when the agent does not know it.
    */
   uint32_t lease_left_ms;
-  /*
-   * With a worker that is down, or has restarted since the last report: time
-   * since it was found to be gone.
-   */
-  uint32_t gone_ms;
 };
 #define BH__SCHED__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -540,7 +574,8 @@
   BH__SCHED__FRAME__BODY_CONFIG_REQUEST = 15,
   BH__SCHED__FRAME__BODY_ENTRIES = 16,
   BH__SCHED__FRAME__BODY_LEADER_QUERY = 17,
-  BH__SCHED__FRAME__BODY_LEADER = 18
+  BH__SCHED__FRAME__BODY_LEADER = 18,
+  BH__SCHED__FRAME__BODY_CRASH = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BH__SCHED__FRAME__BODY__CASE)
 } Bh__Sched__Frame__BodyCase;
 
@@ -567,6 +602,7 @@
     Bh__Sched__Entries *entries;
     Bh__Sched__LeaderQuery *leader_query;
     Bh__Sched__Leader *leader;
+    Bh__Sched__Crash *crash;
   };
 };
 #define BH__SCHED__FRAME__INIT \
@@ -783,6 +819,44 @@
 void   bh__sched__ended__free_unpacked
                      (Bh__Sched__Ended *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__CrashedRun methods */
+void   bh__sched__crashed_run__init
+                     (Bh__Sched__CrashedRun         *message);
+size_t bh__sched__crashed_run__get_packed_size
+                     (const Bh__Sched__CrashedRun   *message);
+size_t bh__sched__crashed_run__pack
+                     (const Bh__Sched__CrashedRun   *message,
+                      uint8_t             *out);
+size_t bh__sched__crashed_run__pack_to_buffer
+                     (const Bh__Sched__CrashedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__CrashedRun *
+       bh__sched__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__crashed_run__free_unpacked
+                     (Bh__Sched__CrashedRun *message,
+                      ProtobufCAllocator *allocator);
+/* Bh__Sched__Crash methods */
+void   bh__sched__crash__init
+                     (Bh__Sched__Crash         *message);
+size_t bh__sched__crash__get_packed_size
+                     (const Bh__Sched__Crash   *message);
+size_t bh__sched__crash__pack
+                     (const Bh__Sched__Crash   *message,
+                      uint8_t             *out);
+size_t bh__sched__crash__pack_to_buffer
+                     (const Bh__Sched__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Crash *
+       bh__sched__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__crash__free_unpacked
+                     (Bh__Sched__Crash *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Report methods */
 void   bh__sched__report__init
                      (Bh__Sched__Report         *message);
@@ -1179,6 +1253,12 @@
 typedef void (*Bh__Sched__Ended_Closure)
                  (const Bh__Sched__Ended *message,
                   void *closure_data);
+typedef void (*Bh__Sched__CrashedRun_Closure)
+                 (const Bh__Sched__CrashedRun *message,
+                  void *closure_data);
+typedef void (*Bh__Sched__Crash_Closure)
+                 (const Bh__Sched__Crash *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Report_Closure)
                  (const Bh__Sched__Report *message,
                   void *closure_data);
@@ -1253,6 +1333,8 @@
 extern const ProtobufCMessageDescriptor bh__sched__agent_row__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__active__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ended__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__crashed_run__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__crash__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__report__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__hello__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__grant__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -136,6 +136,8 @@
 			(uint32_t)(note->tasks[i].blame.suspicion * 1000);
 		t->crash_age_ms =
 			(uint32_t)(note->tasks[i].blame.age / BH_USEC_PER_MS);
+		t->n_crashed_boots = MIN(t->crashes, BH_BLAME_BOOTS);
+		t->crashed_boots = (uint64_t *)note->tasks[i].blame.boots;
 		out->tasks[i] = t;
 	}
 	return out;
@@ -171,6 +173,9 @@
 			from->tasks[i]->suspicion_permille / 1000.0;
 		out->tasks[i].blame.age =
 			from->tasks[i]->crash_age_ms * BH_USEC_PER_MS;
+		memcpy(out->tasks[i].blame.boots, from->tasks[i]->crashed_boots,
+		       MIN(from->tasks[i]->n_crashed_boots, BH_BLAME_BOOTS) *
+			       sizeof(uint64_t));
 	}
 }
 
@@ -189,7 +194,6 @@
 	out->leaves_ms = info->leaves_ms;
 	out->cold_ms = info->cold_ms;
 	out->lease_left_ms = info->lease_left_ms;
-	out->gone_ms = info->gone_ms;
 }
 
 static void lists_to_wire(const bh_worker_lists_t *lists,
@@ -424,6 +428,43 @@
 		lists_free(&m);
 }
 
+void bh_crash_append(const bh_crash_t *crash, uint64_t term, GByteArray *out)
+{
+	Bh__Sched__Crash m = BH__SCHED__CRASH__INIT;
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	g_autofree Bh__Sched__CrashedRun *runs =
+		g_new0(Bh__Sched__CrashedRun, crash->n_runs + 1);
+	g_autofree Bh__Sched__CrashedRun **refs =
+		g_new0(Bh__Sched__CrashedRun *, crash->n_runs + 1);
+
+	for (uint32_t i = 0; i < crash->n_runs; i++) {
+		bh__sched__crashed_run__init(&runs[i]);
+		runs[i].task = crash->runs[i].task;
+		runs[i].age_ms = crash->runs[i].age_ms;
+		runs[i].is_confirmed = crash->runs[i].is_confirmed;
+		refs[i] = &runs[i];
+	}
+	m.term = term;
+	m.boot = crash->boot;
+	m.n_runs = crash->n_runs;
+	m.runs = refs;
+	frame.body_case = BH__SCHED__FRAME__BODY_CRASH;
+	frame.crash = &m;
+	bh_frame_append(&frame, out);
+}
+
+void bh_crash_decode(const Bh__Sched__Crash *from, bh_crash_t *out)
+{
+	*out = (bh_crash_t){.boot = from->boot,
+			    .n_runs = (uint32_t)from->n_runs};
+	out->runs = g_new0(bh_crashed_run_t, from->n_runs + 1);
+	for (uint32_t i = 0; i < out->n_runs; i++) {
+		out->runs[i].task = g_strdup(from->runs[i]->task);
+		out->runs[i].age_ms = from->runs[i]->age_ms;
+		out->runs[i].is_confirmed = from->runs[i]->is_confirmed;
+	}
+}
+
 void bh_report_decode(const Bh__Sched__Report *from, bh_report_t *out)
 {
 	bh_worker_info_t *info = &out->info;
@@ -443,7 +484,6 @@
 	info->leaves_ms = from->leaves_ms;
 	info->cold_ms = from->cold_ms;
 	info->lease_left_ms = from->lease_left_ms;
-	info->gone_ms = from->gone_ms;
 	out->term = from->term;
 	out->has_lists = from->has_lists;
 	out->lists.clock_ms = from->clock_ms;
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -69,6 +69,17 @@
 void bh_report_append(const bh_worker_info_t *info,
 		      const bh_worker_lists_t *lists, uint64_t term,
 		      GByteArray *out);
+/**
+ * bh_crash_append() - append the report of a crash as a frame
+ */
+void bh_crash_append(const bh_crash_t *crash, uint64_t term, GByteArray *out);
+
+/**
+ * bh_crash_decode() - decode the report of a crash
+ * @out: to be freed with bh_crash_clear()
+ */
+void bh_crash_decode(const Bh__Sched__Crash *from, bh_crash_t *out);
+
 void bh_report_decode(const Bh__Sched__Report *from, bh_report_t *out);
 void bh_report_clear(bh_report_t *report);
 
