A task with two crashes is started on trial

Cause: when several such tasks are about, each crash takes some 20 tasks that started within the same 50 ms; each of them has a few per cent of the suspicion, and spreading alone does not tell them apart within five crashes.

Change: from the second crash on, a task starts only on a host on which nothing else has started for 150 ms, and nothing else starts there for 150 ms after. It is held for that no longer than 1.5 s, as before. It works because most tasks that crash their workers do so soon after their start: the crash has one young suspect then.

No unit test of its own; neighbours_of_a_task_that_crashes_workers_end passes before and after.

--- a/sched/place.c
+++ b/sched/place.c
@@ -56,6 +56,12 @@
 /* A long-running task that has waited this long may use a quarantined host. */
 #define QUARANTINED_HOST_AFTER_US (2000 * BH_USEC_PER_MS)
 
+/* From this many crashes on a task is started on trial: no other task starts on
+ * the host shortly before and after, as most tasks that crash their workers do
+ * so soon after their start. */
+#define TRIAL_CRASHES 2
+#define TRIAL_US      (150 * BH_USEC_PER_MS)
+
 /* Longest time for which a suspect waits for a host on which the next crash
  * tells whether it is at fault. */
 #define SUSPECT_WAIT_US (1500 * BH_USEC_PER_MS)
@@ -70,7 +76,8 @@
 	       host->info.boot && host->info.state == BH_WORKER_READY &&
 	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
-	       now >= host->full_until && !host->has_unknown_run;
+	       now >= host->full_until && now >= host->trial_until &&
+	       !host->has_unknown_run;
 }
 
 static int by_rank(const void *a, const void *b)
@@ -178,11 +185,20 @@
 	return host->suspicion + host->blame.suspicion;
 }
 
+static bool is_on_trial(const bh_task_t *task)
+{
+	return task->blame.crashes >= TRIAL_CRASHES &&
+	       !task->phase->step->is_gang;
+}
+
 /* Whether another crash on the host would tell if a task is at fault. */
-static bool tells_fault(const bh_task_t *task, const bh_host_t *host)
+static bool tells_fault(const bh_task_t *task, const bh_host_t *host,
+			bh_usec_t now)
 {
 	double others = other_suspicion(host);
 
+	if (is_on_trial(task) && now - host->started_at < TRIAL_US)
+		return false;
 	return others < BH_SUSPICION_MIN || !bh_task_is_suspect(task) ||
 	       others + task->blame.suspicion <= BH_SUSPICION_TOGETHER;
 }
@@ -193,7 +209,7 @@
 	return task->blame.crashes && !task->phase->step->is_gang &&
 	       (!task->held_since ||
 		now - task->held_since < SUSPECT_WAIT_US) &&
-	       !tells_fault(task, host);
+	       !tells_fault(task, host, now);
 }
 
 /* @spare: set to the headroom above the goal that a filler would leave, 0 for
@@ -489,6 +505,8 @@
 			return false;
 		}
 		bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
+		if (is_on_trial(task))
+			host->trial_until = now + TRIAL_US;
 	}
 	return true;
 }
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -117,6 +117,7 @@
 		     (int64_t)host->info.cpu_milli - (int64_t)host->used_cpu -
 			     (int64_t)host->filler_cpu);
 	bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
+	host->started_at = now;
 	s->stats.starts++;
 	s->ops->start(s->ctx, host->key, &start);
 }
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -275,6 +275,9 @@
  * @crashed_at: when the last one was reported
  * @crashed_boot: boot of the worker that crashed last, 0: none
  * @suspicion: sum over the suspects that run there
+ * @started_at: when a start was last ordered there
+ * @trial_until: no new tasks are placed there before, so that a crash is the
+ *	fault of the task that was started last
  * @full_until: no new tasks are placed there before, as it refused one for lack
  *	of resources
  * @last_ended: highest number of an end that was handled
@@ -319,6 +322,8 @@
 	bh_usec_t crashed_at;
 	uint64_t crashed_boot;
 	double suspicion;
+	bh_usec_t started_at;
+	bh_usec_t trial_until;
 	bh_usec_t full_until;
 	uint64_t last_ended;
 	uint64_t acked;
