A worker that refuses an order gets no further ones for 300 ms

Callers saw: a task ordered to start ten times in 150 ms on a worker that had crashed, and the attempts of its job run up, before the report of the crash.

Cause: a refused order (the connection was refused) frees the task at once, and the worker looks as empty as before. Class: retry without a pause at the place that has just failed.

Change: as for a worker that lacks room, no task is placed there for 300 ms; within that time its agent reports that it is down.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -12,7 +12,7 @@
 #define STOP_RETRY_MIN_US (200 * BH_USEC_PER_MS)
 
 /* Time for which a host gets no new tasks after its worker refused one for lack
- * of resources. */
+ * of resources, or because it has ended, which a report tells later. */
 #define FULL_US (300 * BH_USEC_PER_MS)
 
 /* Weight of a finished run's relative speed in its host's average speed. */
@@ -627,7 +627,7 @@
 		bh_health_record(s, host, NULL, false, now);
 		return;
 	}
-	if (outcome == BH_ORDER_NO_ROOM)
+	if (outcome == BH_ORDER_NO_ROOM || outcome == BH_ORDER_REFUSED)
 		host->full_until = now + FULL_US;
 	if (outcome == BH_ORDER_UNHEALTHY)
 		bh_health_record(s, host, NULL, false, now);
