Stand-in of a worker: orders for another incarnation are refused

Orders name the one that they are meant for (X-Target-Instance), and the platform's workers answer others with 421; the stand-in ignored the header.

--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -161,6 +161,18 @@
 	       g_str_has_suffix(name, CRASHING_SUFFIX);
 }
 
+/* Orders name the incarnation that they are meant for; they may arrive late. */
+static bool refuse_if_misdirected(jobhost_t *h, struct evhttp_request *req)
+{
+	const char *target = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "X-Target-Instance");
+
+	if (!target || strcmp(target, h->id) == 0)
+		return false;
+	reply(h, req, 421, json_object_new());
+	return true;
+}
+
 static void on_start(struct evhttp_request *req, void *ctx)
 {
 	jobhost_t *h = ctx;
@@ -170,7 +182,7 @@
 	int64_t *ended_attempts = g_hash_table_lookup(h->ended_attempts, name);
 	task_t *t;
 
-	if (refuse_if_fenced(h, req, body)) {
+	if (refuse_if_misdirected(h, req) || refuse_if_fenced(h, req, body)) {
 		bh_json_free(body);
 		return;
 	}
@@ -206,7 +218,7 @@
 	const char *name = bh_json_text(bh_json_get(body, "task"));
 	int i = find_task(h, name, get_int(body, "attempt"));
 
-	if (!refuse_if_fenced(h, req, body)) {
+	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
 		record_ended_attempt(h, name, get_int(body, "attempt"));
 		if (i >= 0)
 			end_task(h, (guint)i, "stopped");
@@ -275,7 +287,7 @@
 	int64_t ack = get_int(body, "ack-seq");
 	JsonObject *out;
 
-	if (!refuse_if_fenced(h, req, body)) {
+	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
 		h->lease_expires_ms =
 			MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
 		drop_acked(h, ack);
