A crash that is reported again does not speak against the worker

Callers saw: nothing yet; found on reading. An agent reported its worker's last crash to each new leader, however long ago. Most of its tasks are over by then, so that the worker gets all the suspicion, and with several such workers a task at fault is taken for innocent longer.

Change: the report says how long ago the crash was; agents tell new leaders of it for 15 s; from 1 s on only the tasks' suspicion is updated. Codec: boots are copied one by one (UBSan: memcpy from NULL for a task without any, test_sched).

Test: test_sched_codec; crash_without_leader_counts passes before and after.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -22,6 +22,9 @@
  * as ended. */
 #define REFUSED_POLLS_UNTIL_DOWN 2
 
+/* Time for which new leaders are told of a crash. */
+#define CRASH_KEEP_US (15 * BH_USEC_PER_SEC)
+
 #define PING_INTERVAL_US (500 * BH_USEC_PER_MS)
 
 /* The leader pings every 500 ms. */
@@ -116,6 +119,7 @@
 	bh_usec_t gone_since;
 	bh_run_log_t *run_log;
 	bh_crash_t crash;
+	bh_usec_t crashed_at;
 	bool is_crash_sent;
 	bool is_polling;
 	uint64_t poll_term;
@@ -164,9 +168,12 @@
  * are suspects once they wait. */
 static void send_crash(bh_sched_agent_t *a)
 {
-	if (!a->crash.boot || a->is_crash_sent)
+	bh_usec_t ago = bh_runtime_now() - a->crashed_at;
+
+	if (!a->crash.boot || a->is_crash_sent || ago > CRASH_KEEP_US)
 		return;
 	a->is_crash_sent = true;
+	a->crash.ago_ms = (uint32_t)(ago / BH_USEC_PER_MS);
 	g_byte_array_set_size(a->scratch, 0);
 	bh_crash_append(&a->crash, a->term, a->scratch);
 	bh_link_send_bytes(a->leader, a->scratch->data, a->scratch->len);
@@ -223,8 +230,8 @@
 		bh_run_log_clear(a->run_log);
 		return;
 	}
-	bh_run_log_crashed(a->run_log, a->boot,
-			   a->gone_since ? a->gone_since : now, &a->crash);
+	a->crashed_at = a->gone_since ? a->gone_since : now;
+	bh_run_log_crashed(a->run_log, a->boot, a->crashed_at, &a->crash);
 	a->is_crash_sent = false;
 }
 
--- a/sched/blame.c
+++ b/sched/blame.c
@@ -6,7 +6,7 @@
 /* Suspicion of a task or a worker of which nothing is known. */
 #define SUSPICION_UNKNOWN 0.01
 
-/* Uncertainty of an age, from the delays of an order and of reports, in
+/* Uncertainty of an age, from the delays of an order and its answer, in
  * seconds; and the spread of the ages at which a task crashes its workers. */
 #define AGE_ERROR_S 0.05
 #define AGE_SPREAD  0.1
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -7,6 +7,10 @@
 /* A worker that has not crashed for this long is no longer suspected. */
 #define WORKER_CLEAR_US (15 * BH_USEC_PER_SEC)
 
+/* Of an older crash that is reported again, most tasks are over by now: that
+ * few are left does not speak against the worker. */
+#define CRASH_NEW_MS 1000
+
 /* Crashes from which those of a task are stored whatever its suspicion. */
 #define STORE_CRASHES 2
 
@@ -55,6 +59,7 @@
 			      const bh_crash_t *crash)
 {
 	GPtrArray *tasks = g_ptr_array_new();
+	bh_blame_t unused = host->blame;
 	g_autofree bh_suspect_t *suspects =
 		g_new0(bh_suspect_t, crash->n_runs + 1);
 
@@ -71,8 +76,8 @@
 		};
 		g_ptr_array_add(tasks, task);
 	}
-	bh_blame_crash(&host->blame, crash->boot, mean_suspicion(s), suspects,
-		       tasks->len);
+	bh_blame_crash(crash->ago_ms < CRASH_NEW_MS ? &host->blame : &unused,
+		       crash->boot, mean_suspicion(s), suspects, tasks->len);
 	for (guint i = 0; i < tasks->len; i++) {
 		const bh_task_t *task = g_ptr_array_index(tasks, i);
 
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -95,9 +95,11 @@
  * struct bh_crash - the unplanned end of a worker's process, as its agent saw
  * it
  * @boot: of the process that ended; 0: there was no crash
+ * @ago_ms: time since the crash
  */
 typedef struct bh_crash {
 	uint64_t boot;
+	uint32_t ago_ms;
 	uint32_t n_runs;
 	bh_crashed_run_t *runs;
 } bh_crash_t;
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -85,6 +85,7 @@
 	uint64_t ack;
 	bool is_linked;
 	bh_crash_t crash;
+	bh_usec_t crashed_at;
 	uint64_t crash_term;
 	bh_usec_t shrunk_since;
 	bh_usec_t reported_at;
@@ -276,6 +277,7 @@
 {
 	bh_crash_clear(&k->crash);
 	k->crash.boot = k->boot;
+	k->crashed_at = w->now;
 	k->crash.runs = g_new0(bh_crashed_run_t, k->runs->len + 1);
 	for (guint i = 0; i < k->runs->len; i++) {
 		const sw_run_rec_t *run = k->runs->pdata[i];
@@ -724,6 +726,7 @@
 	if (!k->crash.boot || k->crash_term == w->term)
 		return;
 	k->crash_term = w->term;
+	k->crash.ago_ms = (uint32_t)((w->now - k->crashed_at) / BH_USEC_PER_MS);
 	bh_sched_crash(w->sched, k->key, &k->crash, w->now);
 }
 
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -139,7 +139,8 @@
 {
 	bh_crashed_run_t run = {
 		.task = (char *)"t", .age_ms = 12, .is_confirmed = true};
-	bh_crash_t crash = {.boot = 8, .n_runs = 1, .runs = &run};
+	bh_crash_t crash = {
+		.boot = 8, .ago_ms = 250, .n_runs = 1, .runs = &run};
 	GByteArray *out = g_byte_array_new();
 	bh_frame_t *frame;
 	bh_crash_t back;
@@ -153,6 +154,7 @@
 	assert_int_equal(frame->crash->term, 3);
 	bh_crash_decode(frame->crash, &back);
 	assert_int_equal(back.boot, 8);
+	assert_int_equal(back.ago_ms, 250);
 	assert_int_equal(back.n_runs, 1);
 	assert_string_equal(back.runs[0].task, "t");
 	assert_int_equal(back.runs[0].age_ms, 12);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -2579,7 +2579,7 @@
   (ProtobufCMessageInit) bh__sched__crashed_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__crash__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bh__sched__crash__field_descriptors[4] =
 {
   {
     "term",
@@ -2617,8 +2617,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ago_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Crash, ago_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__crash__field_indices_by_name[] = {
+  3,   /* field[3] = ago_ms */
   1,   /* field[1] = boot */
   2,   /* field[2] = runs */
   0,   /* field[0] = term */
@@ -2626,7 +2639,7 @@
 static const ProtobufCIntRange bh__sched__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bh__sched__crash__descriptor =
 {
@@ -2636,7 +2649,7 @@
   "Bh__Sched__Crash",
   "bh.sched",
   sizeof(Bh__Sched__Crash),
-  3,
+  4,
   bh__sched__crash__field_descriptors,
   bh__sched__crash__field_indices_by_name,
   1,  bh__sched__crash__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -273,10 +273,11 @@
   uint64_t boot;
   size_t n_runs;
   Bh__Sched__CrashedRun **runs;
+  uint32_t ago_ms;
 };
 #define BH__SCHED__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__crash__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -173,9 +173,11 @@
 			from->tasks[i]->suspicion_permille / 1000.0;
 		out->tasks[i].blame.age =
 			from->tasks[i]->crash_age_ms * BH_USEC_PER_MS;
-		memcpy(out->tasks[i].blame.boots, from->tasks[i]->crashed_boots,
-		       MIN(from->tasks[i]->n_crashed_boots, BH_BLAME_BOOTS) *
-			       sizeof(uint64_t));
+		for (size_t b = 0;
+		     b < MIN(from->tasks[i]->n_crashed_boots, BH_BLAME_BOOTS);
+		     b++)
+			out->tasks[i].blame.boots[b] =
+				from->tasks[i]->crashed_boots[b];
 	}
 }
 
@@ -446,6 +448,7 @@
 	}
 	m.term = term;
 	m.boot = crash->boot;
+	m.ago_ms = crash->ago_ms;
 	m.n_runs = crash->n_runs;
 	m.runs = refs;
 	frame.body_case = BH__SCHED__FRAME__BODY_CRASH;
@@ -456,6 +459,7 @@
 void bh_crash_decode(const Bh__Sched__Crash *from, bh_crash_t *out)
 {
 	*out = (bh_crash_t){.boot = from->boot,
+			    .ago_ms = from->ago_ms,
 			    .n_runs = (uint32_t)from->n_runs};
 	out->runs = g_new0(bh_crashed_run_t, from->n_runs + 1);
 	for (uint32_t i = 0; i < out->n_runs; i++) {
