An agent whose registration failed tries again while a leader is connected

Cause: an agent that has restarted cannot register while the store does not answer. It gets no work before its row exists, since the next leader would not know of it. The next try waits for 5 s after the last frame of a leader, and a leader pings every 500 ms: there is none. Class: a retry that is put off by a sign of life of another party. The same condition is right for an agent that has registered, whose row may only be missing.

Change: the leader's frames put off only the renewal of a row that exists.

Test: tests/jobs agents_restart_while_store_hangs: "queued" on the code before.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -776,6 +776,19 @@
 		event_base_loopexit(a->rt->base, NULL);
 }
 
+/* A leader that is connected knows of this agent, but gives it no work before
+ * its row exists. */
+static bool must_register(const bh_sched_agent_t *a, bh_usec_t now)
+{
+	bh_usec_t since = a->registered_at;
+
+	if (a->is_registering)
+		return false;
+	if (a->is_registered)
+		since = MAX(since, a->leader_heard_at);
+	return since == 0 || now - since > REGISTER_INTERVAL_US;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	bh_sched_agent_t *a = arg;
@@ -797,10 +810,7 @@
 		a->pinged_at = now;
 		send_ping(a, a->leader);
 	}
-	if (!a->is_registering &&
-	    (a->registered_at == 0 ||
-	     now - MAX(a->registered_at, a->leader_heard_at) >
-		     REGISTER_INTERVAL_US))
+	if (must_register(a, now))
 		register_self(a);
 }
 
