--- a/sched/place.c
+++ b/sched/place.c
@@ -3,7 +3,8 @@
  * task.
  *
  * Load patterns: serving tasks next to interfering fillers; wide tasks that
- * compete with narrow ones; data that is local to one rack.
+ * compete with narrow ones; data that is local to one rack; tasks of which some
+ * may crash their workers, see crash.c.
  */
 #include "sched/sched_impl.h"
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -94,7 +94,7 @@
 /**
  * struct bh_task_progress - stored progress of a task that is not done
  * @failed: numbers of the attempts that failed
- * @blame: crashes of its workers
+ * @blame: what is known of it from crashes of its workers
  */
 typedef struct bh_task_progress {
 	uint32_t index;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -92,7 +92,7 @@
  *	its first task
  * @is_waiting: counted in the phase's @waiting
  * @checkpoint: where the next attempt resumes, or NULL
- * @blame: crashes of its workers
+ * @blame: what is known of it from crashes of its workers
  * @held_since: when it was first kept from all hosts that it fits on, since a
  *	crash there would not tell whether it is at fault; 0: it is not
  * @avoided_host: host of its last failure, stall or refused start; others are
@@ -271,7 +271,7 @@
  * @quarantined_until: no new tasks are placed there before
  * @is_probing: no task has succeeded since it was quarantined; it gets one task
  *	at a time
- * @blame: crashes of its worker
+ * @blame: what is known of its worker from crashes
  * @crashed_at: when the last one was reported
  * @crashed_boot: boot of the worker that crashed last, 0: none
  * @suspicion: sum over the suspects that run there
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -396,6 +396,29 @@
 	}
 }
 
+/* One worker is left, and the leader ends with each of its crashes. The agent
+ * reports only the last one to the next leader; those before are stored. */
+static void test_earlier_crashes_are_stored(void **state)
+{
+	sw_world_t *w = sw_new(7, SW_ALL_ON);
+	uint32_t crashes = 0;
+
+	(void)state;
+	for (int i = 1; i < SW_WORKERS; i++)
+		sw_fault(w, SW_WORKER_CRASH, i, MS(200000));
+	sw_deadly(w, JOB_A ".0.0.0", 20);
+	sw_submit(w, JOB_A, 1, 2, 500, 1000, "");
+	for (int i = 0; i < 3000; i++) {
+		sw_advance(w, MS(20));
+		if (sw_crashes(w) > crashes)
+			sw_fault(w, SW_LEADER_KILL, 0, MS(100));
+		crashes = sw_crashes(w);
+	}
+	assert_no_violation(w);
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_FAILED);
+	sw_free(w);
+}
+
 /* The leader hears nothing of a worker that has crashed until its lease has run
  * out. Its runs were then forgotten, and the worker held to be at fault. */
 static void test_crash_known_after_lease_expiry_counts(void **state)
@@ -633,6 +656,7 @@
 		cmocka_unit_test(test_task_that_crashes_workers_is_given_up),
 		cmocka_unit_test(test_crashes_are_known_to_the_next_leader),
 		cmocka_unit_test(test_crash_without_leader_counts),
+		cmocka_unit_test(test_earlier_crashes_are_stored),
 		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
