Tasks beside a suspect that is held start, and no room is kept for it

Callers saw: jobs held back beside a task that had crashed with its worker, although there was room: siblings of a held suspect waited with it for up to 1.5 s, room was reserved for it, and fillers were stopped to make room for it.

Cause: a suspect waits until another crash would tell whether it is at fault. The placement took that for a lack of room: it stopped at the first task of a phase that finds no host, reserved and preempted for it, and counted the phase among those for which the pass ends early. Class: two reasons to wait, handled as one.

Change: a held task is passed over. Nothing is reserved or preempted for it, and the rest of its phase is placed.

Evidence: test_sched tasks_beside_a_held_suspect_start, one worker left, ten tasks lost with it, twenty more waiting: 4 run 0.6 s after its restart on the code before, 10 fit. It works as a suspect is held to learn from its next crash, which siblings on the same host do not hinder: a task that has not crashed has no suspicion.

--- a/sched/place.c
+++ b/sched/place.c
@@ -213,6 +213,13 @@
 	       !tells_fault(task, host, now);
 }
 
+/* Whether the task waits for a host on which a crash would tell, and not for
+ * room: nothing is reserved or preempted for it. */
+static bool is_held(const bh_task_t *task, bh_usec_t now)
+{
+	return task->held_since && now - task->held_since < SUSPECT_WAIT_US;
+}
+
 /* @spare: set to the headroom above the goal that a filler would leave, 0 for
  * other tasks */
 static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
@@ -309,7 +316,7 @@
 	bh_host_t *best = NULL;
 	bh_host_t *host;
 	double best_score = 0;
-	bool is_held = false;
+	bool must_wait = false;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		double spare;
@@ -319,7 +326,7 @@
 		    !is_eligible(s, task, host, &spare, now))
 			continue;
 		if (must_wait_as_suspect(task, host, now)) {
-			is_held = true;
+			must_wait = true;
 			continue;
 		}
 		value = score(task, host, spare);
@@ -328,7 +335,7 @@
 			best_score = value;
 		}
 	}
-	if (!best && is_held && !task->held_since)
+	if (!best && must_wait && !task->held_since)
 		task->held_since = now;
 	return best;
 }
@@ -480,6 +487,7 @@
 		const bh_task_t *task = &phase->tasks[i];
 
 		if (task->is_done || bh_task_has_run(task) ||
+		    is_held(task, now) ||
 		    now - task->waiting_since < RESERVE_AFTER_US)
 			continue;
 		if (s->n_reservations == RESERVATIONS_MAX)
@@ -490,7 +498,7 @@
 	}
 }
 
-/* Return: false if a task could not be placed. */
+/* Return: false if a task lacks room. */
 static bool place_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
 {
 	for (uint32_t i = 0; i < phase->step->count && phase->waiting; i++) {
@@ -500,6 +508,10 @@
 		if (task->is_done || bh_task_has_run(task))
 			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
+		if (!host && is_held(task, now)) {
+			explain_wait(s, phase, task, now);
+			continue;
+		}
 		if (!host) {
 			explain_wait(s, phase, task, now);
 			preempt_for_task(s, phase, task, now);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -474,6 +474,26 @@
 	}
 }
 
+/* One worker is left, and more of the tasks that crashed with it are suspects
+ * than may run together. Their siblings that had not started waited with them,
+ * and the free room was reserved. */
+static void test_tasks_beside_a_held_suspect_start(void **state)
+{
+	sw_world_t *w = sw_new(3, SW_ALL_ON);
+
+	(void)state;
+	for (int i = 1; i < SW_WORKERS; i++)
+		sw_fault(w, SW_WORKER_CRASH, i, MS(200000));
+	sw_submit(w, JOB_A, 1, 30, 1000, 4000, "");
+	sw_advance(w, MS(200));
+	assert_int_equal(sw_running(w, JOB_A), 10);
+	sw_fault(w, SW_WORKER_CRASH, 0, MS(600));
+	sw_advance(w, MS(1200));
+	assert_int_equal(sw_running(w, JOB_A), 10);
+	assert_no_violation(w);
+	sw_free(w);
+}
+
 /* Workers that crash by themselves, again and again, are no task's fault. */
 static void test_tasks_on_workers_that_crash_are_not_given_up(void **state)
 {
@@ -660,6 +680,7 @@
 		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
+		cmocka_unit_test(test_tasks_beside_a_held_suspect_start),
 		cmocka_unit_test(
 			test_tasks_on_workers_that_crash_are_not_given_up),
 		cmocka_unit_test(test_starts_fit_in_rooms_that_shrink),
