A worker that restarts together with its agent is not taken for the one before

The agent's first poll gets no answer, so that it reports a worker whose process it does not know (boot 0).

Cause: the leader notices a new process by comparing boots, and the report without a boot had overwritten the one that it compares with. Runs, numbers of ends and acknowledgements of the former process were held against the new one, whose ends with numbers that had been used were ignored and acknowledged. Class: what is not known overwrites what was known.

Change: the boot that runs, ends and acknowledgements belong to is kept beside the worker's description, and changes only when another one is reported. Looked for elsewhere: orders named the boot of the description, too, and name the kept one now; the other fields of a description are not compared with.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -270,7 +270,7 @@
 	bh_sched_log(s, "stop", NULL, "task=%s attempt=%u worker=%s why=%s",
 		     a->task, a->attempt, host->info.id,
 		     "no job needs this attempt");
-	s->ops->stop(s->ctx, host->key, host->info.boot, a->task, a->attempt);
+	s->ops->stop(s->ctx, host->key, host->boot, a->task, a->attempt);
 }
 
 static bool may_adopt(const bh_task_t *task)
@@ -515,7 +515,7 @@
 
 void bh_host_send_grant(bh_sched_t *s, bh_host_t *host)
 {
-	s->ops->grant(s->ctx, host->key, host->info.boot, host->expires_ms,
+	s->ops->grant(s->ctx, host->key, host->boot, host->expires_ms,
 		      host->acked);
 }
 
@@ -576,11 +576,13 @@
 	before = host->info.state;
 	if (lists)
 		host->heard_at = now;
-	if (info->boot && host->info.boot && info->boot != host->info.boot)
+	if (info->boot && host->boot && info->boot != host->boot)
 		reset_boot(s, host, "worker restarted", now);
 	else if (info->state == BH_WORKER_DOWN &&
 		 (before != BH_WORKER_DOWN || !host->is_synced))
 		reset_boot(s, host, "worker is down", now);
+	if (info->boot)
+		host->boot = info->boot;
 	copy_info(host, info);
 	if (info->state == BH_WORKER_DOWN)
 		return;
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -97,7 +97,7 @@
 		.attempt = attempt,
 		.spec = job->spec,
 		.checkpoint = task->checkpoint,
-		.boot = host->info.boot,
+		.boot = host->boot,
 		.worker = host->info.id,
 		.expires_ms = host->expires_ms,
 	};
@@ -136,7 +136,7 @@
 	}
 	run->state = BH_RUN_STOPPING;
 	run->stop_ordered_at = now;
-	s->ops->stop(s->ctx, run->host->key, run->host->info.boot, name,
+	s->ops->stop(s->ctx, run->host->key, run->host->boot, name,
 		     run->attempt);
 }
 
@@ -158,7 +158,7 @@
 	run->pace = pace;
 	run->paced_at = now;
 	s->stats.paces++;
-	s->ops->pace(s->ctx, run->host->key, run->host->info.boot, name,
+	s->ops->pace(s->ctx, run->host->key, run->host->boot, name,
 		     run->attempt, pace);
 }
 
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -239,6 +239,8 @@
  * struct bh_host - a host with its agent and its worker
  * @key: address of the agent
  * @rack: which of the worker's labels names the rack, or NULL
+ * @boot: of the worker's process that the runs, ends and acknowledgements are
+ *	of; its agent may not know it after a restart; 0: none was reported
  * @is_linked: the agent is connected
  * @is_synced: the worker's lists were seen in this term, or its lease expired
  * @linked_at: when @is_linked last changed
@@ -291,6 +293,7 @@
 	char *key;
 	bh_worker_info_t info;
 	const char *rack;
+	uint64_t boot;
 	bool is_linked;
 	bool is_synced;
 	bh_usec_t linked_at;
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -63,6 +63,8 @@
  * @expires_ms: end of the lease, on the worker's clock
  * @grant_ms: highest end of a lease that the agent was told
  * @ack: highest acknowledgement that the agent was told
+ * @has_polled: the agent's process has polled the worker, so that it knows what
+ *	runs there
  */
 typedef struct sw_worker {
 	char key[24];
@@ -84,6 +86,7 @@
 	uint64_t grant_ms;
 	uint64_t ack;
 	bool is_linked;
+	bool has_polled;
 	bh_crash_t crash;
 	bh_usec_t crashed_at;
 	uint64_t crash_term;
@@ -276,6 +279,8 @@
 static void record_crash(const sw_world_t *w, sw_worker_t *k)
 {
 	bh_crash_clear(&k->crash);
+	if (!k->has_polled)
+		return;
 	k->crash.boot = k->boot;
 	k->crashed_at = w->now;
 	k->crash.runs = g_new0(bh_crashed_run_t, k->runs->len + 1);
@@ -778,6 +783,8 @@
 				 .state = BH_WORKER_DOWN};
 	bh_worker_lists_t lists = {.boot = k->boot, .clock_ms = clock_of(w, k)};
 
+	if (!k->has_polled)
+		info.boot = 0;
 	if (!k->is_up) {
 		report_crash(w, k);
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
@@ -789,6 +796,13 @@
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
 		return;
 	}
+	/* The first poll of a new process is not answered in time. */
+	if (!k->has_polled) {
+		k->has_polled = true;
+		info.state = BH_WORKER_READY;
+		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
+		return;
+	}
 	if (w->term >= k->term) {
 		k->term = w->term;
 		k->expires_ms = MAX(k->expires_ms, k->grant_ms);
@@ -915,6 +929,10 @@
 {
 	bool was_up = k->is_up;
 
+	if (has_fault(w, k, SW_AGENT_RESTART)) {
+		k->has_polled = false;
+		bh_crash_clear(&k->crash);
+	}
 	k->is_unreachable = has_fault(w, k, SW_WORKER_UNREACHABLE);
 	k->is_up = !has_fault(w, k, SW_WORKER_CRASH);
 	if (was_up && !k->is_up) {
@@ -1028,6 +1046,7 @@
 		k->closed_attempts = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, NULL);
 		k->is_up = true;
+		k->has_polled = true;
 		reboot(w, k);
 		k->boot = unix_ms(w) - 1000 + (uint64_t)i;
 	}
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -22,7 +22,7 @@
  * @SW_WORKER_CRASH: the worker is down, and restarts afterwards
  * @SW_WORKER_UNREACHABLE: the worker runs, but does not answer its agent
  * @SW_AGENT_DISCONNECTED: the agent has no connection to the leader
- * @SW_AGENT_RESTART: the same, as simulated here
+ * @SW_AGENT_RESTART: the same, and the agent forgets what it knew
  * @SW_STORE_DOWN: the store takes no writes
  * @SW_STORE_LOSES_ANSWERS: a third of the writes is stored, but not answered
  * @SW_ORDERS_LOST: half of the orders has an unknown outcome; half of these are
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -570,8 +570,7 @@
 		sw_advance(w, MS(1000));
 		sw_fault(w, SW_STORE_DOWN, 0, MS(8200 + 100 * seed));
 		for (int i = 0; i < SW_WORKERS; i += 2)
-			sw_fault(w, SW_AGENT_DISCONNECTED, i,
-				 MS(500 + 60 * i));
+			sw_fault(w, SW_AGENT_DISCONNECTED, i, MS(500 + 60 * i));
 		sw_advance(w, MS(4000));
 		for (int i = 0; i < SW_WORKERS; i += 2)
 			sw_extend_lease(w, i, MS(4000));
@@ -582,6 +581,33 @@
 	}
 }
 
+/* A worker and its agent restart together. Before its first poll is answered,
+ * the agent does not know which process of the worker it speaks to, and the
+ * leader took the next one for the one before: ends with numbers that the
+ * former one had used were ignored, and their tasks started again. */
+static void test_ends_after_restart_of_worker_and_agent_count(void **state)
+{
+	(void)state;
+	for (int down_ms = 100; down_ms <= 2500; down_ms += 300) {
+		sw_world_t *w = sw_new((uint32_t)down_ms, SW_ALL_ON);
+
+		sw_submit(w, JOB_A, 6, 120, 500, 200, "");
+		sw_advance(w, MS(2000));
+		for (int i = 0; i < SW_WORKERS; i += 2) {
+			sw_fault(w, SW_WORKER_CRASH, i, MS(down_ms));
+			sw_fault(w, SW_AGENT_RESTART, i, MS(down_ms + 200));
+		}
+		sw_submit(w, JOB_B, 6, 120, 500, 200, "");
+		sw_submit(w, JOB_C, 1, 24, 500, 1000, "");
+		sw_advance(w, MS(20000));
+		assert_no_violation(w);
+		assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+		assert_int_equal(sw_state(w, JOB_B), BH_JOB_COMPLETED);
+		assert_int_equal(sw_state(w, JOB_C), BH_JOB_COMPLETED);
+		sw_free(w);
+	}
+}
+
 static void submit_mix(sw_world_t *w)
 {
 	sw_submit(w, JOB_A, 2, 6, 500, 1000, "");
@@ -711,6 +737,8 @@
 			test_tasks_on_workers_that_crash_are_not_given_up),
 		cmocka_unit_test(test_starts_fit_in_rooms_that_shrink),
 		cmocka_unit_test(test_listed_run_is_not_started_elsewhere),
+		cmocka_unit_test(
+			test_ends_after_restart_of_worker_and_agent_count),
 		cmocka_unit_test(test_fault_matrix),
 		cmocka_unit_test(test_random_faults),
 		cmocka_unit_test(test_disabled_mechanisms_are_detected),
