Crashes of workers with equal boots are told apart

Cause: a crash that is reported again was known by the worker's boot. A boot is the time at which the process started; workers that start at the same moment, after a power loss or in a herd, have equal ones. Crashes of different workers were then taken for one that had been counted. Class: an identifier that is unique in one place is used in all.

Change: a crash has an id, a hash of the agent's address and the worker's boot. Tasks remember and store ids. Looked for elsewhere: all other uses compare boots of the same host.

--- a/sched/blame.c
+++ b/sched/blame.c
@@ -58,16 +58,16 @@
 	return MAX(suspicion, SUSPICION_UNKNOWN) / (WORKER_AGE_S + AGE_ERROR_S);
 }
 
-static bool has_counted(const bh_blame_t *task, uint64_t boot)
+static bool has_counted(const bh_blame_t *task, uint64_t id)
 {
-	for (int i = 0; i < BH_BLAME_BOOTS; i++) {
-		if (task->boots[i] == boot)
+	for (int i = 0; i < BH_BLAME_IDS; i++) {
+		if (task->ids[i] == id)
 			return true;
 	}
 	return false;
 }
 
-void bh_blame_crash(bh_blame_t *worker, uint64_t boot, double others,
+void bh_blame_crash(bh_blame_t *worker, uint64_t id, double others,
 		    const bh_suspect_t *suspects, uint32_t n)
 {
 	double own = worker_likelihood(worker, others);
@@ -78,11 +78,11 @@
 	for (uint32_t i = 0; i < n; i++) {
 		bh_blame_t *task = suspects[i].blame;
 
-		if (has_counted(task, boot))
+		if (has_counted(task, id))
 			continue;
 		task->suspicion = likelihood(&suspects[i]) / sum;
 		task->age = suspects[i].age;
-		task->boots[task->crashes++ % BH_BLAME_BOOTS] = boot;
+		task->ids[task->crashes++ % BH_BLAME_IDS] = id;
 	}
 	worker->suspicion = own / sum;
 	worker->crashes++;
--- a/sched/blame.h
+++ b/sched/blame.h
@@ -21,19 +21,19 @@
 #define BH_SUSPICION_TOGETHER 0.5
 
 /* Crashes that a task remembers. */
-#define BH_BLAME_BOOTS 6
+#define BH_BLAME_IDS 6
 
 /**
  * struct bh_blame - what is known of a task or of a worker
  * @crashes: crashes since it was last cleared
- * @boots: boots of the workers of the last ones, by which a crash that is
- *	reported again is known; the rest is 0
+ * @ids: of the last crashes, by which one that is reported again is known; the
+ *	rest is 0
  * @suspicion: probability that it is at fault
  * @age: of a task, how long it had run when its last worker crashed
  */
 typedef struct bh_blame {
 	uint32_t crashes;
-	uint64_t boots[BH_BLAME_BOOTS];
+	uint64_t ids[BH_BLAME_IDS];
 	double suspicion;
 	bh_usec_t age;
 } bh_blame_t;
@@ -54,11 +54,11 @@
  * bh_blame_crash() - share out the suspicion after a crash; a task that has
  * counted it already keeps its share
  * @worker: updated as well
- * @boot: of the worker
+ * @id: of the crash, not 0
  * @others: mean suspicion of all workers, from 0 to 1: where many crash by
  *	themselves, this one may too
  */
-void bh_blame_crash(bh_blame_t *worker, uint64_t boot, double others,
+void bh_blame_crash(bh_blame_t *worker, uint64_t id, double others,
 		    const bh_suspect_t *suspects, uint32_t n);
 
 /**
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -4,6 +4,9 @@
  */
 #include "sched/sched_impl.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 /* A worker that has not crashed for this long is no longer suspected. */
 #define WORKER_CLEAR_US (15 * BH_USEC_PER_SEC)
 
@@ -44,6 +47,12 @@
 		     worst ? worst->blame.suspicion : 0, host->blame.suspicion);
 }
 
+/* Workers that started at the same moment have equal boots. */
+static uint64_t crash_id(const bh_host_t *host, uint64_t boot)
+{
+	return XXH64(host->key, strlen(host->key), boot);
+}
+
 static double mean_suspicion(const bh_sched_t *s)
 {
 	const bh_host_t *host;
@@ -77,7 +86,8 @@
 		g_ptr_array_add(tasks, task);
 	}
 	bh_blame_crash(crash->ago_ms < CRASH_NEW_MS ? &host->blame : &unused,
-		       crash->boot, mean_suspicion(s), suspects, tasks->len);
+		       crash_id(host, crash->boot), mean_suspicion(s), suspects,
+		       tasks->len);
 	for (guint i = 0; i < tasks->len; i++) {
 		const bh_task_t *task = g_ptr_array_index(tasks, i);
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -474,6 +474,28 @@
 	}
 }
 
+/* All workers have restarted at the same moment, so that their boots are equal:
+ * crashes of different workers were taken for one that is reported again. */
+static void test_crashes_of_workers_with_equal_boots_count(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		for (int i = 0; i < SW_WORKERS; i++)
+			sw_fault(w, SW_WORKER_CRASH, i, MS(300));
+		sw_advance(w, MS(20000));
+		sw_deadly(w, JOB_A ".0.0.2", 20);
+		sw_submit(w, JOB_B, 1, 12 * seed, 500, 1000, "");
+		sw_submit(w, JOB_C, 1, 4, 500, 1000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_submit(w, JOB_A, 1, 4, 500, 1000, "");
+		sw_advance(w, MS(60000));
+		assert_ended_beside(w, (int)seed);
+		sw_free(w);
+	}
+}
+
 /* One worker is left, and more of the tasks that crashed with it are suspects
  * than may run together. Their siblings that had not started waited with them,
  * and the free room was reserved. */
@@ -732,6 +754,8 @@
 		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
+		cmocka_unit_test(
+			test_crashes_of_workers_with_equal_boots_count),
 		cmocka_unit_test(test_tasks_beside_a_held_suspect_start),
 		cmocka_unit_test(
 			test_tasks_on_workers_that_crash_are_not_given_up),
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -66,7 +66,7 @@
 				   .failed = failed,
 				   .checkpoint = (char *)"cp",
 				   .blame = {.crashes = 2,
-					     .boots = {7, 9},
+					     .ids = {7, 9},
 					     .suspicion = 0.25,
 					     .age = 30 * BH_USEC_PER_MS}};
 	bh_step_progress_t step = {.step = 1,
@@ -90,7 +90,7 @@
 	assert_int_equal(back->steps[0].tasks[0].blame.crashes, 2);
 	assert_true(back->steps[0].tasks[0].blame.suspicion == 0.25);
 	assert_int_equal(back->steps[0].tasks[0].blame.age, MS(30));
-	assert_int_equal(back->steps[0].tasks[0].blame.boots[1], 9);
+	assert_int_equal(back->steps[0].tasks[0].blame.ids[1], 9);
 	bh_progress_free(back);
 	g_bytes_unref(bytes);
 	assert_null(bh_progress_unpack("\xff\xff\xff", 3));
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1923,12 +1923,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashed_boots",
+    "crash_ids",
     7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    offsetof(Bh__Sched__TaskNote, n_crashed_boots),
-    offsetof(Bh__Sched__TaskNote, crashed_boots),
+    offsetof(Bh__Sched__TaskNote, n_crash_ids),
+    offsetof(Bh__Sched__TaskNote, crash_ids),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -1938,7 +1938,7 @@
 static const unsigned bh__sched__task_note__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
   5,   /* field[5] = crash_age_ms */
-  6,   /* field[6] = crashed_boots */
+  6,   /* field[6] = crash_ids */
   3,   /* field[3] = crashes */
   1,   /* field[1] = failed */
   0,   /* field[0] = index */
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -120,10 +120,11 @@
   uint32_t suspicion_permille;
   uint32_t crash_age_ms;
   /*
-   * Boots of the workers that crashed, the last ones.
+   * Of the last crashes, each a hash of the agent's address and the worker's
+   * boot.
    */
-  size_t n_crashed_boots;
-  uint64_t *crashed_boots;
+  size_t n_crash_ids;
+  uint64_t *crash_ids;
 };
 #define BH__SCHED__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__task_note__descriptor) \
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -136,8 +136,8 @@
 			(uint32_t)(note->tasks[i].blame.suspicion * 1000);
 		t->crash_age_ms =
 			(uint32_t)(note->tasks[i].blame.age / BH_USEC_PER_MS);
-		t->n_crashed_boots = MIN(t->crashes, BH_BLAME_BOOTS);
-		t->crashed_boots = (uint64_t *)note->tasks[i].blame.boots;
+		t->n_crash_ids = MIN(t->crashes, BH_BLAME_IDS);
+		t->crash_ids = (uint64_t *)note->tasks[i].blame.ids;
 		out->tasks[i] = t;
 	}
 	return out;
@@ -174,10 +174,9 @@
 		out->tasks[i].blame.age =
 			from->tasks[i]->crash_age_ms * BH_USEC_PER_MS;
 		for (size_t b = 0;
-		     b < MIN(from->tasks[i]->n_crashed_boots, BH_BLAME_BOOTS);
-		     b++)
-			out->tasks[i].blame.boots[b] =
-				from->tasks[i]->crashed_boots[b];
+		     b < MIN(from->tasks[i]->n_crash_ids, BH_BLAME_IDS); b++)
+			out->tasks[i].blame.ids[b] =
+				from->tasks[i]->crash_ids[b];
 	}
 }
 
