A crash counts when the agent beside the worker has ended with it

Callers saw: in tests, a task started for the sixth time after it had crashed five workers (BUDGET), with jobs beside it lost each time.

Cause: only the agent reports what ran on a crashed worker, and its memory ends with its process. A host that loses power takes both; so does an agent that is killed in the same second. The leader knew of the runs, but dropped them as lost without counting a crash. Class: evidence with one witness.

Change: when a worker's process has ended with runs, no agent has reported a crash of that boot and the worker was not draining, the leader counts a crash itself.

Left: with leader and agent gone at once, what is not stored is lost.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -396,6 +396,7 @@
 static void reset_boot(bh_sched_t *s, bh_host_t *host, const char *why,
 		       bh_usec_t now)
 {
+	bh_host_infer_crash(s, host, now);
 	bh_host_lose_runs(s, host, why, now);
 	clear_acks(host);
 	host->last_ended = 0;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -484,6 +484,13 @@
 
 /* crash.c */
 
+/**
+ * bh_host_infer_crash() - the worker's process has ended: unless its agent has
+ * reported a crash, or the worker was draining, count one by what is known to
+ * run there; an agent that has restarted with the worker cannot report it
+ */
+void bh_host_infer_crash(bh_sched_t *s, bh_host_t *host, bh_usec_t now);
+
 /**
  * bh_host_clear_suspects() - clear the tasks and the worker of a host that have
  * outlived their suspicion
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -14,6 +14,9 @@
 /* A worker that a task has crashed restarts after this time. */
 #define CRASH_US (3000 * BH_USEC_PER_MS)
 
+/* An agent that restarts with its worker is back after this time. */
+#define AGENT_RESTART_US (500 * BH_USEC_PER_MS)
+
 /* Longer than a lease and the leader's margin. */
 #define CUT_OFF_US (6500 * BH_USEC_PER_MS)
 
@@ -153,6 +156,7 @@
 	GHashTable *deadly;
 	uint32_t crashes;
 	bool cuts_off_crashed;
+	bool restarts_agent_of_crashed;
 	GPtrArray *messages;
 	bh_config_t *config;
 	bh_sched_t *sched;
@@ -484,6 +488,9 @@
 		if (w->cuts_off_crashed)
 			k->fault_until[SW_AGENT_DISCONNECTED] =
 				w->now + CUT_OFF_US;
+		if (w->restarts_agent_of_crashed)
+			k->fault_until[SW_AGENT_RESTART] =
+				w->now + AGENT_RESTART_US;
 		return;
 	}
 }
@@ -1149,6 +1156,11 @@
 	w->cuts_off_crashed = true;
 }
 
+void sw_restart_agent_of_crashed(sw_world_t *w)
+{
+	w->restarts_agent_of_crashed = true;
+}
+
 uint32_t sw_crashes(const sw_world_t *w)
 {
 	return w->crashes;
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -105,6 +105,12 @@
  */
 void sw_cut_off_crashed(sw_world_t *w);
 
+/**
+ * sw_restart_agent_of_crashed() - let agents restart with the workers that a
+ * task crashes
+ */
+void sw_restart_agent_of_crashed(sw_world_t *w);
+
 /**
  * sw_crashes() - number of workers that tasks have crashed
  */
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -474,6 +474,27 @@
 	}
 }
 
+/* The agent, which knows what ran on a worker, ends with it each time. Such a
+ * crash was not counted. */
+static void test_crash_with_its_agent_counts(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_restart_agent_of_crashed(w);
+		sw_deadly(w, JOB_A ".0.0.1", 20 * (int)seed);
+		sw_submit(w, JOB_B, 1, 12, 500, 1000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_advance(w, MS(400));
+		sw_submit(w, JOB_A, 1, 4, 500, 1000, "");
+		sw_submit(w, JOB_C, 1, 4, 500, 1000, "");
+		sw_advance(w, MS(60000));
+		assert_ended_beside(w, (int)seed);
+		sw_free(w);
+	}
+}
+
 /* All workers have restarted at the same moment, so that their boots are equal:
  * crashes of different workers were taken for one that is reported again. */
 static void test_crashes_of_workers_with_equal_boots_count(void **state)
@@ -754,6 +775,7 @@
 		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
+		cmocka_unit_test(test_crash_with_its_agent_counts),
 		cmocka_unit_test(
 			test_crashes_of_workers_with_equal_boots_count),
 		cmocka_unit_test(test_tasks_beside_a_held_suspect_start),
