A task is not given up for crashes that nobody saw alone

Cause: the crash that a leader infers for an agent that ended with its worker goes by the worker's last list. A task that has ended since, unseen, counts as lost in the crash. Class: a guess recorded as a fact.

Change: such crashes are counted and raise the suspicion, but a task is given up only after two that an agent saw, or five in all, when it must not start again. The number of inferred ones is stored with the others, and `worker crashed` says which it is.

--- a/sched/blame.c
+++ b/sched/blame.c
@@ -24,6 +24,10 @@
 #define CLEAR_FACTOR 2
 #define CLEAR_US     (500 * BH_USEC_PER_MS)
 
+/* Least number of crashes, inferred ones aside, from which a task may be given
+ * up. */
+#define WITNESSED_MIN 2
+
 /* Suspicion from which a task is given up, by the number of crashes; 2: never.
  * A task at fault may be started only twice more after three crashes. */
 static const double guilty_suspicion[] = {2, 2, 0.9, 0.75, 0.6, 0.15};
@@ -82,6 +86,7 @@
 			continue;
 		task->suspicion = likelihood(&suspects[i]) / sum;
 		task->age = suspects[i].age;
+		task->inferred += suspects[i].is_inferred;
 		task->ids[task->crashes++ % BH_BLAME_IDS] = id;
 	}
 	worker->suspicion = own / sum;
@@ -97,5 +102,8 @@
 {
 	uint32_t last = G_N_ELEMENTS(guilty_suspicion) - 1;
 
+	if (task->crashes < last &&
+	    task->crashes - task->inferred < WITNESSED_MIN)
+		return false;
 	return task->suspicion >= guilty_suspicion[MIN(task->crashes, last)];
 }
--- a/sched/blame.h
+++ b/sched/blame.h
@@ -26,6 +26,8 @@
 /**
  * struct bh_blame - what is known of a task or of a worker
  * @crashes: crashes since it was last cleared
+ * @inferred: those of @crashes of which it is not certain that the task had not
+ *	ended before
  * @ids: of the last crashes, by which one that is reported again is known; the
  *	rest is 0
  * @suspicion: probability that it is at fault
@@ -33,6 +35,7 @@
  */
 typedef struct bh_blame {
 	uint32_t crashes;
+	uint32_t inferred;
 	uint64_t ids[BH_BLAME_IDS];
 	double suspicion;
 	bh_usec_t age;
@@ -43,11 +46,13 @@
  * @blame: updated
  * @age: how long it had run
  * @is_confirmed: it had started for certain
+ * @is_inferred: it may have ended before the crash
  */
 typedef struct bh_suspect {
 	bh_blame_t *blame;
 	bh_usec_t age;
 	bool is_confirmed;
+	bool is_inferred;
 } bh_suspect_t;
 
 /**
@@ -68,8 +73,8 @@
 bool bh_blame_is_cleared(const bh_blame_t *task, bh_usec_t age);
 
 /**
- * bh_blame_is_guilty() - whether to give up a task, which takes at least two
- * crashes
+ * bh_blame_is_guilty() - whether to give up a task, which takes two crashes
+ * that are not inferred, or five in all
  */
 bool bh_blame_is_guilty(const bh_blame_t *task);
 
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -24,7 +24,7 @@
 }
 
 static void log_crash(bh_sched_t *s, const bh_host_t *host,
-		      const GPtrArray *tasks)
+		      const GPtrArray *tasks, bool is_inferred)
 {
 	const bh_task_t *worst = NULL;
 	char name[BH_TASK_NAME_BYTES] = "-";
@@ -39,10 +39,11 @@
 		bh_task_full_name(worst, name);
 	bh_sched_log(s, "worker crashed", NULL,
 		     "host=%s boot=%" G_GUINT64_FORMAT
-		     " runs=%u suspect=%s crashes=%u age_ms=%" G_GINT64_FORMAT
+		     " inferred=%d runs=%u suspect=%s crashes=%u "
+		     "age_ms=%" G_GINT64_FORMAT
 		     " suspicion=%.2f worker_suspicion=%.2f",
-		     host->key, host->crashed_boot, tasks->len, name,
-		     worst ? worst->blame.crashes : 0,
+		     host->key, host->crashed_boot, is_inferred, tasks->len,
+		     name, worst ? worst->blame.crashes : 0,
 		     worst ? worst->blame.age / BH_USEC_PER_MS : 0,
 		     worst ? worst->blame.suspicion : 0, host->blame.suspicion);
 }
@@ -82,6 +83,7 @@
 			.blame = &task->blame,
 			.age = run->age_ms * BH_USEC_PER_MS,
 			.is_confirmed = run->is_confirmed,
+			.is_inferred = crash->is_inferred,
 		};
 		g_ptr_array_add(tasks, task);
 	}
@@ -128,14 +130,14 @@
 	host->crashed_at = now;
 	host->crashed_boot = crash->boot;
 	tasks = share_blame(s, host, crash);
-	log_crash(s, host, tasks);
+	log_crash(s, host, tasks, crash->is_inferred);
 	for (guint i = 0; i < tasks->len; i++)
 		end_if_guilty(s, g_ptr_array_index(tasks, i), now);
 }
 
 void bh_host_infer_crash(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
-	bh_crash_t crash = {.boot = host->boot};
+	bh_crash_t crash = {.boot = host->boot, .is_inferred = true};
 	const bh_run_t *run;
 
 	if (TAILQ_EMPTY(&host->runs) || host->boot == host->crashed_boot ||
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -96,10 +96,12 @@
  * it
  * @boot: of the process that ended; 0: there was no crash
  * @ago_ms: time since the crash
+ * @is_inferred: no agent has seen it, so that runs may have ended before
  */
 typedef struct bh_crash {
 	uint64_t boot;
 	uint32_t ago_ms;
+	bool is_inferred;
 	uint32_t n_runs;
 	bh_crashed_run_t *runs;
 } bh_crash_t;
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -91,6 +91,22 @@
 	assert_true(bh_blame_is_cleared(&old, MS(11000)));
 }
 
+/* A task that may have ended before its workers crashed was given up. */
+static void test_inferred_crashes_alone_are_not_enough(void **state)
+{
+	bh_blame_t task = {0};
+	bh_blame_t worker = {0};
+	bh_suspect_t suspect = {&task, MS(10), true, true};
+
+	(void)state;
+	for (int i = 1; i < CRASHES_MAX; i++) {
+		bh_blame_crash(&worker, (uint64_t)i, 0, &suspect, 1);
+		assert_false(bh_blame_is_guilty(&task));
+	}
+	bh_blame_crash(&worker, CRASHES_MAX, 0, &suspect, 1);
+	assert_true(bh_blame_is_guilty(&task));
+}
+
 /* Idle workers that crash are at fault themselves, and make it likely that
  * others are: tasks that are together on such workers are not given up. */
 static void test_workers_that_crash_by_themselves(void **state)
@@ -126,7 +142,8 @@
 
 	while (!bh_blame_is_guilty(&tasks[0])) {
 		bh_blame_t worker = {0};
-		bh_suspect_t suspects[TASKS] = {{&tasks[0], MS(20), true}};
+		bh_suspect_t suspects[TASKS] = {
+			{&tasks[0], MS(20), true, false}};
 		uint32_t n_suspects = 1;
 		double sum = tasks[0].suspicion;
 
@@ -141,7 +158,7 @@
 			if (suspicion >= BH_SUSPICION_MIN)
 				sum += suspicion;
 			suspects[n_suspects++] =
-				(bh_suspect_t){&tasks[i], MS(20), true};
+				(bh_suspect_t){&tasks[i], MS(20), true, false};
 		}
 		bh_blame_crash(&worker, (uint64_t)++crashes, 0, suspects,
 			       n_suspects);
@@ -175,6 +192,7 @@
 			test_task_without_neighbours_is_guilty_of_two_crashes),
 		cmocka_unit_test(test_repeated_age_is_evidence),
 		cmocka_unit_test(test_task_that_outlives_its_age_is_cleared),
+		cmocka_unit_test(test_inferred_crashes_alone_are_not_enough),
 		cmocka_unit_test(test_workers_that_crash_by_themselves),
 		cmocka_unit_test(test_guilty_task_is_found_among_neighbours),
 	};
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -495,6 +495,31 @@
 	}
 }
 
+/* Tasks end while no agent sees it, and their workers crash afterwards. The
+ * tasks were lost in no crash, and the leader cannot know that. */
+static void test_task_that_ended_before_crashes_is_not_given_up(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_submit(w, JOB_A, 1, seed, 500, 1000, "");
+		for (int round = 0; round < 3; round++) {
+			sw_advance(w, MS(700));
+			for (int i = 0; i < SW_WORKERS; i++)
+				sw_fault(w, SW_AGENT_RESTART, i, MS(800));
+			sw_advance(w, MS(600));
+			for (int i = 0; i < SW_WORKERS; i++)
+				sw_fault(w, SW_WORKER_CRASH, i, MS(200));
+			sw_advance(w, MS(1000));
+		}
+		sw_advance(w, MS(20000));
+		assert_no_violation(w);
+		assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+		sw_free(w);
+	}
+}
+
 /* All workers have restarted at the same moment, so that their boots are equal:
  * crashes of different workers were taken for one that is reported again. */
 static void test_crashes_of_workers_with_equal_boots_count(void **state)
@@ -787,6 +812,8 @@
 		cmocka_unit_test(
 			test_neighbours_of_a_task_that_crashes_workers_end),
 		cmocka_unit_test(test_crash_with_its_agent_counts),
+		cmocka_unit_test(
+			test_task_that_ended_before_crashes_is_not_given_up),
 		cmocka_unit_test(
 			test_crashes_of_workers_with_equal_boots_count),
 		cmocka_unit_test(test_tasks_beside_a_held_suspect_start),
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -66,6 +66,7 @@
 				   .failed = failed,
 				   .checkpoint = (char *)"cp",
 				   .blame = {.crashes = 2,
+					     .inferred = 1,
 					     .ids = {7, 9},
 					     .suspicion = 0.25,
 					     .age = 30 * BH_USEC_PER_MS}};
@@ -88,6 +89,7 @@
 	assert_int_equal(back->steps[0].tasks[0].failed[1], 4097);
 	assert_string_equal(back->steps[0].tasks[0].checkpoint, "cp");
 	assert_int_equal(back->steps[0].tasks[0].blame.crashes, 2);
+	assert_int_equal(back->steps[0].tasks[0].blame.inferred, 1);
 	assert_true(back->steps[0].tasks[0].blame.suspicion == 0.25);
 	assert_int_equal(back->steps[0].tasks[0].blame.age, MS(30));
 	assert_int_equal(back->steps[0].tasks[0].blame.ids[1], 9);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1848,7 +1848,7 @@
   (ProtobufCMessageInit) bh__sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bh__sched__task_note__field_descriptors[8] =
 {
   {
     "index",
@@ -1934,12 +1934,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes_inferred",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__TaskNote, crashes_inferred),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__task_note__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
   5,   /* field[5] = crash_age_ms */
   6,   /* field[6] = crash_ids */
   3,   /* field[3] = crashes */
+  7,   /* field[7] = crashes_inferred */
   1,   /* field[1] = failed */
   0,   /* field[0] = index */
   4,   /* field[4] = suspicion_permille */
@@ -1947,7 +1960,7 @@
 static const ProtobufCIntRange bh__sched__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bh__sched__task_note__descriptor =
 {
@@ -1957,7 +1970,7 @@
   "Bh__Sched__TaskNote",
   "bh.sched",
   sizeof(Bh__Sched__TaskNote),
-  7,
+  8,
   bh__sched__task_note__field_descriptors,
   bh__sched__task_note__field_indices_by_name,
   1,  bh__sched__task_note__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -125,10 +125,14 @@
    */
   size_t n_crash_ids;
   uint64_t *crash_ids;
+  /*
+   * Those of the crashes before which the task may have ended.
+   */
+  uint32_t crashes_inferred;
 };
 #define BH__SCHED__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__task_note__descriptor) \
-    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Bh__Sched__StepNote
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -132,6 +132,7 @@
 		t->failed = note->tasks[i].failed;
 		t->checkpoint = text_or_empty(note->tasks[i].checkpoint);
 		t->crashes = note->tasks[i].blame.crashes;
+		t->crashes_inferred = note->tasks[i].blame.inferred;
 		t->suspicion_permille =
 			(uint32_t)(note->tasks[i].blame.suspicion * 1000);
 		t->crash_age_ms =
@@ -169,6 +170,7 @@
 		out->tasks[i].checkpoint =
 			text_from_wire(from->tasks[i]->checkpoint);
 		out->tasks[i].blame.crashes = from->tasks[i]->crashes;
+		out->tasks[i].blame.inferred = from->tasks[i]->crashes_inferred;
 		out->tasks[i].blame.suspicion =
 			from->tasks[i]->suspicion_permille / 1000.0;
 		out->tasks[i].blame.age =
