A task on trial is kept from workers that may crash by themselves

Cause: a task with two crashes waits for a host on which nothing has started for 150 ms. On a busy host something has; the worker that has just crashed by itself is empty, and was taken as a task of little suspicion may go anywhere. Class: a rule that selects for what it should avoid.

Change: a worker under suspicion is not taken for a trial, for the 1.5 s that a suspect waits at most.

--- a/sched/place.c
+++ b/sched/place.c
@@ -198,7 +198,8 @@
 {
 	double others = other_suspicion(host);
 
-	if (is_on_trial(task) && now - host->started_at < TRIAL_US)
+	if (is_on_trial(task) && (now - host->started_at < TRIAL_US ||
+				  host->blame.suspicion >= BH_SUSPICION_MIN))
 		return false;
 	return others < BH_SUSPICION_MIN || !bh_task_is_suspect(task) ||
 	       others + task->blame.suspicion <= BH_SUSPICION_TOGETHER;
