A task with two crashes starts again only once they are stored

Callers saw, in tests: a task started for the sixth time (BUDGET) after leader and agents had ended while the store was down.

Cause: what is known of crashes is in the store, in the leader and, of the last one of each worker, in its agent. While the store was down starts went on, so that a task crashed three workers and more, and all of that was lost with the leader and the agents. Class: acting ahead of the record that the next process depends on.

Change: from the second crash on, a task waits until a commit has stored its crashes. The wait is that of a suspect: nothing is reserved or preempted for it, and its siblings start. While the store is down no job can be shown as completed anyway. A first crash does not wait, as most tasks on a crashed worker are innocent.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -93,8 +93,10 @@
 	for (guint i = 0; i < tasks->len; i++) {
 		const bh_task_t *task = g_ptr_array_index(tasks, i);
 
-		if (is_stored(&task->blame))
-			bh_rec_mark_dirty(s, task->phase->rec);
+		if (!is_stored(&task->blame))
+			continue;
+		bh_rec_mark_dirty(s, task->phase->rec);
+		task->phase->rec->crashes_unstored = true;
 	}
 	return tasks;
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -57,9 +57,9 @@
 /* A long-running task that has waited this long may use a quarantined host. */
 #define QUARANTINED_HOST_AFTER_US (2000 * BH_USEC_PER_MS)
 
-/* From this many crashes on a task is started on trial: no other task starts on
- * the host shortly before and after, as most tasks that crash their workers do
- * so soon after their start. */
+/* From this many crashes on a task is started only once they are stored, and on
+ * trial: no other task starts on the host shortly before and after, as most
+ * tasks that crash their workers do so soon after their start. */
 #define TRIAL_CRASHES 2
 #define TRIAL_US      (150 * BH_USEC_PER_MS)
 
@@ -205,20 +205,33 @@
 	       others + task->blame.suspicion <= BH_SUSPICION_TOGETHER;
 }
 
+/* The next leader knows only what is stored: it would start the task as often
+ * again. */
+static bool awaits_store(const bh_task_t *task)
+{
+	const bh_rec_t *rec = task->phase->rec;
+
+	return task->blame.crashes >= TRIAL_CRASHES &&
+	       (rec->crashes_unstored || rec->crashes_committing);
+}
+
 static bool must_wait_as_suspect(const bh_task_t *task, const bh_host_t *host,
 				 bh_usec_t now)
 {
+	if (awaits_store(task))
+		return true;
 	return task->blame.crashes && !task->phase->step->is_gang &&
 	       (!task->held_since ||
 		now - task->held_since < SUSPECT_WAIT_US) &&
 	       !tells_fault(task, host, now);
 }
 
-/* Whether the task waits for a host on which a crash would tell, and not for
- * room: nothing is reserved or preempted for it. */
+/* Whether the task waits as a suspect, and not for room: nothing is reserved or
+ * preempted for it. */
 static bool is_held(const bh_task_t *task, bh_usec_t now)
 {
-	return task->held_since && now - task->held_since < SUSPECT_WAIT_US;
+	return awaits_store(task) ||
+	       (task->held_since && now - task->held_since < SUSPECT_WAIT_US);
 }
 
 /* @spare: set to the headroom above the goal that a filler would leave, 0 for
@@ -336,7 +349,7 @@
 			best_score = value;
 		}
 	}
-	if (!best && must_wait && !task->held_since)
+	if (!best && must_wait && !awaits_store(task) && !task->held_since)
 		task->held_since = now;
 	return best;
 }
@@ -538,6 +551,8 @@
 	if (phase->waiting < n)
 		return true;
 	for (uint32_t i = 0; i < n; i++) {
+		if (awaits_store(&phase->tasks[i]))
+			return true;
 		attempt =
 			MAX(attempt, bh_task_next_attempt(s, &phase->tasks[i]));
 		if (phase->tasks[i].checkpoint)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -242,6 +242,8 @@
 		rec->committing = rec->state;
 		rec->commit_since = rec->dirty_since;
 		rec->dirty_since = 0;
+		rec->crashes_committing = rec->crashes_unstored;
+		rec->crashes_unstored = false;
 		ids[n++] = rec->job->id;
 	}
 	return n;
@@ -276,6 +278,9 @@
 			rec->dirty_since = rec->commit_since;
 		else if (rec->committing >= BH_JOB_COMPLETED)
 			rec->stored_state = rec->committing;
+		rec->crashes_unstored |= rec->crashes_committing && !is_stored;
+		s->must_place |= rec->crashes_committing;
+		rec->crashes_committing = false;
 		rec->commit_since = 0;
 		if (rec->dirty_since)
 			bh_rec_insert_dirty(s, rec);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -170,6 +170,9 @@
  * @dirty_since: number of its oldest change that is not stored and not part of
  *	the commit in progress; 0: none
  * @commit_since: the same for the commit in progress
+ * @crashes_unstored: crashes under its tasks are not stored and not part of the
+ *	commit in progress
+ * @crashes_committing: such crashes are part of the commit in progress
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
  */
@@ -186,6 +189,8 @@
 	uint32_t n_runs;
 	uint64_t dirty_since;
 	uint64_t commit_since;
+	bool crashes_unstored;
+	bool crashes_committing;
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
 };
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -396,6 +396,35 @@
 	}
 }
 
+/* The store is down while a task crashes its workers, and the leader and all
+ * agents end before it is back. Each crash before was forgotten. */
+static void test_crashes_in_store_outage_are_few(void **state)
+{
+	static const char *const deadly[] = {JOB_A ".0.0.1", JOB_B ".0.0.3",
+					     JOB_C ".0.0.2"};
+	static const char *const jobs[] = {JOB_A, JOB_B, JOB_C};
+
+	(void)state;
+	for (uint32_t seed = 1; seed <= 40; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_fault(w, SW_STORE_DOWN, 0, MS(9000));
+		for (size_t i = 0; i < G_N_ELEMENTS(deadly); i++) {
+			sw_deadly(w, deadly[i], 20);
+			sw_submit(w, jobs[i], 1, 12 + seed % 7, 500, 1000, "");
+		}
+		sw_advance(w, MS(8000));
+		sw_fault(w, SW_LEADER_KILL, 0, MS(100));
+		for (int i = 0; i < SW_WORKERS; i++)
+			sw_fault(w, SW_AGENT_RESTART, i, MS(500));
+		sw_advance(w, MS(90000));
+		assert_no_violation(w);
+		for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++)
+			assert_int_equal(sw_state(w, jobs[i]), BH_JOB_FAILED);
+		sw_free(w);
+	}
+}
+
 /* One worker is left, and the leader ends with each of its crashes. The agent
  * reports only the last one to the next leader; those before are stored. */
 static void test_earlier_crashes_are_stored(void **state)
@@ -807,6 +836,7 @@
 		cmocka_unit_test(test_task_that_crashes_workers_is_given_up),
 		cmocka_unit_test(test_crashes_are_known_to_the_next_leader),
 		cmocka_unit_test(test_crash_without_leader_counts),
+		cmocka_unit_test(test_crashes_in_store_outage_are_few),
 		cmocka_unit_test(test_earlier_crashes_are_stored),
 		cmocka_unit_test(test_crash_known_after_lease_expiry_counts),
 		cmocka_unit_test(
