A start that its agent still holds is not sent once its stop was ordered

Cause: an agent sends orders on two connections, which each unanswered try holds for 0.15 to 0.7 s. Starts wait in that queue without limit, are tried up to four times, and are sent although the stop of the attempt is queued behind them. Class: a permission that has run out is acted on after a delay.

Change: a stop marks the starts of that task, up to its attempt, as superseded. No further try of them is sent, neither after a timeout nor from the queue of connections (is_wanted of platform/http_client.h). One of which no try was sent ends as refused, which is true.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -7,6 +7,8 @@
 #include "platform/store.h"
 #include "sched/run_log.h"
 
+#include <sys/queue.h>
+
 /* How long the worker may hold a poll while no task ends. */
 #define POLL_WAIT_MS 200
 
@@ -54,15 +56,20 @@
 
 /**
  * struct order - an order of the leader that is passed on to the worker
+ * @link: of an order to start
  * @was_unclear: an earlier try got no answer
+ * @is_superseded: the attempt has been ordered to stop since; no further try is
+ *	sent
  * @term: term of the leader that sent it
  */
 typedef struct order {
+	TAILQ_ENTRY(order) link;
 	bh_sched_agent_t *agent;
 	int kind;
 	int tries_left;
 	int64_t timeout_ms;
 	bool was_unclear;
+	bool is_superseded;
 	uint64_t term;
 	uint64_t boot;
 	uint32_t attempt;
@@ -93,6 +100,7 @@
  * @is_idle: nothing can run on the worker: this process created the row, and
  *	has passed on no start order
  * @leader_heard_at: when the last frame of the leader came
+ * @starting: orders to start without an outcome
  */
 struct bh_sched_agent {
 	bh_runtime_t *rt;
@@ -135,6 +143,7 @@
 	bh_usec_t registered_at;
 	bh_usec_t pinged_at;
 	uint32_t orders;
+	TAILQ_HEAD(, order) starting;
 	uint64_t starts;
 	uint64_t stops;
 	uint64_t unclear;
@@ -380,6 +389,8 @@
 {
 	bh_sched_agent_t *a = o->agent;
 
+	if (o->kind == BH_ORDER_KIND_START)
+		TAILQ_REMOVE(&a->starting, o, link);
 	if (outcome != BH_ORDER_OK) {
 		g_autofree char *attempt = g_strdup_printf("%u", o->attempt);
 
@@ -408,7 +419,8 @@
 
 	/* The worker runs an attempt at most once, so that it is safe to repeat
 	 * the order. */
-	if (outcome == BH_ORDER_UNCLEAR && --o->tries_left > 0) {
+	if (outcome == BH_ORDER_UNCLEAR && !o->is_superseded &&
+	    --o->tries_left > 0) {
 		o->was_unclear = true;
 		o->timeout_ms = MIN(o->timeout_ms * TRY_TIMEOUT_FACTOR,
 				    TRY_TIMEOUT_MAX_MS);
@@ -423,6 +435,11 @@
 	order_finish(o, outcome);
 }
 
+static bool is_order_wanted(void *user)
+{
+	return !((const order_t *)user)->is_superseded;
+}
+
 static void order_send(order_t *o)
 {
 	bh_sched_agent_t *a = o->agent;
@@ -437,6 +454,7 @@
 		.ticket = o->ticket,
 		.percent = o->percent,
 		.timeout_ms = o->timeout_ms,
+		.is_wanted = is_order_wanted,
 	};
 
 	if (o->kind == BH_ORDER_KIND_START)
@@ -461,6 +479,8 @@
 	o->timeout_ms = TRY_TIMEOUT_MIN_MS;
 	o->tries_left = kind == BH_ORDER_KIND_START ? START_TRIES : STOP_TRIES;
 	o->worker = g_strdup(a->info.id);
+	if (kind == BH_ORDER_KIND_START)
+		TAILQ_INSERT_TAIL(&a->starting, o, link);
 	a->orders++;
 	return o;
 }
@@ -485,12 +505,25 @@
 	order_send(o);
 }
 
+/* A start may wait here behind orders that the worker does not answer. */
+static void supersede_starts(const bh_sched_agent_t *a, const char *task,
+			     uint32_t attempt)
+{
+	order_t *o;
+
+	TAILQ_FOREACH(o, &a->starting, link) {
+		if (o->attempt <= attempt && strcmp(o->task, task) == 0)
+			o->is_superseded = true;
+	}
+}
+
 static void on_stop(bh_sched_agent_t *a, const Bh__Sched__StopOrder *m)
 {
 	order_t *o =
 		order_new(a, BH_ORDER_KIND_STOP, m->task, m->attempt, m->boot);
 
 	a->stops++;
+	supersede_starts(a, m->task, m->attempt);
 	order_send(o);
 }
 
@@ -821,6 +854,7 @@
 
 	a->rt = rt;
 	a->scratch = g_byte_array_new();
+	TAILQ_INIT(&a->starting);
 	a->run_log = bh_run_log_new();
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
 	a->store = bh_store_new(rt->base, set->store);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -16,6 +16,7 @@
  * @accepted: connections accepted so far
  * @is_silent: requests get no response
  * @answers: callbacks of the client so far
+ * @requests: requests received so far
  */
 typedef struct server {
 	struct event_base *base;
@@ -25,6 +26,7 @@
 	bool is_silent;
 	unsigned last_status;
 	int answers;
+	int requests;
 } server_t;
 
 static struct bufferevent *on_connection(struct event_base *base, void *arg)
@@ -37,8 +39,9 @@
 
 static void on_request(struct evhttp_request *req, void *arg)
 {
-	const server_t *s = arg;
+	server_t *s = arg;
 
+	s->requests++;
 	if (!s->is_silent)
 		evhttp_send_reply(req, 200, NULL, NULL);
 }
@@ -143,11 +146,45 @@
 	server_close(&s);
 }
 
+static bool is_never_wanted(void *user)
+{
+	(void)user;
+	return false;
+}
+
+/* An order that had been withdrawn was sent once a connection was free. */
+static void test_queued_request_that_is_not_wanted_is_not_sent(void **state)
+{
+	bh_http_call_t call = {.method = EVHTTP_REQ_GET,
+			       .path = "/",
+			       .timeout_us = TIMEOUT_US,
+			       .is_wanted = is_never_wanted};
+	bh_http_pool_t *pool;
+	server_t s;
+
+	(void)state;
+	server_open(&s);
+	pool = bh_http_pool_new(s.base, s.address, 1000);
+	bh_http_pool_set_max_connections(pool, 1);
+	s.is_silent = true;
+	send_request(&s, pool);
+	bh_http_send(pool, &call, on_answer, &s);
+	bh_http_send(pool, &call, on_answer, &s);
+	send_request(&s, pool);
+	run_loop_for(&s, REQUEST_GAP_US);
+	assert_int_equal(s.requests, 2);
+	assert_int_equal(s.answers, 4);
+	bh_http_pool_free(pool);
+	server_close(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_spaced_requests_share_a_connection),
 		cmocka_unit_test(test_silent_connection_is_replaced),
+		cmocka_unit_test(
+			test_queued_request_that_is_not_wanted_is_not_sent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
