--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -620,7 +620,7 @@
 	static const char *const flags[] = {"", "c", "s", "g", "m", "l"};
 
 	(void)state;
-	for (uint32_t seed = 1; seed <= 60; seed++) {
+	for (uint32_t seed = 1; seed <= 450; seed++) {
 		sw_world_t *w = sw_new(seed, SW_ALL_ON);
 		GRand *r = g_rand_new_with_seed(seed);
 
