--- a/soak/world.sh
+++ b/soak/world.sh
@@ -104,6 +104,17 @@
 # restart_crashed_worker N: without random numbers, as it crashes at any time
 restart_crashed_worker() { start_worker_of "$1" 400; }
 
+# lose_power N: a worker and its agent end at the same moment and are back together
+lose_power() {
+	local n=$1
+	is_up "worker-$n" && is_up "agent-$n" || return
+	kill_process "agent-$n"
+	kill_process "worker-$n"
+	note_worker_killed "$n"
+	schedule 700 restart_agent "$n"
+	schedule 700 start_worker_of "$n" 400
+}
+
 # change_room N: shrinks the room of a worker to four tasks, or restores it
 change_room() {
 	local n=$1 cpu=2000
