Agents log polls without an answer, leaders log ends that were never listed

Change: `worker does not answer` and `worker answers again` (boot, expires_ms and ack that it is polled with, number of polls, silent_ms), boragehold_agent_polls_unanswered_total; `ends missing` (the numbers around the gap, what is acknowledged), boragehold_ends_missing_total. No logic changes.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -246,6 +246,8 @@
 		bh_metrics_value(out, "boragehold_ends_total", label,
 				 (double)st->ends[end]);
 	}
+	bh_metrics_value(out, "boragehold_ends_missing_total", NULL,
+			 (double)st->ends_missing);
 	for (int state = BH_JOB_COMPLETED; state <= BH_JOB_CANCELLED; state++) {
 		g_autofree char *label = g_strdup_printf(
 			"state=\"%s\"",
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -92,6 +92,8 @@
  * @lease_until: time by which the last lease that it set has certainly expired;
  *	0: unknown
  * @ack: ends up to this number have been acknowledged by the leader
+ * @unanswered_polls: since the last answered one, which was sent at
+ *@answered_at
  * @gone_since: when the first of the last polls broke off, which shows that the
  *	worker's process has ended; 0: the last poll was answered
  * @crash: the worker's last crash
@@ -122,6 +124,8 @@
 	bh_usec_t lease_until;
 	uint64_t ack;
 	int refused_polls;
+	int unanswered_polls;
+	bh_usec_t answered_at;
 	int64_t poll_timeout_ms;
 	bh_usec_t poll_sent_at;
 	bh_usec_t gone_since;
@@ -147,6 +151,7 @@
 	uint64_t starts;
 	uint64_t stops;
 	uint64_t unclear;
+	uint64_t polls_unanswered;
 	bh_hist_t start_latency;
 	GByteArray *scratch;
 };
@@ -220,6 +225,36 @@
 	event_add(a->poll_timer, &delay);
 }
 
+static char *number_text(uint64_t number)
+{
+	return g_strdup_printf("%" G_GUINT64_FORMAT, number);
+}
+
+/* Says what the worker may still carry out: with which lease and which
+ * acknowledgement it is polled. */
+static void log_unanswered(bh_sched_agent_t *a)
+{
+	g_autofree char *boot = number_text(a->boot);
+	g_autofree char *expires = number_text(a->expires_ms);
+	g_autofree char *ack = number_text(a->ack);
+
+	bh_log_event(&a->rt->log, BH_LOG_WARN, "worker does not answer",
+		     "worker", a->info.id ? a->info.id : "", "boot", boot,
+		     "expires_ms", expires, "ack", ack, NULL);
+}
+
+static void log_answered(bh_sched_agent_t *a, uint64_t boot)
+{
+	bh_usec_t silent = bh_runtime_now() - a->answered_at;
+	g_autofree char *polls = g_strdup_printf("%d", a->unanswered_polls);
+	g_autofree char *silent_ms = number_text((uint64_t)silent / 1000);
+	g_autofree char *boot_text = number_text(boot);
+
+	bh_log_event(&a->rt->log, BH_LOG_INFO, "worker answers again", "worker",
+		     a->info.id ? a->info.id : "", "boot", boot_text,
+		     "unanswered", polls, "silent_ms", silent_ms, NULL);
+}
+
 /* A poll that times out may be a lost call or a worker that hangs. */
 static void note_failed_poll(bh_sched_agent_t *a)
 {
@@ -227,6 +262,10 @@
 	bh_usec_t timeout =
 		(POLL_WAIT_MS + a->poll_timeout_ms) * BH_USEC_PER_MS;
 
+	a->polls_unanswered++;
+	if (a->unanswered_polls++ == 0)
+		log_unanswered(a);
+
 	if (!a->gone_since && now - a->poll_sent_at < timeout)
 		a->gone_since = now;
 }
@@ -262,8 +301,7 @@
 	if (a->boot && boot != a->boot && !a->is_down)
 		note_crash(a);
 	if (a->is_down || boot != a->boot) {
-		g_autofree char *text =
-			g_strdup_printf("%" G_GUINT64_FORMAT, boot);
+		g_autofree char *text = number_text(boot);
 
 		bh_log_event(&a->rt->log, BH_LOG_INFO, "worker is up", "boot",
 			     text, NULL);
@@ -301,6 +339,10 @@
 		return;
 	}
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
+	if (a->unanswered_polls)
+		log_answered(a, lists->boot);
+	a->unanswered_polls = 0;
+	a->answered_at = bh_runtime_now();
 	note_boot(a, lists->boot);
 	bh_run_log_listed(a->run_log, lists, bh_runtime_now());
 	a->clock_ms = lists->clock_ms;
@@ -737,6 +779,8 @@
 			 (double)a->stops);
 	bh_metrics_value(out, "boragehold_agent_unclear_total", NULL,
 			 (double)a->unclear);
+	bh_metrics_value(out, "boragehold_agent_polls_unanswered_total", NULL,
+			 (double)a->polls_unanswered);
 	bh_metrics_value(out, "boragehold_agent_led", NULL, a->leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
 			 (double)a->rt->log.dropped);
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -237,6 +237,23 @@
 	return !bh_task_find(s, e->task) && record_orphan(host, &seen, now);
 }
 
+/* The worker forgets ends once they are acknowledged: a gap means that one was
+ * acknowledged that nobody saw. Before its first end this leader does not know
+ * what an earlier one has acknowledged. */
+static void note_missing_ends(bh_sched_t *s, const bh_host_t *host,
+			      uint64_t number)
+{
+	if (host->last_ended == 0 || number <= host->last_ended + 1)
+		return;
+	s->stats.ends_missing += number - host->last_ended - 1;
+	bh_sched_log(s, "ends missing", NULL,
+		     "worker=%s boot=%" G_GUINT64_FORMAT
+		     " after=%" G_GUINT64_FORMAT " next=%" G_GUINT64_FORMAT
+		     " acked=%" G_GUINT64_FORMAT,
+		     host->info.id ? host->info.id : "-", host->boot,
+		     host->last_ended, number, host->acked);
+}
+
 static void handle_ends(bh_sched_t *s, bh_host_t *host,
 			const bh_worker_lists_t *lists, bh_usec_t now)
 {
@@ -254,6 +271,7 @@
 		must_wait |= is_orphan_end(s, host, e, now);
 		if (must_wait)
 			continue;
+		note_missing_ends(s, host, e->number);
 		handle_end(s, host, e, now);
 		host->last_ended = MAX(host->last_ended, e->number);
 	}
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -319,6 +319,7 @@
  * @starts: start orders
  * @rejected: start orders that were refused or not answered
  * @ends: reported ends, by enum bh_end
+ * @ends_missing: ends that workers forgot before they were seen
  * @stops: attempts that were ordered to stop, orphans excluded
  * @copies: speculative copies started
  * @quarantines: times that a host was quarantined
@@ -333,6 +334,7 @@
 	uint64_t starts;
 	uint64_t rejected;
 	uint64_t ends[BH_END_ALONE + 1];
+	uint64_t ends_missing;
 	uint64_t stops;
 	uint64_t copies;
 	uint64_t quarantines;
