A worker's next process is not polled with the last one's acknowledgements

Until then the agent polls it without a target, with the lease and the acknowledged number of the former process. Those polls are carried out up to 12 s late: the successor forgets ends 17 to 23, which nobody has seen. The leader takes their tasks for lost and starts them again.

Cause: the agent dropped these numbers only once the next process had answered. Class: state of a former process that is sent to the next one under the same address.

Change: polls name the announced process, also before it has answered; they carry no acknowledgement while the process that answered is not the one announced, or after a poll without an answer, and no lease once another process is announced or the worker is down.

Evidence: tests/jobs next_worker_forgets_ends fails three times of three on the code before (`worker-2: end 4 acknowledged too soon`), passes three times of three.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -363,13 +363,32 @@
 		poll_worker(a);
 }
 
+/* Whether the process that last answered is the one that last announced itself.
+ */
+static bool is_announced(const bh_sched_agent_t *a)
+{
+	return a->info.id && a->info.boot == a->boot;
+}
+
+/* The worker's next process would forget as many of its own ends, also when it
+ * carries the call out late. */
+static uint64_t poll_ack(const bh_sched_agent_t *a)
+{
+	return is_announced(a) && a->unanswered_polls == 0 ? a->ack : 0;
+}
+
+static uint64_t poll_expires_ms(const bh_sched_agent_t *a)
+{
+	return a->is_down || a->info.boot > a->boot ? 0 : a->expires_ms;
+}
+
 static void poll_worker(bh_sched_agent_t *a)
 {
 	bh_runner_lists_request_t call = {
-		.worker = a->info.boot == a->boot ? a->info.id : NULL,
+		.worker = a->info.boot >= a->boot ? a->info.id : NULL,
 		.term = a->term,
-		.expires_ms = a->expires_ms,
-		.ack = a->ack,
+		.expires_ms = poll_expires_ms(a),
+		.ack = poll_ack(a),
 		.wait_ms = POLL_WAIT_MS,
 		.timeout_ms = a->poll_timeout_ms,
 	};
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -290,6 +290,8 @@
 	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
 		h->lease_expires_ms =
 			MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
+		if (ack > h->last_ended_seq)
+			log_event(h, "ack-ahead", "-", ack);
 		drop_acked(h, ack);
 		out = json_object_new();
 		json_object_set_array_member(out, "active", list_active(h));
