A silent worker's runs are kept while calls to workers are carried out late

The worker runs them until 9.14 s: a poll that it carried out late had prolonged its lease, whose time counts from then on.

Cause: the leader's bound of a lease assumes that a grant takes effect when it is sent. Class: what was not heard is taken for evidence.

Change: agents report when a call to their worker got no answer although the worker's process lived (lost_call_ms). While that happens, to any worker, those that are silent may hold a late grant: their runs are kept for 12 s longer than the lease, or until they are heard (`host lease in doubt`). A new leader places what it learned of after its predecessor could no longer order starts; the rest waits for such hosts.

Weighed: granting nothing while a grant is open bounds the lease to twice its length, but fewer grants get through, so that more work lapses.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -94,6 +94,8 @@
  * @ack: ends up to this number have been acknowledged by the leader
  * @unanswered_polls: since the last answered one, which was sent at
  *@answered_at
+ * @call_lost_at: when a call last got no answer although the worker's process
+ *	lived; 0: never
  * @gone_since: when the first of the last polls broke off, which shows that the
  *	worker's process has ended; 0: the last poll was answered
  * @crash: the worker's last crash
@@ -126,6 +128,7 @@
 	int refused_polls;
 	int unanswered_polls;
 	bh_usec_t answered_at;
+	bh_usec_t call_lost_at;
 	int64_t poll_timeout_ms;
 	bh_usec_t poll_sent_at;
 	bh_usec_t gone_since;
@@ -193,6 +196,16 @@
 	bh_link_send_bytes(a->leader, a->scratch->data, a->scratch->len);
 }
 
+/* 0 once no such call can be carried out any more, otherwise at least 1. */
+static uint32_t lost_call_ms(const bh_sched_agent_t *a)
+{
+	bh_usec_t ago = bh_runtime_now() - a->call_lost_at;
+
+	if (!a->call_lost_at || ago > BH_LATE_CALL_MAX_US)
+		return 0;
+	return (uint32_t)MAX(ago / BH_USEC_PER_MS, 1);
+}
+
 static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
 {
 	bh_worker_info_t info = a->info;
@@ -201,6 +214,7 @@
 		return;
 	send_crash(a);
 	info.boot = a->boot;
+	info.lost_call_ms = lost_call_ms(a);
 	/* An announcement is valid only for the boot that sent it. */
 	if (a->info.boot && a->boot && a->info.boot != a->boot)
 		info.id = NULL;
@@ -245,7 +259,8 @@
 
 static void log_answered(bh_sched_agent_t *a, uint64_t boot)
 {
-	bh_usec_t silent = bh_runtime_now() - a->answered_at;
+	bh_usec_t silent =
+		a->answered_at ? bh_runtime_now() - a->answered_at : 0;
 	g_autofree char *polls = g_strdup_printf("%d", a->unanswered_polls);
 	g_autofree char *silent_ms = number_text((uint64_t)silent / 1000);
 	g_autofree char *boot_text = number_text(boot);
@@ -255,6 +270,13 @@
 		     "unanswered", polls, "silent_ms", silent_ms, NULL);
 }
 
+static void note_answered_again(bh_sched_agent_t *a, uint64_t boot)
+{
+	log_answered(a, boot);
+	if (boot == a->boot && !a->is_down)
+		a->call_lost_at = bh_runtime_now();
+}
+
 /* A poll that times out may be a lost call or a worker that hangs. */
 static void note_failed_poll(bh_sched_agent_t *a)
 {
@@ -340,7 +362,7 @@
 	}
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
 	if (a->unanswered_polls)
-		log_answered(a, lists->boot);
+		note_answered_again(a, lists->boot);
 	a->unanswered_polls = 0;
 	a->answered_at = bh_runtime_now();
 	note_boot(a, lists->boot);
@@ -477,6 +499,7 @@
 static void on_order_outcome(void *user, bh_order_outcome_t outcome)
 {
 	order_t *o = user;
+	bh_sched_agent_t *a = o->agent;
 
 	/* The worker runs an attempt at most once, so that it is safe to repeat
 	 * the order. */
@@ -488,6 +511,8 @@
 		order_send(o);
 		return;
 	}
+	if (o->was_unclear && outcome == BH_ORDER_OK && o->boot == a->boot)
+		a->call_lost_at = bh_runtime_now();
 	/* A refusal does not tell the outcome of an earlier try that got no
 	 * answer. */
 	if (o->was_unclear && outcome != BH_ORDER_OK &&
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -362,11 +362,6 @@
 		bh_run_stop(s, run, "still running after its stop order", now);
 }
 
-static bh_usec_t lease_bound(const bh_sched_t *s)
-{
-	return bh_lease_bound(s->bounds.lease_ms * BH_USEC_PER_MS);
-}
-
 static void handle_lists(bh_sched_t *s, bh_host_t *host,
 			 const bh_worker_lists_t *lists, bh_usec_t now)
 {
@@ -399,7 +394,7 @@
 	host->is_synced = true;
 	/* A grant that was delayed counts from its arrival. */
 	if (lists->n_active && now >= host->lease_ends_at)
-		host->outlived_until = now + lease_bound(s);
+		host->outlived_until = now + bh_sched_lease_bound(s);
 }
 
 static void extend_lease(bh_sched_t *s, bh_host_t *host, uint64_t clock_ms,
@@ -408,7 +403,7 @@
 	uint64_t expires = clock_ms + (uint64_t)s->bounds.lease_ms;
 
 	host->expires_ms = MAX(host->expires_ms, expires);
-	host->lease_ends_at = now + lease_bound(s);
+	host->lease_ends_at = now + bh_sched_lease_bound(s);
 }
 
 static void reset_boot(bh_sched_t *s, bh_host_t *host, const char *why,
@@ -452,13 +447,45 @@
 	host->outlived_until = 0;
 }
 
+/* A call that got no answer may be carried out late, and the time of the lease
+ * that it grants may count from then on. Where that happens elsewhere, calls to
+ * a silent worker are taken to be late too. */
+static bool may_calls_be_late(const bh_sched_t *s, const bh_host_t *host)
+{
+	return s->call_lost_at &&
+	       s->call_lost_at + BH_LATE_CALL_MAX_US > host->heard_at;
+}
+
+static void note_lease_in_doubt(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+{
+	if (host->is_lease_in_doubt)
+		return;
+	host->is_lease_in_doubt = true;
+	bh_sched_log(s, "host lease in doubt", NULL,
+		     "host=%s silent_ms=%" G_GINT64_FORMAT
+		     " call_lost_ms_ago=%" G_GINT64_FORMAT " runs=%u",
+		     host->key, (now - host->heard_at) / 1000,
+		     (now - s->call_lost_at) / 1000, host->n_runs);
+}
+
 /* Whether the worker's lease has ended, and with it all that ran there. */
-static bool is_lease_over(const bh_host_t *host, bh_usec_t now)
+static bool is_lease_over(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
-	if (now < host->lease_ends_at || now < host->outlived_until)
+	bh_usec_t ends_at = MAX(host->lease_ends_at, host->outlived_until);
+
+	if (now < ends_at)
 		return false;
-	return TAILQ_EMPTY(&host->runs) ||
-	       now - host->heard_at >= LISTS_FRESH_US;
+	if (!TAILQ_EMPTY(&host->runs) && now - host->heard_at < LISTS_FRESH_US)
+		return false;
+	if (!may_calls_be_late(s, host) || now >= ends_at + BH_LATE_CALL_MAX_US)
+		return true;
+	note_lease_in_doubt(s, host, now);
+	return false;
+}
+
+static bool may_hold_runs(const bh_host_t *host)
+{
+	return !host->is_synced || !TAILQ_EMPTY(&host->runs);
 }
 
 void bh_hosts_expire(bh_sched_t *s, bh_usec_t now)
@@ -467,8 +494,7 @@
 	bool is_recovering = false;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
-		if (is_lease_over(host, now) &&
-		    (!host->is_synced || !TAILQ_EMPTY(&host->runs))) {
+		if (may_hold_runs(host) && is_lease_over(s, host, now)) {
 			if (now - host->heard_at > LOG_LAPSE_AFTER_US)
 				bh_sched_log(
 					s, "host lease expired", NULL,
@@ -552,7 +578,7 @@
 	host->is_synced = !may_hold_work;
 	if (may_hold_work)
 		host->lease_ends_at +=
-			lease_bound(s) +
+			bh_sched_lease_bound(s) +
 			s->bounds.predecessor_grant_ms * BH_USEC_PER_MS;
 	host->speed = 1;
 	host->filler_share = FILLER_SHARE_PRIOR;
@@ -593,8 +619,14 @@
 	if (!host)
 		return;
 	before = host->info.state;
-	if (lists)
+	if (lists) {
 		host->heard_at = now;
+		host->is_lease_in_doubt = false;
+	}
+	if (info->lost_call_ms)
+		s->call_lost_at =
+			MAX(s->call_lost_at,
+			    now - info->lost_call_ms * BH_USEC_PER_MS);
 	if (info->boot && host->boot && info->boot != host->boot)
 		reset_boot(s, host, "worker restarted", now);
 	else if (info->state == BH_WORKER_DOWN &&
--- a/sched/place.c
+++ b/sched/place.c
@@ -616,6 +616,14 @@
 	return true;
 }
 
+/* Whether an earlier leader may have started its tasks on a host that has not
+ * been heard of since. */
+static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	return s->is_recovering &&
+	       phase->rec->known_at < s->predecessor_over_at;
+}
+
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
 {
 	GPtrArray *phases = g_ptr_array_new();
@@ -644,7 +652,7 @@
 		bool is_placed;
 
 		phase = phases->pdata[i];
-		if (awaits_tickets(s, phase, now))
+		if (may_run_unseen(s, phase) || awaits_tickets(s, phase, now))
 			continue;
 		is_placed = phase->step->is_gang ? place_gang(s, phase, now)
 						 : place_phase(s, phase, now);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -150,6 +150,8 @@
 	TAILQ_INIT(&s->committing);
 	s->steered_at = now;
 	s->unix_ms = unix_ms;
+	s->predecessor_over_at = now + bh_sched_lease_bound(s) +
+				 bounds->predecessor_grant_ms * BH_USEC_PER_MS;
 	return s;
 }
 
@@ -215,7 +217,7 @@
 		open_due_phases(s, now);
 	}
 	bh_hosts_adopt_orphans(s, now);
-	if (s->is_recovering)
+	if (s->is_recovering && now < s->predecessor_over_at)
 		return;
 	if (is_due)
 		bh_health_check_runs(s, now);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -175,6 +175,7 @@
  * @crashes_committing: such crashes are part of the commit in progress
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
+ * @known_at: when this leader learned of it
  */
 struct bh_rec {
 	TAILQ_ENTRY(bh_rec) link;
@@ -193,6 +194,7 @@
 	bool crashes_committing;
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
+	bh_usec_t known_at;
 };
 
 typedef TAILQ_HEAD(bh_recs, bh_rec) bh_recs_t;
@@ -252,6 +254,7 @@
  * @heard_at: when the worker's lists last came
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
  *	expired, and with it all its tasks have ended, unless it is extended
+ * @is_lease_in_doubt: calls that got no answer may have prolonged its lease
  * @outlived_until: the same after the worker has listed runs past
  *	@lease_ends_at, so that it holds a later lease; 0: it has not
  * @expires_ms: end of the last lease granted, on the worker's clock
@@ -304,6 +307,7 @@
 	bh_usec_t linked_at;
 	bh_usec_t heard_at;
 	bh_usec_t lease_ends_at;
+	bool is_lease_in_doubt;
 	bh_usec_t outlived_until;
 	uint64_t expires_ms;
 	bh_runs_t runs;
@@ -351,7 +355,10 @@
  * @committing: jobs of the commit in progress
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
- *	struct bh_host; nothing is placed meanwhile
+ *	struct bh_host; nothing is placed meanwhile that may run there
+ * @predecessor_over_at: by when no earlier leader can order starts any more
+ * @call_lost_at: when a call to some worker last got no answer although the
+ *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
  * @checked_at: when hosts and runs were last checked for timeouts
  */
@@ -370,6 +377,8 @@
 	bh_recs_t committing;
 	uint64_t change;
 	bool is_recovering;
+	bh_usec_t predecessor_over_at;
+	bh_usec_t call_lost_at;
 	bool must_place;
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
@@ -380,6 +389,12 @@
 };
 
 /* tasks.c */
+
+/**
+ * bh_sched_lease_bound() - time after which a lease granted now has expired for
+ * certain, unless the grant is carried out late
+ */
+bh_usec_t bh_sched_lease_bound(const bh_sched_t *s);
 void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
 bool bh_rec_is_over(const bh_rec_t *rec);
--- a/sched/tasks.c
+++ b/sched/tasks.c
@@ -6,6 +6,11 @@
 
 #include <stdarg.h>
 
+bh_usec_t bh_sched_lease_bound(const bh_sched_t *s)
+{
+	return bh_lease_bound(s->bounds.lease_ms * BH_USEC_PER_MS);
+}
+
 void bh_sched_log(bh_sched_t *s, const char *what, const char *job,
 		  const char *format, ...)
 {
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -12,6 +12,9 @@
  */
 #define BH_CLOCK_DRIFT_PERCENT 2
 
+/* Time within which a call that got no answer may still be carried out. */
+#define BH_LATE_CALL_MAX_US (12 * BH_USEC_PER_SEC)
+
 /**
  * bh_lease_bound() - time on the caller's clock after which a lease has expired
  * for certain
@@ -116,6 +119,8 @@
  * @cold_ms: remaining time for which it is slow after its start
  * @lease_left_ms: of a worker that does not answer its agent, the time after
  *	which none of its earlier tasks run any more; 0: the agent does not know
+ * @lost_call_ms: time since a call to it got no answer although its process
+ *	lived; 0: there was none within BH_LATE_CALL_MAX_US
  */
 typedef struct bh_worker_info {
 	char *id;
@@ -131,6 +136,7 @@
 	uint32_t leaves_ms;
 	uint32_t cold_ms;
 	uint32_t lease_left_ms;
+	uint32_t lost_call_ms;
 } bh_worker_info_t;
 
 /**
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -43,7 +43,7 @@
 	"agent-restart", "store-down",	       "store-loses-answers",
 	"orders-lost",	 "orders-late",	       "orders-slow",
 	"answers-lost",	 "worker-fails-all",   "tasks-stall",
-	"worker-drains", "room-shrinks",
+	"worker-drains", "room-shrinks",       "polls-late",
 };
 
 typedef struct sw_run_rec {
@@ -58,6 +58,17 @@
 	uint32_t pace;
 } sw_run_rec_t;
 
+/**
+ * struct sw_late_grant - a lease in a poll that got no answer
+ * @at: when the poll is carried out
+ * @boot: of the process that was polled
+ */
+typedef struct sw_late_grant {
+	bh_usec_t at;
+	uint64_t boot;
+	uint64_t length_ms;
+} sw_late_grant_t;
+
 /**
  * struct sw_worker - a worker and its agent
  * @closed_attempts: by task, the highest attempt that the worker will not start
@@ -66,6 +77,9 @@
  * @expires_ms: end of the lease, on the worker's clock
  * @grant_ms: highest end of a lease that the agent was told
  * @ack: highest acknowledgement that the agent was told
+ * @late_grants: of struct sw_late_grant
+ * @has_lost_poll: the last poll got no answer
+ * @call_lost_at: when a poll last got no answer, and the next one did; 0: never
  * @has_polled: the agent's process has polled the worker, so that it knows what
  *	runs there
  */
@@ -81,6 +95,7 @@
 	uint64_t lapsed_number;
 	uint64_t term;
 	uint64_t expires_ms;
+	GArray *late_grants;
 	bool is_up;
 	bool is_unreachable;
 	bool is_draining;
@@ -90,6 +105,8 @@
 	uint64_t ack;
 	bool is_linked;
 	bool has_polled;
+	bool has_lost_poll;
+	bh_usec_t call_lost_at;
 	bh_crash_t crash;
 	bh_usec_t crashed_at;
 	uint64_t crash_term;
@@ -321,6 +338,7 @@
 	k->expires_ms = 0;
 	k->term = 0;
 	k->is_draining = false;
+	k->has_lost_poll = false;
 	k->grant_ms = 0;
 	k->ack = 0;
 }
@@ -498,9 +516,27 @@
 	}
 }
 
+static void carry_out_late_grants(sw_world_t *w, sw_worker_t *k)
+{
+	for (guint i = 0; i < k->late_grants->len;) {
+		const sw_late_grant_t *g =
+			&g_array_index(k->late_grants, sw_late_grant_t, i);
+
+		if (w->now < g->at) {
+			i++;
+			continue;
+		}
+		if (g->boot == k->boot)
+			k->expires_ms = MAX(k->expires_ms,
+					    clock_of(w, k) + g->length_ms);
+		g_array_remove_index_fast(k->late_grants, i);
+	}
+}
+
 static void worker_step(sw_world_t *w, sw_worker_t *k)
 {
 	crash_by_task(w, k);
+	carry_out_late_grants(w, k);
 	if (clock_of(w, k) >= k->expires_ms)
 		k->lapsed_number = k->last_number;
 	for (guint i = 0; i < k->runs->len;) {
@@ -745,6 +781,15 @@
 	bh_sched_crash(w->sched, k->key, &k->crash, w->now);
 }
 
+static uint32_t lost_call_ms(const sw_world_t *w, const sw_worker_t *k)
+{
+	bh_usec_t ago = w->now - k->call_lost_at;
+
+	if (!k->call_lost_at || ago > BH_LATE_CALL_MAX_US)
+		return 0;
+	return (uint32_t)MAX(ago / BH_USEC_PER_MS, 1);
+}
+
 static void deliver_report(sw_world_t *w, sw_worker_t *k)
 {
 	bh_worker_info_t info = {.id = k->id,
@@ -755,7 +800,8 @@
 							 : BH_WORKER_READY,
 				 .cpu_milli = CPU_MILLI,
 				 .memory_mb = MEMORY_MB,
-				 .leaves_ms = 500};
+				 .leaves_ms = 500,
+				 .lost_call_ms = lost_call_ms(w, k)};
 	bool may_grant = w->now - w->renewed_at < PREDECESSOR_GRANT_MS * 1000;
 
 	if (!k->has_report)
@@ -775,16 +821,35 @@
 }
 
 /* Remaining time of the worker's lease, by the agent: all grants go through it,
- * and one that it still holds will reach the worker once that answers again.
- * 2 % are added for clock drift. */
+ * and one that it still holds will reach the worker once that answers again. It
+ * does not see that a late one counts from its arrival. 2 % are added for clock
+ * drift. */
 static uint32_t lease_left_ms(const sw_world_t *w, const sw_worker_t *k)
 {
-	uint64_t expires = MAX(k->expires_ms, k->grant_ms);
-	int64_t left = (int64_t)expires - (int64_t)clock_of(w, k);
+	int64_t left = (int64_t)k->grant_ms - (int64_t)clock_of(w, k);
 
 	return (uint32_t)MAX(left * 102 / 100, 1);
 }
 
+/* Return: whether this poll gets no answer. */
+static bool lose_poll(sw_world_t *w, sw_worker_t *k)
+{
+	int64_t left = (int64_t)k->grant_ms - (int64_t)clock_of(w, k);
+	sw_late_grant_t g = {.boot = k->boot, .length_ms = (uint64_t)left};
+
+	if (!has_fault(w, k, SW_POLLS_LATE) ||
+	    g_rand_int_range(w->rand, 0, 2) == 0) {
+		if (k->has_lost_poll)
+			k->call_lost_at = w->now;
+		k->has_lost_poll = false;
+		return false;
+	}
+	g.at = w->now + g_rand_int_range(w->rand, 2000, 12000) * BH_USEC_PER_MS;
+	if (left > 0)
+		g_array_append_val(k->late_grants, g);
+	return true;
+}
+
 static void report(sw_world_t *w, sw_worker_t *k)
 {
 	bh_worker_info_t info = {.id = k->id,
@@ -800,9 +865,11 @@
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
 		return;
 	}
-	if (k->is_unreachable) {
+	if (k->is_unreachable || lose_poll(w, k)) {
+		k->has_lost_poll = true;
 		info.state = BH_WORKER_READY;
 		info.lease_left_ms = lease_left_ms(w, k);
+		info.lost_call_ms = lost_call_ms(w, k);
 		bh_sched_report(w->sched, k->key, &info, NULL, false, w->now);
 		return;
 	}
@@ -941,6 +1008,8 @@
 
 	if (has_fault(w, k, SW_AGENT_RESTART)) {
 		k->has_polled = false;
+		k->has_lost_poll = false;
+		k->call_lost_at = 0;
 		bh_crash_clear(&k->crash);
 	}
 	k->is_unreachable = has_fault(w, k, SW_WORKER_UNREACHABLE);
@@ -1053,6 +1122,8 @@
 		snprintf(k->id, sizeof(k->id), "worker-%d", i);
 		k->runs = g_ptr_array_new_with_free_func(g_free);
 		k->ended = g_array_new(FALSE, TRUE, sizeof(bh_ended_t));
+		k->late_grants =
+			g_array_new(FALSE, FALSE, sizeof(sw_late_grant_t));
 		k->closed_attempts = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, NULL);
 		k->is_up = true;
@@ -1076,6 +1147,7 @@
 		bh_crash_clear(&k->crash);
 		g_ptr_array_free(k->runs, TRUE);
 		g_array_free(k->ended, TRUE);
+		g_array_free(k->late_grants, TRUE);
 		g_hash_table_destroy(k->closed_attempts);
 	}
 	g_ptr_array_free(w->messages, TRUE);
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -35,6 +35,8 @@
  * @SW_TASKS_STALL: the worker's tasks make no progress
  * @SW_WORKER_DRAINS: the worker is draining, and restarts afterwards
  * @SW_ROOM_SHRINKS: the worker has a quarter of its processors and memory
+ * @SW_POLLS_LATE: half of the agents' polls get no answer and are carried out 2
+ *	to 12 s later; the time of the lease that they grant counts from then on
  */
 typedef enum sw_fault {
 	SW_NONE,
@@ -54,6 +56,7 @@
 	SW_TASKS_STALL,
 	SW_WORKER_DRAINS,
 	SW_ROOM_SHRINKS,
+	SW_POLLS_LATE,
 	SW_FAULTS,
 } sw_fault_t;
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -678,6 +678,63 @@
 	}
 }
 
+/* Polls get no answer and are carried out late, so that a worker's lease counts
+ * from then on. It is silent for longer than the lease that the leader knows
+ * of, and its tasks were started elsewhere while they ran. */
+static void test_late_grant_outlives_lease(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_submit(w, JOB_A, 1, 12, 500, 30000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_advance(w, MS(1000));
+		for (int i = 0; i < SW_WORKERS; i++)
+			sw_fault(w, SW_POLLS_LATE, i, MS(12000));
+		sw_advance(w, MS(2500));
+		for (int i = 0; i < SW_WORKERS; i += 2)
+			sw_fault(w, SW_WORKER_UNREACHABLE, i,
+				 MS(4000 + 150 * (int)seed));
+		sw_advance(w, MS(90000));
+		assert_no_violation(w);
+		assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+		assert_int_equal(sw_running(w, JOB_L), 5);
+		sw_free(w);
+	}
+}
+
+/* The same beside a new leader. It did not know what runs on the silent host,
+ * and started it elsewhere. Jobs that it hears of later do not wait. */
+static void test_late_grant_outlives_lease_of_former_leader(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		sw_world_t *w = sw_new(seed, SW_ALL_ON);
+
+		sw_submit(w, JOB_A, 1, 12, 500, 30000, "");
+		sw_submit(w, JOB_L, 1, 5, 1500, 500, "l");
+		sw_advance(w, MS(1000));
+		for (int i = 0; i < SW_WORKERS; i++)
+			sw_fault(w, SW_POLLS_LATE, i, MS(6000));
+		sw_advance(w, MS(2500));
+		sw_extend_lease(w, 0, MS(12000));
+		sw_fault(w, SW_LEADER_KILL, 0, MS(300));
+		sw_fault(w,
+			 (seed & 1) ? SW_AGENT_DISCONNECTED
+				    : SW_WORKER_UNREACHABLE,
+			 0, MS(20000));
+		sw_advance(w, MS(12000));
+		sw_submit(w, JOB_B, 1, 6, 500, 500, "");
+		sw_advance(w, MS(3000));
+		assert_int_equal(sw_state(w, JOB_B), BH_JOB_COMPLETED);
+		sw_advance(w, MS(60000));
+		assert_no_violation(w);
+		assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+		sw_free(w);
+	}
+}
+
 /* A worker and its agent restart together. Before its first poll is answered,
  * the agent does not know which process of the worker it speaks to, and the
  * leader took the next one for the one before: ends with numbers that the
@@ -851,6 +908,9 @@
 			test_tasks_on_workers_that_crash_are_not_given_up),
 		cmocka_unit_test(test_starts_fit_in_rooms_that_shrink),
 		cmocka_unit_test(test_listed_run_is_not_started_elsewhere),
+		cmocka_unit_test(test_late_grant_outlives_lease),
+		cmocka_unit_test(
+			test_late_grant_outlives_lease_of_former_leader),
 		cmocka_unit_test(
 			test_ends_after_restart_of_worker_and_agent_count),
 		cmocka_unit_test(test_fault_matrix),
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -2669,7 +2669,7 @@
   (ProtobufCMessageInit) bh__sched__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[18] =
 {
   {
     "worker",
@@ -2875,6 +2875,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_call_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Report, lost_call_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__report__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -2888,6 +2900,7 @@
   8,   /* field[8] = labels */
   16,   /* field[16] = lease_left_ms */
   10,   /* field[10] = leaves_ms */
+  17,   /* field[17] = lost_call_ms */
   6,   /* field[6] = memory_mb */
   2,   /* field[2] = service */
   4,   /* field[4] = state */
@@ -2898,7 +2911,7 @@
 static const ProtobufCIntRange bh__sched__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor bh__sched__report__descriptor =
 {
@@ -2908,7 +2921,7 @@
   "Bh__Sched__Report",
   "bh.sched",
   sizeof(Bh__Sched__Report),
-  17,
+  18,
   bh__sched__report__field_descriptors,
   bh__sched__report__field_indices_by_name,
   1,  bh__sched__report__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -315,10 +315,15 @@
    * 0 when the agent does not know it.
    */
   uint32_t lease_left_ms;
+  /*
+   * Time since a call to the worker got no answer although the worker answered
+   * calls before and after; 0 when there was none that may still be carried out.
+   */
+  uint32_t lost_call_ms;
 };
 #define BH__SCHED__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -197,6 +197,7 @@
 	out->leaves_ms = info->leaves_ms;
 	out->cold_ms = info->cold_ms;
 	out->lease_left_ms = info->lease_left_ms;
+	out->lost_call_ms = info->lost_call_ms;
 }
 
 static void lists_to_wire(const bh_worker_lists_t *lists,
@@ -489,6 +490,7 @@
 	info->leaves_ms = from->leaves_ms;
 	info->cold_ms = from->cold_ms;
 	info->lease_left_ms = from->lease_left_ms;
+	info->lost_call_ms = from->lost_call_ms;
 	out->term = from->term;
 	out->has_lists = from->has_lists;
 	out->lists.clock_ms = from->clock_ms;
