An acknowledgement is not repeated with each poll of a worker

Callers would see: a task that starts again after a run has ended as done (TWICE), when a worker crashes and is back under its id. Found by reading, after.

Cause: each poll repeated the highest acknowledged number, also when the worker had long forgotten those ends. drops it once another process has announced itself, or a poll was not answered. Between a crash and that, or when the first lost poll is carried out late, the next process under the same id (which X-Target-Instance does not tell apart) gets the number of the former one: it forgets as many ends of its own, the leader never sees them, and starts their tasks again. Class: state of a former process that is sent to the next one.

Change: a poll carries an acknowledgement only while the last lists had an end that it covers. That leaves the polls which have something to acknowledge, about one for each batch of ends, instead of every poll.

What remains: such a poll that is lost and carried out by the next process under the same id.

The stand-in of a worker got two controls: /restart, a new life under the same or another id, and /late, calls that get no answer and are carried out later, also by the next life.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -92,6 +92,8 @@
  * @lease_until: time by which the last lease that it set has certainly expired;
  *	0: unknown
  * @ack: ends up to this number have been acknowledged by the leader
+ * @listed_end: lowest number among the ends in the last lists; 0: there were
+ *	none
  * @unanswered_polls: since the last answered one, which was sent at
  *@answered_at
  * @gone_since: when the first of the last polls broke off, which shows that the
@@ -123,6 +125,7 @@
 	bh_usec_t clock_read_at;
 	bh_usec_t lease_until;
 	uint64_t ack;
+	uint64_t listed_end;
 	int refused_polls;
 	int unanswered_polls;
 	bh_usec_t answered_at;
@@ -345,6 +348,7 @@
 	a->answered_at = bh_runtime_now();
 	note_boot(a, lists->boot);
 	bh_run_log_listed(a->run_log, lists, bh_runtime_now());
+	a->listed_end = lists->n_ended ? lists->ended[0].number : 0;
 	a->clock_ms = lists->clock_ms;
 	a->clock_read_at = bh_runtime_now();
 	/* Only a poll with this term's fencing token proves that the worker
@@ -371,10 +375,14 @@
 }
 
 /* The worker's next process would forget as many of its own ends, also when it
- * carries the call out late. */
+ * carries the call out late, and may have the same id: an acknowledgement is
+ * not repeated once the worker has forgotten the ends. */
 static uint64_t poll_ack(const bh_sched_agent_t *a)
 {
-	return is_announced(a) && a->unanswered_polls == 0 ? a->ack : 0;
+	bool is_needed = a->listed_end && a->listed_end <= a->ack;
+
+	return is_needed && is_announced(a) && a->unanswered_polls == 0 ? a->ack
+									: 0;
 }
 
 static uint64_t poll_expires_ms(const bh_sched_agent_t *a)
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -28,6 +28,8 @@
 #define CPU_MILLI      16000
 #define TASK_CPU_MILLI 500
 
+#define LATE_RULES_MAX 4
+
 typedef struct task {
 	char *name;
 	int64_t attempt;
@@ -36,6 +38,17 @@
 	bool is_crashing;
 } task_t;
 
+/**
+ * struct late_rule - calls that get no answer
+ * @until_us: the rule applies to calls that arrive before
+ * @delay_ms: after which they are carried out; 0: they are not
+ */
+typedef struct late_rule {
+	char *path;
+	int64_t until_us;
+	int64_t delay_ms;
+} late_rule_t;
+
 typedef struct jobhost {
 	struct event_base *base;
 	bh_http_pool_t *agent;
@@ -53,8 +66,22 @@
 	GPtrArray *tasks;
 	JsonArray *ended;
 	GHashTable *ended_attempts;
+	late_rule_t late_rules[LATE_RULES_MAX];
 } jobhost_t;
 
+/**
+ * struct call - a call of the agent
+ * @req: NULL when it is carried out late, without an answer
+ * @target: id of the worker that it is meant for, or NULL
+ */
+typedef struct call {
+	jobhost_t *host;
+	struct evhttp_request *req;
+	char *target;
+	JsonNode *body;
+	void (*handler)(jobhost_t *h, const struct call *call);
+} call_t;
+
 static int64_t clock_ms(const jobhost_t *h)
 {
 	return CLOCK_START_MS + (standin_now_us() - h->start_us) / 1000;
@@ -119,7 +146,10 @@
 {
 	json_object_set_int_member(body, "clock-ms", clock_ms(h));
 	json_object_set_int_member(body, "born", h->started_unix_ms);
-	standin_reply(req, status, body);
+	if (req)
+		standin_reply(req, status, body);
+	else
+		json_object_unref(body);
 }
 
 static void refuse(jobhost_t *h, struct evhttp_request *req, const char *reason)
@@ -144,14 +174,13 @@
 	return (int64_t)bh_json_number(bh_json_get(body, name));
 }
 
-static bool refuse_if_fenced(jobhost_t *h, struct evhttp_request *req,
-			     JsonNode *body)
+static bool refuse_if_fenced(jobhost_t *h, const call_t *call)
 {
-	if (get_int(body, "fencing-token") >= h->term) {
-		h->term = get_int(body, "fencing-token");
+	if (get_int(call->body, "fencing-token") >= h->term) {
+		h->term = get_int(call->body, "fencing-token");
 		return false;
 	}
-	refuse(h, req, "fence");
+	refuse(h, call->req, "fence");
 	return true;
 }
 
@@ -162,36 +191,88 @@
 }
 
 /* Orders name the incarnation that they are meant for; they may arrive late. */
-static bool refuse_if_misdirected(jobhost_t *h, struct evhttp_request *req)
+static bool refuse_if_misdirected(jobhost_t *h, const call_t *call)
 {
-	const char *target = evhttp_find_header(
-		evhttp_request_get_input_headers(req), "X-Target-Instance");
-
-	if (!target || strcmp(target, h->id) == 0)
+	if (!call->target || strcmp(call->target, h->id) == 0)
 		return false;
-	reply(h, req, 421, json_object_new());
+	reply(h, call->req, 421, json_object_new());
 	return true;
 }
 
-static void on_start(struct evhttp_request *req, void *ctx)
+static void call_free(call_t *call)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
+	bh_json_free(call->body);
+	g_free(call->target);
+	g_free(call);
+}
+
+static void on_call_due(evutil_socket_t fd, short what, void *arg)
+{
+	call_t *call = arg;
+
+	(void)fd;
+	(void)what;
+	call->handler(call->host, call);
+	call_free(call);
+}
+
+static const late_rule_t *find_late_rule(const jobhost_t *h, const char *path)
+{
+	for (int i = 0; i < LATE_RULES_MAX; i++) {
+		const late_rule_t *rule = &h->late_rules[i];
+
+		if (rule->until_us > standin_now_us() &&
+		    strcmp(rule->path, path) == 0)
+			return rule;
+	}
+	return NULL;
+}
+
+/* Carries a call out, now or as a rule for late calls says. */
+static void accept_call(jobhost_t *h, struct evhttp_request *req,
+			void (*handler)(jobhost_t *h, const call_t *call))
+{
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	const late_rule_t *rule = find_late_rule(h, path);
+	call_t *call = g_new0(call_t, 1);
+	struct timeval delay;
+
+	call->host = h;
+	call->body = parse_body(req);
+	call->handler = handler;
+	call->target = g_strdup(evhttp_find_header(
+		evhttp_request_get_input_headers(req), "X-Target-Instance"));
+	if (rule && rule->delay_ms) {
+		delay.tv_sec = rule->delay_ms / 1000;
+		delay.tv_usec = rule->delay_ms % 1000 * 1000;
+		event_base_once(h->base, -1, EV_TIMEOUT, on_call_due, call,
+				&delay);
+		return;
+	}
+	if (!rule) {
+		call->req = req;
+		handler(h, call);
+	}
+	call_free(call);
+}
+
+static void start_task(jobhost_t *h, const call_t *call)
+{
+	JsonNode *body = call->body;
 	const char *name = bh_json_text(bh_json_get(body, "task"));
 	int64_t attempt = get_int(body, "attempt");
 	int64_t *ended_attempts = g_hash_table_lookup(h->ended_attempts, name);
 	task_t *t;
 
-	if (refuse_if_misdirected(h, req) || refuse_if_fenced(h, req, body)) {
-		bh_json_free(body);
+	if (refuse_if_misdirected(h, call) || refuse_if_fenced(h, call))
 		return;
-	}
 	if (find_task(h, name, attempt) >= 0) {
-		reply(h, req, 200, json_object_new());
+		reply(h, call->req, 200, json_object_new());
 	} else if (ended_attempts && *ended_attempts >= attempt) {
-		refuse(h, req, "old");
+		refuse(h, call->req, "old");
 	} else if (get_int(body, "expires-ms") <= clock_ms(h)) {
-		refuse(h, req, "late");
+		refuse(h, call->req, "late");
 	} else {
 		h->lease_expires_ms =
 			MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
@@ -206,25 +287,32 @@
 		log_event(h, "start", name, attempt);
 		if (h->tasks->len * TASK_CPU_MILLI > h->cpu_milli)
 			log_event(h, "over", name, attempt);
-		reply(h, req, 200, json_object_new());
+		reply(h, call->req, 200, json_object_new());
 	}
-	bh_json_free(body);
 }
 
-static void on_stop(struct evhttp_request *req, void *ctx)
+static void on_start(struct evhttp_request *req, void *ctx)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
-	const char *name = bh_json_text(bh_json_get(body, "task"));
-	int i = find_task(h, name, get_int(body, "attempt"));
+	accept_call(ctx, req, start_task);
+}
 
-	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
-		record_ended_attempt(h, name, get_int(body, "attempt"));
-		if (i >= 0)
-			end_task(h, (guint)i, "stopped");
-		reply(h, req, 200, json_object_new());
-	}
-	bh_json_free(body);
+static void stop_task(jobhost_t *h, const call_t *call)
+{
+	const char *name = bh_json_text(bh_json_get(call->body, "task"));
+	int64_t attempt = get_int(call->body, "attempt");
+	int i = find_task(h, name, attempt);
+
+	if (refuse_if_misdirected(h, call) || refuse_if_fenced(h, call))
+		return;
+	record_ended_attempt(h, name, attempt);
+	if (i >= 0)
+		end_task(h, (guint)i, "stopped");
+	reply(h, call->req, 200, json_object_new());
+}
+
+static void on_stop(struct evhttp_request *req, void *ctx)
+{
+	accept_call(ctx, req, stop_task);
 }
 
 static void on_pace(struct evhttp_request *req, void *ctx)
@@ -280,26 +368,28 @@
 }
 
 /* Replies immediately; long polling is not implemented. */
-static void on_hold(struct evhttp_request *req, void *ctx)
+static void hold(jobhost_t *h, const call_t *call)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
+	JsonNode *body = call->body;
 	int64_t ack = get_int(body, "ack-seq");
 	JsonObject *out;
 
-	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
-		h->lease_expires_ms =
-			MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
-		if (ack > h->last_ended_seq)
-			log_event(h, "ack-ahead", "-", ack);
-		drop_acked(h, ack);
-		out = json_object_new();
-		json_object_set_array_member(out, "active", list_active(h));
-		json_object_set_array_member(out, "finished",
-					     json_array_ref(h->ended));
-		reply(h, req, 200, out);
-	}
-	bh_json_free(body);
+	if (refuse_if_misdirected(h, call) || refuse_if_fenced(h, call))
+		return;
+	h->lease_expires_ms =
+		MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
+	if (ack > h->last_ended_seq)
+		log_event(h, "ack-ahead", "-", ack);
+	drop_acked(h, ack);
+	out = json_object_new();
+	json_object_set_array_member(out, "active", list_active(h));
+	json_object_set_array_member(out, "finished", json_array_ref(h->ended));
+	reply(h, call->req, 200, out);
+}
+
+static void on_hold(struct evhttp_request *req, void *ctx)
+{
+	accept_call(ctx, req, hold);
 }
 
 static void crash_by_task(jobhost_t *h, int64_t now)
@@ -379,6 +469,51 @@
 	g_bytes_unref(call.body);
 }
 
+/* ?path=P&for=F&ms=M: for F ms calls of P get no answer, and are carried out
+ * M ms after they arrived, or never if M is 0. */
+static void on_late(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	int i = 0;
+
+	while (i < LATE_RULES_MAX - 1 && h->late_rules[i].path)
+		i++;
+	g_free(h->late_rules[i].path);
+	h->late_rules[i] = (late_rule_t){
+		.path = standin_param(req, "path", ""),
+		.until_us = standin_now_us() +
+			    standin_param_int(req, "for", 0) * 1000,
+		.delay_ms = standin_param_int(req, "ms", 0),
+	};
+	reply(h, req, 200, json_object_new());
+}
+
+/* ?id=ID: the worker crashes and starts again at once, by default under the
+ * same id. Late calls remain. */
+static void on_restart(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+
+	for (guint i = 0; i < h->tasks->len; i++) {
+		const task_t *t = h->tasks->pdata[i];
+
+		log_event(h, "gone", t->name, t->attempt);
+	}
+	g_ptr_array_set_size(h->tasks, 0);
+	json_array_unref(h->ended);
+	h->ended = json_array_new();
+	g_hash_table_remove_all(h->ended_attempts);
+	h->id = standin_param(req, "id", h->id);
+	h->started_unix_ms = standin_unix_ms();
+	h->start_us = standin_now_us();
+	h->lease_expires_ms = 0;
+	h->term = 0;
+	h->last_ended_seq = 0;
+	h->last_announce_seq = 0;
+	on_announce(-1, 0, h);
+	reply(h, req, 200, json_object_new());
+}
+
 static void add_periodic_timer(jobhost_t *h, int ms, event_callback_fn cb)
 {
 	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
@@ -394,6 +529,8 @@
 		{EVHTTP_REQ_POST, "/pace", on_pace},
 		{EVHTTP_REQ_POST, "/hold", on_hold},
 		{EVHTTP_REQ_POST, "/room", on_room},
+		{EVHTTP_REQ_POST, "/late", on_late},
+		{EVHTTP_REQ_POST, "/restart", on_restart},
 	};
 	jobhost_t h = {.base = event_base_new(), .cpu_milli = CPU_MILLI};
 
