A start meant for a worker's former process is not sent to the next one

Callers would see: a task that runs twice at the same time, or again after it is done (TWICE), after a worker has ended and its successor has announced itself.

Cause: an agent checked a start order against the process that last answered a poll, and addressed it to the id of the process that last announced itself. Between the announcement and the first answered poll these are two processes: the next one got starts that the leader had ordered on the former. With the first lists of the next process the leader loses them with the former and starts them elsewhere; the next one carries out late what it did not answer. Class: state of a former process that is sent to the next one.

Change: an order to start is passed on only if the process that it is meant for is the one that last answered and the one that last announced itself, and if there is no sign that it has ended (a poll that broke off or was refused). Otherwise it is refused, which is true: nothing was sent.

All 28 cases of tests/jobs pass once. Release build, loaded machine.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -554,6 +554,15 @@
 	return o;
 }
 
+/* Whether the process of the worker that began at @boot can be addressed: no
+ * other one has announced itself under its address, and there is no sign that
+ * it has ended. */
+static bool is_addressable(const bh_sched_agent_t *a, uint64_t boot)
+{
+	return boot == a->boot && is_announced(a) && !a->is_down &&
+	       !a->gone_since;
+}
+
 static void on_start(bh_sched_agent_t *a, const Bh__Sched__StartOrder *m)
 {
 	order_t *o =
@@ -563,7 +572,7 @@
 	o->checkpoint = g_strdup(m->checkpoint);
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
-	if (a->info.state != BH_WORKER_READY || m->boot != a->boot ||
+	if (a->info.state != BH_WORKER_READY || !is_addressable(a, m->boot) ||
 	    a->is_draining || !a->is_registered) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
