A start is not repeated to a worker's next process

Callers would see: a task that runs twice at the same time (TWICE), after a worker has crashed and is back under its id while orders to it are not answered.

Cause: an agent repeats an order to start that gets no answer, up to four tries within about two seconds, and orders wait there for one of two connections. Neither a further try nor a queued order was checked against what had become known of the worker meanwhile. Under the same id the next process carries the order out, while the leader has lost the run with the former process and has started the task elsewhere. Class: a permission that has run out is acted on after a delay.

Change: before each try, and when a connection is free, an order to start is checked again: the process that it is meant for must still be the one that last answered and last announced itself, without a sign that it has ended.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -482,13 +482,32 @@
 
 static void order_send(order_t *o);
 
+/* Whether the process of the worker that began at @boot can be addressed: no
+ * other one has announced itself under its address, and there is no sign that
+ * it has ended. */
+static bool is_addressable(const bh_sched_agent_t *a, uint64_t boot)
+{
+	return boot == a->boot && is_announced(a) && !a->is_down &&
+	       !a->gone_since;
+}
+
+/* Whether a try of the order may be sent. */
+static bool is_order_wanted(void *user)
+{
+	const order_t *o = user;
+
+	if (o->kind != BH_ORDER_KIND_START)
+		return true;
+	return !o->is_superseded && is_addressable(o->agent, o->boot);
+}
+
 static void on_order_outcome(void *user, bh_order_outcome_t outcome)
 {
 	order_t *o = user;
 
-	/* The worker runs an attempt at most once, so that it is safe to repeat
-	 * the order. */
-	if (outcome == BH_ORDER_UNCLEAR && !o->is_superseded &&
+	/* A process of the worker runs an attempt at most once, so that it is
+	 * safe to repeat the order to the same process. */
+	if (outcome == BH_ORDER_UNCLEAR && is_order_wanted(o) &&
 	    --o->tries_left > 0) {
 		o->was_unclear = true;
 		o->timeout_ms = MIN(o->timeout_ms * TRY_TIMEOUT_FACTOR,
@@ -504,11 +523,6 @@
 	order_finish(o, outcome);
 }
 
-static bool is_order_wanted(void *user)
-{
-	return !((const order_t *)user)->is_superseded;
-}
-
 static void order_send(order_t *o)
 {
 	bh_sched_agent_t *a = o->agent;
@@ -554,15 +568,6 @@
 	return o;
 }
 
-/* Whether the process of the worker that began at @boot can be addressed: no
- * other one has announced itself under its address, and there is no sign that
- * it has ended. */
-static bool is_addressable(const bh_sched_agent_t *a, uint64_t boot)
-{
-	return boot == a->boot && is_announced(a) && !a->is_down &&
-	       !a->gone_since;
-}
-
 static void on_start(bh_sched_agent_t *a, const Bh__Sched__StartOrder *m)
 {
 	order_t *o =
