--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -92,6 +92,8 @@
  * @lease_until: time by which the last lease that it set has certainly expired;
  *	0: unknown
  * @ack: ends up to this number have been acknowledged by the leader
+ * @listed_end: lowest number among the ends in the last lists; 0: there were
+ *	none
  * @unanswered_polls: since the last answered one, which was sent at
  *@answered_at
  * @call_lost_at: when a call last got no answer although the worker's process
@@ -125,6 +127,7 @@
 	bh_usec_t clock_read_at;
 	bh_usec_t lease_until;
 	uint64_t ack;
+	uint64_t listed_end;
 	int refused_polls;
 	int unanswered_polls;
 	bh_usec_t answered_at;
@@ -367,6 +370,7 @@
 	a->answered_at = bh_runtime_now();
 	note_boot(a, lists->boot);
 	bh_run_log_listed(a->run_log, lists, bh_runtime_now());
+	a->listed_end = lists->n_ended ? lists->ended[0].number : 0;
 	a->clock_ms = lists->clock_ms;
 	a->clock_read_at = bh_runtime_now();
 	/* Only a poll with this term's fencing token proves that the worker
@@ -393,10 +397,14 @@
 }
 
 /* The worker's next process would forget as many of its own ends, also when it
- * carries the call out late. */
+ * carries the call out late, and may have the same id: an acknowledgement is
+ * not repeated once the worker has forgotten the ends. */
 static uint64_t poll_ack(const bh_sched_agent_t *a)
 {
-	return is_announced(a) && a->unanswered_polls == 0 ? a->ack : 0;
+	bool is_needed = a->listed_end && a->listed_end <= a->ack;
+
+	return is_needed && is_announced(a) && a->unanswered_polls == 0 ? a->ack
+									: 0;
 }
 
 static uint64_t poll_expires_ms(const bh_sched_agent_t *a)
@@ -496,14 +504,33 @@
 
 static void order_send(order_t *o);
 
+/* Whether the process of the worker that began at @boot can be addressed: no
+ * other one has announced itself under its address, and there is no sign that
+ * it has ended. */
+static bool is_addressable(const bh_sched_agent_t *a, uint64_t boot)
+{
+	return boot == a->boot && is_announced(a) && !a->is_down &&
+	       !a->gone_since;
+}
+
+/* Whether a try of the order may be sent. */
+static bool is_order_wanted(void *user)
+{
+	const order_t *o = user;
+
+	if (o->kind != BH_ORDER_KIND_START)
+		return true;
+	return !o->is_superseded && is_addressable(o->agent, o->boot);
+}
+
 static void on_order_outcome(void *user, bh_order_outcome_t outcome)
 {
 	order_t *o = user;
 	bh_sched_agent_t *a = o->agent;
 
-	/* The worker runs an attempt at most once, so that it is safe to repeat
-	 * the order. */
-	if (outcome == BH_ORDER_UNCLEAR && !o->is_superseded &&
+	/* A process of the worker runs an attempt at most once, so that it is
+	 * safe to repeat the order to the same process. */
+	if (outcome == BH_ORDER_UNCLEAR && is_order_wanted(o) &&
 	    --o->tries_left > 0) {
 		o->was_unclear = true;
 		o->timeout_ms = MIN(o->timeout_ms * TRY_TIMEOUT_FACTOR,
@@ -521,11 +548,6 @@
 	order_finish(o, outcome);
 }
 
-static bool is_order_wanted(void *user)
-{
-	return !((const order_t *)user)->is_superseded;
-}
-
 static void order_send(order_t *o)
 {
 	bh_sched_agent_t *a = o->agent;
@@ -580,7 +602,7 @@
 	o->checkpoint = g_strdup(m->checkpoint);
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
-	if (a->info.state != BH_WORKER_READY || m->boot != a->boot ||
+	if (a->info.state != BH_WORKER_READY || !is_addressable(a, m->boot) ||
 	    a->is_draining || !a->is_registered) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
