Documents nested deeper than 64 levels are refused before they are parsed

Callers saw: processes that ended with SIGSEGV, and again after each restart, once another writer had left a deeply nested document: a body of 100,000 `[` or `{"a":` ends an entry (POST of a job), an agent (PUT of an announcement), or an entry that reads it as the operator's configuration.

Cause: json-glib parses, prints, seals and frees a document with one level of recursion for each level of nesting, and every parser here gave it whatever came in. Class: recursion whose depth another writer chooses.

Change: bh_json_load() is the only place that calls json-glib's parser: settings, records, announcements, rows of both stores, lists of workers, replies of the adviser, the command line and the stand-ins. It first checks the text in one pass without recursion: brackets outside strings, closed or not, at most BH_JSON_DEPTH_MAX (64) deep. json-glib skips comments, in which a quote would hide brackets from this check, so that a '/', '#' or single quote outside a string, which JSON doesn't have, is refused too. Later recursion over the document is bounded with it. Parsed documents are no longer sealed, which only cost time.

--- a/cli/client.c
+++ b/cli/client.c
@@ -1,4 +1,5 @@
 #include "cli/client.h"
+#include "platform/json.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -25,7 +26,7 @@
 		return;
 	call->out->text = g_strndup(g_bytes_get_data(reply->body, NULL),
 				    g_bytes_get_size(reply->body));
-	node = json_from_string(call->out->text, NULL);
+	node = bh_json_parse_bytes(reply->body);
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
 		call->out->body = json_object_ref(json_node_get_object(node));
 	g_clear_pointer(&node, json_node_unref);
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -4,6 +4,7 @@
 #include "daemon/leader.h"
 #include "daemon/metrics.h"
 #include "daemon/udp.h"
+#include "platform/json.h"
 #include "platform/worker.h"
 
 #include <event2/listener.h>
@@ -172,16 +173,11 @@
 {
 	GBytes *body = bh_http_take_body(req);
 	bh_runner_info_t info = {0};
-	g_autofree char *text = NULL;
 	const char *parse_error = "expected a JSON object";
-	JsonNode *node;
+	JsonNode *node = bh_json_parse_bytes(body);
 
-	if (body) {
-		text = g_strndup(g_bytes_get_data(body, NULL),
-				 g_bytes_get_size(body));
+	if (body)
 		g_bytes_unref(body);
-	}
-	node = json_from_string(text ? text : "", NULL);
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
 		parse_error = parse_runner(json_node_get_object(node), &info);
 	if (parse_error) {
--- a/daemon/keys.c
+++ b/daemon/keys.c
@@ -1,4 +1,5 @@
 #include "daemon/keys.h"
+#include "platform/json.h"
 
 struct bh_keys {
 	bh_table_t *table;
@@ -86,7 +87,9 @@
 
 static void parse_row(const bh_row_t *row, bh_claim_row_t *out)
 {
-	JsonNode *node = row->value ? json_from_string(row->value, NULL) : NULL;
+	JsonNode *node = row->value
+				 ? bh_json_parse(row->value, strlen(row->value))
+				 : NULL;
 
 	memset(out, 0, sizeof(*out));
 	out->key = row->key;
--- a/daemon/leader.c
+++ b/daemon/leader.c
@@ -1,4 +1,5 @@
 #include "daemon/leader.h"
+#include "platform/json.h"
 #include "wire/record.h"
 
 struct bh_leader {
@@ -39,7 +40,7 @@
 
 static JsonObject *parse_object(const char *text)
 {
-	JsonNode *node = text ? json_from_string(text, NULL) : NULL;
+	JsonNode *node = text ? bh_json_parse(text, strlen(text)) : NULL;
 	JsonObject *o = NULL;
 
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
--- a/daemon/records.c
+++ b/daemon/records.c
@@ -1,4 +1,5 @@
 #include "daemon/records.h"
+#include "platform/json.h"
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -74,7 +75,9 @@
 
 static JsonObject *row_object(const bh_row_t *row)
 {
-	JsonNode *node = json_from_string(row->value ? row->value : "{}", NULL);
+	JsonNode *node = row->value
+				 ? bh_json_parse(row->value, strlen(row->value))
+				 : NULL;
 	JsonObject *o;
 
 	if (!node || !JSON_NODE_HOLDS_OBJECT(node)) {
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -1,4 +1,5 @@
 #include "daemon/settings.h"
+#include "platform/json.h"
 
 #include <arpa/inet.h>
 #include <json-glib/json-glib.h>
@@ -243,7 +244,8 @@
 static gboolean set_default(bh_settings_t *s, const bh_option_t *o,
 			    GError **err)
 {
-	JsonNode *node = json_from_string(o->default_json, err);
+	JsonNode *node =
+		bh_json_load(o->default_json, strlen(o->default_json), err);
 	gboolean ok = node && set_option(s, o, node, err);
 
 	g_clear_pointer(&node, json_node_unref);
@@ -308,18 +310,17 @@
 
 bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err)
 {
-	g_autoptr(JsonParser) parser = json_parser_new_immutable();
 	g_autoptr(GError) cause = NULL;
+	g_autoptr(JsonNode) root = NULL;
 	bh_settings_t *s;
-	JsonNode *root;
 
-	if (!json_parser_load_from_data(parser, text, len, &cause)) {
+	root = bh_json_load(text, len < 0 ? strlen(text) : (size_t)len, &cause);
+	if (!root) {
 		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_SYNTAX,
-			    "not JSON: %s", cause->message);
+			    "%s", cause->message);
 		return NULL;
 	}
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root)) {
+	if (!JSON_NODE_HOLDS_OBJECT(root)) {
 		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_SYNTAX,
 			    "settings are not a JSON object");
 		return NULL;
--- a/standins/common.c
+++ b/standins/common.c
@@ -1,5 +1,7 @@
 #include "standins/common.h"
 
+#include "platform/json.h"
+
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
@@ -100,15 +102,13 @@
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	size_t len = evbuffer_get_length(in);
-	g_autoptr(JsonParser) parser = json_parser_new();
-	const char *data = (const char *)evbuffer_pullup(in, -1);
-
-	if (!data ||
-	    !json_parser_load_from_data(parser, data, (gssize)len, NULL) ||
-	    !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
-		return NULL;
-	return json_object_ref(
-		json_node_get_object(json_parser_get_root(parser)));
+	JsonNode *root = bh_json_parse(evbuffer_pullup(in, -1), len);
+	JsonObject *body = NULL;
+
+	if (bh_json_is_object(root))
+		body = json_object_ref(json_node_get_object(root));
+	bh_json_free(root);
+	return body;
 }
 
 char *standin_param(struct evhttp_request *req, const char *name,
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -5,6 +5,7 @@
  * slower.
  */
 #include "platform/http_client.h"
+#include "platform/json.h"
 #include "standins/common.h"
 
 #include <event2/buffer.h>
@@ -156,13 +157,8 @@
 	JsonNode *node = NULL;
 	int64_t agent = 0;
 
-	if (reply->status == 200 && reply->body) {
-		g_autofree char *text =
-			g_strndup(g_bytes_get_data(reply->body, NULL),
-				  g_bytes_get_size(reply->body));
-
-		node = json_from_string(text, NULL);
-	}
+	if (reply->status == 200)
+		node = bh_json_parse_bytes(reply->body);
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
 		agent = json_object_get_int_member_with_default(
 			json_node_get_object(node), "agent", 0);
--- /dev/null
+++ b/tests/test_json.c
@@ -0,0 +1,154 @@
+/*
+ * Parsing of untrusted JSON: documents nested too deeply, in all parsers that
+ * take documents from other writers.
+ */
+#include "daemon/settings.h"
+#include "platform/decode.h"
+#include "platform/json.h"
+#include "tests/test.h"
+#include "wire/record.h"
+
+/* Enough to overflow the stack of a recursive parser. */
+#define DEEP_LEVELS 100000
+
+/* Return: @levels times @open, then @close as often. */
+static char *nest(const char *open, const char *close, size_t levels)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < levels; i++)
+		g_string_append(text, open);
+	if (*close == '}')
+		g_string_append(text, "1");
+	for (size_t i = 0; i < levels; i++)
+		g_string_append(text, close);
+	return g_string_free(text, FALSE);
+}
+
+static void assert_all_refuse(const char *text)
+{
+	size_t len = strlen(text);
+	const char *error = NULL;
+	bh_announcement_t announcement;
+
+	assert_null(bh_json_parse(text, len));
+	assert_null(bh_decode_job(text, len, &error));
+	assert_non_null(error);
+	assert_null(bh_decode_config(text, len));
+	assert_false(bh_decode_announcement("w", text, len, &announcement));
+	assert_null(bh_settings_parse(text, (gssize)len, NULL));
+	for (int kind = 0; kind < BH_RECORD_KINDS; kind++)
+		assert_null(bh_record_parse((bh_record_kind_t)kind, text,
+					    (gssize)len, NULL));
+}
+
+/* A body of nested brackets overflowed the stack of the recursive parser: the
+ * process that read it ended, and again after its restart. */
+static void test_deep_nesting_ends_process(void **state)
+{
+	static const struct {
+		const char *open;
+		const char *close;
+	} shapes[] = {
+		{"[", "]"},
+		{"[", ""},
+		{"{\"a\":", "}"},
+		{"{\"a\":", ""},
+		{"[{\"a\":", "}]"},
+		{" [\n", "]\t"},
+		{"[\"]\\\"]\",", "]"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(shapes); i++) {
+		g_autofree char *text =
+			nest(shapes[i].open, shapes[i].close, DEEP_LEVELS);
+
+		assert_all_refuse(text);
+	}
+}
+
+/* JSON has no comments and no single quotes, but json-glib skips the former.
+ * A quote in a comment hid the brackets after it from the check of the depth.
+ */
+static void test_brackets_hidden_by_comments(void **state)
+{
+	static const char *const hiding[] = {"/*\"*/", "//\"\n", "'\"'",
+					     "[1]/*\"*/", "#\"\n"};
+	g_autofree char *deep = nest("[", "]", DEEP_LEVELS);
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(hiding); i++) {
+		g_autofree char *text = g_strconcat(hiding[i], deep, NULL);
+
+		assert_all_refuse(text);
+	}
+}
+
+static void test_depth_limit(void **state)
+{
+	g_autofree char *allowed = nest("[", "]", BH_JSON_DEPTH_MAX);
+	g_autofree char *refused = nest("[", "]", BH_JSON_DEPTH_MAX + 1);
+	g_autoptr(GError) err = NULL;
+	JsonNode *node = bh_json_parse(allowed, strlen(allowed));
+
+	(void)state;
+	assert_non_null(node);
+	bh_json_free(node);
+	assert_null(bh_json_load(refused, strlen(refused), &err));
+	assert_string_equal(err->message, "the document is nested deeper than "
+					  "64 levels");
+}
+
+/* Brackets in strings do not nest, and closed ones no longer do. */
+static void test_flat_documents_with_many_brackets(void **state)
+{
+	g_autofree char *brackets = nest("[", "", 1000);
+	g_autofree char *quoted =
+		g_strdup_printf("[\"%s\",\"\\\"%s\\\\\",{\"%s\":1}]", brackets,
+				brackets, brackets);
+	GString *wide = g_string_new("[[]");
+	JsonNode *node = bh_json_parse(quoted, strlen(quoted));
+
+	(void)state;
+	assert_int_equal(bh_json_size(node), 3);
+	bh_json_free(node);
+	for (int i = 0; i < 1000; i++)
+		g_string_append(wide, ",[{}]");
+	g_string_append(wide, "]");
+	node = bh_json_parse(wide->str, wide->len);
+	assert_int_equal(bh_json_size(node), 1001);
+	bh_json_free(node);
+	g_string_free(wide, TRUE);
+}
+
+static void test_unreadable_bytes(void **state)
+{
+	static const struct {
+		const char *text;
+		size_t len;
+	} bad[] = {
+		{"", 0},	   {"[1]\0[", 5},     {"\0", 1},
+		{"\xff\xff", 2},   {"[\"\xff\"]", 5}, {"]", 1},
+		{"]]]]", 4},	   {"\"", 1},	      {"[\"\\", 3},
+		{"[\"a\0b\"]", 7}, {"[1]]", 4},	      {"{\"a\":1}}", 8},
+	};
+
+	(void)state;
+	assert_null(bh_json_parse(NULL, 0));
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_null(bh_json_parse(bad[i].text, bad[i].len));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_deep_nesting_ends_process),
+		cmocka_unit_test(test_brackets_hidden_by_comments),
+		cmocka_unit_test(test_depth_limit),
+		cmocka_unit_test(test_flat_documents_with_many_brackets),
+		cmocka_unit_test(test_unreadable_bytes),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/wire/record.c
+++ b/wire/record.c
@@ -1,4 +1,5 @@
 #include "wire/record.h"
+#include "platform/json.h"
 
 G_DEFINE_QUARK(bh - record - error - quark, bh_record_error)
 
@@ -240,13 +241,12 @@
 bh_record_t *bh_record_parse(bh_record_kind_t kind, const char *text,
 			     gssize len, GError **err)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
 	g_autoptr(GError) parse_error = NULL;
-	JsonNode *root = NULL;
+	g_autoptr(JsonNode) root = NULL;
 	bh_record_t *r;
 
-	if (json_parser_load_from_data(parser, text, len, &parse_error))
-		root = json_parser_get_root(parser);
+	root = bh_json_load(text, len < 0 ? strlen(text) : (size_t)len,
+			    &parse_error);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root)) {
 		g_set_error(err, BH_RECORD_ERROR, BH_RECORD_ERROR_SYNTAX,
 			    "the record is not a JSON object%s%s",
