Ports beyond 65535 are refused instead of cut to 16 bits

Cause: bh_http_pool_new() cast the port that it parsed and took the text before a colon that need not be there. The daemon's settings and a runner's announcement are checked before they get there, the command line and the stand-ins were not. Class: input converted without a check of its range.

Change: bh_address_parse() moves to platform/address.c, refuses anything but a numeric IPv4 address with a port from 1 to 65535, and is the only parser of addresses; a pool for another address is not made. The command line says which address is wrong and what is expected.

--- a/cli/client.c
+++ b/cli/client.c
@@ -1,4 +1,5 @@
 #include "cli/client.h"
+#include "platform/address.h"
 #include "platform/json.h"
 
 #include <stdio.h>
@@ -32,6 +33,17 @@
 	g_clear_pointer(&node, json_node_unref);
 }
 
+bool cli_check_entry(const char *entry)
+{
+	if (bh_address_is_valid(entry))
+		return true;
+	fprintf(stderr,
+		"boragehold: --entry \"%s\" is not an address; expected "
+		"IP:PORT with a port from 1 to 65535\n",
+		entry);
+	return false;
+}
+
 void cli_call(cli_context_t *cli, enum evhttp_cmd_type method, const char *path,
 	      const char *if_match, const char *body, cli_reply_t *out)
 {
--- a/cli/client.h
+++ b/cli/client.h
@@ -31,6 +31,14 @@
 	JsonObject *body;
 } cli_reply_t;
 
+/**
+ * cli_check_entry() - print an error unless @entry is an address
+ */
+bool cli_check_entry(const char *entry);
+
+/**
+ * cli_call() - send a request to the entry, which cli_check_entry() accepts
+ */
 void cli_call(cli_context_t *cli, enum evhttp_cmd_type method, const char *path,
 	      const char *if_match, const char *body, cli_reply_t *out);
 void cli_reply_clear(cli_reply_t *reply);
--- a/cli/load.c
+++ b/cli/load.c
@@ -320,15 +320,19 @@
 	return true;
 }
 
-static void open_pools(load_t *l)
+static bool open_pools(load_t *l)
 {
 	g_auto(GStrv) entries = g_strsplit(l->cli->entry, ",", -1);
 
 	l->n_pools = g_strv_length(entries);
 	l->pools = g_new0(bh_http_pool_t *, l->n_pools);
-	for (guint i = 0; i < l->n_pools; i++)
+	for (guint i = 0; i < l->n_pools; i++) {
+		if (!cli_check_entry(entries[i]))
+			return false;
 		l->pools[i] = bh_http_pool_new(l->cli->base, entries[i],
 					       RESPONSE_MAX_BYTES);
+	}
+	return l->n_pools > 0;
 }
 
 static void load_clear(load_t *l)
@@ -376,8 +380,7 @@
 	int status = EXIT_USAGE;
 
 	set_defaults(&l.opt);
-	if (parse_options(&l, argc, argv)) {
-		open_pools(&l);
+	if (parse_options(&l, argc, argv) && open_pools(&l)) {
 		l.rand = g_rand_new_with_seed((guint32)l.opt.seed);
 		l.statuses = g_hash_table_new(NULL, NULL);
 		l.latency = g_new0(bh_hist_t, 1);
--- a/cli/main.c
+++ b/cli/main.c
@@ -210,7 +210,9 @@
 		if (strcmp(c->name, argv[1]) != 0)
 			continue;
 		if (argc - 2 >= c->min_args && argc - 2 <= c->max_args)
-			return c->run(cli, argv + 2);
+			return cli_check_entry(cli->entry)
+				       ? c->run(cli, argv + 2)
+				       : EXIT_USAGE;
 		fprintf(stderr, "usage: boragehold %s %s\n", c->name, c->usage);
 		return EXIT_USAGE;
 	}
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -4,6 +4,7 @@
 #include "daemon/leader.h"
 #include "daemon/metrics.h"
 #include "daemon/udp.h"
+#include "platform/address.h"
 #include "platform/json.h"
 #include "platform/worker.h"
 
@@ -135,9 +136,6 @@
 
 static const char *parse_runner(JsonObject *o, bh_runner_info_t *info)
 {
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
 	info->service =
 		json_object_get_string_member_with_default(o, "service", "");
 	info->address =
@@ -158,7 +156,7 @@
 		o, "draining", FALSE);
 	if (*info->service == 0 || strlen(info->service) > 63)
 		return "service: expected 1 to 63 bytes";
-	if (!bh_address_parse(info->address, &ip, &port))
+	if (!bh_address_is_valid(info->address))
 		return "address: expected IP:PORT";
 	if (info->slots < 1 || info->slots > 1024)
 		return "slots: expected 1 to 1024";
--- a/daemon/conn.c
+++ b/daemon/conn.c
@@ -1,5 +1,5 @@
 #include "daemon/conn.h"
-#include "daemon/settings.h"
+#include "platform/address.h"
 #include "wire/frame.h"
 
 #include <errno.h>
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -1,4 +1,5 @@
 #include "daemon/link.h"
+#include "platform/address.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
--- a/daemon/runtime.c
+++ b/daemon/runtime.c
@@ -1,4 +1,5 @@
 #include "daemon/runtime.h"
+#include "platform/address.h"
 
 #include <event2/buffer.h>
 #include <time.h>
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -1,7 +1,7 @@
 #include "daemon/settings.h"
+#include "platform/address.h"
 #include "platform/json.h"
 
-#include <arpa/inet.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -184,9 +184,6 @@
 
 static gboolean is_valid_text(const bh_option_t *o, const char *text)
 {
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
 	if (*text == 0)
 		return o->default_json && strcmp(o->default_json, "\"\"") == 0;
 	if (strlen(text) > 255)
@@ -194,7 +191,7 @@
 	if (o->type == BH_OPTION_CHOICE)
 		return is_choice(o->choices, text);
 	if (o->type == BH_OPTION_ADDRESS)
-		return bh_address_parse(text, &ip, &port);
+		return bh_address_is_valid(text);
 	return TRUE;
 }
 
@@ -377,35 +374,3 @@
 	}
 	return g_string_free(s, FALSE);
 }
-
-gboolean bh_address_parse(const char *text, char **ip, uint16_t *port)
-{
-	const char *colon = strrchr(text, ':');
-	unsigned char raw[sizeof(struct in6_addr)];
-	g_autofree char *host = NULL;
-	guint64 number;
-
-	if (!colon)
-		return FALSE;
-	host = g_strndup(text, (gsize)(colon - text));
-	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL))
-		return FALSE;
-	if (inet_pton(AF_INET, host, raw) != 1)
-		return FALSE;
-	*ip = g_steal_pointer(&host);
-	*port = (uint16_t)number;
-	return TRUE;
-}
-
-gboolean bh_address_sockaddr(const char *text, struct sockaddr_in *out)
-{
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
-	if (!bh_address_parse(text, &ip, &port))
-		return FALSE;
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons(port);
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -5,7 +5,6 @@
 #define BH_DAEMON_SETTINGS_H
 
 #include <glib.h>
-#include <netinet/in.h>
 #include <stdint.h>
 
 #define BH_SETTINGS_ERROR (bh_settings_error_quark())
@@ -109,19 +108,4 @@
  */
 char *bh_options_markdown(void);
 
-/**
- * bh_address_parse() - split "IP:PORT"
- * @ip: newly allocated
- *
- * Return: FALSE unless @text is a numeric IPv4 address with a port.
- */
-gboolean bh_address_parse(const char *text, char **ip, uint16_t *port);
-
-/**
- * bh_address_sockaddr() - convert "IP:PORT" to a socket address
- *
- * Return: FALSE under the conditions of bh_address_parse().
- */
-gboolean bh_address_sockaddr(const char *text, struct sockaddr_in *out);
-
 #endif
--- a/daemon/udp.c
+++ b/daemon/udp.c
@@ -1,5 +1,5 @@
 #include "daemon/udp.h"
-#include "daemon/settings.h"
+#include "platform/address.h"
 #include "wire/frame.h"
 
 #include <sys/socket.h>
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -404,6 +404,10 @@
 	}
 	h.id = argv[1];
 	h.agent = bh_http_pool_new(h.base, argv[3], 65536);
+	if (!h.agent) {
+		fprintf(stderr, "%s is not IP:PORT\n", argv[3]);
+		return 2;
+	}
 	h.log = fopen(argv[4], "ae");
 	h.task_ms = strtoll(argv[5], NULL, 10);
 	h.started_unix_ms = standin_unix_ms();
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -272,7 +272,8 @@
 	r.rand = g_rand_new_with_seed((guint32)r.incarnation);
 	r.log = log_path ? fopen(log_path, "a") : NULL;
 	r.agent = bh_http_pool_new(r.base, agent, 4096);
-	if (!standin_serve(r.base, r.address, routes, G_N_ELEMENTS(routes), &r))
+	if (!r.agent ||
+	    !standin_serve(r.base, r.address, routes, G_N_ELEMENTS(routes), &r))
 		return 1;
 	start_announcing(&r);
 	event_base_dispatch(r.base);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -146,6 +146,49 @@
 	server_close(&s);
 }
 
+/* A pool for an address without a colon crashed, and a port beyond 65535 was
+ * cut to 16 bits, so that requests went to another server. */
+static void test_port_out_of_range_reaches_another_server(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		":",
+		"127.0.0.1",
+		"127.0.0.1:",
+		"127.0.0.1:0",
+		"127.0.0.1:65536",
+		":80",
+		"127.0.0.1:70000",
+		"127.0.0.1:-1",
+		"host:80",
+		"127.0.0.1:+80",
+		"127.0.0.1: 80",
+		"127.0.0.1",
+		"127.0.0.1:80x",
+		"127.0.0.1:18446744073709551697",
+		"127.0.0:80",
+		"[::1]:80",
+		"127.0.0.1:80,127.0.0.1:81",
+	};
+	g_autofree char *long_ip = g_strnfill(5000, '1');
+	g_autofree char *long_address = g_strconcat(long_ip, ":80", NULL);
+	g_autofree char *long_port = g_strconcat("127.0.0.1:", long_ip, NULL);
+	g_autofree char *cut = NULL;
+	server_t s;
+
+	(void)state;
+	server_open(&s);
+	cut = g_strdup_printf("127.0.0.1:%d",
+			      atoi(strchr(s.address, ':') + 1) + 65536);
+	assert_null(bh_http_pool_new(s.base, cut, 1000));
+	assert_null(bh_http_pool_new(s.base, long_address, 1000));
+	assert_null(bh_http_pool_new(s.base, long_port, 1000));
+	assert_null(bh_http_pool_new(s.base, NULL, 1000));
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_null(bh_http_pool_new(s.base, bad[i], 1000));
+	server_close(&s);
+}
+
 static bool is_never_wanted(void *user)
 {
 	(void)user;
@@ -183,6 +226,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_spaced_requests_share_a_connection),
 		cmocka_unit_test(test_silent_connection_is_replaced),
+		cmocka_unit_test(test_port_out_of_range_reaches_another_server),
 		cmocka_unit_test(
 			test_queued_request_that_is_not_wanted_is_not_sent),
 	};
