Rows of agents that name no address hold no leader up

Callers saw: jobs that waited for up to a lease after each change of leader while another writer's rows stood among those of the agents, such as "127.0.0.1:70000" or "worker-7:80".

Cause: a leader takes each row that it finds at its start for a host on which tasks of its predecessor may run, and starts nothing that could conflict until their leases have certainly expired. No connection to such a host can be made, so that nothing shortens the wait; the leader tried to dial it once a second for as long as the row stood. Class: a key used as an address without a check.

Change: a row whose key bh_address_is_valid() refuses is logged and skipped; the other rows hold. No agent can have written it, since settings have no such address.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -2,6 +2,7 @@
 #include "daemon/follow.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
+#include "platform/address.h"
 #include "sched/grants.h"
 
 /* How long the store may hold a poll for changes. Entries also send jobs and
@@ -594,8 +595,14 @@
 {
 	bh_sched_leader_t *l = ctx;
 
-	if (!row->is_deleted)
+	if (row->is_deleted)
+		return;
+	if (bh_address_is_valid(row->key))
 		agent_link_add(l, row->key);
+	else
+		bh_log_event(&l->rt->log, BH_LOG_WARN,
+			     "agent row ignored: its key is not IP:PORT", "key",
+			     row->key, NULL);
 }
 
 static void on_job_row(void *ctx, const bh_store_row_t *row)
