An odd leader row does not end elections or lower the term

Callers would see: no leader ever again, so that no task starts, once another writer has put a leader row with an address such as "127.0.0.1:70000" or the term 2^64-1; and once a leader's row is overwritten by bytes that cannot be read, a leader whose orders all workers refuse.

Cause: a follower suspects a leader whose connection fails or falls silent, but to an address that cannot be dialled there is no connection. The campaign after the highest term asked for term 0, which is_leader never accepts. A row that could not be decoded counted as term 0, and the next campaign asked for term 1, below the fencing token that workers have seen. Class: values of another writer taken without a check of their range.

Change: a row counts as naming no leader unless its term can be a fencing token (at most 9e15) and its address is empty or valid; the known term stays. The same holds for a row that another entry tells, terms that other processes tell are bounded, and addresses of other entries that are not valid are not asked.

Evidence: test_term odd_leader_row_prevents_elections and unreadable_leader_row_resets_the_term fail on the code before (nobody leads; term 1 instead of 43), and pass now. The check of the addresses of other entries has no test of its own.

Open: if all entries restart while the row cannot be read, terms begin at 1 again.

--- a/daemon/lookup.c
+++ b/daemon/lookup.c
@@ -1,4 +1,5 @@
 #include "daemon/lookup.h"
+#include "platform/address.h"
 
 /* Addresses kept; with more entries the oldest ones are dropped. */
 #define ADDRESSES_MAX 64
@@ -99,7 +100,8 @@
 
 void bh_lookup_add(bh_lookup_t *l, const char *address)
 {
-	if (!*address || strcmp(address, l->rt->settings->listen_frames) == 0 ||
+	if (!bh_address_is_valid(address) ||
+	    strcmp(address, l->rt->settings->listen_frames) == 0 ||
 	    g_ptr_array_find_with_equal_func(l->addresses, address, g_str_equal,
 					     NULL))
 		return;
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -1,4 +1,5 @@
 #include "daemon/term.h"
+#include "platform/address.h"
 #include "sched/grants.h"
 
 #define TABLE "leader"
@@ -33,6 +34,9 @@
 /* Ticks come every 100 ms; a longer gap means that the process was paused. */
 #define PAUSE_THRESHOLD_US (1000 * BH_USEC_PER_MS)
 
+/* Fencing tokens are JSON numbers, which are exact up to 2^53; rounded down. */
+#define TERM_MAX 9000000000000000u
+
 /* Delay before a campaign. It grows as the processor share falls below one
  * half, so that entries with more processor time are elected first. */
 #define CAMPAIGN_DELAY_MAX_US (250 * BH_USEC_PER_MS)
@@ -133,6 +137,27 @@
 	t->campaign_at = 0;
 }
 
+/* Whether an entry that leads can have written the row. */
+static bool is_usable_row(const bh_leader_row_t *row)
+{
+	return row->term <= TERM_MAX &&
+	       (!*row->address || bh_address_is_valid(row->address));
+}
+
+/* Another writer's row names no leader. The known term still holds, since
+ * workers refuse lower ones. */
+static void decode_row(const bh_term_t *t, const bh_store_row_t *row,
+		       bh_leader_row_t *out)
+{
+	if (bh_leader_row_unpack(row->value, row->len, out) &&
+	    is_usable_row(out))
+		return;
+	bh_log_event(&t->rt->log, BH_LOG_ERROR, "cannot decode the leader row",
+		     NULL);
+	bh_leader_row_clear(out);
+	out->term = t->row.term;
+}
+
 /* Adopts the row as the store has it now. */
 static void update_row(bh_term_t *t, const bh_store_row_t *row)
 {
@@ -140,9 +165,8 @@
 	bool is_changed;
 	uint64_t led = t->is_leader ? t->row.term : 0;
 
-	if (row && !bh_leader_row_unpack(row->value, row->len, &next))
-		bh_log_event(&t->rt->log, BH_LOG_ERROR,
-			     "cannot decode the leader row", NULL);
+	if (row)
+		decode_row(t, row, &next);
 	is_changed = !t->is_row_known || next.term != t->row.term ||
 		     g_strcmp0(next.address, t->row.address) != 0;
 	if (!t->is_row_known || (row ? row->version : 0) != t->version)
@@ -459,6 +483,8 @@
 
 void bh_term_observe(bh_term_t *t, uint64_t term)
 {
+	if (term > TERM_MAX)
+		return;
 	/* A later term means that another process has won an election. */
 	if (term > t->row.term)
 		t->is_confirmed = false;
@@ -480,7 +506,8 @@
 		.name = g_strdup(row->name),
 	};
 
-	if (row->term <= t->row.term || !*row->address || is_own_row(t, row)) {
+	if (row->term <= t->row.term || !*row->address || !is_usable_row(row) ||
+	    is_own_row(t, row)) {
 		bh_leader_row_clear(&next);
 		return;
 	}
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -410,6 +410,80 @@
 	teardown(&f);
 }
 
+static void put_leader_bytes(fake_store_t *fake, const void *data, size_t len)
+{
+	g_free(fake->value);
+	fake->value = g_base64_encode(data, len);
+	fake->version++;
+}
+
+static void put_leader_row(fake_store_t *fake, uint64_t term,
+			   const char *address)
+{
+	bh_leader_row_t row = {.term = term,
+			       .address = (char *)address,
+			       .name = (char *)"odd"};
+	GBytes *bytes = bh_leader_row_pack(&row);
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	put_leader_bytes(fake, data, len);
+	g_bytes_unref(bytes);
+}
+
+/* Another writer's leader row names an address that cannot be dialled, or the
+ * highest term there is. No entry suspected that leader or could exceed its
+ * term, so that nobody led again. */
+static void test_odd_leader_row_prevents_elections(void **state)
+{
+	static const struct {
+		uint64_t term;
+		const char *address;
+	} odd[] = {
+		{3, "127.0.0.1:70000"},	   {3, "127.0.0.1:0"},
+		{3, "127.0.0.1"},	   {3, "worker-7:80"},
+		{3, "127.0.0.1:-1"},	   {UINT64_MAX, "127.0.0.1:9"},
+		{UINT64_MAX - 1, "odd:9"}, {(uint64_t)INT64_MAX, ""},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		fixture_t f;
+
+		setup(&f, 3);
+		put_leader_row(&f.fake, odd[i].term, odd[i].address);
+		run_for(&f.fake, f.term, 1000);
+		assert_true(bh_term_is_leader(f.term));
+		assert_true(bh_term_number(f.term) > 0);
+		assert_int_equal(bh_term_number(f.term), stored_term(&f.fake));
+		teardown(&f);
+	}
+}
+
+/* Another writer overwrites the row of a leader with bytes that cannot be read.
+ * The next election began again with term 1, which workers that had seen a
+ * higher term refuse for ever. */
+static void test_unreadable_leader_row_resets_the_term(void **state)
+{
+	uint8_t bytes[300];
+	fixture_t f;
+
+	(void)state;
+	memset(bytes, 0xff, sizeof(bytes));
+	setup(&f, 41);
+	run_for(&f.fake, f.term, 100);
+	bh_term_suspect(f.term, true);
+	run_for(&f.fake, f.term, 1000);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 42);
+	put_leader_bytes(&f.fake, bytes, sizeof(bytes));
+	run_for(&f.fake, f.term, 2000);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 43);
+	assert_int_equal(stored_term(&f.fake), 43);
+	teardown(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -418,6 +492,8 @@
 		cmocka_unit_test(test_after_an_unclear_commit_the_row_changes),
 		cmocka_unit_test(test_replaced_leader_learns_of_its_successor),
 		cmocka_unit_test(test_late_answer_to_a_campaign_does_not_win),
+		cmocka_unit_test(test_odd_leader_row_prevents_elections),
+		cmocka_unit_test(test_unreadable_leader_row_resets_the_term),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
