--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -122,6 +122,27 @@
 	g_string_free(wide, TRUE);
 }
 
+/* A text ended at an escaped NUL, so that what was left of an odd address or
+ * name passed for a valid one. */
+static void test_escaped_nul_cuts_text(void **state)
+{
+	static const char text[] =
+		"[\"127.0.0.1:80\\u0000x\",\"\\\\u0000\",\"\\\\\\u0000\","
+		"\"\\u00001\"]";
+	JsonNode *node = bh_json_parse(text, strlen(text));
+
+	(void)state;
+	assert_int_equal(bh_json_size(node), 4);
+	assert_string_equal(bh_json_text(bh_json_at(node, 0)),
+			    "127.0.0.1:80\xef\xbf\xbdx");
+	assert_string_equal(bh_json_text(bh_json_at(node, 1)), "\\u0000");
+	assert_string_equal(bh_json_text(bh_json_at(node, 2)),
+			    "\\\xef\xbf\xbd");
+	assert_string_equal(bh_json_text(bh_json_at(node, 3)), "\xef\xbf\xbd"
+							       "1");
+	bh_json_free(node);
+}
+
 static void test_unreadable_bytes(void **state)
 {
 	static const struct {
@@ -147,6 +168,7 @@
 		cmocka_unit_test(test_brackets_hidden_by_comments),
 		cmocka_unit_test(test_depth_limit),
 		cmocka_unit_test(test_flat_documents_with_many_brackets),
+		cmocka_unit_test(test_escaped_nul_cuts_text),
 		cmocka_unit_test(test_unreadable_bytes),
 	};
 
