--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -8,6 +8,8 @@
 #include "tests/test.h"
 #include "wire/record.h"
 
+#include <math.h>
+
 /* Enough to overflow the stack of a recursive parser. */
 #define DEEP_LEVELS 100000
 
@@ -143,6 +145,67 @@
 	bh_json_free(node);
 }
 
+/* json-glib clamps integers to 64 bits without a sign: a large negative number
+ * became 1, and a large positive one -1. */
+static void test_huge_integers_wrap_around(void **state)
+{
+	static const char *const low[] = {
+		"-99999999999999999999999", "-18446744073709551615",
+		"-18446744073709550616",    "-9223372036854775809",
+		"-10000000000000000000",
+	};
+	static const char *const high[] = {
+		"99999999999999999999999",
+		"18446744073709551615",
+		"9223372036854775808",
+		"10000000000000000000",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(low); i++) {
+		g_autofree char *text =
+			g_strdup_printf("{\"a\":%s,\"b\":[%s],\"%s\":7}",
+					low[i], low[i], low[i]);
+		JsonNode *node = bh_json_parse(text, strlen(text));
+
+		assert_true(bh_json_number(bh_json_get(node, "a")) < -9e18);
+		assert_true(bh_json_number(bh_json_at(bh_json_get(node, "b"),
+						      0)) < -9e18);
+		assert_int_equal(bh_json_u64(bh_json_get(node, "a")), 0);
+		assert_int_equal(bh_json_u64(bh_json_get(node, low[i])), 7);
+		bh_json_free(node);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(high); i++) {
+		g_autofree char *text = g_strdup_printf("[%s]", high[i]);
+		JsonNode *node = bh_json_parse(text, strlen(text));
+
+		assert_true(bh_json_number(bh_json_at(node, 0)) > 9e18);
+		assert_int_equal(bh_json_u64(bh_json_at(node, 0)), 0);
+		bh_json_free(node);
+	}
+}
+
+static void test_integers_of_64_bits_stay(void **state)
+{
+	static const char text[] =
+		"[9223372036854775807,-9223372036854775807,"
+		"0.12345678901234567890123,1e5,12345678901234567890.5]";
+	JsonNode *node = bh_json_parse(text, strlen(text));
+
+	(void)state;
+	assert_true(json_node_get_int(bh_json_at(node, 0)) == INT64_MAX);
+	assert_true(json_node_get_int(bh_json_at(node, 1)) == -INT64_MAX);
+	assert_true(bh_json_is_integer(bh_json_at(node, 1)));
+	assert_true(fabs(bh_json_number(bh_json_at(node, 2)) - 0.123456789) <
+		    1e-9);
+	assert_true(bh_json_number(bh_json_at(node, 3)) == 1e5);
+	assert_true(fabs(bh_json_number(bh_json_at(node, 4)) /
+				 12345678901234567890.5 -
+			 1) < 1e-9);
+	bh_json_free(node);
+	assert_null(bh_json_parse("[0xffffffffffffffffff]", 22));
+}
+
 static void test_unreadable_bytes(void **state)
 {
 	static const struct {
@@ -169,6 +232,8 @@
 		cmocka_unit_test(test_depth_limit),
 		cmocka_unit_test(test_flat_documents_with_many_brackets),
 		cmocka_unit_test(test_escaped_nul_cuts_text),
+		cmocka_unit_test(test_huge_integers_wrap_around),
+		cmocka_unit_test(test_integers_of_64_bits_stay),
 		cmocka_unit_test(test_unreadable_bytes),
 	};
 
