A job whose starts were not answered is still counted as pending

Cause: a job stopped being queued when a start was ordered. An order that gets no answer may take seconds to be carried out, or never be. Class: what was sent is taken for done.

Change: a job runs from when a start was answered, listed, or has ended.

Evidence: test_sched test_job_with_unanswered_starts_is_pending fails on the code before (0 pending, 1 expected).

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -84,6 +84,14 @@
 	bh_task_requeue(s, task, now);
 }
 
+static void note_started(bh_task_t *task)
+{
+	bh_rec_t *rec = task->phase->rec;
+
+	if (rec->state == BH_JOB_QUEUED)
+		rec->state = BH_JOB_RUNNING;
+}
+
 /* Reports from before the confirmation do not count as missing the run. */
 static void confirm_run(bh_run_t *run, bh_usec_t now)
 {
@@ -164,6 +172,7 @@
 		task->attempt = e->attempt;
 		adopt_checkpoint(s, task, e->checkpoint);
 	}
+	note_started(task);
 	if (run && e->how == BH_END_DONE)
 		update_rate(run, host, now);
 	if (run)
@@ -345,6 +354,7 @@
 	run->reports_missed = 0;
 	if (!run->is_confirmed)
 		confirm_run(run, now);
+	note_started(run->task);
 	if (run->state == BH_RUN_ORDERED)
 		run->state = BH_RUN_ACTIVE;
 	if (!run->seen_at) {
@@ -676,6 +686,7 @@
 	 * The worker's lists will tell. */
 	if (outcome == BH_ORDER_OK || outcome == BH_ORDER_OLD) {
 		confirm_run(run, now);
+		note_started(task);
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
 		if (task->phase->step->is_filler)
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -62,8 +62,6 @@
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
 	task->phase->rec->n_runs++;
-	if (task->phase->rec->state == BH_JOB_QUEUED)
-		task->phase->rec->state = BH_JOB_RUNNING;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
 	host_charge(host, task->phase->step, 1);
 	if (bh_task_is_suspect(task))
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -735,6 +735,27 @@
 	}
 }
 
+/* Orders to start get no answer. The job was no longer counted among those that
+ * wait, though none of its tasks had started. */
+static void test_job_with_unanswered_starts_is_pending(void **state)
+{
+	sw_world_t *w = sw_new(1, SW_ALL_ON);
+
+	(void)state;
+	sw_advance(w, MS(1000));
+	sw_submit(w, JOB_A, 1, 6, 500, 1000, "");
+	sw_advance(w, MS(20));
+	for (int i = 0; i < SW_WORKERS; i++)
+		sw_fault(w, SW_WORKER_UNREACHABLE, i, MS(4000));
+	sw_advance(w, MS(3500));
+	assert_int_equal(bh_sched_pending(sw_sched(w), "q"), 1);
+	sw_advance(w, MS(30000));
+	assert_int_equal(bh_sched_pending(sw_sched(w), "q"), 0);
+	assert_int_equal(sw_state(w, JOB_A), BH_JOB_COMPLETED);
+	assert_no_violation(w);
+	sw_free(w);
+}
+
 /* A worker and its agent restart together. Before its first poll is answered,
  * the agent does not know which process of the worker it speaks to, and the
  * leader took the next one for the one before: ends with numbers that the
@@ -908,6 +929,7 @@
 			test_tasks_on_workers_that_crash_are_not_given_up),
 		cmocka_unit_test(test_starts_fit_in_rooms_that_shrink),
 		cmocka_unit_test(test_listed_run_is_not_started_elsewhere),
+		cmocka_unit_test(test_job_with_unanswered_starts_is_pending),
 		cmocka_unit_test(test_late_grant_outlives_lease),
 		cmocka_unit_test(
 			test_late_grant_outlives_lease_of_former_leader),
