Late starts are stopped in a worker's next process before the leader hears of it

Callers would see: a task that starts again after a run has ended as done, or that runs twice at the same time (TWICE), after a worker has crashed and is back under its id.

Cause: an order to start that gets no answer may be carried out seconds later, after a further try was answered and the task is done, or after the leader has lost the run with the former process. In the former process the attempt counts as had, or is stopped. The next process under the same id knows of neither; its clock and fencing token have begun anew, so that neither the end of the lease nor the token rejects the order. Class: a run is counted as gone while it may still start.

Change: an agent remembers for 15 s which starts got no answer (sched/late_starts.c). When another process of the worker first answers with the same id, the agent orders these attempts to stop there, which makes the process reject them, and reports it to the leader only once all are answered or listed. Nothing is sent and nothing waits if the id is new, if every start was answered, or if the term has changed since, as then the first poll's token rejects them.

What remains: a start that is carried out between the crash and the answer to the stop; an agent that restarts with its worker has forgotten what was not answered; a leader that has lost the runs before, by a report that the worker is down or by the end of the lease, does not wait.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -5,6 +5,7 @@
 #include "platform/decode.h"
 #include "platform/runner.h"
 #include "platform/store.h"
+#include "sched/late_starts.h"
 #include "sched/run_log.h"
 
 #include <sys/queue.h>
@@ -60,6 +61,8 @@
  * @was_unclear: an earlier try got no answer
  * @is_superseded: the attempt has been ordered to stop since; no further try is
  *	sent
+ * @stops_late_start: the agent's own order to stop an attempt that the worker's
+ *	next process could start late
  * @term: term of the leader that sent it
  */
 typedef struct order {
@@ -70,6 +73,7 @@
 	int64_t timeout_ms;
 	bool was_unclear;
 	bool is_superseded;
+	bool stops_late_start;
 	uint64_t term;
 	uint64_t boot;
 	uint32_t attempt;
@@ -105,6 +109,10 @@
  *	has passed on no start order
  * @leader_heard_at: when the last frame of the leader came
  * @starting: orders to start without an outcome
+ * @late_starts: orders to start that got no answer
+ * @has_late_starts: the worker's next process has answered, but could still
+ *	carry out starts that were meant for the one before; the leader is not
+ *	told of it yet
  */
 struct bh_sched_agent {
 	bh_runtime_t *rt;
@@ -151,6 +159,8 @@
 	bh_usec_t pinged_at;
 	uint32_t orders;
 	TAILQ_HEAD(, order) starting;
+	bh_late_starts_t *late_starts;
+	bool has_late_starts;
 	uint64_t starts;
 	uint64_t stops;
 	uint64_t unclear;
@@ -319,6 +329,33 @@
 	a->lease_until = 0;
 }
 
+static void stop_late_start(bh_sched_agent_t *a, const char *task,
+			    uint32_t attempt, uint64_t boot);
+
+/* Whether the process that has answered could start tasks late that were meant
+ * for the one before. To the leader that process must have ended, as it starts
+ * the tasks elsewhere, only once the next one rejects them. */
+static bool has_late_starts(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
+{
+	const order_t *o;
+	const char *task;
+	uint32_t attempt;
+
+	if (!a->boot || lists->boot == a->boot)
+		return false;
+	TAILQ_FOREACH(o, &a->starting, link) {
+		if (o->boot != lists->boot &&
+		    g_strcmp0(o->worker, a->info.id) == 0)
+			return true;
+	}
+	bh_late_starts_listed(a->late_starts, lists, a->info.id, a->poll_term,
+			      bh_runtime_now());
+	while (bh_late_starts_next(a->late_starts, lists->boot, &task,
+				   &attempt))
+		stop_late_start(a, task, attempt, lists->boot);
+	return !bh_late_starts_is_settled(a->late_starts, lists->boot);
+}
+
 static void on_lists(void *user, const bh_worker_lists_t *lists, bool is_gone,
 		     bool is_fenced)
 {
@@ -346,6 +383,12 @@
 		log_answered(a, lists->boot);
 	a->unanswered_polls = 0;
 	a->answered_at = bh_runtime_now();
+	a->has_late_starts = has_late_starts(a, lists);
+	if (a->has_late_starts) {
+		a->listed_end = 0;
+		schedule_poll(a, POLL_AFTER_ENDS_MS);
+		return;
+	}
 	note_boot(a, lists->boot);
 	bh_run_log_listed(a->run_log, lists, bh_runtime_now());
 	a->listed_end = lists->n_ended ? lists->ended[0].number : 0;
@@ -387,7 +430,9 @@
 
 static uint64_t poll_expires_ms(const bh_sched_agent_t *a)
 {
-	return a->is_down || a->info.boot > a->boot ? 0 : a->expires_ms;
+	bool is_next = a->info.boot > a->boot || a->has_late_starts;
+
+	return a->is_down || is_next ? 0 : a->expires_ms;
 }
 
 static void poll_worker(bh_sched_agent_t *a)
@@ -474,6 +519,9 @@
 		a->unclear++;
 	if (o->kind == BH_ORDER_KIND_START)
 		note_start_outcome(a, o, outcome);
+	if (o->stops_late_start)
+		bh_late_starts_stopped(a->late_starts, o->boot, o->task,
+				       o->attempt, outcome == BH_ORDER_OK);
 	if (o->kind != BH_ORDER_KIND_PACE)
 		send_result(o, outcome);
 	a->orders--;
@@ -488,7 +536,7 @@
 static bool is_addressable(const bh_sched_agent_t *a, uint64_t boot)
 {
 	return boot == a->boot && is_announced(a) && !a->is_down &&
-	       !a->gone_since;
+	       !a->gone_since && !a->has_late_starts;
 }
 
 /* Whether a try of the order may be sent. */
@@ -505,6 +553,10 @@
 {
 	order_t *o = user;
 
+	if (outcome == BH_ORDER_UNCLEAR && o->kind == BH_ORDER_KIND_START)
+		bh_late_starts_add(o->agent->late_starts, o->task, o->attempt,
+				   o->worker, o->boot, o->term,
+				   bh_runtime_now());
 	/* A process of the worker runs an attempt at most once, so that it is
 	 * safe to repeat the order to the same process. */
 	if (outcome == BH_ORDER_UNCLEAR && is_order_wanted(o) &&
@@ -610,6 +662,15 @@
 	order_send(o);
 }
 
+static void stop_late_start(bh_sched_agent_t *a, const char *task,
+			    uint32_t attempt, uint64_t boot)
+{
+	order_t *o = order_new(a, BH_ORDER_KIND_STOP, task, attempt, boot);
+
+	o->stops_late_start = true;
+	order_send(o);
+}
+
 static void on_pace(bh_sched_agent_t *a, const Bh__Sched__PaceOrder *m)
 {
 	order_t *o =
@@ -941,6 +1002,7 @@
 	a->scratch = g_byte_array_new();
 	TAILQ_INIT(&a->starting);
 	a->run_log = bh_run_log_new();
+	a->late_starts = bh_late_starts_new();
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
 	a->store = bh_store_new(rt->base, set->store);
 	a->runner = bh_runner_new(rt->base, set->worker);
@@ -976,6 +1038,7 @@
 	bh_store_free(a->store);
 	bh_worker_info_clear(&a->info);
 	bh_run_log_free(a->run_log);
+	bh_late_starts_free(a->late_starts);
 	bh_crash_clear(&a->crash);
 	g_byte_array_free(a->scratch, TRUE);
 	g_free(a);
