A listed run of a task that was started elsewhere counts until it has ended

Cause: a worker lists a run that the leader has lost, and of whose task it has another run by now. The leader ordered the first one to stop and did not count it. If the other run was refused, lost or stopped, the task was started again at once, on a third host, while the first one still ran, for as long as its stop took or was not answered. Class: a run is counted as gone while it still runs, although its worker lists it.

Change: such a run is tracked as one that is being stopped, in the task's second slot. The task starts again only after both have ended. Its resources are charged as those of any run. Runs of tasks that are done, and of ended or unknown jobs, are handled as before.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -300,6 +300,25 @@
 	return task->phase->step->is_speculative || !bh_task_has_run(task);
 }
 
+/* Whether the task has a run, and would be started again after it. */
+static bool may_start_again(const bh_task_t *task)
+{
+	return task && !task->is_done && !bh_rec_is_over(task->phase->rec) &&
+	       !(task->runs[0] && task->runs[1]);
+}
+
+/* The task must not start anywhere before this attempt has stopped, whatever
+ * becomes of its other run. */
+static bh_run_t *track_unwanted(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+				const bh_active_t *a, bh_usec_t now)
+{
+	bh_run_t *run = bh_run_new(task, host, a->attempt, BH_RUN_ACTIVE, now);
+
+	run->first_percent = a->percent;
+	bh_run_stop(s, run, "another attempt was started", now);
+	return run;
+}
+
 static bh_run_t *match_active(bh_sched_t *s, bh_host_t *host,
 			      const bh_active_t *a, bh_usec_t now)
 {
@@ -315,6 +334,8 @@
 	if (run && run->host == host)
 		return run;
 	if (!may_adopt(task)) {
+		if (may_start_again(task) && !run)
+			return track_unwanted(s, task, host, a, now);
 		if (task || !record_orphan(host, &seen, now))
 			stop_orphan(s, host, a);
 		return NULL;
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -12,6 +12,8 @@
 
 typedef struct orders {
 	int starts;
+	const char *host;
+	uint32_t attempt;
 	int stops;
 	uint64_t ack;
 } orders_t;
@@ -20,8 +22,8 @@
 {
 	orders_t *o = ctx;
 
-	(void)host;
-	(void)start;
+	o->host = host;
+	o->attempt = start->attempt;
 	o->starts++;
 }
 
@@ -252,6 +254,77 @@
 	bh_config_free(config);
 }
 
+static const char *const keys[] = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
+
+/* Reports of all hosts: the one at @except lists @lists, or nothing if that is
+ * NULL; the others have empty lists. */
+static void report_all(bh_sched_t *s, const char *except,
+		       bh_worker_lists_t *lists, bh_usec_t now)
+{
+	bh_worker_info_t info = worker_info();
+	bh_worker_lists_t empty = {.boot = 7, .clock_ms = (uint64_t)now / 1000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		bool is_other = g_strcmp0(keys[i], except) != 0;
+
+		if (!is_other && !lists)
+			continue;
+		bh_sched_report(s, keys[i], &info, is_other ? &empty : lists,
+				true, now);
+	}
+	bh_sched_run(s, now, 1000 + (uint64_t)now / 1000);
+}
+
+/* A worker lists a run that was lost with its lease, and the task has been
+ * started elsewhere. That start is refused: the task was started a third time,
+ * although the first run had not ended. */
+static void test_task_waits_for_listed_run_to_stop(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = bh_sched_new(&bounds, &ops, &o, MS(1), 1000);
+	bh_active_t active = {.task = (char *)TASK, .percent = 20};
+	bh_ended_t ended = {
+		.number = 1, .task = (char *)TASK, .how = BH_END_STOPPED};
+	bh_worker_lists_t lists = {.boot = 7, .n_active = 1, .active = &active};
+	const char *first;
+
+	(void)state;
+	bh_sched_set_config(s, config);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		bh_sched_add_host(s, keys[i], false, MS(1));
+		bh_sched_host_linked(s, keys[i], true, MS(1));
+	}
+	report_all(s, NULL, NULL, MS(10));
+	bh_sched_add_job(s, make_job(), NULL, MS(20));
+	bh_sched_run(s, MS(20), 1020);
+	assert_int_equal(o.starts, 1);
+	first = o.host;
+	active.attempt = o.attempt;
+	ended.attempt = o.attempt;
+	bh_sched_start_result(s, first, TASK, o.attempt, BH_ORDER_OK, MS(30));
+	for (int ms = 200; ms < 6000; ms += 200)
+		report_all(s, first, NULL, MS(ms));
+	assert_int_equal(o.starts, 2);
+	lists.clock_ms = 6000;
+	report_all(s, first, &lists, MS(6000));
+	assert_int_equal(o.stops, 1);
+	bh_sched_start_result(s, o.host, TASK, o.attempt, BH_ORDER_NO_ROOM,
+			      MS(6010));
+	bh_sched_run(s, MS(6011), 7011);
+	for (int ms = 6200; ms < 6700; ms += 100) {
+		lists.clock_ms = (uint64_t)ms;
+		report_all(s, first, &lists, MS(ms));
+	}
+	assert_int_equal(o.starts, 2);
+	lists = (bh_worker_lists_t){
+		.boot = 7, .clock_ms = 6700, .n_ended = 1, .ended = &ended};
+	report_all(s, first, &lists, MS(6700));
+	assert_int_equal(o.starts, 3);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -259,6 +332,7 @@
 		cmocka_unit_test(test_end_of_unknown_job_is_not_acknowledged),
 		cmocka_unit_test(test_orphans_are_stopped_after_a_delay),
 		cmocka_unit_test(test_serving_task_ends_probation),
+		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
