A worker's next process is not polled with the lease of the former one

Callers would see: two runs of a task at the same time (TWICE), if a worker that has crashed and is back under its id is later cut off: its tasks are started elsewhere once the lease should be over, and run on.

A process that is back before the second refused poll, and answers before it has announced itself, was polled with it, and held a lease for as long as the former clock had been ahead (up to max-hold-ms), of which the leader does not know. Class: state of a former process that is sent to the next one.

Change: after a poll that broke off, polls carry no lease until one is answered.

What remains: a poll that is lost, and carried out late by the next process under the same id, still sets such a lease.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -428,11 +428,14 @@
 									: 0;
 }
 
+/* The clock of the worker's next process begins anew: to it, the end of the
+ * lease would be far ahead. */
 static uint64_t poll_expires_ms(const bh_sched_agent_t *a)
 {
 	bool is_next = a->info.boot > a->boot || a->has_late_starts;
+	bool has_ended = a->is_down || a->gone_since;
 
-	return a->is_down || is_next ? 0 : a->expires_ms;
+	return has_ended || is_next ? 0 : a->expires_ms;
 }
 
 static void poll_worker(bh_sched_agent_t *a)
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -30,6 +30,9 @@
 
 #define LATE_RULES_MAX 4
 
+/* Longer than any lease that a leader grants. */
+#define LEASE_MAX_MS 6000
+
 typedef struct task {
 	char *name;
 	int64_t attempt;
@@ -380,6 +383,8 @@
 		MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
 	if (ack > h->last_ended_seq)
 		log_event(h, "ack-ahead", "-", ack);
+	if (get_int(body, "expires-ms") > clock_ms(h) + LEASE_MAX_MS)
+		log_event(h, "lease-ahead", "-", get_int(body, "expires-ms"));
 	drop_acked(h, ack);
 	out = json_object_new();
 	json_object_set_array_member(out, "active", list_active(h));
