The end of an unknown job's task is not acknowledged before the jobs are read

Callers would see: a task that starts again after a run has ended as done, an end that was taken note of (TWICE); or a run of a valid job that is stopped.

Cause: a job that is stored after a new leader has listed the jobs, and whose task the former leader has started, becomes known with the next answered poll of the jobs' table. Until then its runs are left alone and its ends not acknowledged, but for 2.5 s only, whether a poll was answered or not. While the store is slow or its answers are lost, polls fail for longer: the end was acknowledged with no job to record it, and once the job became known, its task started. Class: what was not heard is taken for evidence.

Change: a task counts as one of no job only if a poll of the jobs' table was answered that was sent after the task was first listed, besides the 2.5 s. A job is stored before its tasks start, so that the poll returns it. While the store answers, polls return within 1 s, and nothing changes.

test_orphans_are_stopped_after_a_delay now says that the jobs are read, as the leader does; times and assertions are the same.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -29,6 +29,8 @@
  * struct bh_follow - a table that is followed
  * @version: version of the store after which the next poll asks for changes
  * @parts_left: parts that are not listed completely
+ * @feed_sent_at: when the last poll for changes was sent
+ * @current_at: rows that were in the table then have been delivered
  * @is_loaded: the first listing is complete
  * @is_store_lost: the last call failed
  * @is_freed: the owner has freed it; the last call in flight destroys it
@@ -52,6 +54,8 @@
 	bool is_in_callback;
 	int64_t retry_ms;
 	bh_usec_t answered_at;
+	bh_usec_t feed_sent_at;
+	bh_usec_t current_at;
 	struct event *retry_timer;
 };
 
@@ -213,6 +217,8 @@
 		retry_later(f);
 	} else {
 		f->version = MAX(f->version, reply->version);
+		if (reply->n_rows < PAGE_ROWS)
+			f->current_at = f->feed_sent_at;
 		deliver_rows(f, reply);
 		if (!f->is_freed)
 			send_calls(f);
@@ -234,6 +240,7 @@
 {
 	if (!f->is_listing) {
 		f->n_in_flight++;
+		f->feed_sent_at = bh_runtime_now();
 		bh_store_feed(f->store, f->table, f->version, f->wait_ms,
 			      f->wait_ms + FEED_TIMEOUT_MARGIN_MS, on_feed, f);
 		return;
@@ -292,6 +299,11 @@
 	return (bh_runtime_now() - f->answered_at) / 1000;
 }
 
+bh_usec_t bh_follow_current_at(const bh_follow_t *f)
+{
+	return f->current_at;
+}
+
 bool bh_follow_is_store_lost(const bh_follow_t *f)
 {
 	return f->is_store_lost;
--- a/daemon/follow.h
+++ b/daemon/follow.h
@@ -36,6 +36,12 @@
  */
 void bh_follow_free(bh_follow_t *f);
 
+/**
+ * bh_follow_current_at() - all rows that were in the table at this time have
+ * been delivered
+ */
+bh_usec_t bh_follow_current_at(const bh_follow_t *f);
+
 /**
  * bh_follow_answered_ago_ms() - age of the store's last successful answer
  */
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -427,6 +427,7 @@
 		bh_term_observe(l->term, from->term);
 	if (from->term != bh_term_number(l->term))
 		return;
+	bh_sched_note_jobs_read(l->sched, bh_follow_current_at(l->jobs));
 	bh_report_decode(from, &report);
 	bh_sched_report(l->sched, m->address, &report.info,
 			report.has_lists ? &report.lists : NULL, may_grant(l),
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -45,8 +45,8 @@
 #define LOG_LAPSE_AFTER_US (1000 * BH_USEC_PER_MS)
 
 /* A job that an entry has stored reaches the leader with its next poll of the
- * jobs' table. Until this time has passed, tasks of an unknown job are neither
- * stopped nor their ends acknowledged. */
+ * jobs' table. Until this time has passed and that poll was answered, tasks of
+ * an unknown job are neither stopped nor their ends acknowledged. */
 #define ORPHAN_WAIT_US (2500 * BH_USEC_PER_MS)
 
 static bh_host_t *host_find(const bh_sched_t *s, const char *key)
@@ -199,8 +199,8 @@
 
 /* Adds or updates an orphan.
  * Return: whether its job may still become known. */
-static bool record_orphan(bh_host_t *host, const bh_orphan_t *seen,
-			  bh_usec_t now)
+static bool record_orphan(const bh_sched_t *s, bh_host_t *host,
+			  const bh_orphan_t *seen, bh_usec_t now)
 {
 	bh_orphan_t *orphan;
 
@@ -222,7 +222,9 @@
 	orphan->end = seen->end;
 	g_free(orphan->checkpoint);
 	orphan->checkpoint = g_strdup(seen->checkpoint);
-	return now - orphan->since < ORPHAN_WAIT_US;
+	/* A job is stored before any of its tasks starts. */
+	return now - orphan->since < ORPHAN_WAIT_US ||
+	       s->jobs_read_at < orphan->since;
 }
 
 static bool is_orphan_end(bh_sched_t *s, bh_host_t *host, const bh_ended_t *e,
@@ -234,7 +236,7 @@
 			    .end = e->how,
 			    .checkpoint = e->checkpoint};
 
-	return !bh_task_find(s, e->task) && record_orphan(host, &seen, now);
+	return !bh_task_find(s, e->task) && record_orphan(s, host, &seen, now);
 }
 
 /* The worker forgets ends once they are acknowledged: a gap means that one was
@@ -336,7 +338,7 @@
 	if (!may_adopt(task)) {
 		if (may_start_again(task) && !run)
 			return track_unwanted(s, task, host, a, now);
-		if (task || !record_orphan(host, &seen, now))
+		if (task || !record_orphan(s, host, &seen, now))
 			stop_orphan(s, host, a);
 		return NULL;
 	}
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -364,6 +364,11 @@
 		bh_rec_open_phases(s, rec, now);
 }
 
+void bh_sched_note_jobs_read(bh_sched_t *s, bh_usec_t at)
+{
+	s->jobs_read_at = MAX(s->jobs_read_at, at);
+}
+
 void bh_sched_cancel(bh_sched_t *s, const char *id, bh_usec_t now)
 {
 	bh_rec_t *rec = bh_rec_find(s, id);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -145,6 +145,12 @@
 		      const bh_progress_t *progress, bh_usec_t now);
 void bh_sched_cancel(bh_sched_t *s, const char *id, bh_usec_t now);
 
+/**
+ * bh_sched_note_jobs_read() - all jobs that were in the store at @at have been
+ * added
+ */
+void bh_sched_note_jobs_read(bh_sched_t *s, bh_usec_t at);
+
 /**
  * bh_sched_add_host() - add a host whose agent has a row in the store
  * @may_hold_work: an earlier leader may have started tasks there; nothing is
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -353,6 +353,7 @@
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile
  * @must_place: a placement may have become possible since the last pass
+ * @jobs_read_at: all jobs that were in the store then are known
  * @checked_at: when hosts and runs were last checked for timeouts
  */
 struct bh_sched {
@@ -374,6 +375,7 @@
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
+	bh_usec_t jobs_read_at;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -198,14 +198,43 @@
 			    .how = BH_END_STOPPED};
 
 	(void)state;
-	for (int ms = 50; ms < 5000; ms += 400)
+	for (int ms = 50; ms < 5000; ms += 400) {
+		bh_sched_note_jobs_read(s, MS(ms));
 		report(s, &active, &ended, MS(ms));
+	}
 	assert_true(o.stops > 0);
 	assert_int_equal(o.ack, 3);
 	bh_sched_free(s);
 	bh_config_free(config);
 }
 
+/* The store does not answer the new leader, which hears of a job only after the
+ * worker has listed the end of its task for some seconds. The end was
+ * acknowledged without a job to record it, and the task ran again. */
+static void test_end_is_not_acknowledged_before_jobs_are_read(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_ended_t ended = {.number = 3,
+			    .task = (char *)TASK,
+			    .attempt = 1,
+			    .how = BH_END_DONE};
+
+	(void)state;
+	for (int ms = 50; ms < 6000; ms += 400)
+		report(s, NULL, &ended, MS(ms));
+	assert_int_equal(o.ack, 0);
+	bh_sched_add_job(s, make_job(), NULL, MS(6000));
+	report(s, NULL, &ended, MS(6100));
+	store_all(s);
+	assert_int_equal(o.starts, 0);
+	assert_int_equal(o.ack, 3);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_COMPLETED);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 static void fail_task(bh_sched_t *s, const char *id, uint64_t number,
 		      bh_usec_t now)
 {
@@ -331,6 +360,8 @@
 		cmocka_unit_test(test_run_of_unknown_job_is_adopted),
 		cmocka_unit_test(test_end_of_unknown_job_is_not_acknowledged),
 		cmocka_unit_test(test_orphans_are_stopped_after_a_delay),
+		cmocka_unit_test(
+			test_end_is_not_acknowledged_before_jobs_are_read),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
 	};
