--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -360,6 +360,7 @@
  * @call_lost_at: when a call to some worker last got no answer although the
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
+ * @jobs_read_at: all jobs that were in the store then are known
  * @checked_at: when hosts and runs were last checked for timeouts
  */
 struct bh_sched {
@@ -383,6 +384,7 @@
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
+	bh_usec_t jobs_read_at;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
