A field of another type no longer ends the process that reads it

Callers saw: `PUT`s and rows of another writer that end processes: {"service":5}, POSTed to /announce, ends an agent with SIGSEGV; the same holds for a cell's or a claim's row, a task's row and a worker's list whose texts are of another type. Numbers were cut instead: slots passed for 1, a negative incarnation for one of the far future.

Cause: json_object_get_string_member_with_default() returns its default for a missing member only, and NULL for one of another type; the integers were cast. Class: untrusted input read by accessors that assume its type.

Change: bh_json_member_text(), _int() and _u32() return the default for a member of another type or out of range, and replace json-glib's accessors everywhere.

--- a/cli/client.c
+++ b/cli/client.c
@@ -89,8 +89,7 @@
 		return EXIT_UNREACHABLE;
 	}
 	if (reply->body)
-		error = json_object_get_string_member_with_default(
-			reply->body, "error", NULL);
+		error = bh_json_member_text(reply->body, "error", NULL);
 	fprintf(stderr, "boragehold: %u: %s\n", reply->status,
 		error ? error : "no reason given");
 	if (reply->status == 409 && reply->text)
--- a/cli/main.c
+++ b/cli/main.c
@@ -4,6 +4,7 @@
 #include "cli/status.h"
 #include "daemon/settings.h"
 #include "wire/record.h"
+#include "platform/json.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -109,8 +110,7 @@
 	cli_call(cli, EVHTTP_REQ_GET, path, NULL, NULL, &reply);
 	if (reply.status != 200 || !reply.body)
 		return print_reply(&reply);
-	cli->revision = json_object_get_int_member_with_default(reply.body,
-								"revision", 0);
+	cli->revision = bh_json_member_int(reply.body, "revision", 0);
 	if_match = if_match_text(cli);
 	strip_status(reply.body);
 	json_object_set_boolean_member(reply.body, "cancelled", TRUE);
--- a/cli/status.c
+++ b/cli/status.c
@@ -1,4 +1,5 @@
 #include "cli/status.h"
+#include "platform/json.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,17 +10,17 @@
 
 static const char *get_text(JsonObject *o, const char *name)
 {
-	return json_object_get_string_member_with_default(o, name, "");
+	return bh_json_member_text(o, name, "");
 }
 
 static gint64 get_int(JsonObject *o, const char *name)
 {
-	return json_object_get_int_member_with_default(o, name, 0);
+	return bh_json_member_int(o, name, 0);
 }
 
 static gboolean get_flag(JsonObject *o, const char *name)
 {
-	return json_object_get_boolean_member_with_default(o, name, FALSE);
+	return bh_json_is_true(json_object_get_member(o, name));
 }
 
 static const char *endpoint_state(JsonObject *o)
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -16,6 +16,7 @@
 #define ENTRY_STALE_US	      (60 * BH_USEC_PER_SEC)
 #define LEADER_TIMEOUT_MIN_US (3 * BH_USEC_PER_SEC)
 #define RUNNER_BODY_MAX_BYTES (1u << 20)
+#define RUNNER_SLOTS_MAX      1024
 
 typedef struct bh_known_entry {
 	char *address;
@@ -134,34 +135,49 @@
 	.close = op_close,
 };
 
+/* Sets @out to 0 for a missing member. Return: false for a member that is not
+ * an integer from 0 to @max. */
+static bool read_number(JsonObject *o, const char *name, int64_t max,
+			uint64_t *out)
+{
+	int64_t value = bh_json_member_int(o, name, -1);
+
+	*out = 0;
+	if (!json_object_has_member(o, name))
+		return true;
+	if (value < 0 || value > max)
+		return false;
+	*out = (uint64_t)value;
+	return true;
+}
+
 static const char *parse_runner(JsonObject *o, bh_runner_info_t *info)
 {
-	info->service =
-		json_object_get_string_member_with_default(o, "service", "");
-	info->address =
-		json_object_get_string_member_with_default(o, "address", "");
-	info->incarnation = (uint64_t)json_object_get_int_member_with_default(
-		o, "incarnation", 0);
-	info->seq =
-		(uint64_t)json_object_get_int_member_with_default(o, "seq", 0);
-	info->slots = (uint32_t)json_object_get_int_member_with_default(
-		o, "slots", 0);
-	info->connections = (uint32_t)json_object_get_int_member_with_default(
-		o, "connections", 0);
-	info->agent = (uint64_t)json_object_get_int_member_with_default(
-		o, "agent", 0);
-	info->orphans = (uint32_t)json_object_get_int_member_with_default(
-		o, "orphans", 0);
-	info->draining = json_object_get_boolean_member_with_default(
-		o, "draining", FALSE);
+	uint64_t slots;
+	uint64_t connections;
+	uint64_t orphans;
+
+	info->service = bh_json_member_text(o, "service", "");
+	info->address = bh_json_member_text(o, "address", "");
+	if (!read_number(o, "incarnation", INT64_MAX, &info->incarnation) ||
+	    !read_number(o, "seq", INT64_MAX, &info->seq) ||
+	    !read_number(o, "agent", INT64_MAX, &info->agent))
+		return "incarnation, seq, agent: expected 0 to 2^63-1";
+	if (!read_number(o, "slots", RUNNER_SLOTS_MAX, &slots) || slots < 1)
+		return "slots: expected 1 to 1024";
+	if (!read_number(o, "connections", UINT32_MAX, &connections) ||
+	    connections < 1)
+		return "connections: expected 1 to 2^32-1";
+	if (!read_number(o, "orphans", RUNNER_SLOTS_MAX, &orphans))
+		return "orphans: expected 0 to 1024";
+	info->slots = (uint32_t)slots;
+	info->connections = (uint32_t)connections;
+	info->orphans = (uint32_t)orphans;
+	info->draining = bh_json_is_true(json_object_get_member(o, "draining"));
 	if (*info->service == 0 || strlen(info->service) > 63)
 		return "service: expected 1 to 63 bytes";
 	if (!bh_address_is_valid(info->address))
 		return "address: expected IP:PORT";
-	if (info->slots < 1 || info->slots > 1024)
-		return "slots: expected 1 to 1024";
-	if (info->connections < 1)
-		return "connections: expected 1 or more";
 	return NULL;
 }
 
--- a/daemon/keys.c
+++ b/daemon/keys.c
@@ -30,9 +30,7 @@
 
 static uint64_t get_hex(JsonObject *o, const char *name)
 {
-	return g_ascii_strtoull(
-		json_object_get_string_member_with_default(o, name, "0"), NULL,
-		16);
+	return g_ascii_strtoull(bh_json_member_text(o, name, "0"), NULL, 16);
 }
 
 static char *claim_to_json(const bh_claim_row_t *row)
@@ -62,16 +60,13 @@
 
 static void parse_claim(JsonObject *o, bh_claim_row_t *out)
 {
-	const char *state = json_object_get_string_member_with_default(
-		o, "state", "unknown");
-	const char *answer =
-		json_object_get_string_member_with_default(o, "answer", NULL);
+	const char *state = bh_json_member_text(o, "state", "unknown");
+	const char *answer = bh_json_member_text(o, "answer", NULL);
 
 	out->entry = get_hex(o, "entry");
 	out->number = get_hex(o, "number");
 	out->body_checksum = get_hex(o, "body");
-	out->status = (uint32_t)json_object_get_int_member_with_default(
-		o, "status", 0);
+	out->status = bh_json_member_u32(o, "status");
 	out->state = BH_CLAIM_UNKNOWN;
 	for (int i = 0; i <= BH_CLAIM_UNKNOWN; i++) {
 		if (strcmp(state, state_names[i]) == 0)
--- a/daemon/leader.c
+++ b/daemon/leader.c
@@ -51,12 +51,12 @@
 
 static const char *get_string(JsonObject *o, const char *name)
 {
-	return json_object_get_string_member_with_default(o, name, "");
+	return bh_json_member_text(o, name, "");
 }
 
 static uint64_t get_uint(JsonObject *o, const char *name)
 {
-	return (uint64_t)json_object_get_int_member_with_default(o, name, 0);
+	return (uint64_t)MAX(bh_json_member_int(o, name, 0), 0);
 }
 
 static void on_cell_row(void *user, const bh_table_reply_t *reply)
@@ -75,7 +75,7 @@
 	if (o) {
 		row.version = reply->rows[0].version;
 		row.term = get_uint(o, "term");
-		row.nonce = get_uint(o, "nonce");
+		row.nonce = (uint64_t)bh_json_member_int(o, "nonce", 0);
 		row.holder = get_string(o, "holder");
 		if (*row.holder)
 			l->ops->leader_found(l->ctx, get_string(o, "address"));
@@ -233,11 +233,11 @@
 			   bh_outcome_name((bh_outcome_t)i)) == 0)
 			task.outcome = (bh_outcome_t)i;
 	}
-	task.epoch = (uint32_t)get_uint(o, "epoch");
+	task.epoch = bh_json_member_u32(o, "epoch");
 	task.worker = get_string(o, "worker");
 	task.progress_ms = get_uint(o, "progress_ms");
 	task.done_unix_ms = get_uint(o, "done_unix_ms");
-	task.evictions = (uint32_t)get_uint(o, "evictions");
+	task.evictions = bh_json_member_u32(o, "evictions");
 	bh_cell_load_task(l->cell, &task);
 	json_object_unref(o);
 }
--- a/daemon/records.c
+++ b/daemon/records.c
@@ -291,20 +291,18 @@
 
 static void count_state(JsonObject *counts, const char *state)
 {
-	gint64 n = json_object_get_int_member_with_default(counts, state, 0);
+	gint64 n = bh_json_member_int(counts, state, 0);
 
 	json_object_set_int_member(counts, state, n + 1);
 }
 
 static const char *task_status(JsonObject *task)
 {
-	const char *outcome = json_object_get_string_member_with_default(
-		task, "outcome", "none");
+	const char *outcome = bh_json_member_text(task, "outcome", "none");
 
 	if (strcmp(outcome, "none") != 0)
 		return outcome;
-	return json_object_get_string_member_with_default(task, "state",
-							  "pending");
+	return bh_json_member_text(task, "state", "pending");
 }
 
 static void add_tasks(JsonObject *body, const bh_table_reply_t *reply,
@@ -332,8 +330,7 @@
 static void on_tasks(void *user, const bh_table_reply_t *reply)
 {
 	record_call_t *call = user;
-	int64_t total =
-		json_object_get_int_member_with_default(call->body, "tasks", 1);
+	int64_t total = bh_json_member_int(call->body, "tasks", 1);
 
 	if (reply->status != BH_TABLE_OK) {
 		reply_store_error(call, reply);
@@ -372,8 +369,7 @@
 		return;
 	}
 	prefix = g_strdup_printf("task/%s/%s/",
-				 json_object_get_string_member_with_default(
-					 call->body, "cell", ""),
+				 bh_json_member_text(call->body, "cell", ""),
 				 call->name);
 	bh_table_list(call->records->table, prefix, NULL, on_tasks, call);
 }
