Times, amounts and settings of a job are bounded before they are multiplied

Callers would see: occurrences that start at once though they are due years later (first-run-ms + K x interval-ms beyond 64 bits, or a first-run-ms that isn't a number, which counted as none); a job whose work counts as nearly nothing (20,000 tasks x 1e9 x 1e9 beyond 64 bits); ranks and objectives that wrap around for a slack factor or a priority out of range.

Cause: each value was checked alone, if at all, and not what it is multiplied with; the slack factor was cast to an integer, which C leaves undefined beyond its range. Class: overflow of products of untrusted values.

Change: bh_job_check(), which submitted and stored jobs pass, bounds times to 9e15 ms including that of the last occurrence, requests to 1e9, and the queue's settings to what ranks and objectives can hold; the number of tasks is compared by division. The slack factor is limited to 1000, the priority to 65535; a step's work saturates.

Evidence: test_decode interval_overflows_due_time, largest_amounts_overflow_work, slack_factor_out_of_range and invalid_jobs_return_an_error fail before, pass now.

--- a/sched/job.c
+++ b/sched/job.c
@@ -20,6 +20,9 @@
 
 	if (step->count == 0 || step->count > BH_JOB_TASKS_MAX)
 		return "a step's count is out of range";
+	if (MAX(step->cpu_milli, step->memory_mb) > BH_JOB_AMOUNT_MAX ||
+	    MAX(step->accelerators, step->estimate_ms) > BH_JOB_AMOUNT_MAX)
+		return "a step's request is out of range";
 	for (uint32_t k = 0; k < step->n_after; k++) {
 		if (step->after[k] >= i)
 			return "a step may only follow earlier steps";
@@ -72,6 +75,22 @@
 	return MAX(job->repeat, 1);
 }
 
+/* Whether all occurrences are due at times that can be expressed. */
+static bool is_schedule_valid(const bh_job_t *job)
+{
+	return job->accepted_ms <= BH_JOB_TIME_MAX_MS &&
+	       job->first_due_ms <= BH_JOB_TIME_MAX_MS &&
+	       job->interval_ms <= (BH_JOB_TIME_MAX_MS - job->first_due_ms) /
+					   bh_job_occurrences(job);
+}
+
+static bool are_terms_valid(const bh_job_terms_t *terms)
+{
+	return terms->priority <= BH_QUEUE_PRIORITY_MAX &&
+	       terms->slack_percent <= BH_SLACK_PERCENT_MAX &&
+	       terms->target_ms <= BH_JOB_AMOUNT_MAX;
+}
+
 const char *bh_job_check(const bh_job_t *job)
 {
 	uint64_t tasks = 0;
@@ -85,8 +104,13 @@
 			return why;
 		tasks += job->steps[i].count;
 	}
-	if (tasks * bh_job_occurrences(job) > BH_JOB_TASKS_MAX)
+	if (tasks > BH_JOB_TASKS_MAX / bh_job_occurrences(job))
 		return "a job has too many tasks";
+	if (!is_schedule_valid(job))
+		return "first-run-ms and interval-ms lead to a time after "
+		       "9000000000000000";
+	if (!are_terms_valid(&job->terms))
+		return "the settings of the job's queue are out of range";
 	return NULL;
 }
 
@@ -115,7 +139,12 @@
 
 uint64_t bh_step_work_ms(const bh_step_t *step, uint32_t tasks)
 {
-	return (uint64_t)tasks * step->cpu_milli * step->estimate_ms / 1000;
+	uint64_t cores = (uint64_t)tasks * step->cpu_milli;
+	uint64_t work;
+
+	if (__builtin_mul_overflow(cores, step->estimate_ms, &work))
+		return BH_JOB_WORK_MAX_MS;
+	return MIN(work / 1000, BH_JOB_WORK_MAX_MS);
 }
 
 uint64_t bh_job_work_ms(const bh_job_t *job, uint64_t *other)
--- a/sched/job.h
+++ b/sched/job.h
@@ -15,6 +15,20 @@
  * job. */
 #define BH_JOB_TASKS_MAX 20000u
 
+/* Largest amount that a step may request; far more than any real one. */
+#define BH_JOB_AMOUNT_MAX 1000000000u
+
+/* Latest time, since 1970; within the range in which JSON numbers are exact. */
+#define BH_JOB_TIME_MAX_MS 9000000000000000u
+
+/* Larger work of a step counts as this much, so that sums fit. */
+#define BH_JOB_WORK_MAX_MS 100000000000000u
+
+/* Highest settings of a queue, so that ranks and objectives fit. */
+#define BH_SLACK_FACTOR_MAX   1000
+#define BH_SLACK_PERCENT_MAX  (BH_SLACK_FACTOR_MAX * 100u)
+#define BH_QUEUE_PRIORITY_MAX 65535u
+
 /**
  * struct bh_step - a set of tasks with the same requirements
  * @estimate_ms: estimated run time of a task
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -33,6 +33,68 @@
 	bh_job_free(job);
 }
 
+/* The time of a late occurrence exceeded 64 bits, so that it was due at once.
+ */
+static void test_interval_overflows_due_time(void **state)
+{
+	const char *error = NULL;
+	bh_job_t *job = decode_job(
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"first-run-ms\":1,"
+		"\"interval-ms\":8000000000000000,\"repeat-count\":5000}",
+		&error);
+
+	(void)state;
+	assert_null(job);
+	assert_non_null(error);
+	job = decode_job(
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"first-run-ms\":1,"
+		"\"interval-ms\":1000000000,\"repeat-count\":5000}",
+		&error);
+	assert_non_null(job);
+	bh_job_free(job);
+}
+
+/* The work of a job with the largest amounts exceeded 64 bits, and counted as
+ * little. */
+static void test_largest_amounts_overflow_work(void **state)
+{
+	const char *error = NULL;
+	bh_job_t *job = decode_job("{\"spec\":\"x\",\"steps\":[{\"count\":"
+				   "20000,\"cpu\":1000000000,"
+				   "\"estimate-ms\":1000000000}]}",
+				   &error);
+	uint64_t other;
+
+	(void)state;
+	assert_non_null(job);
+	bh_job_work_ms(job, &other);
+	assert_true(other == 100000000000000);
+	bh_job_free(job);
+}
+
+/* A slack factor of 1e308 was cast to an integer, which C leaves undefined. */
+static void test_slack_factor_out_of_range(void **state)
+{
+	static const char *const odd[] = {"1e308", "1e999", "-1e308",
+					  "99999999999999999999999"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
+			"\"h\",\"path-prefix\":\"/\",\"service\":\"s\","
+			"\"slack-factor\":%s,\"priority\":%s}]}",
+			odd[i], "70000");
+		bh_config_t *config = bh_decode_config(text, strlen(text));
+
+		assert_non_null(config);
+		assert_true(config->queues[0].slack_factor > 0);
+		assert_true(config->queues[0].slack_factor <= 1000);
+		assert_true(config->queues[0].priority <= UINT16_MAX);
+		bh_config_free(config);
+	}
+}
+
 static void test_invalid_jobs_return_an_error(void **state)
 {
 	static const char *const bad[] = {
@@ -51,6 +113,14 @@
 		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
 		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[\"a\"]}]}",
 		"{\"spec\":\"x\",\"steps\":[{\"count\":20000},{\"count\":1}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],"
+		"\"first-run-ms\":1e999,\"repeat-count\":2}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],"
+		"\"first-run-ms\":-1,\"repeat-count\":2}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],"
+		"\"first-run-ms\":1,\"interval-ms\":\"1000\"}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],"
+		"\"first-run-ms\":1,\"interval-ms\":99999999999999999999999}",
 	};
 
 	(void)state;
@@ -142,6 +212,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_job),
+		cmocka_unit_test(test_interval_overflows_due_time),
+		cmocka_unit_test(test_largest_amounts_overflow_work),
+		cmocka_unit_test(test_slack_factor_out_of_range),
 		cmocka_unit_test(test_invalid_jobs_return_an_error),
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_announcements),
