Stored rows and frames with values out of range are bounded when they are read

Callers would see: a placement spoiled by estimates that are not numbers (NaN passes CLAMP()); a state that is dropped at once, because its end plus the time that it is kept exceeds 64 bits; a job that counts as completed though one of its steps isn't, because a progress row lists a done step twice; memory lost for each such row.

Cause: wire/sched_codec.c copied the numbers of a row without their ranges. Class: stored values taken for those that this program wrote.

Change: suspicions, times of ends and the age that a leader reports are limited to their ranges, estimates that are not finite are skipped, and a step or a task that is listed twice is restored once.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -387,8 +387,9 @@
 	bh_configs_on_report(hub->configs, link, ping->config_version,
 			     is_store_lost(hub));
 	if (ping->term >= bh_term_number(hub->term))
-		bh_term_note_leader_ping(hub->term,
-					 (int64_t)ping->renewed_ago_ms);
+		bh_term_note_leader_ping(
+			hub->term,
+			(int64_t)MIN(ping->renewed_ago_ms, INT64_MAX));
 	bh_term_observe(hub->term, ping->term);
 	hub->n_loads = (uint32_t)MIN(ping->n_load, LOADS_MAX);
 	hub->loads_updated_at = bh_runtime_now();
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -111,8 +111,11 @@
 	g_clear_pointer(&task->checkpoint, g_free);
 }
 
+/* An odd row may list a step or a task twice. */
 static void restore_step(bh_phase_t *phase, const bh_step_progress_t *saved)
 {
+	bool was_done = phase_is_done(phase);
+
 	for (uint32_t i = 0; i < phase->step->count; i++) {
 		if (i / 8 < saved->n_done_bytes &&
 		    (saved->done[i / 8] & (1u << (i % 8))))
@@ -127,12 +130,14 @@
 		task = &phase->tasks[t->index];
 		task->n_failed = t->n_failed;
 		phase->most_failed = MAX(phase->most_failed, t->n_failed);
+		g_free(task->failed);
+		g_free(task->checkpoint);
 		task->failed =
 			g_memdup2(t->failed, t->n_failed * sizeof(uint32_t));
 		task->checkpoint = g_strdup(t->checkpoint);
 		task->blame = t->blame;
 	}
-	if (phase_is_done(phase))
+	if (!was_done && phase_is_done(phase))
 		phase->rec->phases_done++;
 }
 
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -1,5 +1,7 @@
 #include "wire/sched_codec.h"
 
+#include <math.h>
+
 #define FLAG_GANG	   (1u << 0)
 #define FLAG_SAME_RACK	   (1u << 1)
 #define FLAG_SPECULATIVE   (1u << 2)
@@ -172,7 +174,7 @@
 		out->tasks[i].blame.crashes = from->tasks[i]->crashes;
 		out->tasks[i].blame.inferred = from->tasks[i]->crashes_inferred;
 		out->tasks[i].blame.suspicion =
-			from->tasks[i]->suspicion_permille / 1000.0;
+			MIN(from->tasks[i]->suspicion_permille, 1000) / 1000.0;
 		out->tasks[i].blame.age =
 			from->tasks[i]->crash_age_ms * BH_USEC_PER_MS;
 		for (size_t b = 0;
@@ -314,7 +316,7 @@
 	}
 	out = g_new0(bh_progress_t, 1);
 	out->state = (bh_job_state_t)m->state;
-	out->ended_ms = m->ended_ms;
+	out->ended_ms = MIN(m->ended_ms, BH_JOB_TIME_MAX_MS);
 	out->n_steps = (uint32_t)m->n_steps;
 	out->steps = g_new0(bh_step_progress_t, MAX(m->n_steps, 1));
 	for (size_t i = 0; i < m->n_steps; i++)
@@ -363,10 +365,13 @@
 
 	if (!m)
 		return;
-	for (size_t i = 0; i < m->n_pairs; i++)
-		bh_sched_set_pair(sched, m->pairs[i]->filler,
-				  m->pairs[i]->lasting, m->pairs[i]->harm,
-				  m->pairs[i]->doubt);
+	for (size_t i = 0; i < m->n_pairs; i++) {
+		const Bh__Sched__Pair *pair = m->pairs[i];
+
+		if (isfinite(pair->harm) && isfinite(pair->doubt))
+			bh_sched_set_pair(sched, pair->filler, pair->lasting,
+					  pair->harm, pair->doubt);
+	}
 	bh__sched__learned__free_unpacked(m, NULL);
 }
 
