--- a/sched/late_starts.c
+++ b/sched/late_starts.c
@@ -3,10 +3,6 @@
 #include <string.h>
 #include <sys/queue.h>
 
-/* Calls to workers that get no answer are carried out within this time, or not
- * at all. */
-#define LATE_MAX_US (15 * BH_USEC_PER_SEC)
-
 /**
  * struct late - orders to start attempts at a task that got no answer
  * @attempt: the highest one; a worker that has been told to stop it does not
@@ -59,7 +55,7 @@
 	late_t *next;
 
 	TAILQ_FOREACH_SAFE(l, &log->entries, link, next) {
-		if (now - l->at > LATE_MAX_US)
+		if (now - l->at > BH_LATE_CALL_MAX_US)
 			drop(log, l);
 	}
 }
