Hosts on which nothing can run hold up no leader while calls are lost

Callers would see: nothing starts for 12 s after a change of leader, once a call to some worker got no answer, although all hosts that could run something have answered.

Polls of a worker that had ended, or that were noticed late because the agent was paused, counted as lost calls as well.

Change: the report says that nothing can run (is_idle), and then nobody waits. Only polls that time out while the agent runs count as lost.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -53,6 +53,10 @@
 
 #define TICK_MS 100
 
+/* A timeout that is noticed later than this shows that the process was paused.
+ */
+#define PAUSE_THRESHOLD_US (100 * BH_USEC_PER_MS)
+
 #define INSTANCES_PATH "/instances/"
 
 /**
@@ -100,6 +104,7 @@
  *	none
  * @unanswered_polls: since the last answered one, which was sent at
  *@answered_at
+ * @has_lost_poll: one of these timed out
  * @call_lost_at: when a call last got no answer although the worker's process
  *	lived; 0: never
  * @gone_since: when the first of the last polls broke off, which shows that the
@@ -139,6 +144,7 @@
 	int refused_polls;
 	int unanswered_polls;
 	bh_usec_t answered_at;
+	bool has_lost_poll;
 	bh_usec_t call_lost_at;
 	int64_t poll_timeout_ms;
 	bh_usec_t poll_sent_at;
@@ -236,6 +242,7 @@
 	/* A future leader learns only from the row that work may run here. */
 	else if (!a->is_registered && info.state == BH_WORKER_READY)
 		info.state = BH_WORKER_SILENT;
+	info.is_idle = a->is_idle;
 	if (!lists && a->lease_until)
 		info.lease_left_ms = lease_left_ms(a);
 	else if (!lists && a->is_idle)
@@ -286,22 +293,27 @@
 static void note_answered_again(bh_sched_agent_t *a, uint64_t boot)
 {
 	log_answered(a, boot);
-	if (boot == a->boot && !a->is_down)
+	if (boot == a->boot && a->has_lost_poll)
 		a->call_lost_at = bh_runtime_now();
+	a->has_lost_poll = false;
 }
 
-/* A poll that times out may be a lost call or a worker that hangs. */
+/* A poll that breaks off shows that the worker's process has ended. One that
+ * times out is a lost call or a worker that hangs, or this process was paused
+ * and the answer waits. */
 static void note_failed_poll(bh_sched_agent_t *a)
 {
 	bh_usec_t now = bh_runtime_now();
+	bh_usec_t elapsed = now - a->poll_sent_at;
 	bh_usec_t timeout =
 		(POLL_WAIT_MS + a->poll_timeout_ms) * BH_USEC_PER_MS;
 
 	a->polls_unanswered++;
 	if (a->unanswered_polls++ == 0)
 		log_unanswered(a);
-
-	if (!a->gone_since && now - a->poll_sent_at < timeout)
+	if (elapsed >= timeout)
+		a->has_lost_poll |= elapsed < timeout + PAUSE_THRESHOLD_US;
+	else if (!a->gone_since)
 		a->gone_since = now;
 }
 
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -485,6 +485,8 @@
  * a silent worker are taken to be late too. */
 static bool may_calls_be_late(const bh_sched_t *s, const bh_host_t *host)
 {
+	if (host->info.is_idle && TAILQ_EMPTY(&host->runs))
+		return false;
 	return s->call_lost_at &&
 	       s->call_lost_at + BH_LATE_CALL_MAX_US > host->heard_at;
 }
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -354,6 +354,30 @@
 	bh_config_free(config);
 }
 
+/* A call to another worker was lost. A host on which nothing can run, since its
+ * agent has just created its row, held up the new leader for seconds. */
+static void test_idle_host_is_not_waited_for_when_calls_are_lost(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_worker_info_t idle = {.lease_left_ms = 1, .is_idle = true};
+	bh_worker_info_t info = worker_info();
+	bh_worker_lists_t lists = {.clock_ms = 100, .boot = 7};
+
+	(void)state;
+	bh_sched_add_host(s, "10.0.0.2:1", true, MS(1));
+	bh_sched_host_linked(s, "10.0.0.2:1", true, MS(1));
+	bh_sched_add_job(s, make_job(), NULL, MS(1));
+	bh_sched_report(s, "10.0.0.2:1", &idle, NULL, false, MS(50));
+	info.lost_call_ms = 10;
+	bh_sched_report(s, HOST, &info, &lists, true, MS(100));
+	bh_sched_run(s, MS(200), 1200);
+	assert_int_equal(o.starts, 1);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -364,6 +388,8 @@
 			test_end_is_not_acknowledged_before_jobs_are_read),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
+		cmocka_unit_test(
+			test_idle_host_is_not_waited_for_when_calls_are_lost),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -2669,7 +2669,7 @@
   (ProtobufCMessageInit) bh__sched__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[19] =
 {
   {
     "worker",
@@ -2887,6 +2887,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_idle",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Report, is_idle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__report__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -2897,6 +2909,7 @@
   5,   /* field[5] = cpu_milli */
   13,   /* field[13] = ended */
   11,   /* field[11] = has_lists */
+  18,   /* field[18] = is_idle */
   8,   /* field[8] = labels */
   16,   /* field[16] = lease_left_ms */
   10,   /* field[10] = leaves_ms */
@@ -2911,7 +2924,7 @@
 static const ProtobufCIntRange bh__sched__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor bh__sched__report__descriptor =
 {
@@ -2921,7 +2934,7 @@
   "Bh__Sched__Report",
   "bh.sched",
   sizeof(Bh__Sched__Report),
-  18,
+  19,
   bh__sched__report__field_descriptors,
   bh__sched__report__field_indices_by_name,
   1,  bh__sched__report__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -320,10 +320,14 @@
    * calls before and after; 0 when there was none that may still be carried out.
    */
   uint32_t lost_call_ms;
+  /*
+   * Nothing can run on the worker: no leader can have known of this host.
+   */
+  protobuf_c_boolean is_idle;
 };
 #define BH__SCHED__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -200,6 +200,7 @@
 	out->cold_ms = info->cold_ms;
 	out->lease_left_ms = info->lease_left_ms;
 	out->lost_call_ms = info->lost_call_ms;
+	out->is_idle = info->is_idle;
 }
 
 static void lists_to_wire(const bh_worker_lists_t *lists,
@@ -496,6 +497,7 @@
 	info->cold_ms = from->cold_ms;
 	info->lease_left_ms = from->lease_left_ms;
 	info->lost_call_ms = from->lost_call_ms;
+	info->is_idle = from->is_idle;
 	out->term = from->term;
 	out->has_lists = from->has_lists;
 	out->lists.clock_ms = from->clock_ms;
