standin-jobhost carries calls out late, also by its next process

POST /late: for a time, a share of the calls (drawn from a seed) gets no answer, and is carried out after a delay. It checks target, fencing token, `late` and `old` then; a late grant may count from then. Such calls are kept in a file, so that a process that is started at the same address carries out those of the one before. The announced id may be that of an earlier process; the log names each process.

Closer to PROTOCOL.md: a start that is refused as `old`, or whose run is already there, extends the lease; a lease is at most 10 s; calls that come between the lapse of a lease and the next tick do not revive it. `ack-ahead` is logged for an acknowledgement beyond the ends that this process has listed, not beyond those that it has had.

--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -7,6 +7,7 @@
 #include "platform/http_client.h"
 #include "platform/json.h"
 #include "standins/common.h"
+#include "standins/late_calls.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -28,6 +29,9 @@
 #define CPU_MILLI      16000
 #define TASK_CPU_MILLI 500
 
+/* A longer lease is shortened. */
+#define LEASE_MAX_MS 10000
+
 typedef struct task {
 	char *name;
 	int64_t attempt;
@@ -36,9 +40,17 @@
 	bool is_crashing;
 } task_t;
 
+/**
+ * struct jobhost - the stand-in
+ * @name: names this process in the log
+ * @id: that it announces, maybe that of an earlier process
+ * @last_listed_seq: number of the last end in an answer
+ */
 typedef struct jobhost {
 	struct event_base *base;
 	bh_http_pool_t *agent;
+	late_calls_t *late;
+	char *name;
 	char *id;
 	FILE *log;
 	int64_t started_unix_ms;
@@ -47,6 +59,7 @@
 	bool is_lease_lapsed;
 	int64_t term;
 	int64_t last_ended_seq;
+	int64_t last_listed_seq;
 	int64_t last_announce_seq;
 	int64_t task_ms;
 	int64_t cpu_milli;
@@ -55,6 +68,15 @@
 	GHashTable *ended_attempts;
 } jobhost_t;
 
+typedef struct call {
+	JsonNode *body;
+	int64_t expires_ms;
+} call_t;
+
+/* Carries out a call with a valid fencing token, and fills in the response.
+ * Return: its status. */
+typedef int (*operation_t)(jobhost_t *h, const call_t *call, JsonObject *out);
+
 static int64_t clock_ms(const jobhost_t *h)
 {
 	return CLOCK_START_MS + (standin_now_us() - h->start_us) / 1000;
@@ -64,7 +86,7 @@
 		      int64_t attempt)
 {
 	fprintf(h->log, "%" G_GINT64_FORMAT " %s %s %" G_GINT64_FORMAT " %s\n",
-		standin_unix_ms(), what, task, attempt, h->id);
+		standin_unix_ms(), what, task, attempt, h->name);
 	fflush(h->log);
 }
 
@@ -114,22 +136,6 @@
 	return -1;
 }
 
-static void reply(jobhost_t *h, struct evhttp_request *req, int status,
-		  JsonObject *body)
-{
-	json_object_set_int_member(body, "clock-ms", clock_ms(h));
-	json_object_set_int_member(body, "born", h->started_unix_ms);
-	standin_reply(req, status, body);
-}
-
-static void refuse(jobhost_t *h, struct evhttp_request *req, const char *reason)
-{
-	JsonObject *body = json_object_new();
-
-	json_object_set_string_member(body, "reason", reason);
-	reply(h, req, 409, body);
-}
-
 static JsonNode *parse_body(struct evhttp_request *req)
 {
 	GBytes *bytes = bh_http_take_body(req);
@@ -144,107 +150,77 @@
 	return (int64_t)bh_json_number(bh_json_get(body, name));
 }
 
-static bool refuse_if_fenced(jobhost_t *h, struct evhttp_request *req,
-			     JsonNode *body)
-{
-	if (get_int(body, "fencing-token") >= h->term) {
-		h->term = get_int(body, "fencing-token");
-		return false;
-	}
-	refuse(h, req, "fence");
-	return true;
-}
-
 static bool is_crashing(const char *name, const char *spec)
 {
 	return g_strcmp0(spec, CRASHING_SPEC) == 0 &&
 	       g_str_has_suffix(name, CRASHING_SUFFIX);
 }
 
-/* Orders name the incarnation that they are meant for; they may arrive late. */
-static bool refuse_if_misdirected(jobhost_t *h, struct evhttp_request *req)
+static int refuse(JsonObject *out, const char *reason)
 {
-	const char *target = evhttp_find_header(
-		evhttp_request_get_input_headers(req), "X-Target-Instance");
-
-	if (!target || strcmp(target, h->id) == 0)
-		return false;
-	reply(h, req, 421, json_object_new());
-	return true;
+	json_object_set_string_member(out, "reason", reason);
+	return 409;
 }
 
-static void on_start(struct evhttp_request *req, void *ctx)
+static void extend_lease(jobhost_t *h, int64_t expires_ms)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
-	const char *name = bh_json_text(bh_json_get(body, "task"));
-	int64_t attempt = get_int(body, "attempt");
-	int64_t *ended_attempts = g_hash_table_lookup(h->ended_attempts, name);
-	task_t *t;
-
-	if (refuse_if_misdirected(h, req) || refuse_if_fenced(h, req, body)) {
-		bh_json_free(body);
-		return;
-	}
-	if (find_task(h, name, attempt) >= 0) {
-		reply(h, req, 200, json_object_new());
-	} else if (ended_attempts && *ended_attempts >= attempt) {
-		refuse(h, req, "old");
-	} else if (get_int(body, "expires-ms") <= clock_ms(h)) {
-		refuse(h, req, "late");
-	} else {
-		h->lease_expires_ms =
-			MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
-		t = g_new0(task_t, 1);
-		t->name = g_strdup(name);
-		t->attempt = attempt;
-		t->started_at_us = standin_now_us();
-		t->duration_ms = h->task_ms;
-		t->is_crashing = is_crashing(
-			name, bh_json_text(bh_json_get(body, "spec")));
-		g_ptr_array_add(h->tasks, t);
-		log_event(h, "start", name, attempt);
-		if (h->tasks->len * TASK_CPU_MILLI > h->cpu_milli)
-			log_event(h, "over", name, attempt);
-		reply(h, req, 200, json_object_new());
-	}
-	bh_json_free(body);
+	expires_ms = MIN(expires_ms, clock_ms(h) + LEASE_MAX_MS);
+	h->lease_expires_ms = MAX(h->lease_expires_ms, expires_ms);
 }
 
-static void on_stop(struct evhttp_request *req, void *ctx)
+static void start_task(jobhost_t *h, JsonNode *body)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
 	const char *name = bh_json_text(bh_json_get(body, "task"));
-	int i = find_task(h, name, get_int(body, "attempt"));
-
-	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
-		record_ended_attempt(h, name, get_int(body, "attempt"));
-		if (i >= 0)
-			end_task(h, (guint)i, "stopped");
-		reply(h, req, 200, json_object_new());
-	}
-	bh_json_free(body);
+	task_t *t = g_new0(task_t, 1);
+
+	t->name = g_strdup(name);
+	t->attempt = get_int(body, "attempt");
+	t->started_at_us = standin_now_us();
+	t->duration_ms = h->task_ms;
+	t->is_crashing =
+		is_crashing(name, bh_json_text(bh_json_get(body, "spec")));
+	g_ptr_array_add(h->tasks, t);
+	log_event(h, "start", name, t->attempt);
+	if (h->tasks->len * TASK_CPU_MILLI > h->cpu_milli)
+		log_event(h, "over", name, t->attempt);
 }
 
-static void on_pace(struct evhttp_request *req, void *ctx)
+static int run_start(jobhost_t *h, const call_t *call, JsonObject *out)
 {
-	JsonNode *body = parse_body(req);
-
-	bh_json_free(body);
-	reply(ctx, req, 200, json_object_new());
+	const char *name = bh_json_text(bh_json_get(call->body, "task"));
+	int64_t attempt = get_int(call->body, "attempt");
+	int64_t *ended = g_hash_table_lookup(h->ended_attempts, name);
+
+	extend_lease(h, call->expires_ms);
+	if (find_task(h, name, attempt) >= 0)
+		return 200;
+	if (ended && *ended >= attempt)
+		return refuse(out, "old");
+	if (call->expires_ms <= clock_ms(h))
+		return refuse(out, "late");
+	start_task(h, call->body);
+	return 200;
 }
 
-/* The body is {"cpu": N}: the room from now on. */
-static void on_room(struct evhttp_request *req, void *ctx)
+static int run_stop(jobhost_t *h, const call_t *call, JsonObject *out)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
+	const char *name = bh_json_text(bh_json_get(call->body, "task"));
+	int64_t attempt = get_int(call->body, "attempt");
+	int i = find_task(h, name, attempt);
+
+	(void)out;
+	record_ended_attempt(h, name, attempt);
+	if (i >= 0)
+		end_task(h, (guint)i, "stopped");
+	return 200;
+}
 
-	h->cpu_milli = get_int(body, "cpu");
-	log_event(h, "room", "-", h->cpu_milli);
-	bh_json_free(body);
-	reply(h, req, 200, json_object_new());
+static int pace(jobhost_t *h, const call_t *call, JsonObject *out)
+{
+	(void)h;
+	(void)call;
+	(void)out;
+	return 200;
 }
 
 static JsonArray *list_active(jobhost_t *h)
@@ -280,26 +256,17 @@
 }
 
 /* Replies immediately; long polling is not implemented. */
-static void on_hold(struct evhttp_request *req, void *ctx)
+static int hold(jobhost_t *h, const call_t *call, JsonObject *out)
 {
-	jobhost_t *h = ctx;
-	JsonNode *body = parse_body(req);
-	int64_t ack = get_int(body, "ack-seq");
-	JsonObject *out;
-
-	if (!refuse_if_misdirected(h, req) && !refuse_if_fenced(h, req, body)) {
-		h->lease_expires_ms =
-			MAX(h->lease_expires_ms, get_int(body, "expires-ms"));
-		if (ack > h->last_ended_seq)
-			log_event(h, "ack-ahead", "-", ack);
-		drop_acked(h, ack);
-		out = json_object_new();
-		json_object_set_array_member(out, "active", list_active(h));
-		json_object_set_array_member(out, "finished",
-					     json_array_ref(h->ended));
-		reply(h, req, 200, out);
-	}
-	bh_json_free(body);
+	int64_t ack = get_int(call->body, "ack-seq");
+
+	extend_lease(h, call->expires_ms);
+	if (ack > h->last_listed_seq)
+		log_event(h, "ack-ahead", "-", ack);
+	drop_acked(h, ack);
+	json_object_set_array_member(out, "active", list_active(h));
+	json_object_set_array_member(out, "finished", json_array_ref(h->ended));
+	return 200;
 }
 
 static void crash_by_task(jobhost_t *h, int64_t now)
@@ -315,6 +282,19 @@
 	}
 }
 
+static void end_at_lapse(jobhost_t *h)
+{
+	bool is_lapsed = clock_ms(h) >= h->lease_expires_ms;
+
+	/* An end that was not acknowledged before the lease lapsed no
+	 * longer counts; the line tells the checks in soak/ when that was. */
+	if (!h->is_lease_lapsed && is_lapsed)
+		log_event(h, "lease-lapsed", "-", 0);
+	h->is_lease_lapsed = is_lapsed;
+	while (is_lapsed && h->tasks->len > 0)
+		end_task(h, 0, "lapsed");
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	jobhost_t *h = arg;
@@ -323,23 +303,126 @@
 	(void)fd;
 	(void)what;
 	crash_by_task(h, now);
-	/* An end that was not acknowledged before the lease lapsed no
-	 * longer counts; the line tells the checks in soak/ when that was. */
-	if (!h->is_lease_lapsed && clock_ms(h) >= h->lease_expires_ms)
-		log_event(h, "lease-lapsed", "-", 0);
-	h->is_lease_lapsed = clock_ms(h) >= h->lease_expires_ms;
+	end_at_lapse(h);
 	for (guint i = 0; i < h->tasks->len;) {
 		task_t *t = h->tasks->pdata[i];
 
-		if (clock_ms(h) >= h->lease_expires_ms)
-			end_task(h, i, "lapsed");
-		else if ((now - t->started_at_us) / 1000 >= t->duration_ms)
+		if ((now - t->started_at_us) / 1000 >= t->duration_ms)
 			end_task(h, i, "done");
 		else
 			i++;
 	}
 }
 
+static operation_t find_operation(const char *path)
+{
+	static const struct {
+		const char *path;
+		operation_t operation;
+	} operations[] = {
+		{"/run-start", run_start},
+		{"/run-stop", run_stop},
+		{"/pace", pace},
+		{"/hold", hold},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(operations); i++) {
+		if (strcmp(operations[i].path, path) == 0)
+			return operations[i].operation;
+	}
+	return NULL;
+}
+
+/* Return: the status, with the other members of the response in @out. */
+static int carry_out(jobhost_t *h, const char *path, const char *target,
+		     const call_t *call, JsonObject *out)
+{
+	int64_t term = get_int(call->body, "fencing-token");
+
+	json_object_set_int_member(out, "clock-ms", clock_ms(h));
+	json_object_set_int_member(out, "born", h->started_unix_ms);
+	/* Not only at the next tick: a grant must not revive the lease. */
+	end_at_lapse(h);
+	if (target && strcmp(target, h->id) != 0)
+		return 421;
+	if (term < h->term)
+		return refuse(out, "fence");
+	h->term = term;
+	return find_operation(path)(h, call, out);
+}
+
+static void on_call(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	const char *target = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "X-Target-Instance");
+	call_t call = {.body = parse_body(req)};
+	JsonObject *out;
+	int status;
+
+	call.expires_ms = get_int(call.body, "expires-ms");
+	if (!late_calls_take(h->late, req, target, call.body,
+			     call.expires_ms - clock_ms(h))) {
+		out = json_object_new();
+		status = carry_out(h, path, target, &call, out);
+		if (status == 200 && find_operation(path) == hold)
+			h->last_listed_seq = h->last_ended_seq;
+		standin_reply(req, status, out);
+	}
+	bh_json_free(call.body);
+}
+
+/* What became of the call stands in the log of errors, for those who trace a
+ * failed run. */
+static void on_late_call(void *ctx, const late_call_t *late)
+{
+	jobhost_t *h = ctx;
+	call_t call = {.body = late->body,
+		       .expires_ms = get_int(late->body, "expires-ms")};
+	JsonObject *out = json_object_new();
+	int status;
+
+	if (late->lease_ms > 0 && find_operation(late->path) == hold)
+		call.expires_ms = clock_ms(h) + late->lease_ms;
+	status = carry_out(h, late->path, late->target, &call, out);
+	fprintf(stderr,
+		"%" G_GINT64_FORMAT " %s, %" G_GINT64_FORMAT
+		" ms late: status %d %s, task %s, attempt %" G_GINT64_FORMAT
+		", ack %" G_GINT64_FORMAT ", expires %" G_GINT64_FORMAT
+		", lease ends in %" G_GINT64_FORMAT " ms\n",
+		standin_unix_ms(), late->path, late->delay_ms, status,
+		json_object_get_string_member_with_default(out, "reason", ""),
+		bh_json_text(bh_json_get(late->body, "task")),
+		get_int(late->body, "attempt"), get_int(late->body, "ack-seq"),
+		call.expires_ms, h->lease_expires_ms - clock_ms(h));
+	json_object_unref(out);
+}
+
+/* The body is {"cpu": N}: the room from now on. */
+static void on_room(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	JsonNode *body = parse_body(req);
+
+	h->cpu_milli = get_int(body, "cpu");
+	log_event(h, "room", "-", h->cpu_milli);
+	bh_json_free(body);
+	standin_reply(req, 200, json_object_new());
+}
+
+/* The body is described at late_calls_set(). */
+static void on_late(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+	JsonObject *mode = standin_body(req);
+
+	if (mode)
+		late_calls_set(h->late, mode);
+	standin_reply(req, mode ? 200 : 400, json_object_new());
+}
+
 static void ignore_reply(void *user, const bh_http_reply_t *answer)
 {
 	(void)user;
@@ -389,20 +472,23 @@
 int main(int argc, char **argv)
 {
 	static const standin_route_t routes[] = {
-		{EVHTTP_REQ_POST, "/run-start", on_start},
-		{EVHTTP_REQ_POST, "/run-stop", on_stop},
-		{EVHTTP_REQ_POST, "/pace", on_pace},
-		{EVHTTP_REQ_POST, "/hold", on_hold},
+		{EVHTTP_REQ_POST, "/run-start", on_call},
+		{EVHTTP_REQ_POST, "/run-stop", on_call},
+		{EVHTTP_REQ_POST, "/pace", on_call},
+		{EVHTTP_REQ_POST, "/hold", on_call},
 		{EVHTTP_REQ_POST, "/room", on_room},
+		{EVHTTP_REQ_POST, "/late", on_late},
 	};
 	jobhost_t h = {.base = event_base_new(), .cpu_milli = CPU_MILLI};
 
-	if (argc != 6) {
-		fprintf(stderr, "usage: standin-jobhost ID IP:PORT "
-				"AGENT-IP:PORT LOG TASK-MS\n");
+	if (argc != 6 && argc != 8) {
+		fprintf(stderr,
+			"usage: standin-jobhost NAME IP:PORT AGENT-IP:PORT LOG "
+			"TASK-MS [ID LATE-CALLS]\n");
 		return 2;
 	}
-	h.id = argv[1];
+	h.name = argv[1];
+	h.id = argc == 8 ? argv[6] : h.name;
 	h.agent = bh_http_pool_new(h.base, argv[3], 65536);
 	h.log = fopen(argv[4], "ae");
 	h.task_ms = strtoll(argv[5], NULL, 10);
@@ -412,7 +498,9 @@
 	h.ended = json_array_new();
 	h.ended_attempts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	if (!h.log ||
+	h.late = late_calls_new(h.base, argc == 8 ? argv[7] : "/dev/null",
+				on_late_call, &h);
+	if (!h.log || !h.late ||
 	    !standin_serve(h.base, argv[2], routes, G_N_ELEMENTS(routes), &h)) {
 		fprintf(stderr, "standin-jobhost: cannot use %s or %s\n",
 			argv[2], argv[4]);
--- /dev/null
+++ b/standins/late_calls.h
@@ -0,0 +1,56 @@
+/*
+ * Calls to a stand-in that get no answer and are carried out late, after newer
+ * ones. Pending calls are kept in a file: a process that is started at the same
+ * address carries out those of the one before.
+ */
+#ifndef BH_STANDINS_LATE_CALLS_H
+#define BH_STANDINS_LATE_CALLS_H
+
+#include "standins/common.h"
+
+typedef struct late_calls late_calls_t;
+
+/**
+ * struct late_call - a call without an answer
+ * @target: its X-Target-Instance header, or NULL
+ * @delay_ms: time from its receipt until it is carried out
+ * @lease_ms: length of the lease that it grants, as of its receipt, if that
+ *	counts from when it is carried out; otherwise 0
+ */
+typedef struct late_call {
+	const char *path;
+	const char *target;
+	JsonNode *body;
+	int64_t delay_ms;
+	int64_t lease_ms;
+} late_call_t;
+
+typedef void (*late_call_cb_t)(void *ctx, const late_call_t *call);
+
+/**
+ * late_calls_new() - schedule the calls that an earlier process has left
+ * @path: file with calls and the mode; created when missing
+ *
+ * Return: NULL when the file cannot be written.
+ */
+late_calls_t *late_calls_new(struct event_base *base, const char *path,
+			     late_call_cb_t cb, void *ctx);
+
+/**
+ * late_calls_set() - choose which calls are late from now on
+ * @mode: "seed", "share-percent" of the calls, "from-ms" and "to-ms" (range of
+ *	the delay), "for-ms" (how long), "counts-from-arrival"; ownership passes
+ *	to this function
+ */
+void late_calls_set(late_calls_t *l, JsonObject *mode);
+
+/**
+ * late_calls_take() - decide whether a call is late
+ * @req: if the call is late, gets no reply, and its connection closes when the
+ *	call is carried out
+ * @lease_ms: time left of the lease that it grants
+ */
+bool late_calls_take(late_calls_t *l, struct evhttp_request *req,
+		     const char *target, JsonNode *body, int64_t lease_ms);
+
+#endif
