Soak: calls to workers that are carried out late

With an odd seed workers keep their id in every second restart; with every other pair of seeds late grants count from when they are carried out. An end that is acknowledged before it was listed is a violation.

--- a/soak/checks.sh
+++ b/soak/checks.sh
@@ -207,6 +207,9 @@
 		attempt[$3] = $4
 		where[$3] = $5
 		next }
+	$2 == "ack-ahead" {
+		print "acknowledged before it was listed: end " $4 " of " $5
+		next }
 	$2 == "acked" || $2 == "lease-lapsed" { next }
 	{ delete where[$3]
 	  if ($2 == "done") {
--- a/soak/world.sh
+++ b/soak/world.sh
@@ -90,15 +90,18 @@
 	start "agent-$n" "$BUILD/daemon/borageholdd" "$WORK/agent-$n.json"
 }
 
-# Each incarnation of a worker has its own log file.
+# Each incarnation of a worker has its own log file. With an odd seed, every second
+# one announces the id of the one before.
 start_worker_of() {
 	local n=$1
 	is_up "worker-$n" && return
 	WORKER_INCARNATION[n]=$((${WORKER_INCARNATION[n]:-0} + 1))
+	local id=$((WORKER_INCARNATION[n] - SEED % 2 * ((WORKER_INCARNATION[n] + 1) % 2)))
 	start "worker-$n" "$BUILD/standins/standin-jobhost" \
 		"worker-$n.${WORKER_INCARNATION[n]}" "$(addr $((500 + n)))" \
 		"$(addr $((300 + n)))" "$WORK/worker-$n.${WORKER_INCARNATION[n]}.tasks" \
-		"${2:-$((200 + RANDOM % 600))}"
+		"${2:-$((200 + RANDOM % 600))}" \
+		"worker-$n.$id" "$WORK/worker-$n.late"
 }
 
 # restart_crashed_worker N: without random numbers, as it crashes at any time
@@ -129,6 +132,20 @@
 	fi
 }
 
+# delay_calls N STREAM: for 4 s, most calls to a worker get no answer and are carried
+# out late, also by its next process. Every other pair of seeds, late grants count from
+# then. Leases are 3 s.
+delay_calls() {
+	local counts=false
+	[ $((SEED / 2 % 2)) = 1 ] && counts=true
+	is_up "worker-$1" || return
+	echo "$(now_ms) delay_calls worker-$1 counts-from-arrival=$counts" \
+		>>"$WORK/faults"
+	call POST "$(addr $((500 + $1)))" /late "{\"seed\":$((SEED * 1000 + $2)),\"for-ms\":4000,
+\"share-percent\":60,\"from-ms\":500,\"to-ms\":4000,
+\"counts-from-arrival\":$counts}" 1 >/dev/null
+}
+
 note_worker_killed() {
 	echo "$(now_ms) killed - 0 worker-$1.${WORKER_INCARNATION[$1]}" \
 		>>"$WORK/worker-$1.${WORKER_INCARNATION[$1]}.tasks"
