--- a/standins/late_calls.c
+++ b/standins/late_calls.c
@@ -55,6 +55,7 @@
 		.target = bh_json_text(bh_json_get(r, "target")),
 		.body = bh_json_get(r, "body"),
 		.delay_ms = get_int(r, "delay-ms"),
+		.is_former = !p->req,
 		.lease_ms = get_int(r, "lease-ms"),
 	};
 
--- a/standins/late_calls.h
+++ b/standins/late_calls.h
@@ -14,6 +14,7 @@
  * struct late_call - a call without an answer
  * @target: its X-Target-Instance header, or NULL
  * @delay_ms: time from its receipt until it is carried out
+ * @is_former: an earlier process has received it
  * @lease_ms: length of the lease that it grants, as of its receipt, if that
  *	counts from when it is carried out; otherwise 0
  */
@@ -22,6 +23,7 @@
 	const char *target;
 	JsonNode *body;
 	int64_t delay_ms;
+	bool is_former;
 	int64_t lease_ms;
 } late_call_t;
 
