--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -4,6 +4,8 @@
 #include "daemon/leader.h"
 #include "daemon/metrics.h"
 #include "daemon/udp.h"
+#include "platform/address.h"
+#include "platform/json.h"
 #include "platform/worker.h"
 
 #include <event2/listener.h>
@@ -134,9 +136,6 @@
 
 static const char *parse_runner(JsonObject *o, bh_runner_info_t *info)
 {
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
 	info->service =
 		json_object_get_string_member_with_default(o, "service", "");
 	info->address =
@@ -157,7 +156,7 @@
 		o, "draining", FALSE);
 	if (*info->service == 0 || strlen(info->service) > 63)
 		return "service: expected 1 to 63 bytes";
-	if (!bh_address_parse(info->address, &ip, &port))
+	if (!bh_address_is_valid(info->address))
 		return "address: expected IP:PORT";
 	if (info->slots < 1 || info->slots > 1024)
 		return "slots: expected 1 to 1024";
@@ -172,16 +171,11 @@
 {
 	GBytes *body = bh_http_take_body(req);
 	bh_runner_info_t info = {0};
-	g_autofree char *text = NULL;
 	const char *parse_error = "expected a JSON object";
-	JsonNode *node;
+	JsonNode *node = bh_json_parse_bytes(body);
 
-	if (body) {
-		text = g_strndup(g_bytes_get_data(body, NULL),
-				 g_bytes_get_size(body));
+	if (body)
 		g_bytes_unref(body);
-	}
-	node = json_from_string(text ? text : "", NULL);
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
 		parse_error = parse_runner(json_node_get_object(node), &info);
 	if (parse_error) {
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -1,6 +1,7 @@
 #include "daemon/settings.h"
+#include "platform/address.h"
+#include "platform/json.h"
 
-#include <arpa/inet.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -183,9 +184,6 @@
 
 static gboolean is_valid_text(const bh_option_t *o, const char *text)
 {
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
 	if (*text == 0)
 		return o->default_json && strcmp(o->default_json, "\"\"") == 0;
 	if (strlen(text) > 255)
@@ -193,7 +191,7 @@
 	if (o->type == BH_OPTION_CHOICE)
 		return is_choice(o->choices, text);
 	if (o->type == BH_OPTION_ADDRESS)
-		return bh_address_parse(text, &ip, &port);
+		return bh_address_is_valid(text);
 	return TRUE;
 }
 
@@ -243,7 +241,8 @@
 static gboolean set_default(bh_settings_t *s, const bh_option_t *o,
 			    GError **err)
 {
-	JsonNode *node = json_from_string(o->default_json, err);
+	JsonNode *node =
+		bh_json_load(o->default_json, strlen(o->default_json), err);
 	gboolean ok = node && set_option(s, o, node, err);
 
 	g_clear_pointer(&node, json_node_unref);
@@ -308,18 +307,17 @@
 
 bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err)
 {
-	g_autoptr(JsonParser) parser = json_parser_new_immutable();
 	g_autoptr(GError) cause = NULL;
+	g_autoptr(JsonNode) root = NULL;
 	bh_settings_t *s;
-	JsonNode *root;
 
-	if (!json_parser_load_from_data(parser, text, len, &cause)) {
+	root = bh_json_load(text, len < 0 ? strlen(text) : (size_t)len, &cause);
+	if (!root) {
 		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_SYNTAX,
-			    "not JSON: %s", cause->message);
+			    "%s", cause->message);
 		return NULL;
 	}
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root)) {
+	if (!JSON_NODE_HOLDS_OBJECT(root)) {
 		g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_SYNTAX,
 			    "settings are not a JSON object");
 		return NULL;
@@ -376,35 +374,3 @@
 	}
 	return g_string_free(s, FALSE);
 }
-
-gboolean bh_address_parse(const char *text, char **ip, uint16_t *port)
-{
-	const char *colon = strrchr(text, ':');
-	unsigned char raw[sizeof(struct in6_addr)];
-	g_autofree char *host = NULL;
-	guint64 number;
-
-	if (!colon)
-		return FALSE;
-	host = g_strndup(text, (gsize)(colon - text));
-	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL))
-		return FALSE;
-	if (inet_pton(AF_INET, host, raw) != 1)
-		return FALSE;
-	*ip = g_steal_pointer(&host);
-	*port = (uint16_t)number;
-	return TRUE;
-}
-
-gboolean bh_address_sockaddr(const char *text, struct sockaddr_in *out)
-{
-	g_autofree char *ip = NULL;
-	uint16_t port;
-
-	if (!bh_address_parse(text, &ip, &port))
-		return FALSE;
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons(port);
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -70,7 +70,7 @@
 
 /**
  * struct call - a call to be carried out
- * @is_former: an earlier process with the same id has received it
+ * @is_former: an earlier life of the worker has received it
  */
 typedef struct call {
 	JsonNode *body;
@@ -266,7 +266,7 @@
 	int64_t ack = get_int(call->body, "ack-seq");
 
 	extend_lease(h, call->expires_ms);
-	/* The caller cannot keep an acknowledgement for an earlier process from
+	/* The caller cannot keep an acknowledgement for an earlier life from
 	 * coming here, but may not let it reach ends that it has not seen. */
 	if (ack > h->last_listed_seq &&
 	    (!call->is_former || h->last_ended_seq > h->last_listed_seq))
@@ -421,17 +421,6 @@
 	standin_reply(req, 200, json_object_new());
 }
 
-/* The body is described at late_calls_set(). */
-static void on_late(struct evhttp_request *req, void *ctx)
-{
-	jobhost_t *h = ctx;
-	JsonObject *mode = standin_body(req);
-
-	if (mode)
-		late_calls_set(h->late, mode);
-	standin_reply(req, mode ? 200 : 400, json_object_new());
-}
-
 static void ignore_reply(void *user, const bh_http_reply_t *answer)
 {
 	(void)user;
@@ -471,6 +460,42 @@
 	g_bytes_unref(call.body);
 }
 
+static void on_late(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+
+	late_calls_add_rule(h->late, req);
+	standin_reply(req, 200, json_object_new());
+}
+
+/* ?id=ID: the worker crashes and starts again at once, by default under the
+ * same id. Late calls remain. */
+static void on_restart(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+
+	for (guint i = 0; i < h->tasks->len; i++) {
+		const task_t *t = h->tasks->pdata[i];
+
+		log_event(h, "gone", t->name, t->attempt);
+	}
+	g_ptr_array_set_size(h->tasks, 0);
+	json_array_unref(h->ended);
+	h->ended = json_array_new();
+	g_hash_table_remove_all(h->ended_attempts);
+	h->id = standin_param(req, "id", h->id);
+	h->started_unix_ms = standin_unix_ms();
+	h->start_us = standin_now_us();
+	h->lease_expires_ms = 0;
+	h->term = 0;
+	h->last_ended_seq = 0;
+	h->last_listed_seq = 0;
+	h->last_announce_seq = 0;
+	late_calls_new_life(h->late);
+	on_announce(-1, 0, h);
+	standin_reply(req, 200, json_object_new());
+}
+
 static void add_periodic_timer(jobhost_t *h, int ms, event_callback_fn cb)
 {
 	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
@@ -487,6 +512,7 @@
 		{EVHTTP_REQ_POST, "/hold", on_call},
 		{EVHTTP_REQ_POST, "/room", on_room},
 		{EVHTTP_REQ_POST, "/late", on_late},
+		{EVHTTP_REQ_POST, "/restart", on_restart},
 	};
 	jobhost_t h = {.base = event_base_new(), .cpu_milli = CPU_MILLI};
 
@@ -499,6 +525,10 @@
 	h.name = argv[1];
 	h.id = argc == 8 ? argv[6] : h.name;
 	h.agent = bh_http_pool_new(h.base, argv[3], 65536);
+	if (!h.agent) {
+		fprintf(stderr, "%s is not IP:PORT\n", argv[3]);
+		return 2;
+	}
 	h.log = fopen(argv[4], "ae");
 	h.task_ms = strtoll(argv[5], NULL, 10);
 	h.started_unix_ms = standin_unix_ms();
--- a/standins/late_calls.c
+++ b/standins/late_calls.c
@@ -3,23 +3,37 @@
 
 #include <string.h>
 
-struct late_calls {
-	struct event_base *base;
-	late_call_cb_t cb;
-	void *ctx;
-	FILE *file;
+#define RULES_MAX 4
+
+/**
+ * struct rule - calls that get no answer
+ * @path: NULL for any
+ * @until_unix_ms: the rule applies to calls that arrive before
+ */
+typedef struct rule {
+	char *path;
 	GRand *rand;
 	int64_t until_unix_ms;
 	int64_t share_percent;
 	int64_t from_ms;
 	int64_t to_ms;
 	bool counts_from_arrival;
+} rule_t;
+
+struct late_calls {
+	struct event_base *base;
+	late_call_cb_t cb;
+	void *ctx;
+	FILE *file;
+	int life;
+	rule_t rules[RULES_MAX];
 };
 
 /* @req is NULL for a call that an earlier process has received. */
 typedef struct pending {
 	late_calls_t *owner;
 	struct evhttp_request *req;
+	int life;
 	JsonNode *record;
 } pending_t;
 
@@ -55,7 +69,7 @@
 		.target = bh_json_text(bh_json_get(r, "target")),
 		.body = bh_json_get(r, "body"),
 		.delay_ms = get_int(r, "delay-ms"),
-		.is_former = !p->req,
+		.is_former = !p->req || p->life != p->owner->life,
 		.lease_ms = get_int(r, "lease-ms"),
 	};
 
@@ -77,20 +91,34 @@
 	struct timeval delay = {ms / 1000, (ms % 1000) * 1000};
 
 	p->owner = l;
+	p->life = l->life;
 	p->req = req;
 	p->record = record;
 	event_base_once(l->base, -1, EV_TIMEOUT, on_due, p, &delay);
 }
 
-static void apply_mode(late_calls_t *l, JsonNode *mode)
+/* The oldest rule gives way. */
+static void add_rule(late_calls_t *l, JsonNode *record)
 {
-	l->until_unix_ms = get_int(mode, "until-ms");
-	l->share_percent = get_int(mode, "share-percent");
-	l->from_ms = get_int(mode, "from-ms");
-	l->to_ms = get_int(mode, "to-ms");
-	l->counts_from_arrival =
-		bh_json_is_true(bh_json_get(mode, "counts-from-arrival"));
-	g_rand_set_seed(l->rand, (guint32)get_int(mode, "seed"));
+	rule_t *r = &l->rules[0];
+
+	for (int i = 1; i < RULES_MAX; i++) {
+		if (l->rules[i].until_unix_ms < r->until_unix_ms)
+			r = &l->rules[i];
+	}
+	g_free(r->path);
+	if (r->rand)
+		g_rand_free(r->rand);
+	*r = (rule_t){
+		.path = g_strdup(bh_json_text(bh_json_get(record, "path"))),
+		.rand = g_rand_new_with_seed((guint32)get_int(record, "seed")),
+		.until_unix_ms = get_int(record, "until-ms"),
+		.share_percent = get_int(record, "share-percent"),
+		.from_ms = get_int(record, "from-ms"),
+		.to_ms = get_int(record, "to-ms"),
+		.counts_from_arrival = bh_json_is_true(
+			bh_json_get(record, "counts-from-arrival")),
+	};
 }
 
 /* What was due before this process was started found nobody. */
@@ -110,7 +138,7 @@
 			continue;
 		}
 		if (get_int(record, "until-ms") > standin_unix_ms())
-			apply_mode(l, record);
+			add_rule(l, record);
 		bh_json_free(record);
 	}
 }
@@ -123,54 +151,90 @@
 	l->base = base;
 	l->cb = cb;
 	l->ctx = ctx;
-	l->rand = g_rand_new_with_seed(0);
 	read_records(l, path);
 	l->file = fopen(path, "ae");
 	return l->file ? l : NULL;
 }
 
-void late_calls_set(late_calls_t *l, JsonObject *mode)
+void late_calls_add_rule(late_calls_t *l, struct evhttp_request *req)
 {
+	g_autofree char *path = standin_param(req, "path", NULL);
+	int64_t ms = standin_param_int(req, "ms", 0);
+	JsonObject *record = json_object_new();
 	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
 
-	json_node_take_object(node, mode);
-	json_object_set_int_member(mode, "until-ms",
-				   standin_unix_ms() + get_int(node, "for-ms"));
+	json_node_take_object(node, record);
+	json_object_set_int_member(record, "until-ms",
+				   standin_unix_ms() +
+					   standin_param_int(req, "for", 0));
+	json_object_set_int_member(record, "seed",
+				   standin_param_int(req, "seed", 0));
+	json_object_set_int_member(record, "share-percent",
+				   standin_param_int(req, "share", 100));
+	json_object_set_int_member(record, "from-ms", ms);
+	json_object_set_int_member(record, "to-ms",
+				   standin_param_int(req, "to", ms));
+	json_object_set_boolean_member(record, "counts-from-arrival",
+				       standin_param_int(req, "counts", 0));
+	if (path)
+		json_object_set_string_member(record, "path", path);
 	append(l, node);
-	apply_mode(l, node);
+	add_rule(l, node);
 	bh_json_free(node);
 }
 
+void late_calls_new_life(late_calls_t *l)
+{
+	l->life++;
+}
+
 /* Both numbers are drawn for each call, so that the series does not depend on
  * which calls were late. */
-static bool draw(late_calls_t *l, int64_t *delay_ms)
+static bool draw(const rule_t *r, int64_t *delay_ms)
 {
-	bool is_late = g_rand_int_range(l->rand, 0, 100) < l->share_percent;
+	bool is_late = g_rand_int_range(r->rand, 0, 100) < r->share_percent;
 
-	*delay_ms = g_rand_int_range(l->rand, (gint32)l->from_ms,
-				     (gint32)MAX(l->to_ms, l->from_ms + 1));
+	*delay_ms = r->from_ms +
+		    g_rand_int_range(r->rand, 0,
+				     (gint32)(r->to_ms - r->from_ms) + 1);
 	return is_late;
 }
 
+static const rule_t *find_rule(const late_calls_t *l, const char *path,
+			       int64_t *delay_ms)
+{
+	for (int i = 0; i < RULES_MAX; i++) {
+		const rule_t *r = &l->rules[i];
+
+		if (standin_unix_ms() < r->until_unix_ms &&
+		    (!r->path || strcmp(r->path, path) == 0) &&
+		    draw(r, delay_ms))
+			return r;
+	}
+	return NULL;
+}
+
 bool late_calls_take(late_calls_t *l, struct evhttp_request *req,
 		     const char *target, JsonNode *body, int64_t lease_ms)
 {
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	int64_t delay_ms;
+	const rule_t *rule = find_rule(l, path, &delay_ms);
 	JsonObject *record;
 	JsonNode *node;
-	int64_t delay_ms;
 
-	if (standin_unix_ms() >= l->until_unix_ms || !draw(l, &delay_ms) ||
-	    !bh_json_is_object(body))
+	if (!rule || !bh_json_is_object(body))
 		return false;
+	if (delay_ms == 0)
+		return true;
 	record = json_object_new();
 	json_object_set_int_member(record, "due-ms",
 				   standin_unix_ms() + delay_ms);
 	json_object_set_int_member(record, "delay-ms", delay_ms);
-	if (l->counts_from_arrival)
+	if (rule->counts_from_arrival)
 		json_object_set_int_member(record, "lease-ms", lease_ms);
-	json_object_set_string_member(
-		record, "path",
-		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req)));
+	json_object_set_string_member(record, "path", path);
 	if (target)
 		json_object_set_string_member(record, "target", target);
 	json_object_set_member(record, "body", json_node_copy(body));
--- a/standins/late_calls.h
+++ b/standins/late_calls.h
@@ -14,7 +14,7 @@
  * struct late_call - a call without an answer
  * @target: its X-Target-Instance header, or NULL
  * @delay_ms: time from its receipt until it is carried out
- * @is_former: an earlier process has received it
+ * @is_former: an earlier life of the worker has received it
  * @lease_ms: length of the lease that it grants, as of its receipt, if that
  *	counts from when it is carried out; otherwise 0
  */
@@ -31,7 +31,7 @@
 
 /**
  * late_calls_new() - schedule the calls that an earlier process has left
- * @path: file with calls and the mode; created when missing
+ * @path: file with calls and rules; created when missing
  *
  * Return: NULL when the file cannot be written.
  */
@@ -39,12 +39,18 @@
 			     late_call_cb_t cb, void *ctx);
 
 /**
- * late_calls_set() - choose which calls are late from now on
- * @mode: "seed", "share-percent" of the calls, "from-ms" and "to-ms" (range of
- *	the delay), "for-ms" (how long), "counts-from-arrival"; ownership passes
- *	to this function
+ * late_calls_add_rule() - choose which calls are late from now on
+ * @req: its parameters are path (default: any), for (how many ms), share (of
+ *the calls, in percent), seed, ms and to (range of the delay; ms=0: they are
+ *	never carried out), counts=1 (late leases count from when they are
+ *	carried out)
  */
-void late_calls_set(late_calls_t *l, JsonObject *mode);
+void late_calls_add_rule(late_calls_t *l, struct evhttp_request *req);
+
+/**
+ * late_calls_new_life() - the worker has started again in the same process
+ */
+void late_calls_new_life(late_calls_t *l);
 
 /**
  * late_calls_take() - decide whether a call is late
