--- a/soak/world.sh
+++ b/soak/world.sh
@@ -136,14 +136,13 @@
 # out late, also by its next process. Every other pair of seeds, late grants count from
 # then. Leases are 3 s.
 delay_calls() {
-	local counts=false
-	[ $((SEED / 2 % 2)) = 1 ] && counts=true
+	local counts=$((SEED / 2 % 2))
 	is_up "worker-$1" || return
 	echo "$(now_ms) delay_calls worker-$1 counts-from-arrival=$counts" \
 		>>"$WORK/faults"
-	call POST "$(addr $((500 + $1)))" /late "{\"seed\":$((SEED * 1000 + $2)),\"for-ms\":4000,
-\"share-percent\":60,\"from-ms\":500,\"to-ms\":4000,
-\"counts-from-arrival\":$counts}" 1 >/dev/null
+	call POST "$(addr $((500 + $1)))" \
+		"/late?for=4000&share=60&seed=$((SEED * 1000 + $2))&ms=500&to=4000&counts=$counts" \
+		"" 1 >/dev/null
 }
 
 note_worker_killed() {
