Soak: a late start may repeat its attempt in the next process of its worker

Its next process, with the same id, carried out the second try at 480.811, 850 ms before its first answered poll; it ran once, and its end was taken. PROTOCOL.md: a call without an answer may be executed seconds later, and a runner that starts again under its id knows nothing of before. No leader can prevent that before the process answers.

Now an equal attempt is allowed if an earlier process of the same worker had received the call (the stand-in logs `former`), the attempt is not running, and its end was not acknowledged. Lower attempts, other workers and all other starts are checked as before, and so are two places at once and starts after an acknowledged end.

--- a/soak/checks.sh
+++ b/soak/checks.sh
@@ -168,6 +168,15 @@
 			if (++ended_under[t] == 2) may_fail[part[1]] = 1
 		}
 	}
+	# A call that a worker received before it was killed may start the same
+	# attempt again in its next process with the same id. No leader can prevent
+	# that before the process answers; it may not have taken note of an end.
+	function is_repeated(t, worker, a, b) {
+		split(worker, a, ".")
+		split(last[t], b, ".")
+		return former[t " " attempt[t] " " worker] && a[1] == b[1] &&
+			!where[t] && !acked[t " " attempt[t] " " last[t]]
+	}
 	FILENAME ~ /refused$/ { refused[$2] = 1; next }
 	FILENAME ~ /failed$/ { failed[$1] = 1; next }
 	FILENAME ~ /cancelled$/ { cancelled[$2] = $1; next }
@@ -198,14 +207,18 @@
 		if (t = where[$3]) print "runs in two places: " $3 " on " t " and " $5
 		if (end_acked[$3])
 			print "started again after an acknowledged end: " $3
-		if ($4 <= attempt[$3]) print "attempt number does not rise: " $3
+		if ($4 < attempt[$3] || ($4 == attempt[$3] && !is_repeated($3, $5)))
+			print "attempt number does not rise: " $3
 		if (refused[job]) print "task of a refused job started: " $3
 		if (cancelled[job] && $1 > cancelled[job] + cancel_ms)
 			print "started after its job was cancelled: " $3
 		if (part[3] == 1 && ended[job] < 3)
 			print "started before the previous step ended: " $3
 		attempt[$3] = $4
-		where[$3] = $5
+		where[$3] = last[$3] = $5
+		next }
+	$2 == "former" {
+		former[$3 " " $4 " " $5] = 1
 		next }
 	$2 == "ack-ahead" {
 		print "acknowledged before it was listed: end " $4 " of " $5
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -203,6 +203,8 @@
 		return refuse(out, "old");
 	if (call->expires_ms <= clock_ms(h))
 		return refuse(out, "late");
+	if (call->is_former)
+		log_event(h, "former", name, attempt);
 	start_task(h, call->body);
 	return 200;
 }
