Soak: a client submits jobs on a connection that stays open until its entry is gone

Clients opened a connection for each call; only the one beside a planned stop kept its own. Now CONNECTIONS clients (1) submit a job every 0.4 s, each on one connection until the entry is gone or closes it, and then go on at the next entry. Their refused jobs must not run and the accepted ones must end, as all others.

--- a/soak/world.sh
+++ b/soak/world.sh
@@ -287,6 +287,36 @@
 	exec 4>&-
 } 2>/dev/null
 
+# submit_on_connection N: submits a job of one step every 0.4 s on one connection, until
+# the entry is gone or closes it; then it goes on at the next entry
+submit_on_connection() {
+	local n=$1 i=0 id outcome
+	local body='{"spec":"soak","steps":[{"count":2,"cpu":500,"mem-mb":100,
+"estimate-ms":400}]}'
+	while [ -e "$WORK/traffic" ]; do
+		exec 4<>"/dev/tcp/127.0.0.1/$(port $((100 + n)))" || sleep 0.4
+		STATUS=200
+		CONNECTION_CLOSES=""
+		while [ -e "$WORK/traffic" ] && [ "$STATUS" != 0 ] &&
+			[ -z "$CONNECTION_CLOSES" ]; do
+			i=$((i + 1))
+			id=$(printf '%08x%08x' "$SEED" $((0xd000000 + $1 * 0x10000 + i)))
+			printf 'POST %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n%s' \
+				"$JOB_PREFIX$id" "$JOB_HOST" "${#body}" "$body" >&4
+			read_answer 3 >/dev/null
+			case $STATUS in
+			200) outcome=accepted ;;
+			429 | 503) outcome=refused ;;
+			*) outcome=unclear ;;
+			esac
+			echo "$(now_ms) $id" >>"$WORK/$outcome"
+			sleep 0.4
+		done
+		exec 4>&-
+		n=$((n % ENTRIES + 1))
+	done
+} 2>/dev/null
+
 leading_entry() {
 	local n
 	for n in $(seq "$ENTRIES"); do
@@ -320,11 +350,16 @@
 	for n in $(seq "$ENTRIES"); do
 		wait_for "$(addr $((150 + n)))" /readiness || return 1
 	done
+	touch "$WORK/traffic"
+	for n in $(seq "$CONNECTIONS"); do
+		submit_on_connection "$n" &
+	done
 }
 
 # Ends all faults and restarts what is down.
 end_faults() {
 	local n name
+	rm "$WORK/traffic"
 	for n in "${!DUE_AT[@]}"; do
 		DUE_AT[n]=0
 	done
