--- a/soak/world.sh
+++ b/soak/world.sh
@@ -90,15 +90,18 @@
 	start "agent-$n" "$BUILD/daemon/borageholdd" "$WORK/agent-$n.json"
 }
 
-# Each incarnation of a worker has its own log file.
+# Each incarnation of a worker has its own log file. With an odd seed, every second
+# one announces the id of the one before.
 start_worker_of() {
 	local n=$1
 	is_up "worker-$n" && return
 	WORKER_INCARNATION[n]=$((${WORKER_INCARNATION[n]:-0} + 1))
+	local id=$((WORKER_INCARNATION[n] - SEED % 2 * ((WORKER_INCARNATION[n] + 1) % 2)))
 	start "worker-$n" "$BUILD/standins/standin-jobhost" \
 		"worker-$n.${WORKER_INCARNATION[n]}" "$(addr $((500 + n)))" \
 		"$(addr $((300 + n)))" "$WORK/worker-$n.${WORKER_INCARNATION[n]}.tasks" \
-		"${2:-$((200 + RANDOM % 600))}"
+		"${2:-$((200 + RANDOM % 600))}" \
+		"worker-$n.$id" "$WORK/worker-$n.late"
 }
 
 # restart_crashed_worker N: without random numbers, as it crashes at any time
@@ -129,6 +132,19 @@
 	fi
 }
 
+# delay_calls N STREAM: for 4 s, most calls to a worker get no answer and are carried
+# out late, also by its next process. Every other pair of seeds, late grants count from
+# then. Leases are 3 s.
+delay_calls() {
+	local counts=$((SEED / 2 % 2))
+	is_up "worker-$1" || return
+	echo "$(now_ms) delay_calls worker-$1 counts-from-arrival=$counts" \
+		>>"$WORK/faults"
+	call POST "$(addr $((500 + $1)))" \
+		"/late?for=4000&share=60&seed=$((SEED * 1000 + $2))&ms=500&to=4000&counts=$counts" \
+		"" 1 >/dev/null
+}
+
 note_worker_killed() {
 	echo "$(now_ms) killed - 0 worker-$1.${WORKER_INCARNATION[$1]}" \
 		>>"$WORK/worker-$1.${WORKER_INCARNATION[$1]}.tasks"
@@ -271,6 +287,36 @@
 	exec 4>&-
 } 2>/dev/null
 
+# submit_on_connection N: submits a job of one step every 0.4 s on one connection, until
+# the entry is gone or closes it; then it goes on at the next entry
+submit_on_connection() {
+	local n=$1 i=0 id outcome
+	local body='{"spec":"soak","steps":[{"count":2,"cpu":500,"mem-mb":100,
+"estimate-ms":400}]}'
+	while [ -e "$WORK/traffic" ]; do
+		exec 4<>"/dev/tcp/127.0.0.1/$(port $((100 + n)))" || sleep 0.4
+		STATUS=200
+		CONNECTION_CLOSES=""
+		while [ -e "$WORK/traffic" ] && [ "$STATUS" != 0 ] &&
+			[ -z "$CONNECTION_CLOSES" ]; do
+			i=$((i + 1))
+			id=$(printf '%08x%08x' "$SEED" $((0xd000000 + $1 * 0x10000 + i)))
+			printf 'POST %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n%s' \
+				"$JOB_PREFIX$id" "$JOB_HOST" "${#body}" "$body" >&4
+			read_answer 3 >/dev/null
+			case $STATUS in
+			200) outcome=accepted ;;
+			429 | 503) outcome=refused ;;
+			*) outcome=unclear ;;
+			esac
+			echo "$(now_ms) $id" >>"$WORK/$outcome"
+			sleep 0.4
+		done
+		exec 4>&-
+		n=$((n % ENTRIES + 1))
+	done
+} 2>/dev/null
+
 leading_entry() {
 	local n
 	for n in $(seq "$ENTRIES"); do
@@ -304,11 +350,16 @@
 	for n in $(seq "$ENTRIES"); do
 		wait_for "$(addr $((150 + n)))" /readiness || return 1
 	done
+	touch "$WORK/traffic"
+	for n in $(seq "$CONNECTIONS"); do
+		submit_on_connection "$n" &
+	done
 }
 
 # Ends all faults and restarts what is down.
 end_faults() {
 	local n name
+	rm "$WORK/traffic"
 	for n in "${!DUE_AT[@]}"; do
 		DUE_AT[n]=0
 	done
