A leader that loads slowly waits for hosts before it places what it loaded

Callers would see: two runs of one task (TWICE) after a change of leader while the store is slow.

Class: what was not heard is taken for evidence.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -611,10 +611,13 @@
 	host->heard_at = now;
 	host->lease_ends_at = now;
 	host->is_synced = !may_hold_work;
-	if (may_hold_work)
+	if (may_hold_work) {
 		host->lease_ends_at +=
 			bh_sched_lease_bound(s) +
 			s->bounds.predecessor_grant_ms * BH_USEC_PER_MS;
+		s->predecessor_over_at =
+			MAX(s->predecessor_over_at, host->lease_ends_at);
+	}
 	host->speed = 1;
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
--- a/sched/place.c
+++ b/sched/place.c
@@ -616,12 +616,11 @@
 	return true;
 }
 
-/* Whether an earlier leader may have started its tasks on a host that has not
+/* Whether an earlier leader may have started its tasks, and some host has not
  * been heard of since. */
 static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
 {
-	return s->is_recovering &&
-	       phase->rec->known_at < s->predecessor_over_at;
+	return s->is_recovering && phase->rec->is_inherited;
 }
 
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -175,7 +175,7 @@
  * @crashes_committing: such crashes are part of the commit in progress
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
- * @known_at: when this leader learned of it
+ * @is_inherited: an earlier leader may have started its tasks
  */
 struct bh_rec {
 	TAILQ_ENTRY(bh_rec) link;
@@ -194,7 +194,7 @@
 	bool crashes_committing;
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
-	bh_usec_t known_at;
+	bool is_inherited;
 };
 
 typedef TAILQ_HEAD(bh_recs, bh_rec) bh_recs_t;
@@ -356,7 +356,9 @@
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile that may run there
- * @predecessor_over_at: by when no earlier leader can order starts any more
+ * @predecessor_over_at: by when the leases that earlier leaders granted are
+ *	over, if no call is late; no earlier leader has started tasks of jobs that
+ *	were stored after that
  * @call_lost_at: when a call to some worker last got no answer although the
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -33,7 +33,7 @@
 #define LEASE_MAX_MS 10000
 
 /* Longer than any lease that a leader grants. */
-#define LEASE_MAX_MS 6000
+#define LEASE_GRANTED_MAX_MS 6000
 
 typedef struct task {
 	char *name;
@@ -276,8 +276,10 @@
 	if (ack > h->last_listed_seq &&
 	    (!call->is_former || h->last_ended_seq > h->last_listed_seq))
 		log_event(h, "ack-ahead", "-", ack);
-	if (get_int(body, "expires-ms") > clock_ms(h) + LEASE_MAX_MS)
-		log_event(h, "lease-ahead", "-", get_int(body, "expires-ms"));
+	if (get_int(call->body, "expires-ms") >
+	    clock_ms(h) + LEASE_GRANTED_MAX_MS)
+		log_event(h, "lease-ahead", "-",
+			  get_int(call->body, "expires-ms"));
 	drop_acked(h, ack);
 	json_object_set_array_member(out, "active", list_active(h));
 	json_object_set_array_member(out, "finished", json_array_ref(h->ended));
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -378,6 +378,30 @@
 	bh_config_free(config);
 }
 
+/* A store that is slow: hosts and jobs are loaded long after the election.
+ * Tasks were started before all hosts that could run them had answered. */
+static void test_jobs_loaded_late_wait_for_hosts(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = bh_sched_new(&bounds, &ops, &o, MS(1), 1000);
+
+	(void)state;
+	bh_sched_set_config(s, config);
+	bh_sched_add_host(s, HOST, true, MS(8000));
+	bh_sched_add_host(s, "10.0.0.2:1", true, MS(8000));
+	bh_sched_add_job(s, make_job(), NULL, MS(8000));
+	bh_sched_host_linked(s, HOST, true, MS(8000));
+	for (int ms = 8100; ms < 8600; ms += 200)
+		report(s, NULL, NULL, MS(ms));
+	assert_int_equal(o.starts, 0);
+	report(s, NULL, NULL, MS(15000));
+	report(s, NULL, NULL, MS(15100));
+	assert_int_equal(o.starts, 1);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -388,6 +412,7 @@
 			test_end_is_not_acknowledged_before_jobs_are_read),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
+		cmocka_unit_test(test_jobs_loaded_late_wait_for_hosts),
 		cmocka_unit_test(
 			test_idle_host_is_not_waited_for_when_calls_are_lost),
 	};
