A false announcement does not cut an agent off from its worker

Callers would see: tasks that start again, as their leases run out, after one announcement of another writer with valid fields and a start time (`born`) in the far future; the worker gets no more work.

Cause: the agent takes the latest start time for the worker's present process. Since it addresses its polls to that process, all of which the worker rejects, and it ignores the worker's own announcements as older. Class: one odd entry taken for the truth.

An announcement is dropped once a poll that was sent after it is answered by a process that began before.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -92,7 +92,7 @@
 
 /**
  * struct bh_sched_agent - the agent of one worker
- * @info: the worker's last announcement
+ * @info: the worker's last announcement, which came at @announced_at
  * @boot: boot of the worker that last answered a poll
  * @expires_ms: end of the granted lease, on the worker's clock
  * @clock_ms: the worker's clock as of its last answer, which came at
@@ -102,11 +102,10 @@
  * @ack: ends up to this number have been acknowledged by the leader
  * @listed_end: lowest number among the ends in the last lists; 0: there were
  *	none
- * @unanswered_polls: since the last answered one, which was sent at
- *@answered_at
+ * @unanswered_polls: since the last poll that was answered, at @answered_at
  * @has_lost_poll: one of these timed out
- * @call_lost_at: when a call last got no answer although the worker's process
- *	lived; 0: never
+ * @call_lost_at: when the worker answered again after a call that got no
+ *	answer from the same process; 0: never
  * @gone_since: when the first of the last polls broke off, which shows that the
  *	worker's process has ended; 0: the last poll was answered
  * @crash: the worker's last crash
@@ -134,6 +133,7 @@
 	uint64_t term;
 	bh_worker_info_t info;
 	uint64_t info_number;
+	bh_usec_t announced_at;
 	uint64_t boot;
 	uint64_t expires_ms;
 	uint64_t clock_ms;
@@ -390,6 +390,20 @@
 	return !bh_late_starts_is_settled(a->late_starts, lists->boot);
 }
 
+/* A process that announced itself before the poll was sent would have answered
+ * it. Another writer's announcement would keep out those of the worker. */
+static void drop_false_announcement(bh_sched_agent_t *a)
+{
+	if (a->info.boot <= a->boot || a->poll_sent_at <= a->announced_at)
+		return;
+	bh_log_event(&a->rt->log, BH_LOG_WARN,
+		     "announcement dropped: another process answers", "worker",
+		     a->info.id, NULL);
+	bh_worker_info_clear(&a->info);
+	memset(&a->info, 0, sizeof(a->info));
+	a->info_number = 0;
+}
+
 static void on_lists(void *user, const bh_worker_lists_t *lists, bool is_gone,
 		     bool is_fenced)
 {
@@ -424,6 +438,7 @@
 		return;
 	}
 	note_boot(a, lists->boot);
+	drop_false_announcement(a);
 	bh_run_log_listed(a->run_log, lists, bh_runtime_now());
 	a->listed_end = lists->n_ended ? lists->ended[0].number : 0;
 	a->clock_ms = lists->clock_ms;
@@ -475,7 +490,7 @@
 static void poll_worker(bh_sched_agent_t *a)
 {
 	bh_runner_lists_request_t call = {
-		.worker = a->info.boot >= a->boot ? a->info.id : NULL,
+		.worker = is_announced(a) ? a->info.id : NULL,
 		.term = a->term,
 		.expires_ms = poll_expires_ms(a),
 		.ack = poll_ack(a),
@@ -844,6 +859,7 @@
 	bh_worker_info_clear(&a->info);
 	a->info = n->info;
 	a->info_number = n->number;
+	a->announced_at = bh_runtime_now();
 	if (!is_changed)
 		return;
 	bh_log_event(&a->rt->log, BH_LOG_INFO, "worker announced", "worker",
