An entry that starts beside an odd leader row waits for leases and finds the term again

Callers would see: nothing is served after one entry has restarted while another writer's row is in the place of the leader's; or two runs of one task, as leases of the last leader were not waited for.

Cause: a row that cannot be read counted as no leader at all: the entry led at once with term 1, which agents refuse for ever, and held that no leader can grant leases. Class: what is not known is taken for none.

Change: after such a row a new leader waits as for a leader that has just renewed it, campaigns above the latest term that others have reported, and steps down to do so.

Evidence: test_term test_entry_starts_beside_unreadable_leader_row fails before ("bh_term_predecessor_grant_ms(f.term) > 0"), passes three times of three.

--- a/daemon/term.c
+++ b/daemon/term.c
@@ -37,6 +37,9 @@
 /* Fencing tokens are JSON numbers, which are exact up to 2^53; rounded down. */
 #define TERM_MAX 9000000000000000u
 
+/* Attempt numbers, which grow with the term, exceed 32 bits soon after. */
+#define SEEN_TERM_MAX 1000000u
+
 /* Delay before a campaign. It grows as the processor share falls below one
  * half, so that entries with more processor time are elected first. */
 #define CAMPAIGN_DELAY_MAX_US (250 * BH_USEC_PER_MS)
@@ -60,6 +63,9 @@
  * @has_row_write: the transaction in flight writes the row
  * @must_write_row: the next transaction has to write the row
  * @campaign_term: term that the last campaign asked for
+ * @is_row_odd: another writer's row is in the place of the leader's, so that
+ *	neither the last term nor who leads is known
+ * @seen_term: the latest term that others have reported
  * @is_predecessor_gone: the previous leader can grant no more leases
  */
 struct bh_term {
@@ -92,6 +98,8 @@
 	bool has_row_write;
 	bool must_write_row;
 	uint64_t campaign_term;
+	bool is_row_odd;
+	uint64_t seen_term;
 	bool is_predecessor_gone;
 	int64_t predecessor_grant_ms;
 	bh_term_cb_t cb;
@@ -146,11 +154,12 @@
 
 /* Another writer's row names no leader. The known term still holds, since
  * workers refuse lower ones. */
-static void decode_row(const bh_term_t *t, const bh_store_row_t *row,
+static void decode_row(bh_term_t *t, const bh_store_row_t *row,
 		       bh_leader_row_t *out)
 {
-	if (bh_leader_row_unpack(row->value, row->len, out) &&
-	    is_usable_row(out))
+	t->is_row_odd = !bh_leader_row_unpack(row->value, row->len, out) ||
+			!is_usable_row(out);
+	if (!t->is_row_odd)
 		return;
 	bh_log_event(&t->rt->log, BH_LOG_ERROR, "cannot decode the leader row",
 		     NULL);
@@ -251,6 +260,8 @@
 	t->is_confirmed = true;
 	t->is_write_unclear = false;
 	t->must_write_row = false;
+	if (t->seen_term > 0 && row.term > t->seen_term)
+		t->is_row_odd = false;
 	t->confirmed_at = t->sent_at;
 	t->row_written_at = t->sent_at;
 	t->predecessor_grant_ms =
@@ -281,8 +292,8 @@
 {
 	bh_store_tx_t *tx = bh_store_tx_new();
 
-	t->campaign_term = t->row.term + 1;
-	t->is_predecessor_gone = t->is_gone || is_vacant(t);
+	t->campaign_term = MAX(t->row.term, t->seen_term) + 1;
+	t->is_predecessor_gone = t->is_gone || (is_vacant(t) && !t->is_row_odd);
 	bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 	put_row(t, tx, t->campaign_term, t->rt->settings->listen_frames);
 	t->is_writing = true;
@@ -359,6 +370,11 @@
 {
 	bh_store_tx_t *tx;
 
+	/* Agents refuse a term that began again after an odd row. */
+	if (t->is_row_odd && t->seen_term > t->row.term) {
+		step_down(t, "others have seen a later term");
+		return;
+	}
 	if (t->is_write_unclear) {
 		if (now - t->read_at > READ_INTERVAL_US)
 			read_row(t);
@@ -485,6 +501,8 @@
 {
 	if (term > TERM_MAX)
 		return;
+	if (term <= SEEN_TERM_MAX)
+		t->seen_term = MAX(t->seen_term, term);
 	/* A later term means that another process has won an election. */
 	if (term > t->row.term)
 		t->is_confirmed = false;
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -460,6 +460,29 @@
 	}
 }
 
+/* An entry that starts finds a leader row that cannot be read. It led with term
+ * 1, which agents refuse for ever, and did not wait for leases that the last
+ * leader may still grant. */
+static void test_entry_starts_beside_unreadable_leader_row(void **state)
+{
+	uint8_t bytes[300];
+	fixture_t f;
+
+	(void)state;
+	memset(bytes, 0xff, sizeof(bytes));
+	setup(&f, 0);
+	put_leader_bytes(&f.fake, bytes, sizeof(bytes));
+	run_for(&f.fake, f.term, 1000);
+	assert_true(bh_term_is_leader(f.term));
+	assert_true(bh_term_predecessor_grant_ms(f.term) > 0);
+	bh_term_observe(f.term, 42);
+	run_for(&f.fake, f.term, 2000);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 43);
+	assert_int_equal(stored_term(&f.fake), 43);
+	teardown(&f);
+}
+
 /* Another writer overwrites the row of a leader with bytes that cannot be read.
  * The next election began again with term 1, which workers that had seen a
  * higher term refuse for ever. */
@@ -494,6 +517,8 @@
 		cmocka_unit_test(test_late_answer_to_a_campaign_does_not_win),
 		cmocka_unit_test(test_odd_leader_row_prevents_elections),
 		cmocka_unit_test(test_unreadable_leader_row_resets_the_term),
+		cmocka_unit_test(
+			test_entry_starts_beside_unreadable_leader_row),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
