A start that waits in an agent is not sent to a worker that has begun to drain

Callers would see: tasks that start on a worker that leaves, seconds after that was acknowledged (DRAIN).

Cause: an agent checks that its worker is ready when a start arrives, and not when a further try, or a start that waited for a connection, is sent. Class: a permission that has run out is acted on after a delay.

Change: it is checked before each try.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -599,7 +599,8 @@
 
 	if (o->kind != BH_ORDER_KIND_START)
 		return true;
-	return !o->is_superseded && is_addressable(o->agent, o->boot);
+	return !o->is_superseded && is_addressable(o->agent, o->boot) &&
+	       o->agent->info.state == BH_WORKER_READY;
 }
 
 static void on_order_outcome(void *user, bh_order_outcome_t outcome)
