--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -356,9 +356,8 @@
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile that may run there
- * @predecessor_over_at: by when the leases that earlier leaders granted are
- *	over, if no call is late; no earlier leader has started tasks of jobs
- *that were stored after that
+ * @predecessor_over_at: by when the leases of earlier leaders are over, if no
+ *	call is late; jobs that are stored later have no tasks of theirs
  * @call_lost_at: when a call to some worker last got no answer although the
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
