--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -26,16 +26,4 @@
 sleep 2
 write_record
 
-# Starts after a run of the same task has ended done, if that end was
-# acknowledged, at any time, and the worker's lease has not lapsed in between.
-again=$(awk '$2 == "lease-lapsed" { lapses[$5]++ }
-	$2 == "done" { ended[$3 " " $4] = lapses[$5] + 0 }
-	$2 == "acked" && FNR == NR {
-		key = $3 " " $4
-		if (key in ended && ended[key] == lapses[$5] + 0) acked[key] = 1
-	}
-	FNR == NR { next }
-	$2 == "done" && acked[$3 " " $4] { done[$3] = 1 }
-	$2 == "start" && done[$3] { n++ }
-	END { print n + 0 }' "$RECORD" "$RECORD")
-verdict "starts after an acknowledged done end" "$again"
+verdict "starts after an acknowledged done end" "$(twice)"
--- a/review/build.sh
+++ b/review/build.sh
@@ -17,3 +17,6 @@
 }
 build standin-store standins/store.c
 build standin-worker review/standins/worker.c
+build standin-limits review/standins/limits.c
+build standin-gate review/standins/gate.c
+build standin-adviser review/standins/adviser.c
--- a/review/common.sh
+++ b/review/common.sh
@@ -13,6 +13,7 @@
 PREFIX=/batch/
 HOST_IP=127.0.0.1
 declare -A PIDS
+declare -A ENTRY_STORE # of entries that do not use STORE, by number
 cd "$ROOT" || exit 2
 
 cannot_run() {
@@ -34,7 +35,7 @@
 	local i n
 	for i in $(seq 20); do
 		BASE=$((20000 + (RANDOM % 11) * 1000 + 20))
-		for n in 0 1 2 3 101 102 103 201 202 203 301 302 303 401 402 403 501; do
+		for n in 0 1 2 3 {1,2,6}0{1..5} 1{1,2}{1..5} {3,4,5,7}{01..40}; do
 			is_free $((BASE + n)) || continue 2
 		done
 		return 0
@@ -90,22 +91,23 @@
 	cannot_run "no answer from $1$2"
 }
 
-# shared_settings NAME N: members of deploy/*.json.in that both roles have
+# shared_settings NAME N [STORE]: members of deploy/*.json.in that both roles have
 shared_settings() {
 	cat <<-END
 	 "name": "$1", "zone": "z", "listen_frames": "$(addr "$2")",
-	 "store": "$STORE", "processor_share": 0.15, "lease_ms": 5000,
+	 "store": "${3:-$STORE}", "processor_share": 0.15, "lease_ms": 5000,
 	 "lease_max_ms": 6000, "restore_ms": 100, "impact_ms": 4000,
 	 "status_s": 120, "stop_within_s": 6, "log_format": "json"
 	END
 }
 
+# start_entry N [STORE]
 start_entry() {
 	cat >"$WORK/entry-$1.json" <<-END
 	{"role": "entry", "listen_http": "$(addr $((100 + $1)))",
 	 "listen_ready": "$(addr $((110 + $1)))",
 	 "metrics": "$(addr $((120 + $1)))", "advice": "$(addr 3)",
-	 $(shared_settings "entry-$1" $((200 + $1)))}
+	 $(shared_settings "entry-$1" $((200 + $1)) "${2:-}")}
 	END
 	start "entry-$1" env BORAGEHOLD_BOOT="$WORK/entry-$1.json" "$DAEMON"
 }
@@ -114,17 +116,21 @@
 	cat >"$WORK/agent-$1.json" <<-END
 	{"role": "agent", "listen_http": "$(addr $((300 + $1)))",
 	 "worker": "$(addr $((500 + $1)))",
-	 "metrics": "$(addr $((320 + $1)))",
+	 "metrics": "$(addr $((700 + $1)))",
 	 $(shared_settings "agent-$1" $((400 + $1)))}
 	END
 	start "agent-$1" env BORAGEHOLD_BOOT="$WORK/agent-$1.json" "$DAEMON"
 }
 
-# start_worker N [LIFE]: a new life has an id of its own
+# start_worker N [LIFE]: a new life has an id of its own. Three workers are in
+# a rack; those of the first are of kind b, all others of kind a.
 start_worker() {
+	local kind=a rack=$((($1 + 2) / 3))
+
+	[ "$rack" = 1 ] && kind=b
 	start "worker-$1" "$STANDINS/standin-worker" "i-$1-${2:-1}" \
 		"$(addr $((500 + $1)))" "$(addr $((300 + $1)))" \
-		"r1-$(((${1} + 2) / 3))" "$WORK/worker-$1.events"
+		"$kind" "r1-$rack" "$WORK/worker-$1.events"
 }
 
 # start_store [ADDRESS]
@@ -155,7 +161,7 @@
 		start_worker "$n"
 	done
 	for n in $(seq "$1"); do
-		start_entry "$n"
+		start_entry "$n" "${ENTRY_STORE[$n]:-}"
 	done
 	for n in $(seq "$1"); do
 		wait_for "$(addr $((110 + n)))" /readiness
@@ -183,7 +189,7 @@
 # state ID: prints the state, as any entry shows it
 state() {
 	local n
-	for n in 1 2 3; do
+	for n in 1 2 3 4 5; do
 		[ -n "${PIDS[entry-$n]:-}" ] || continue
 		client GET "$n" "$1" "" || continue
 		sed 's/.*"state":"\([a-z]*\)".*/\1/' <<<"$BODY"
@@ -192,6 +198,18 @@
 	echo unknown
 }
 
+# leader: prints the number of the entry that leads
+leader() {
+	local n
+	for n in 1 2 3 4 5; do
+		[ -n "${PIDS[entry-$n]:-}" ] || continue
+		http GET "$(addr $((120 + n)))" /metrics ""
+		grep -q '^boragehold_leading 1' <<<"$BODY" && echo "$n" &&
+			return 0
+	done
+	return 1
+}
+
 # wait_for_state ID STATE SECONDS
 wait_for_state() {
 	local end=$(($(now_ms) + $3 * 1000))
@@ -218,6 +236,22 @@
 	return 1
 }
 
+# twice: counts starts of a task after a run of it has ended done, if that end
+# was acknowledged, at any time, and the worker's lease has not lapsed in between
+twice() {
+	awk '$2 == "lease-lapsed" { lapses[$5]++ }
+		$2 == "done" { ended[$3 " " $4] = lapses[$5] + 0 }
+		$2 == "acked" && FNR == NR {
+			key = $3 " " $4
+			if (key in ended && ended[key] == lapses[$5] + 0)
+				acked[key] = 1
+		}
+		FNR == NR { next }
+		$2 == "done" && acked[$3 " " $4] { done[$3] = 1 }
+		$2 == "start" && done[$3] { n++ }
+		END { print n + 0 }' "$RECORD" "$RECORD"
+}
+
 # The record: lines of this script, of clients and of workers, by time.
 write_record() {
 	sort -n -s "$WORK"/*.events >"$RECORD" 2>/dev/null
--- a/review/standins/worker.c
+++ b/review/standins/worker.c
@@ -61,6 +61,7 @@
 	struct event_base *base;
 	bh_http_pool_t *agent;
 	char *id;
+	const char *kind;
 	const char *rack;
 	FILE *log;
 	int64_t born_unix_ms;
@@ -501,7 +502,7 @@
 	json_object_set_int_member(capacity, "cpu", CPU_MILLI);
 	json_object_set_int_member(capacity, "mem-mb", MEMORY_MB);
 	json_object_set_int_member(capacity, "gpu", 0);
-	json_array_add_string_element(labels, "a");
+	json_array_add_string_element(labels, w->kind);
 	json_array_add_string_element(labels, w->rack);
 	json_object_set_string_member(body, "service", "svc");
 	json_object_set_string_member(body, "zone", "z");
@@ -536,18 +537,19 @@
 	};
 	worker_t w = {.base = standin_precise_base()};
 
-	if (argc != 6) {
-		fprintf(stderr, "usage: worker ID IP:PORT AGENT-IP:PORT RACK "
-				"LOG\n");
+	if (argc != 7) {
+		fprintf(stderr, "usage: worker ID IP:PORT AGENT-IP:PORT KIND "
+				"RACK LOG\n");
 		return 2;
 	}
 	w.id = argv[1];
-	w.rack = argv[4];
+	w.kind = argv[4];
+	w.rack = argv[5];
 	w.agent = bh_http_pool_new(w.base, argv[3], 65536);
-	w.log = fopen(argv[5], "ae");
+	w.log = fopen(argv[6], "ae");
 	if (!w.agent || !w.log) {
 		fprintf(stderr, "worker: cannot use %s or %s\n", argv[3],
-			argv[5]);
+			argv[6]);
 		return 2;
 	}
 	w.born_unix_ms = standin_unix_ms();
