review: case 5, a late acknowledgement reaches the worker's next process

An acknowledgement without an answer is carried out by the next process under the same id, and makes it forget ends that nobody has seen; their tasks start again. Cause: the agent does not take into account that such a call may still arrive.

--- a/review/build.sh
+++ b/review/build.sh
@@ -19,4 +19,4 @@
 build standin-worker review/standins/worker.c
 build standin-limits review/standins/limits.c
 build standin-gate review/standins/gate.c
-build standin-adviser review/standins/adviser.c
+build standin-late review/standins/late.c
--- a/review/common.sh
+++ b/review/common.sh
@@ -13,6 +13,7 @@
 PREFIX=/batch/
 HOST_IP=127.0.0.1
 declare -A PIDS
+declare -A WORKER_ADDRESS # of workers that are not at their usual one, by number
 declare -A ENTRY_STORE # of entries that do not use STORE, by number
 cd "$ROOT" || exit 2
 
@@ -129,7 +130,7 @@
 
 	[ "$rack" = 1 ] && kind=b
 	start "worker-$1" "$STANDINS/standin-worker" "i-$1-${2:-1}" \
-		"$(addr $((500 + $1)))" "$(addr $((300 + $1)))" \
+		"${WORKER_ADDRESS[$1]:-$(addr $((500 + $1)))}" "$(addr $((300 + $1)))" \
 		"$kind" "r1-$rack" "$WORK/worker-$1.events"
 }
 
