--- a/review/build.sh
+++ b/review/build.sh
@@ -20,3 +20,4 @@
 build standin-limits review/standins/limits.c
 build standin-gate review/standins/gate.c
 build standin-late review/standins/late.c
+build standin-adviser review/standins/adviser.c
