--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,7 +7,7 @@
 
 JOB=5c0e7a21d94b36f8
 TASKS=2400
-OUTAGE_S=4.5
+OUTAGE_S=4.2
 
 start_store
 put_config ""
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,7 +7,7 @@
 LARGE=5c0e7a21d94b36f8
 SMALL=77aa01b2c3d4e5f6
 TASKS=7500
-DOWN_S=4.5
+DOWN_S=4.2
 ACK_MS=4000
 
 start_store "$(addr 1)"
