--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# One of eight workers crashes under 3,600 tasks of one job. TROUBLE=0: it lives.
+# One of eight workers crashes under 2,500 tasks of one job. TROUBLE=0: it lives.
 set -u
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../common.sh"
 
 LARGE=5c0e7a21d94b36f8
 SMALL=77aa01b2c3d4e5f6
-TASKS=10800
+TASKS=7500
 DOWN_S=4.2
 ACK_MS=4000
 
@@ -15,10 +15,10 @@
 wait_for "$STORE" /stats
 put_config ""
 start_deployment 3 8
-submit "$LARGE" "{\"spec\":\"ms=15000 cpu=4 saves\",\"steps\":[{\"count\":$TASKS,
-	\"cpu\":4,\"mem-mb\":4,\"estimate-ms\":15000,\"checkpointing\":true,
+submit "$LARGE" "{\"spec\":\"ms=9000 cpu=5 saves\",\"steps\":[{\"count\":$TASKS,
+	\"cpu\":5,\"mem-mb\":10,\"estimate-ms\":9000,\"checkpointing\":true,
 	\"requirements\":\"b\"}]}"
-wait_for_count start "$TASKS" 20 || cannot_run "not all tasks have started"
+wait_for_count start "$TASKS" 15 || cannot_run "not all tasks have started"
 sleep 2.5
 if [ "${TROUBLE:-1}" != 0 ]; then
 	signal worker-1 KILL
