Ends behind that of an unknown job count

Cause: handle_ends() skipped the ends behind the first one of a job that the new leader did not know yet, but the host counted as known, so that tasks of known jobs looked as if they had neither a run nor an end. Ruled out: progress that was stored late (the end was not acknowledged yet), hosts that had not answered (the lists had come).

Now each end is handled at once; an end of an unknown job is kept, and only the acknowledgement waits for it.

Failed before: test_hosts ends_behind_one_of_an_unknown_job_count (1 start instead of 0).

Why it works: whatever a list shows is counted before anything is placed, and what cannot be recorded yet keeps the worker from forgetting it.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -195,17 +195,33 @@
 	g_free(orphan);
 }
 
-static void remove_orphans(bh_host_t *host, bool is_all)
+static void remove_orphans(bh_host_t *host)
+{
+	while (!TAILQ_EMPTY(&host->orphans))
+		orphan_free(host, TAILQ_FIRST(&host->orphans));
+}
+
+/* An end stays an end, whether the worker lists it again or not. */
+static void remove_orphan_runs(bh_host_t *host, bool is_all)
 {
 	bh_orphan_t *orphan;
 	bh_orphan_t *next;
 
 	TAILQ_FOREACH_SAFE(orphan, &host->orphans, link, next) {
-		if (is_all || !orphan->is_listed)
+		if (!orphan->number && (is_all || !orphan->is_listed))
 			orphan_free(host, orphan);
 	}
 }
 
+/* Whether the job of an orphan may still become known: a job is stored before
+ * any of its tasks starts. */
+static bool may_become_known(const bh_sched_t *s, const bh_orphan_t *orphan,
+			     bh_usec_t now)
+{
+	return now - orphan->since < ORPHAN_WAIT_US ||
+	       s->jobs_read_at < orphan->since;
+}
+
 /* Adds or updates an orphan.
  * Return: whether its job may still become known. */
 static bool record_orphan(const bh_sched_t *s, bh_host_t *host,
@@ -231,13 +247,11 @@
 	orphan->end = seen->end;
 	g_free(orphan->checkpoint);
 	orphan->checkpoint = g_strdup(seen->checkpoint);
-	/* A job is stored before any of its tasks starts. */
-	return now - orphan->since < ORPHAN_WAIT_US ||
-	       s->jobs_read_at < orphan->since;
+	return may_become_known(s, orphan, now);
 }
 
-static bool is_orphan_end(bh_sched_t *s, bh_host_t *host, const bh_ended_t *e,
-			  bh_usec_t now)
+static void keep_end(bh_sched_t *s, bh_host_t *host, const bh_ended_t *e,
+		     bh_usec_t now)
 {
 	bh_orphan_t seen = {.task = e->task,
 			    .attempt = e->attempt,
@@ -245,7 +259,23 @@
 			    .end = e->how,
 			    .checkpoint = e->checkpoint};
 
-	return !bh_task_find(s, e->task) && record_orphan(s, host, &seen, now);
+	bh_sched_log(s, "end kept", NULL,
+		     "task=%s attempt=%u worker=%s number=%" G_GUINT64_FORMAT
+		     " why=its job is not known yet",
+		     e->task, e->attempt, host->info.id, e->number);
+	record_orphan(s, host, &seen, now);
+}
+
+/* Ends whose job can no longer become known need no job to record them. */
+static void drop_orphan_ends(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+{
+	bh_orphan_t *orphan;
+	bh_orphan_t *next;
+
+	TAILQ_FOREACH_SAFE(orphan, &host->orphans, link, next) {
+		if (orphan->number && !may_become_known(s, orphan, now))
+			orphan_free(host, orphan);
+	}
 }
 
 /* The worker forgets ends once they are acknowledged: a gap means that one was
@@ -265,33 +295,46 @@
 		     host->last_ended, number, host->acked);
 }
 
+/* Ends after @after, up to the last one handled, may be acknowledged once what
+ * has changed by now is stored. */
+static void queue_ack(bh_sched_t *s, bh_host_t *host, uint64_t after)
+{
+	bh_pending_ack_t *ack;
+
+	if (host->last_ended == after)
+		return;
+	ack = g_new0(bh_pending_ack_t, 1);
+	ack->number = host->last_ended;
+	ack->change = s->change;
+	g_queue_push_tail(&host->acks, ack);
+}
+
+/* The end of an unknown job's task must not delay those after it: tasks whose
+ * ends are not counted are started again. Only the acknowledgement waits, see
+ * bh_host_release_acks(). */
 static void handle_ends(bh_sched_t *s, bh_host_t *host,
 			const bh_worker_lists_t *lists, bh_usec_t now)
 {
-	bh_pending_ack_t *ack;
 	uint64_t before = host->last_ended;
-	bool must_wait = false;
+	uint64_t queued = before;
 
+	drop_orphan_ends(s, host, now);
 	for (uint32_t i = 0; i < lists->n_ended; i++) {
 		const bh_ended_t *e = &lists->ended[i];
 
 		if (e->number <= before)
 			continue;
-		/* Ends are acknowledged in order, so one that has to wait
-		 * delays those after it. */
-		must_wait |= is_orphan_end(s, host, e, now);
-		if (must_wait)
-			continue;
 		note_missing_ends(s, host, e->number);
-		handle_end(s, host, e, now);
+		if (bh_task_find(s, e->task)) {
+			handle_end(s, host, e, now);
+		} else {
+			queue_ack(s, host, queued);
+			queued = host->last_ended;
+			keep_end(s, host, e, now);
+		}
 		host->last_ended = MAX(host->last_ended, e->number);
 	}
-	if (host->last_ended == before)
-		return;
-	ack = g_new0(bh_pending_ack_t, 1);
-	ack->number = host->last_ended;
-	ack->change = s->change;
-	g_queue_push_tail(&host->acks, ack);
+	queue_ack(s, host, queued);
 }
 
 static void stop_orphan(bh_sched_t *s, bh_host_t *host, const bh_active_t *a)
@@ -410,7 +453,7 @@
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
-	remove_orphans(host, false);
+	remove_orphan_runs(host, false);
 	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
 		if (run->state == BH_RUN_ORDERED && run->reports_missed &&
 		    run->ordered_at < host->linked_at)
@@ -444,6 +487,7 @@
 {
 	bh_host_infer_crash(s, host, now);
 	bh_host_lose_runs(s, host, why, now);
+	remove_orphans(host);
 	clear_acks(host);
 	host->last_ended = 0;
 	host->acked = 0;
@@ -474,7 +518,7 @@
 	while ((run = TAILQ_FIRST(&host->runs)) != NULL)
 		lose_run(s, run, why, now);
 	bh_host_clear_unclaimed(host);
-	remove_orphans(host, true);
+	remove_orphan_runs(host, true);
 	host->is_synced = true;
 	host->lease_ends_at = now;
 	host->outlived_until = 0;
@@ -548,6 +592,18 @@
 	s->is_recovering = is_recovering;
 }
 
+/* The ends from @number on are acknowledged only once what has changed by now is
+ * stored. */
+static void delay_acks(const bh_sched_t *s, bh_host_t *host, uint64_t number)
+{
+	for (GList *l = host->acks.head; l; l = l->next) {
+		bh_pending_ack_t *ack = l->data;
+
+		if (ack->number >= number)
+			ack->change = s->change;
+	}
+}
+
 void bh_hosts_adopt_orphans(bh_sched_t *s, bh_usec_t now)
 {
 	bh_host_t *host;
@@ -568,17 +624,33 @@
 
 			if (!bh_task_find(s, orphan->task))
 				continue;
-			if (orphan->end)
+			if (orphan->number) {
 				handle_end(s, host, &e, now);
-			else
+				delay_acks(s, host, orphan->number);
+			} else {
 				handle_active(s, host, &a, now);
+			}
 			orphan_free(host, orphan);
 		}
 	}
 }
 
+/* The lowest number among the ends whose jobs are not known. */
+static uint64_t first_orphan_end(const bh_host_t *host)
+{
+	const bh_orphan_t *orphan;
+	uint64_t first = UINT64_MAX;
+
+	TAILQ_FOREACH(orphan, &host->orphans, link) {
+		if (orphan->number)
+			first = MIN(first, orphan->number);
+	}
+	return first;
+}
+
 void bh_host_release_acks(bh_sched_t *s, bh_host_t *host)
 {
+	uint64_t first = first_orphan_end(host);
 	const bh_rec_t *dirty = TAILQ_FIRST(&s->dirty);
 	bh_rec_t *rec;
 	uint64_t oldest = dirty ? dirty->dirty_since : UINT64_MAX;
@@ -587,7 +659,7 @@
 	TAILQ_FOREACH(rec, &s->committing, dirty_link)
 		oldest = MIN(oldest, rec->commit_since);
 	while ((ack = g_queue_peek_head(&host->acks)) != NULL &&
-	       ack->change < oldest) {
+	       ack->number < first && ack->change < oldest) {
 		host->acked = ack->number;
 		g_free(g_queue_pop_head(&host->acks));
 	}
@@ -795,7 +867,7 @@
 	TAILQ_REMOVE(&s->hosts, host, link);
 	s->n_hosts--;
 	clear_acks(host);
-	remove_orphans(host, true);
+	remove_orphans(host);
 	bh_worker_info_clear(&host->info);
 	g_free(host->key);
 	g_free(host);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -213,10 +213,10 @@
 /**
  * struct bh_orphan - a run or an end, listed by a worker, of a job that the
  * leader does not know yet
- * @number: of an end, see struct bh_ended
- * @end: how it ended, or BH_END_UNKNOWN while it runs
+ * @number: of an end, see struct bh_ended; 0 while it runs
+ * @end: how it ended
  * @since: when it was first listed
- * @is_listed: the last report listed it
+ * @is_listed: the last report listed it; not kept up to date for an end
  */
 typedef struct bh_orphan {
 	TAILQ_ENTRY(bh_orphan) link;
@@ -292,7 +292,7 @@
  *	fault of the task that was started last
  * @full_until: no new tasks are placed there before, as it refused one for lack
  *	of resources
- * @last_ended: highest number of an end that was handled
+ * @last_ended: highest number of an end that was handled, or kept in @orphans
  * @acked: highest number of an end that is acknowledged
  * @acks: queue of struct bh_pending_ack
  */
@@ -482,8 +482,8 @@
 /* hosts.c */
 
 /**
- * bh_host_lose_runs() - drop all runs and orphans of a host whose worker cannot
- * run any of them any more
+ * bh_host_lose_runs() - drop all runs of a host whose worker cannot run any of
+ * them any more, those of unknown jobs included
  */
 void bh_host_lose_runs(bh_sched_t *s, bh_host_t *host, const char *why,
 		       bh_usec_t now);
@@ -500,7 +500,8 @@
 void bh_hosts_adopt_orphans(bh_sched_t *s, bh_usec_t now);
 
 /**
- * bh_host_release_acks() - acknowledge the ends whose results are stored
+ * bh_host_release_acks() - acknowledge the ends whose results are stored, up to
+ * the first one whose job is not known
  */
 void bh_host_release_acks(bh_sched_t *s, bh_host_t *host);
 void bh_host_send_grant(bh_sched_t *s, bh_host_t *host);
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -111,19 +111,34 @@
 	return s;
 }
 
+static void report_lists(bh_sched_t *s, bh_worker_lists_t *lists,
+			 bh_usec_t now)
+{
+	bh_worker_info_t info = worker_info();
+
+	lists->clock_ms = (uint64_t)now / 1000;
+	lists->boot = 7;
+	bh_sched_report(s, HOST, &info, lists, true, now);
+	bh_sched_run(s, now, 1000 + (uint64_t)now / 1000);
+}
+
 static void report(bh_sched_t *s, bh_active_t *active, bh_ended_t *ended,
 		   bh_usec_t now)
 {
-	bh_worker_info_t info = worker_info();
-	bh_worker_lists_t lists = {.clock_ms = (uint64_t)now / 1000,
-				   .boot = 7,
-				   .n_active = active ? 1 : 0,
+	bh_worker_lists_t lists = {.n_active = active ? 1 : 0,
 				   .active = active,
 				   .n_ended = ended ? 1 : 0,
 				   .ended = ended};
 
-	bh_sched_report(s, HOST, &info, &lists, true, now);
-	bh_sched_run(s, now, 1000 + (uint64_t)now / 1000);
+	report_lists(s, &lists, now);
+}
+
+static void report_ends(bh_sched_t *s, bh_ended_t *ended, uint32_t n,
+			bh_usec_t now)
+{
+	bh_worker_lists_t lists = {.n_ended = n, .ended = ended};
+
+	report_lists(s, &lists, now);
 }
 
 static void store_all(bh_sched_t *s)
@@ -235,6 +250,73 @@
 	bh_config_free(config);
 }
 
+#define LATER_JOB "00000000000000bb"
+
+/* A new leader that does not know a job yet sees the end of its task before
+ * those of jobs that it knows. These were put off with it, and their tasks were
+ * started again. */
+static void test_ends_behind_one_of_an_unknown_job_count(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_ended_t ended[] = {
+		{.number = 4,
+		 .task = (char *)LATER_JOB ".0.0.0",
+		 .attempt = 1,
+		 .how = BH_END_DONE},
+		{.number = 5,
+		 .task = (char *)TASK,
+		 .attempt = 1,
+		 .how = BH_END_DONE},
+	};
+
+	(void)state;
+	bh_sched_add_job(s, make_job(), NULL, MS(1));
+	report_ends(s, ended, 2, MS(50));
+	assert_int_equal(o.starts, 0);
+	store_all(s);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_COMPLETED);
+	report_ends(s, ended, 2, MS(100));
+	assert_int_equal(o.ack, 0);
+	bh_sched_add_job(s, make_job_as(LATER_JOB), NULL, MS(110));
+	report_ends(s, ended, 2, MS(120));
+	assert_int_equal(o.ack, 0);
+	store_all(s);
+	assert_int_equal(o.ack, 5);
+	assert_int_equal(o.starts, 0);
+	assert_int_equal(bh_sched_state(s, LATER_JOB), BH_JOB_COMPLETED);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
+/* The end of an unknown job's task is kept while the worker does not answer for
+ * longer than its lease. */
+static void test_end_of_unknown_job_outlasts_lease(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_ended_t ended = {.number = 4,
+			    .task = (char *)LATER_JOB ".0.0.0",
+			    .attempt = 1,
+			    .how = BH_END_DONE};
+
+	(void)state;
+	report_ends(s, &ended, 1, MS(50));
+	for (int ms = 100; ms < 9000; ms += 100)
+		bh_sched_run(s, MS(ms), 1000 + (uint64_t)ms);
+	report_ends(s, &ended, 1, MS(9000));
+	assert_int_equal(o.ack, 0);
+	bh_sched_add_job(s, make_job_as(LATER_JOB), NULL, MS(9010));
+	report_ends(s, &ended, 1, MS(9100));
+	store_all(s);
+	assert_int_equal(o.ack, 4);
+	assert_int_equal(o.starts, 0);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 static void fail_task(bh_sched_t *s, const char *id, uint64_t number,
 		      bh_usec_t now)
 {
@@ -448,6 +530,8 @@
 		cmocka_unit_test(test_orphans_are_stopped_after_a_delay),
 		cmocka_unit_test(
 			test_end_is_not_acknowledged_before_jobs_are_read),
+		cmocka_unit_test(test_ends_behind_one_of_an_unknown_job_count),
+		cmocka_unit_test(test_end_of_unknown_job_outlasts_lease),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
 		cmocka_unit_test(test_report_from_before_grant_ends_no_lease),
