A full list of ends is not taken for all ends

Cause: a worker lists its ends 500 at a time. The leader took a run that stood in neither list for lost, and a new leader took the worker for known. Evidence: attempt 1 of a task ended, was listed for the first time 1.4 s later, and attempt 2 was started in between; no lease had lapsed, and polls were answered.

Lists now say that more ends may follow. After such a list nothing counts as lost, and the host of a new leader does not count as known.

Why it works: a worker lists ends in the order of their numbers and goes on once they are acknowledged, so that each end comes before a list that is whole.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -438,12 +438,41 @@
 		bh_run_stop(s, run, "still running after its stop order", now);
 }
 
+static void repeat_stops(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+{
+	bh_run_t *run;
+
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (run->state == BH_RUN_STOPPING && !run->is_confirmed &&
+		    now - run->stop_ordered_at > STOP_RETRY_US)
+			bh_run_stop(s, run, "stop order was not answered", now);
+	}
+}
+
+/* Only after lists that are whole: the end of a run that they leave out may not
+ * have been listed yet. */
+static void check_missing_runs(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+{
+	bh_run_t *run;
+	bh_run_t *next;
+
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
+		if (run->state == BH_RUN_ORDERED && run->reports_missed &&
+		    run->ordered_at < host->linked_at)
+			bh_run_stop(s, run, "start order was lost", now);
+		if (run->state != BH_RUN_ORDERED && run->is_confirmed &&
+		    run->reports_missed >= MISSING_REPORTS_MIN &&
+		    now - MAX(run->confirmed_at, run->stop_ordered_at) >
+			    MISSING_TIMEOUT_US)
+			lose_run(s, run, "worker no longer reports it", now);
+	}
+}
+
 static void handle_lists(bh_sched_t *s, bh_host_t *host,
 			 const bh_worker_lists_t *lists, bh_usec_t now)
 {
 	bh_orphan_t *orphan;
 	bh_run_t *run;
-	bh_run_t *next;
 
 	TAILQ_FOREACH(run, &host->runs, link)
 		run->reports_missed++;
@@ -454,20 +483,11 @@
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
 	remove_orphan_runs(host, false);
-	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
-		if (run->state == BH_RUN_ORDERED && run->reports_missed &&
-		    run->ordered_at < host->linked_at)
-			bh_run_stop(s, run, "start order was lost", now);
-		if (run->state == BH_RUN_STOPPING && !run->is_confirmed &&
-		    now - run->stop_ordered_at > STOP_RETRY_US)
-			bh_run_stop(s, run, "stop order was not answered", now);
-		if (run->state != BH_RUN_ORDERED && run->is_confirmed &&
-		    run->reports_missed >= MISSING_REPORTS_MIN &&
-		    now - MAX(run->confirmed_at, run->stop_ordered_at) >
-			    MISSING_TIMEOUT_US)
-			lose_run(s, run, "worker no longer reports it", now);
+	repeat_stops(s, host, now);
+	if (!lists->has_more_ended) {
+		check_missing_runs(s, host, now);
+		host->is_synced = true;
 	}
-	host->is_synced = true;
 	/* A grant that was delayed counts from its arrival. */
 	if (lists->n_active && now >= host->lease_ends_at)
 		host->outlived_until = now + bh_sched_lease_bound(s);
@@ -592,8 +612,8 @@
 	s->is_recovering = is_recovering;
 }
 
-/* The ends from @number on are acknowledged only once what has changed by now is
- * stored. */
+/* The ends from @number on are acknowledged only once what has changed by now
+ * is stored. */
 static void delay_acks(const bh_sched_t *s, bh_host_t *host, uint64_t number)
 {
 	for (GList *l = host->acks.head; l; l = l->next) {
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -249,7 +249,8 @@
  * @boot: of the worker's process that the runs, ends and acknowledgements are
  *	of; its agent may not know it after a restart; 0: none was reported
  * @is_linked: the agent is connected
- * @is_synced: the worker's lists were seen in this term, or its lease expired
+ * @is_synced: all that the worker runs, and all ends, were seen in this term, or
+ *	its lease expired
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -145,9 +145,12 @@
 } bh_worker_info_t;
 
 /**
- * struct bh_worker_lists - all tasks that a worker runs, and all ends that are
+ * struct bh_worker_lists - all tasks that a worker runs, and the ends that are
  * not acknowledged yet, at one moment
  * @clock_ms: the worker's own clock when it answered
+ * @ended: in ascending order of their numbers
+ * @has_more_ended: ends may follow that the worker lists once these are
+ *	acknowledged: a task that stands in neither list may have ended
  */
 typedef struct bh_worker_lists {
 	uint64_t clock_ms;
@@ -156,6 +159,7 @@
 	bh_active_t *active;
 	uint32_t n_ended;
 	bh_ended_t *ended;
+	bool has_more_ended;
 } bh_worker_lists_t;
 
 /**
--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -32,6 +32,9 @@
 /* A longer lease is shortened. */
 #define LEASE_MAX_MS 10000
 
+/* Ends that it lists at a time. */
+#define ENDED_ROWS_MAX 500
+
 /* Longer than any lease that a leader grants. */
 #define LEASE_GRANTED_MAX_MS 6000
 
@@ -252,6 +255,28 @@
 	return rows;
 }
 
+static JsonArray *list_ended(jobhost_t *h)
+{
+	JsonArray *rows = json_array_new();
+	guint n = MIN(json_array_get_length(h->ended), ENDED_ROWS_MAX);
+
+	for (guint i = 0; i < n; i++)
+		json_array_add_element(
+			rows,
+			json_node_copy(json_array_get_element(h->ended, i)));
+	return rows;
+}
+
+/* Return: number of the last end that list_ended() returns. */
+static int64_t last_listed(jobhost_t *h)
+{
+	guint n = MIN(json_array_get_length(h->ended), ENDED_ROWS_MAX);
+
+	return n ? json_array_get_int_element(
+			   json_array_get_array_element(h->ended, n - 1), 0)
+		 : h->last_ended_seq;
+}
+
 static void drop_acked(jobhost_t *h, int64_t ack)
 {
 	while (json_array_get_length(h->ended) > 0) {
@@ -282,7 +307,7 @@
 			  get_int(call->body, "expires-ms"));
 	drop_acked(h, ack);
 	json_object_set_array_member(out, "active", list_active(h));
-	json_object_set_array_member(out, "finished", json_array_ref(h->ended));
+	json_object_set_array_member(out, "finished", list_ended(h));
 	return 200;
 }
 
@@ -385,7 +410,7 @@
 		out = json_object_new();
 		status = carry_out(h, path, target, &call, out);
 		if (status == 200 && find_operation(path) == hold)
-			h->last_listed_seq = h->last_ended_seq;
+			h->last_listed_seq = last_listed(h);
 		standin_reply(req, status, out);
 	}
 	bh_json_free(call.body);
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -25,6 +25,9 @@
 #define CRASHES_ALLOWED 3
 #define STARTS_ALLOWED	3
 
+/* Ends that a worker lists at a time: few, so that full lists are frequent. */
+#define ENDED_ROWS_MAX 6u
+
 #define CPU_MILLI      10000
 #define MEMORY_MB      100000
 #define SHRINK_DIVISOR 4
@@ -887,9 +890,10 @@
 		clear_ended(k, k->ack, w);
 	}
 	fill_active(w, k, &lists);
-	lists.n_ended = k->ended->len;
-	lists.ended = g_new0(bh_ended_t, k->ended->len + 1);
-	for (guint i = 0; i < k->ended->len; i++) {
+	lists.n_ended = MIN(k->ended->len, ENDED_ROWS_MAX);
+	lists.has_more_ended = lists.n_ended == ENDED_ROWS_MAX;
+	lists.ended = g_new0(bh_ended_t, lists.n_ended + 1);
+	for (guint i = 0; i < lists.n_ended; i++) {
 		lists.ended[i] = g_array_index(k->ended, bh_ended_t, i);
 		lists.ended[i].task = g_strdup(lists.ended[i].task);
 		lists.ended[i].checkpoint = g_strdup(lists.ended[i].checkpoint);
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -111,8 +111,7 @@
 	return s;
 }
 
-static void report_lists(bh_sched_t *s, bh_worker_lists_t *lists,
-			 bh_usec_t now)
+static void report_lists(bh_sched_t *s, bh_worker_lists_t *lists, bh_usec_t now)
 {
 	bh_worker_info_t info = worker_info();
 
@@ -317,6 +316,74 @@
 	bh_config_free(config);
 }
 
+/* A worker has more ends than it lists at a time, since the store is down. A
+ * run whose end was not listed counted as lost, and its task was started again.
+ */
+static void test_run_behind_a_full_list_of_ends_is_not_lost(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_ended_t first = {.number = 1,
+			    .task = (char *)LATER_JOB ".0.0.0",
+			    .attempt = 1,
+			    .how = BH_END_DONE};
+	bh_ended_t ended = {
+		.number = 2, .task = (char *)TASK, .how = BH_END_DONE};
+	bh_worker_lists_t full = {
+		.n_ended = 1, .ended = &first, .has_more_ended = true};
+
+	(void)state;
+	report(s, NULL, NULL, MS(20));
+	bh_sched_add_job(s, make_job(), NULL, MS(30));
+	bh_sched_run(s, MS(30), 1030);
+	assert_int_equal(o.starts, 1);
+	ended.attempt = o.attempt;
+	bh_sched_start_result(s, HOST, TASK, o.attempt, BH_ORDER_OK, MS(40));
+	for (int ms = 200; ms < 5000; ms += 200)
+		report_lists(s, &full, MS(ms));
+	assert_int_equal(o.starts, 1);
+	report_ends(s, &ended, 1, MS(5000));
+	assert_int_equal(o.starts, 1);
+	store_all(s);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_COMPLETED);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
+/* A new leader finds a worker with more ends than it lists at a time. Tasks of
+ * which it has seen neither run nor end have to wait for the rest. */
+static void test_new_leader_waits_for_the_rest_of_a_full_list(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_ended_t first = {.number = 1,
+			    .task = (char *)LATER_JOB ".0.0.0",
+			    .attempt = 1,
+			    .how = BH_END_DONE};
+	bh_ended_t ended = {.number = 2,
+			    .task = (char *)TASK,
+			    .attempt = 1,
+			    .how = BH_END_DONE};
+	bh_worker_lists_t full = {
+		.n_ended = 1, .ended = &first, .has_more_ended = true};
+
+	(void)state;
+	bh_sched_add_job(s, make_job(), NULL, MS(1));
+	bh_sched_add_job(s, make_job_as(LATER_JOB), NULL, MS(1));
+	for (int ms = 50; ms < 12000; ms += 200)
+		report_lists(s, &full, MS(ms));
+	assert_int_equal(o.starts, 0);
+	report_ends(s, &ended, 1, MS(12000));
+	store_all(s);
+	assert_int_equal(o.starts, 0);
+	assert_int_equal(o.ack, 2);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_COMPLETED);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 static void fail_task(bh_sched_t *s, const char *id, uint64_t number,
 		      bh_usec_t now)
 {
@@ -532,6 +599,10 @@
 			test_end_is_not_acknowledged_before_jobs_are_read),
 		cmocka_unit_test(test_ends_behind_one_of_an_unknown_job_count),
 		cmocka_unit_test(test_end_of_unknown_job_outlasts_lease),
+		cmocka_unit_test(
+			test_run_behind_a_full_list_of_ends_is_not_lost),
+		cmocka_unit_test(
+			test_new_leader_waits_for_the_rest_of_a_full_list),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
 		cmocka_unit_test(test_report_from_before_grant_ends_no_lease),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -38,6 +38,39 @@
 	bh_worker_lists_clear(&lists);
 }
 
+/* Return: the lists of a worker with @n ends. */
+static char *lists_with_ends(int n)
+{
+	GString *text = g_string_new("{\"active\":[],\"finished\":[");
+
+	for (int i = 1; i <= n; i++)
+		g_string_append_printf(text, "%s[%d,\"t\",1,\"done\",\"\"]",
+				       i > 1 ? "," : "", i);
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+/* A worker lists 500 ends at a time. A full list was taken for all ends, and
+ * tasks whose ends it left out were started again. */
+static void test_full_list_of_ends_may_not_be_all(void **state)
+{
+	static const struct {
+		int ends;
+		bool has_more;
+	} cases[] = {{0, false}, {499, false}, {500, true}};
+	bh_worker_lists_t lists;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = lists_with_ends(cases[i].ends);
+
+		assert_true(bh_runner_decode_lists(text, strlen(text), &lists));
+		assert_int_equal(lists.n_ended, cases[i].ends);
+		assert_int_equal(lists.has_more_ended, cases[i].has_more);
+		bh_worker_lists_clear(&lists);
+	}
+}
+
 static void test_lists_of_another_type(void **state)
 {
 	static const char *const odd[] = {
@@ -61,6 +94,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_row_out_of_range_names_another_run),
+		cmocka_unit_test(test_full_list_of_ends_may_not_be_all),
 		cmocka_unit_test(test_lists_of_another_type),
 	};
 
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -110,6 +110,7 @@
 	bh_ended_t ended = {
 		.number = 9, .task = (char *)"u", .how = BH_END_LAPSED};
 	bh_worker_lists_t lists = {.boot = 7,
+				   .has_more_ended = true,
 				   .clock_ms = 1234,
 				   .n_active = 1,
 				   .active = &active,
@@ -129,6 +130,7 @@
 	assert_string_equal(back.info.id, "w");
 	assert_string_equal(back.info.labels[0], "r1-1");
 	assert_int_equal(back.lists.clock_ms, 1234);
+	assert_true(back.lists.has_more_ended);
 	assert_int_equal(back.lists.active[0].gauge, 30);
 	assert_int_equal(back.lists.ended[0].how, BH_END_LAPSED);
 	assert_int_equal(back.term, 3);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -2669,7 +2669,7 @@
   (ProtobufCMessageInit) bh__sched__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[20] =
+static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[21] =
 {
   {
     "worker",
@@ -2911,6 +2911,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_more_ended",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Report, has_more_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__report__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -2921,6 +2933,7 @@
   5,   /* field[5] = cpu_milli */
   13,   /* field[13] = ended */
   11,   /* field[11] = has_lists */
+  20,   /* field[20] = has_more_ended */
   18,   /* field[18] = is_idle */
   8,   /* field[8] = labels */
   19,   /* field[19] = lease_expires_ms */
@@ -2937,7 +2950,7 @@
 static const ProtobufCIntRange bh__sched__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor bh__sched__report__descriptor =
 {
@@ -2947,7 +2960,7 @@
   "Bh__Sched__Report",
   "bh.sched",
   sizeof(Bh__Sched__Report),
-  20,
+  21,
   bh__sched__report__field_descriptors,
   bh__sched__report__field_indices_by_name,
   1,  bh__sched__report__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -328,10 +328,14 @@
    * With lease_left_ms: end of the lease that it speaks of, on the worker's clock.
    */
   uint64_t lease_expires_ms;
+  /*
+   * The worker has more ends than are listed here.
+   */
+  protobuf_c_boolean has_more_ended;
 };
 #define BH__SCHED__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -223,6 +223,7 @@
 		m->gauge = a->gauge;
 		out->active[i] = m;
 	}
+	out->has_more_ended = lists->has_more_ended;
 	out->n_ended = lists->n_ended;
 	out->ended = g_new0(Bh__Sched__Ended *, lists->n_ended + 1);
 	for (uint32_t i = 0; i < lists->n_ended; i++) {
@@ -504,6 +505,7 @@
 	out->has_lists = from->has_lists;
 	out->lists.clock_ms = from->clock_ms;
 	out->lists.boot = from->boot;
+	out->lists.has_more_ended = from->has_more_ended;
 	out->lists.active = g_new0(bh_active_t, from->n_active + 1);
 	for (size_t i = 0; i < from->n_active; i++) {
 		bh_active_t *a = &out->lists.active[out->lists.n_active++];
