Progress of a job is stored in rows that the store takes

Cause: the progress of a job was one row. With a note for each task that crashed with its worker it had 100,902 bytes, the store refused the transaction with 400, and the leader sent it again 1,089 times; acknowledgements wait for the oldest change. Ruled out: lost answers (each call was answered) and the number of entries (3 or 4).

Progress is now stored by segments of 256 tasks, and a commit takes as many rows as fit into a transaction. What was learned about images, and the removal of rows, went the same way without a bound and have one now. A commit that is refused for its content is logged.

Why it works: each row has room for the most that is noted of 256 tasks, and what is acknowledged waits for the segment that holds it.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -13,9 +13,10 @@
 /* Minimum time between two commits, in which changes are batched. */
 #define COMMIT_INTERVAL_US (15 * BH_USEC_PER_MS)
 
-/* Jobs in one commit. Preconditions and the leader row count towards
- * BH_STORE_TX_ROWS_MAX as well. */
-#define COMMIT_JOBS_MAX 90
+/* Rows that a transaction of the leader has beside those of its progress: the
+ * leader row and its precondition, and what was learned. */
+#define COMMIT_OTHER_ROWS 3
+#define COMMIT_ROWS_MAX	  (BH_STORE_TX_ROWS_MAX - COMMIT_OTHER_ROWS)
 
 #define PING_INTERVAL_US (500 * BH_USEC_PER_MS)
 
@@ -60,12 +61,12 @@
  * struct bh_sched_leader - the leader's state
  * @progress: follows the progress table until it is loaded
  * @agent_links: by the agent's address
- * @stored_progress: progress rows by job id, until all tables are loaded
+ * @stored_progress: merged progress rows by job id, until all tables are loaded
  * @n_tables_loading: tables that are not loaded completely
  * @store_reached_at: when another entry last reported that it reaches the store
  * @early_jobs: jobs that arrived before all tables were loaded
  * @removal: in flight, or NULL
- * @removed_jobs: ids of jobs whose row is removed and whose progress is not
+ * @removed_jobs: keys of the progress rows of jobs whose own row is removed
  * @run: timer of the next run of the scheduler
  */
 struct bh_sched_leader {
@@ -269,7 +270,7 @@
 	if (now - l->learned_written_at < LEARNED_INTERVAL_US)
 		return;
 	l->learned_written_at = now;
-	bytes = bh_learned_pack(l->sched);
+	bytes = bh_learned_pack(l->sched, BH_STORE_ROW_BYTES_MAX);
 	data = g_bytes_get_data(bytes, &len);
 	if (len > 0)
 		bh_store_tx_put(tx, BH_TABLE_PROGRESS, "", BH_KEY_LEARNED, data,
@@ -277,12 +278,45 @@
 	g_bytes_unref(bytes);
 }
 
+/* Return: the row of a segment, within the limit on rows. */
+static GBytes *pack_segment(bh_sched_leader_t *l, const char *id,
+			    uint32_t segment)
+{
+	bh_progress_t *progress = bh_sched_progress(l->sched, id, segment);
+	GBytes *bytes = bh_progress_pack(progress);
+
+	if (g_bytes_get_size(bytes) > BH_STORE_ROW_BYTES_MAX) {
+		bh_log_event(&l->rt->log, BH_LOG_WARN,
+			     "checkpoints not stored: the row is too large",
+			     "job", id, NULL);
+		bh_progress_drop_checkpoints(progress);
+		g_bytes_unref(bytes);
+		bytes = bh_progress_pack(progress);
+	}
+	bh_progress_free(progress);
+	return bytes;
+}
+
+static void put_segment(bh_sched_leader_t *l, bh_store_tx_t *tx, const char *id,
+			uint32_t segment)
+{
+	GBytes *bytes = pack_segment(l, id, segment);
+	char key[BH_SEGMENT_KEY_BYTES];
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	bh_segment_key_format(id, segment, key);
+	bh_store_tx_put(tx, BH_TABLE_PROGRESS, "", key, data, len);
+	g_bytes_unref(bytes);
+}
+
 static void commit(bh_sched_leader_t *l)
 {
-	const char *ids[COMMIT_JOBS_MAX];
+	const char *id;
+	uint32_t segment;
+	uint32_t n = 0;
 	bh_usec_t now = bh_runtime_now();
 	bh_store_tx_t *tx;
-	uint32_t n;
 
 	if (l->is_committing || !bh_term_can_commit(l->term) ||
 	    !bh_sched_has_uncommitted(l->sched))
@@ -295,19 +329,14 @@
 		l->is_run_scheduled = true;
 		return;
 	}
-	n = bh_sched_begin_commit(l->sched, ids, COMMIT_JOBS_MAX);
 	tx = bh_store_tx_new();
-	for (uint32_t i = 0; i < n; i++) {
-		bh_progress_t *progress = bh_sched_progress(l->sched, ids[i]);
-		GBytes *bytes = bh_progress_pack(progress);
-		gsize len;
-		const void *data = g_bytes_get_data(bytes, &len);
-
-		bh_store_tx_put(tx, BH_TABLE_PROGRESS, "", ids[i], data, len);
-		g_bytes_unref(bytes);
-		bh_progress_free(progress);
+	while (n < COMMIT_ROWS_MAX && bh_store_tx_has_room(tx) &&
+	       bh_sched_commit_next(l->sched, &id, &segment)) {
+		put_segment(l, tx, id, segment);
+		n++;
 	}
-	put_learned(l, tx, now);
+	if (bh_store_tx_has_room(tx))
+		put_learned(l, tx, now);
 	l->is_committing = true;
 	l->commit_sent_at = now;
 	bh_term_commit(l->term, tx, on_committed, l);
@@ -319,6 +348,18 @@
 	g_free(r);
 }
 
+static void add_progress_keys(bh_sched_leader_t *l, const char *id)
+{
+	uint32_t n = bh_sched_segments(l->sched, id);
+
+	for (uint32_t i = 0; i < n; i++) {
+		char key[BH_SEGMENT_KEY_BYTES];
+
+		bh_segment_key_format(id, i, key);
+		g_ptr_array_add(l->removed_jobs, g_strdup(key));
+	}
+}
+
 static void on_jobs_removed(void *user, const bh_store_reply_t *reply)
 {
 	removal_t *r = user;
@@ -331,8 +372,8 @@
 
 			if (reply->status != BH_STORE_OK)
 				break;
+			add_progress_keys(l, id);
 			bh_sched_drop_job(l->sched, id);
-			g_ptr_array_add(l->removed_jobs, g_strdup(id));
 		}
 	}
 	removal_free(r);
@@ -373,7 +414,9 @@
 	bh_sched_leader_t *l = user;
 
 	if (commit_result == BH_TERM_STORED)
-		g_ptr_array_set_size(l->removed_jobs, 0);
+		g_ptr_array_remove_range(
+			l->removed_jobs, 0,
+			MIN(l->removed_jobs->len, COMMIT_ROWS_MAX));
 }
 
 /* Only the leader writes progress, so its removal checks the leader row. */
@@ -384,7 +427,7 @@
 	if (l->removed_jobs->len == 0 || !bh_term_can_commit(l->term))
 		return;
 	tx = bh_store_tx_new();
-	for (guint i = 0; i < l->removed_jobs->len; i++)
+	for (guint i = 0; i < MIN(l->removed_jobs->len, COMMIT_ROWS_MAX); i++)
 		bh_store_tx_delete(tx, BH_TABLE_PROGRESS, "",
 				   l->removed_jobs->pdata[i]);
 	bh_term_commit(l->term, tx, on_progress_removed, l);
@@ -620,6 +663,20 @@
 	bh_progress_free(data);
 }
 
+static void add_stored_progress(bh_sched_leader_t *l, const char *key,
+				bh_progress_t *progress)
+{
+	char *id = bh_segment_key_job(key);
+	bh_progress_t *others = g_hash_table_lookup(l->stored_progress, id);
+
+	if (!others) {
+		g_hash_table_insert(l->stored_progress, id, progress);
+		return;
+	}
+	bh_progress_merge(others, progress);
+	g_free(id);
+}
+
 static void on_progress_row(void *ctx, const bh_store_row_t *row)
 {
 	bh_sched_leader_t *l = ctx;
@@ -633,8 +690,7 @@
 	}
 	progress = bh_progress_unpack(row->value, row->len);
 	if (progress)
-		g_hash_table_insert(l->stored_progress, g_strdup(row->key),
-				    progress);
+		add_stored_progress(l, row->key, progress);
 	else
 		bh_log_event(&l->rt->log, BH_LOG_ERROR,
 			     "cannot decode stored progress", "job", row->key,
--- a/daemon/tables.c
+++ b/daemon/tables.c
@@ -1,5 +1,6 @@
 #include "daemon/tables.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <string.h>
 #define XXH_INLINE_ALL
@@ -25,6 +26,20 @@
 	return part_names[XXH32(key, strlen(key), 0) % BH_TABLE_PARTS];
 }
 
+void bh_segment_key_format(const char *id, unsigned segment,
+			   char out[BH_SEGMENT_KEY_BYTES])
+{
+	if (segment)
+		g_snprintf(out, BH_SEGMENT_KEY_BYTES, "%s/%u", id, segment);
+	else
+		g_strlcpy(out, id, BH_SEGMENT_KEY_BYTES);
+}
+
+char *bh_segment_key_job(const char *key)
+{
+	return g_strndup(key, strcspn(key, "/"));
+}
+
 const char *bh_table_part_name(const char *table, unsigned index)
 {
 	if (!is_partitioned(table))
--- a/daemon/tables.h
+++ b/daemon/tables.h
@@ -8,7 +8,10 @@
 /* Jobs by id; written by the entry that accepts or cancels one. */
 #define BH_TABLE_JOBS "jobs"
 
-/* Progress and outcome of jobs by id; written by the leader. */
+/* Progress and outcome of jobs, written by the leader. The first segment of a
+ * job's progress has the job's id for a key, which suffices for most jobs;
+ * further ones have the number of the segment behind it, see
+ * bh_segment_key_format(). */
 #define BH_TABLE_PROGRESS "progress"
 
 /* Key in the progress table for what the leader learned about interference
@@ -40,6 +43,21 @@
  */
 const char *bh_table_part_name(const char *table, unsigned index);
 
+#define BH_SEGMENT_KEY_BYTES 32
+
+/**
+ * bh_segment_key_format() - key of the row of a segment of a job's progress
+ */
+void bh_segment_key_format(const char *id, unsigned segment,
+			   char out[BH_SEGMENT_KEY_BYTES]);
+
+/**
+ * bh_segment_key_job() - the job of a row's key in the progress table
+ *
+ * Return: owned by the caller.
+ */
+char *bh_segment_key_job(const char *key);
+
 enum {
 	BH_ORDER_KIND_START = 1,
 	BH_ORDER_KIND_STOP = 2,
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -301,6 +301,16 @@
 	bh_store_commit(t->store, tx, STORE_TIMEOUT_MS, on_campaign_reply, t);
 }
 
+/* A store that is away or busy is logged by those who follow its tables. */
+static void log_refused(const bh_term_t *t, const bh_store_reply_t *reply)
+{
+	g_autofree char *code = g_strdup_printf("%u", reply->code);
+
+	if (reply->code && reply->code != 429 && reply->code != 503)
+		bh_log_event(&t->rt->log, BH_LOG_ERROR, "commit refused",
+			     "status", code, NULL);
+}
+
 static bh_term_commit_result_t
 handle_commit_reply(bh_term_t *t, const bh_store_reply_t *reply)
 {
@@ -336,6 +346,7 @@
 		t->must_write_row = true;
 		return BH_TERM_RETRY;
 	default:
+		log_refused(t, reply);
 		return BH_TERM_RETRY;
 	}
 }
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -95,8 +95,8 @@
 
 		if (!is_stored(&task->blame))
 			continue;
-		bh_rec_mark_dirty(s, task->phase->rec);
-		task->phase->rec->crashes_unstored = true;
+		bh_segment_mark_dirty(s, bh_task_segment(task));
+		bh_task_segment(task)->crashes_unstored = true;
 	}
 	return tasks;
 }
@@ -175,7 +175,7 @@
 					 host->heard_at - run->ordered_at))
 			continue;
 		if (is_stored(&task->blame))
-			bh_rec_mark_dirty(s, task->phase->rec);
+			bh_segment_mark_dirty(s, bh_task_segment(task));
 		task->blame = (bh_blame_t){0};
 	}
 }
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -63,7 +63,7 @@
 		return;
 	g_free(task->checkpoint);
 	task->checkpoint = g_strdup(checkpoint);
-	bh_rec_mark_dirty(s, task->phase->rec);
+	bh_segment_mark_dirty(s, bh_task_segment(task));
 }
 
 /* Drops a run that the worker no longer has, without a report of how it ended.
@@ -671,13 +671,9 @@
 void bh_host_release_acks(bh_sched_t *s, bh_host_t *host)
 {
 	uint64_t first = first_orphan_end(host);
-	const bh_rec_t *dirty = TAILQ_FIRST(&s->dirty);
-	bh_rec_t *rec;
-	uint64_t oldest = dirty ? dirty->dirty_since : UINT64_MAX;
+	uint64_t oldest = bh_sched_oldest_unstored(s);
 	bh_pending_ack_t *ack;
 
-	TAILQ_FOREACH(rec, &s->committing, dirty_link)
-		oldest = MIN(oldest, rec->commit_since);
 	while ((ack = g_queue_peek_head(&host->acks)) != NULL &&
 	       ack->number < first && ack->change < oldest) {
 		host->acked = ack->number;
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -99,16 +99,34 @@
 		bh_rec_open_phases(s, rec, now);
 }
 
-static void mark_done(bh_task_t *task)
+/* Return: false if the task was done already. */
+static bool mark_done(bh_task_t *task)
 {
 	bh_phase_t *phase = task->phase;
 
 	if (task->is_done)
-		return;
+		return false;
 	bh_task_set_waiting(task, false);
 	task->is_done = true;
 	phase->n_done++;
 	g_clear_pointer(&task->checkpoint, g_free);
+	return true;
+}
+
+/* One member's end stands for all of a gang, whose rows may have been stored
+ * one after the other. */
+static void complete_gang(bh_phase_t *phase)
+{
+	if (!phase->step->is_gang || !phase->n_done)
+		return;
+	for (uint32_t i = 0; i < phase->step->count; i++)
+		mark_done(&phase->tasks[i]);
+}
+
+static bool is_bit_set(const bh_step_progress_t *saved, uint32_t bit)
+{
+	return bit / 8 < saved->n_done_bytes &&
+	       (saved->done[bit / 8] & (1u << (bit % 8)));
 }
 
 /* An odd row may list a step or a task twice. */
@@ -116,11 +134,11 @@
 {
 	bool was_done = phase_is_done(phase);
 
-	for (uint32_t i = 0; i < phase->step->count; i++) {
-		if (i / 8 < saved->n_done_bytes &&
-		    (saved->done[i / 8] & (1u << (i % 8))))
+	for (uint32_t i = saved->first; i < phase->step->count; i++) {
+		if (is_bit_set(saved, i - saved->first))
 			mark_done(&phase->tasks[i]);
 	}
+	complete_gang(phase);
 	for (uint32_t i = 0; i < saved->n_tasks; i++) {
 		const bh_task_progress_t *t = &saved->tasks[i];
 		bh_task_t *task;
@@ -213,30 +231,6 @@
 						: NULL;
 }
 
-/* Keeps the list in ascending order of dirty_since: its first entry decides
- * which ends may be acknowledged. */
-void bh_rec_insert_dirty(bh_sched_t *s, bh_rec_t *rec)
-{
-	bh_rec_t *before = TAILQ_LAST(&s->dirty, bh_recs);
-
-	while (before && before->dirty_since > rec->dirty_since)
-		before = TAILQ_PREV(before, bh_recs, dirty_link);
-	if (before)
-		TAILQ_INSERT_AFTER(&s->dirty, before, rec, dirty_link);
-	else
-		TAILQ_INSERT_HEAD(&s->dirty, rec, dirty_link);
-}
-
-void bh_rec_mark_dirty(bh_sched_t *s, bh_rec_t *rec)
-{
-	s->change++;
-	if (rec->dirty_since)
-		return;
-	rec->dirty_since = s->change;
-	if (!rec->commit_since)
-		bh_rec_insert_dirty(s, rec);
-}
-
 void bh_rec_open_phases(bh_sched_t *s, bh_rec_t *rec, bh_usec_t now)
 {
 	for (uint32_t i = 0; i < rec->n_phases && !bh_rec_is_over(rec); i++) {
@@ -262,7 +256,7 @@
 		     s->unix_ms - rec->job->accepted_ms,
 		     bh_job_objective_ms(rec->job, rec->critical_path_ms));
 	stop_runs(s, rec, bh_job_state_name(state), now);
-	bh_rec_mark_dirty(s, rec);
+	bh_segment_mark_dirty(s, &rec->segments[0]);
 }
 
 void bh_phase_enqueue(bh_sched_t *s, bh_phase_t *phase)
@@ -294,18 +288,19 @@
 	if (task->is_done || phase->step->is_long_running ||
 	    bh_rec_is_over(phase->rec))
 		return;
-	if (phase->step->is_gang) {
-		for (uint32_t i = 0; i < phase->step->count; i++)
-			mark_done(&phase->tasks[i]);
-	} else {
-		mark_done(task);
+	mark_done(task);
+	bh_segment_mark_dirty(s, bh_task_segment(task));
+	for (uint32_t i = 0; phase->step->is_gang && i < phase->step->count;
+	     i++) {
+		if (mark_done(&phase->tasks[i]))
+			bh_segment_mark_dirty(
+				s, bh_task_segment(&phase->tasks[i]));
 	}
 	for (int r = 0; r < BH_RUNS_MAX; r++) {
 		if (task->runs[r])
 			bh_run_stop(s, task->runs[r], "another attempt is done",
 				    now);
 	}
-	bh_rec_mark_dirty(s, phase->rec);
 	if (phase_is_done(phase))
 		finish_phase(s, phase, now);
 }
@@ -329,7 +324,7 @@
 		g_renew(uint32_t, account->failed, account->n_failed + 1);
 	account->failed[account->n_failed++] = attempt;
 	phase->most_failed = MAX(phase->most_failed, account->n_failed);
-	bh_rec_mark_dirty(s, phase->rec);
+	bh_segment_mark_dirty(s, bh_task_segment(account));
 	if (limit && account->n_failed >= limit)
 		bh_rec_end(s, phase->rec, BH_JOB_FAILED, now);
 }
@@ -354,6 +349,7 @@
 	for (uint32_t i = 0; i < rec->n_phases; i++)
 		phase_init(&rec->phases[i], s->pairs, rec, i / job->n_steps,
 			   i % job->n_steps, now);
+	bh_rec_add_segments(rec);
 	update_terms(s, rec);
 	rec->critical_path_ms = bh_job_critical_path_ms(job);
 	TAILQ_INSERT_TAIL(&s->recs, rec, link);
@@ -393,6 +389,7 @@
 		phase_dequeue(s, &rec->phases[i]);
 	TAILQ_REMOVE(&s->recs, rec, link);
 	g_hash_table_remove(s->by_id, id);
+	bh_rec_remove_segments(s, rec);
 	rec_free(rec);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -209,10 +209,10 @@
  * again. */
 static bool awaits_store(const bh_task_t *task)
 {
-	const bh_rec_t *rec = task->phase->rec;
+	const bh_segment_t *segment = bh_task_segment(task);
 
 	return task->blame.crashes >= TRIAL_CRASHES &&
-	       (rec->crashes_unstored || rec->crashes_committing);
+	       (segment->crashes_unstored || segment->crashes_committing);
 }
 
 static bool must_wait_as_suspect(const bh_task_t *task, const bh_host_t *host,
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -8,65 +8,6 @@
  * waits stay finite while no worker is known. */
 #define CAPACITY_MIN_MILLI 1000
 
-static void free_steps(bh_progress_t *progress)
-{
-	for (uint32_t i = 0; i < progress->n_steps; i++) {
-		bh_step_progress_t *saved = &progress->steps[i];
-
-		for (uint32_t k = 0; k < saved->n_tasks; k++) {
-			g_free(saved->tasks[k].checkpoint);
-			g_free(saved->tasks[k].failed);
-		}
-		g_free(saved->tasks);
-		g_free(saved->done);
-	}
-	g_free(progress->steps);
-}
-
-static bool has_progress(const bh_task_t *task)
-{
-	return !task->is_done &&
-	       (task->n_failed || task->checkpoint || task->blame.crashes);
-}
-
-static void save_phase(const bh_phase_t *phase, bh_step_progress_t *out)
-{
-	uint32_t count = phase->step->count;
-
-	out->occurrence = phase->occurrence;
-	out->step = phase->step_index;
-	out->n_done_bytes = (count + 7) / 8;
-	out->done = g_malloc0(out->n_done_bytes);
-	out->tasks = g_new0(bh_task_progress_t, count);
-	for (uint32_t i = 0; i < count; i++) {
-		const bh_task_t *task = &phase->tasks[i];
-		bh_task_progress_t *saved;
-
-		if (task->is_done)
-			out->done[i / 8] |= (uint8_t)(1u << (i % 8));
-		if (!has_progress(task))
-			continue;
-		saved = &out->tasks[out->n_tasks++];
-		saved->index = i;
-		saved->n_failed = task->n_failed;
-		saved->failed = g_memdup2(task->failed,
-					  task->n_failed * sizeof(uint32_t));
-		saved->checkpoint = g_strdup(task->checkpoint);
-		saved->blame = task->blame;
-	}
-}
-
-static bool phase_has_progress(const bh_phase_t *phase)
-{
-	if (phase->n_done)
-		return true;
-	for (uint32_t i = 0; i < phase->step->count; i++) {
-		if (has_progress(&phase->tasks[i]))
-			return true;
-	}
-	return false;
-}
-
 static void open_due_phases(bh_sched_t *s, bh_usec_t now)
 {
 	bh_rec_t *rec;
@@ -176,14 +117,6 @@
 	g_free(s);
 }
 
-void bh_progress_free(bh_progress_t *progress)
-{
-	if (!progress)
-		return;
-	free_steps(progress);
-	g_free(progress);
-}
-
 void bh_sched_advised(bh_sched_t *s, const char *phase_name,
 		      const bh_ticket_t *tickets, uint32_t n, uint32_t valid_ms,
 		      bh_usec_t now)
@@ -228,74 +161,6 @@
 	bh_sched_place_all(s, now);
 }
 
-bool bh_sched_has_uncommitted(const bh_sched_t *s)
-{
-	return !TAILQ_EMPTY(&s->dirty) || !TAILQ_EMPTY(&s->committing);
-}
-
-uint32_t bh_sched_begin_commit(bh_sched_t *s, const char **ids, uint32_t max)
-{
-	uint32_t n = 0;
-	bh_rec_t *rec;
-
-	while (n < max && (rec = TAILQ_FIRST(&s->dirty)) != NULL) {
-		TAILQ_REMOVE(&s->dirty, rec, dirty_link);
-		TAILQ_INSERT_TAIL(&s->committing, rec, dirty_link);
-		rec->committing = rec->state;
-		rec->commit_since = rec->dirty_since;
-		rec->dirty_since = 0;
-		rec->crashes_committing = rec->crashes_unstored;
-		rec->crashes_unstored = false;
-		ids[n++] = rec->job->id;
-	}
-	return n;
-}
-
-bh_progress_t *bh_sched_progress(const bh_sched_t *s, const char *id)
-{
-	const bh_rec_t *rec = bh_rec_find(s, id);
-	bh_progress_t *out = g_new0(bh_progress_t, 1);
-
-	out->state = rec->state;
-	out->ended_ms = rec->ended_ms;
-	if (bh_rec_is_over(rec))
-		return out;
-	out->steps = g_new0(bh_step_progress_t, rec->n_phases);
-	for (uint32_t i = 0; i < rec->n_phases; i++) {
-		if (phase_has_progress(&rec->phases[i]))
-			save_phase(&rec->phases[i],
-				   &out->steps[out->n_steps++]);
-	}
-	return out;
-}
-
-void bh_sched_end_commit(bh_sched_t *s, bool is_stored)
-{
-	bh_rec_t *rec;
-	bh_host_t *host;
-
-	while ((rec = TAILQ_FIRST(&s->committing)) != NULL) {
-		TAILQ_REMOVE(&s->committing, rec, dirty_link);
-		if (!is_stored)
-			rec->dirty_since = rec->commit_since;
-		else if (rec->committing >= BH_JOB_COMPLETED)
-			rec->stored_state = rec->committing;
-		rec->crashes_unstored |= rec->crashes_committing && !is_stored;
-		s->must_place |= rec->crashes_committing;
-		rec->crashes_committing = false;
-		rec->commit_since = 0;
-		if (rec->dirty_since)
-			bh_rec_insert_dirty(s, rec);
-	}
-	TAILQ_FOREACH(host, &s->hosts, link) {
-		uint64_t before = host->acked;
-
-		bh_host_release_acks(s, host);
-		if (host->acked != before && host->is_linked)
-			bh_host_send_grant(s, host);
-	}
-}
-
 void bh_sched_each_pair(const bh_sched_t *s, bh_sched_pair_cb_t cb, void *ctx)
 {
 	bh_pairs_each(s->pairs, cb, ctx);
@@ -314,8 +179,7 @@
 	uint32_t n = 0;
 
 	TAILQ_FOREACH(rec, &s->recs, link) {
-		if (n < max && rec->stored_state && !rec->dirty_since &&
-		    !rec->commit_since &&
+		if (n < max && rec->stored_state && bh_rec_is_stored(rec) &&
 		    unix_ms > rec->ended_ms + (uint64_t)s->bounds.status_ms)
 			ids[n++] = rec->job->id;
 	}
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -106,6 +106,7 @@
 
 /**
  * struct bh_step_progress - stored progress of a step of an occurrence
+ * @first: index of the task that the first bit of @done stands for
  * @done: bitmap of the tasks that are done
  * @tasks: those tasks that are not done and have failed, have a checkpoint or
  *	are suspected of crashing their workers
@@ -113,6 +114,7 @@
 typedef struct bh_step_progress {
 	uint32_t occurrence;
 	uint32_t step;
+	uint32_t first;
 	uint32_t n_done_bytes;
 	uint8_t *done;
 	uint32_t n_tasks;
@@ -120,7 +122,9 @@
 } bh_step_progress_t;
 
 /**
- * struct bh_progress - a job's progress as stored, for the next leader
+ * struct bh_progress - a job's progress, or a segment of it, as stored for the
+ * next leader; a segment is a part that is stored in one row
+ * @state: BH_JOB_UNKNOWN in all segments but the first
  * @ended_ms: unix time at which it ended; 0: it has not
  * @steps: those steps that have any progress; none once the job has ended
  */
@@ -133,10 +137,23 @@
 
 void bh_progress_free(bh_progress_t *progress);
 
+/**
+ * bh_progress_merge() - add a segment to others of the same job
+ * @from: freed
+ */
+void bh_progress_merge(bh_progress_t *to, bh_progress_t *from);
+
+/**
+ * bh_progress_drop_checkpoints() - make a segment smaller at the expense of the
+ * work that these save
+ */
+void bh_progress_drop_checkpoints(bh_progress_t *progress);
+
 /**
  * bh_sched_add_job() - add a job that is in the store
  * @job: the scheduler takes ownership
- * @progress: what an earlier leader stored, or NULL; owned by the caller
+ * @progress: what an earlier leader stored, all segments, or NULL; owned by the
+ *	caller
  *
  * If the job is known already, @job is freed and only its cancellation takes
  * effect.
@@ -227,15 +244,16 @@
 void bh_sched_run(bh_sched_t *s, bh_usec_t now, uint64_t unix_ms);
 
 /**
- * bh_sched_begin_commit() - begin a commit of jobs whose progress has changed
- * @ids: set to the jobs' ids, which the scheduler owns
+ * bh_sched_commit_next() - add a segment that has changed to the commit
+ * @id: set to the job's id, which the scheduler owns
+ * @segment: set to the number of the segment
  *
- * The caller stores bh_sched_progress() of each job in one transaction and then
- * calls bh_sched_end_commit(), before which no other commit may begin.
+ * The caller stores bh_sched_progress() of each segment in one transaction, of
+ * which it takes as many as fit there, and then calls bh_sched_end_commit().
  *
- * Return: how many of @ids were set.
+ * Return: false if no other segment has changed.
  */
-uint32_t bh_sched_begin_commit(bh_sched_t *s, const char **ids, uint32_t max);
+bool bh_sched_commit_next(bh_sched_t *s, const char **id, uint32_t *segment);
 
 /**
  * bh_sched_has_uncommitted() - whether any progress is not stored yet
@@ -243,13 +261,20 @@
 bool bh_sched_has_uncommitted(const bh_sched_t *s);
 
 /**
- * bh_sched_progress() - the progress to store of a job; the caller owns it
+ * bh_sched_progress() - the progress to store of a job's segment; the caller
+ * owns it
+ */
+bh_progress_t *bh_sched_progress(const bh_sched_t *s, const char *id,
+				 uint32_t segment);
+
+/**
+ * bh_sched_segments() - number of segments of a job's progress
  */
-bh_progress_t *bh_sched_progress(const bh_sched_t *s, const char *id);
+uint32_t bh_sched_segments(const bh_sched_t *s, const char *id);
 
 /**
  * bh_sched_end_commit() - end a commit
- * @is_stored: the transaction is known to be stored; otherwise the jobs are
+ * @is_stored: the transaction is known to be stored; otherwise the segments are
  *	committed again
  */
 void bh_sched_end_commit(bh_sched_t *s, bool is_stored);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -12,12 +12,18 @@
 typedef struct bh_task bh_task_t;
 typedef struct bh_phase bh_phase_t;
 typedef struct bh_rec bh_rec_t;
+typedef struct bh_segment bh_segment_t;
 typedef struct bh_host bh_host_t;
 
 /* Attempt numbers reserved for each term, so that every number of a later term
  * is higher than any of an earlier one. */
 #define BH_ATTEMPTS_PER_TERM 4096u
 
+/* Tasks whose progress is stored in one row. The limit on a row leaves 256
+ * bytes for each, and what is noted of a task takes fewer than 100 beside its
+ * checkpoint and five for each failed attempt. */
+#define BH_SEGMENT_TASKS 256u
+
 /* Concurrent attempts at a task: the first and one speculative copy. */
 #define BH_RUNS_MAX 2
 
@@ -118,6 +124,7 @@
 /**
  * struct bh_phase - a step of one occurrence of a job
  * @waiting: number of tasks that have no run and are not done, once it is open
+ * @first_task: number of its first task, counted over all phases of the job
  * @is_open: its dependencies are done and its occurrence is due
  * @is_queued: it is in the scheduler's list of phases to place
  * @most_failed: failed attempts of the task that has most of them
@@ -138,6 +145,7 @@
 	const bh_step_t *step;
 	uint32_t occurrence;
 	uint32_t step_index;
+	uint32_t first_task;
 	uint32_t n_done;
 	uint32_t waiting;
 	bool is_open;
@@ -158,6 +166,29 @@
 
 typedef TAILQ_HEAD(bh_phases, bh_phase) bh_phases_t;
 
+/**
+ * struct bh_segment - a part of a job's progress, which is stored in one row:
+ * up to BH_SEGMENT_TASKS tasks, counted over all phases
+ * @index: of the segment; the first one also holds the job's state
+ * @dirty_since: number of its oldest change that is not stored and not part of
+ *	the commit in progress; 0: none
+ * @commit_since: the same for the commit in progress
+ * @crashes_unstored: crashes under its tasks are not stored and not part of the
+ *	commit in progress
+ * @crashes_committing: such crashes are part of the commit in progress
+ */
+struct bh_segment {
+	TAILQ_ENTRY(bh_segment) dirty_link;
+	bh_rec_t *rec;
+	uint32_t index;
+	uint64_t dirty_since;
+	uint64_t commit_since;
+	bool crashes_unstored;
+	bool crashes_committing;
+};
+
+typedef TAILQ_HEAD(bh_segments, bh_segment) bh_segments_t;
+
 /**
  * struct bh_rec - record of a job: its definition, progress and state
  * @phases: by occurrence, then by step
@@ -167,20 +198,15 @@
  *	BH_JOB_UNKNOWN
  * @committing: state that the commit in progress stores
  * @n_runs: attempts at its tasks that may be running
- * @dirty_since: number of its oldest change that is not stored and not part of
- *	the commit in progress; 0: none
- * @commit_since: the same for the commit in progress
- * @crashes_unstored: crashes under its tasks are not stored and not part of the
- *	commit in progress
- * @crashes_committing: such crashes are part of the commit in progress
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
  * @is_inherited: an earlier leader may have started its tasks
  */
 struct bh_rec {
 	TAILQ_ENTRY(bh_rec) link;
-	TAILQ_ENTRY(bh_rec) dirty_link;
 	bh_job_t *job;
+	uint32_t n_segments;
+	bh_segment_t *segments;
 	uint32_t n_phases;
 	bh_phase_t *phases;
 	uint32_t phases_done;
@@ -188,10 +214,6 @@
 	bh_job_state_t stored_state;
 	bh_job_state_t committing;
 	uint32_t n_runs;
-	uint64_t dirty_since;
-	uint64_t commit_since;
-	bool crashes_unstored;
-	bool crashes_committing;
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
 	bool is_inherited;
@@ -249,8 +271,8 @@
  * @boot: of the worker's process that the runs, ends and acknowledgements are
  *	of; its agent may not know it after a restart; 0: none was reported
  * @is_linked: the agent is connected
- * @is_synced: all that the worker runs, and all ends, were seen in this term, or
- *	its lease expired
+ * @is_synced: all that the worker runs, and all ends, were seen in this term,
+ *or its lease expired
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
@@ -352,8 +374,8 @@
 /**
  * struct bh_sched - the scheduler
  * @open: queue of the open phases that have waiting tasks
- * @dirty: jobs with changes to store, in ascending order of @dirty_since
- * @committing: jobs of the commit in progress
+ * @dirty: segments with changes to store, in ascending order of @dirty_since
+ * @committing: segments of the commit in progress
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile that may run there
@@ -376,8 +398,8 @@
 	uint32_t n_hosts;
 	GHashTable *by_key;
 	bh_phases_t open;
-	bh_recs_t dirty;
-	bh_recs_t committing;
+	bh_segments_t dirty;
+	bh_segments_t committing;
 	uint64_t change;
 	bool is_recovering;
 	bh_usec_t predecessor_over_at;
@@ -412,16 +434,31 @@
 void bh_task_set_waiting(bh_task_t *task, bool is_waiting);
 bool bh_task_has_run(const bh_task_t *task);
 
-/* jobs.c */
-bh_rec_t *bh_rec_find(const bh_sched_t *s, const char *id);
-bh_task_t *bh_task_find(const bh_sched_t *s, const char *name);
+/* segments.c */
+void bh_rec_add_segments(bh_rec_t *rec);
+void bh_rec_remove_segments(bh_sched_t *s, bh_rec_t *rec);
 
 /**
- * bh_rec_mark_dirty() - note that a job's progress has changed and must be
- * stored
+ * bh_rec_is_stored() - whether all that is known of a job's progress is stored
  */
-void bh_rec_mark_dirty(bh_sched_t *s, bh_rec_t *rec);
-void bh_rec_insert_dirty(bh_sched_t *s, bh_rec_t *rec);
+bool bh_rec_is_stored(const bh_rec_t *rec);
+bh_segment_t *bh_task_segment(const bh_task_t *task);
+
+/**
+ * bh_segment_mark_dirty() - note that what a segment holds has changed and must
+ * be stored
+ */
+void bh_segment_mark_dirty(bh_sched_t *s, bh_segment_t *segment);
+
+/**
+ * bh_sched_oldest_unstored() - number of the oldest change that is not stored,
+ * UINT64_MAX if all are
+ */
+uint64_t bh_sched_oldest_unstored(const bh_sched_t *s);
+
+/* jobs.c */
+bh_rec_t *bh_rec_find(const bh_sched_t *s, const char *id);
+bh_task_t *bh_task_find(const bh_sched_t *s, const char *name);
 
 /**
  * bh_rec_open_phases() - open the phases that have become ready
--- a/standins/store.c
+++ b/standins/store.c
@@ -23,6 +23,12 @@
 #define FEED_BYTES_MAX (1 << 20)
 #define HISTORY_MAX    4000
 
+/* A transaction beyond one of these limits is refused with 400, unless it has
+ * no condition: tests write rows of any size that way. */
+#define ROW_BYTES_MAX 65536
+#define TX_BYTES_MAX  1000000
+#define TX_ROWS_MAX   100
+
 typedef enum store_mode {
 	MODE_UP,
 	MODE_DOWN,
@@ -377,20 +383,42 @@
 	event_base_once(st->base, -1, EV_TIMEOUT, on_slow_tx, tx, &delay);
 }
 
+static bool is_within_limits(JsonNode *root, size_t bytes)
+{
+	JsonNode *puts = bh_json_get(root, "puts");
+	size_t checks = bh_json_size(bh_json_get(root, "expected-rev"));
+	size_t rows = checks + bh_json_size(puts) +
+		      bh_json_size(bh_json_get(root, "remove"));
+
+	if (checks == 0)
+		return true;
+	for (size_t i = 0; i < bh_json_size(puts); i++) {
+		const char *value = get_string(bh_json_at(puts, i), "value");
+		gsize len = 0;
+
+		g_free(value && *value ? g_base64_decode(value, &len) : NULL);
+		if (len > ROW_BYTES_MAX)
+			return false;
+	}
+	return rows <= TX_ROWS_MAX && bytes <= TX_BYTES_MAX;
+}
+
 static void on_tx(struct evhttp_request *req, void *ctx)
 {
 	store_t *st = ctx;
 	const char *part;
 	JsonNode *root;
 	GBytes *bytes;
+	size_t size;
 
 	if (apply_fault(st, req))
 		return;
 	st->n_writes++;
 	bytes = bh_http_take_body(req);
+	size = g_bytes_get_size(bytes);
 	root = bh_json_parse_bytes(bytes);
 	g_bytes_unref(bytes);
-	part = get_single_part(root);
+	part = is_within_limits(root, size) ? get_single_part(root) : NULL;
 	if (part && st->mode == MODE_SLOW) {
 		queue_tx(st, req, root, part);
 		return;
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -10,6 +10,7 @@
 #define STEP_MS		       5
 #define REPORT_MS	       200
 #define PREDICTION_INTERVAL_MS 300
+#define COMMIT_ROWS	       90
 #define COMMIT_MS	       15
 #define LEASE_MS	       5000
 #define UNIX_MS		       1000000
@@ -418,13 +419,16 @@
 
 static void commit(lw_world_t *w)
 {
-	const char *ids[90];
+	const char *id;
+	uint32_t segment;
+	int n = 0;
 
 	if (w->ms - w->commit_ms < COMMIT_MS ||
 	    !bh_sched_has_uncommitted(w->sched))
 		return;
 	w->commit_ms = w->ms;
-	bh_sched_begin_commit(w->sched, ids, G_N_ELEMENTS(ids));
+	while (n < COMMIT_ROWS && bh_sched_commit_next(w->sched, &id, &segment))
+		n++;
 	bh_sched_end_commit(w->sched, true);
 }
 
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -28,6 +28,13 @@
 /* Ends that a worker lists at a time: few, so that full lists are frequent. */
 #define ENDED_ROWS_MAX 6u
 
+/* Rows of a commit, few of which hold a wide job: further ones are stored
+ * later.
+ */
+#define COMMIT_ROWS   3
+#define ROW_BYTES_MAX 65536
+#define SEGMENTS_MAX  80
+
 #define CPU_MILLI      10000
 #define MEMORY_MB      100000
 #define SHRINK_DIVISOR 4
@@ -905,6 +912,35 @@
 
 /* The leader and its store. */
 
+static char *segment_key(const char *id, uint32_t segment)
+{
+	return g_strdup_printf("%s/%u", id, segment);
+}
+
+/* Return: what is stored of a job's progress, or NULL. */
+static bh_progress_t *stored_progress(sw_world_t *w, const char *id)
+{
+	bh_progress_t *all = NULL;
+
+	for (uint32_t i = 0; i < SEGMENTS_MAX; i++) {
+		g_autofree char *key = segment_key(id, i);
+		GBytes *bytes = g_hash_table_lookup(w->progress, key);
+		gsize len;
+		const void *data;
+		bh_progress_t *progress;
+
+		if (!bytes)
+			continue;
+		data = g_bytes_get_data(bytes, &len);
+		progress = bh_progress_unpack(data, len);
+		if (all)
+			bh_progress_merge(all, progress);
+		else
+			all = progress;
+	}
+	return all;
+}
+
 static void begin_term(sw_world_t *w)
 {
 	bh_sched_bounds_t bounds = {
@@ -931,11 +967,7 @@
 	}
 	g_hash_table_iter_init(&it, w->jobs);
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
-		GBytes *bytes = g_hash_table_lookup(w->progress, id);
-		gsize len = 0;
-		const void *data = bytes ? g_bytes_get_data(bytes, &len) : NULL;
-		bh_progress_t *progress =
-			bytes ? bh_progress_unpack(data, len) : NULL;
+		bh_progress_t *progress = stored_progress(w, id);
 
 		bh_sched_add_job(w->sched, job_of(w, id), progress, w->now);
 		bh_progress_free(progress);
@@ -952,8 +984,8 @@
 
 static void commit(sw_world_t *w)
 {
-	const char *ids[90];
-	uint32_t n;
+	const char *id;
+	uint32_t segment;
 	bool is_stored;
 	bool is_told;
 
@@ -966,14 +998,20 @@
 				 g_rand_int_range(w->rand, 0, 3) == 0);
 	if (is_told)
 		w->renewed_at = w->now;
-	n = bh_sched_begin_commit(w->sched, ids, 90);
-	if (n == 0)
-		return;
-	for (uint32_t i = 0; i < n && is_stored; i++) {
-		bh_progress_t *progress = bh_sched_progress(w->sched, ids[i]);
-
-		g_hash_table_insert(w->progress, g_strdup(ids[i]),
-				    bh_progress_pack(progress));
+	for (int n = 0;
+	     n < COMMIT_ROWS && bh_sched_commit_next(w->sched, &id, &segment);
+	     n++) {
+		bh_progress_t *progress =
+			bh_sched_progress(w->sched, id, segment);
+		GBytes *row = bh_progress_pack(progress);
+
+		if (g_bytes_get_size(row) > ROW_BYTES_MAX)
+			report_violation(w, "row too large", id);
+		if (is_stored)
+			g_hash_table_insert(w->progress,
+					    segment_key(id, segment), row);
+		else
+			g_bytes_unref(row);
 		bh_progress_free(progress);
 	}
 	bh_sched_end_commit(w->sched, is_told);
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -142,9 +142,10 @@
 
 static void store_all(bh_sched_t *s)
 {
-	const char *ids[8];
+	const char *id;
+	uint32_t segment;
 
-	while (bh_sched_begin_commit(s, ids, 8))
+	while (bh_sched_commit_next(s, &id, &segment))
 		bh_sched_end_commit(s, true);
 }
 
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -690,7 +690,7 @@
 	GBytes *bytes;
 
 	bh_sched_set_pair(s, "j", "i", 0.5, 0.1);
-	bytes = bh_learned_pack(s);
+	bytes = bh_learned_pack(s, 1000);
 	sched_close(s);
 	return bytes;
 }
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1977,7 +1977,7 @@
   (ProtobufCMessageInit) bh__sched__task_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__step_note__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bh__sched__step_note__field_descriptors[5] =
 {
   {
     "occurrence",
@@ -2027,9 +2027,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StepNote, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__step_note__field_indices_by_name[] = {
   2,   /* field[2] = done */
+  4,   /* field[4] = first */
   0,   /* field[0] = occurrence */
   1,   /* field[1] = step */
   3,   /* field[3] = tasks */
@@ -2037,7 +2050,7 @@
 static const ProtobufCIntRange bh__sched__step_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bh__sched__step_note__descriptor =
 {
@@ -2047,7 +2060,7 @@
   "Bh__Sched__StepNote",
   "bh.sched",
   sizeof(Bh__Sched__StepNote),
-  4,
+  5,
   bh__sched__step_note__field_descriptors,
   bh__sched__step_note__field_indices_by_name,
   1,  bh__sched__step_note__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -143,10 +143,14 @@
   ProtobufCBinaryData done;
   size_t n_tasks;
   Bh__Sched__TaskNote **tasks;
+  /*
+   * Index of the task that the first bit of done stands for.
+   */
+  uint32_t first;
 };
 #define BH__SCHED__STEP_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__step_note__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0 }
 
 
 struct  Bh__Sched__Progress
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -121,6 +121,7 @@
 	bh__sched__step_note__init(out);
 	out->occurrence = note->occurrence;
 	out->step = note->step;
+	out->first = note->first;
 	out->done.len = note->n_done_bytes;
 	out->done.data = note->done;
 	out->n_tasks = note->n_tasks;
@@ -159,6 +160,7 @@
 {
 	out->occurrence = from->occurrence;
 	out->step = from->step;
+	out->first = from->first;
 	out->n_done_bytes = (uint32_t)from->done.len;
 	out->done = g_memdup2(from->done.data, from->done.len);
 	out->n_tasks = (uint32_t)from->n_tasks;
@@ -329,10 +331,27 @@
 	return out;
 }
 
+/* Bytes of a pair's tag and length in a message: names are shorter than 2 MB.
+ */
+#define PAIR_HEADER_BYTES 5
+
+/**
+ * struct pair_list - pairs to encode
+ * @bytes: size of these
+ */
+typedef struct pair_list {
+	GPtrArray *pairs;
+	size_t bytes;
+	size_t max_bytes;
+} pair_list_t;
+
+static void free_pair(gpointer data);
+
 static void add_pair(void *ctx, const char *filler, const char *lasting,
 		     double harm, double doubt)
 {
-	GPtrArray *pairs = ctx;
+	pair_list_t *list = ctx;
+	size_t bytes;
 	Bh__Sched__Pair *m = g_new0(Bh__Sched__Pair, 1);
 
 	bh__sched__pair__init(m);
@@ -340,7 +359,13 @@
 	m->lasting = g_strdup(lasting);
 	m->harm = (float)harm;
 	m->doubt = (float)doubt;
-	g_ptr_array_add(pairs, m);
+	bytes = bh__sched__pair__get_packed_size(m) + PAIR_HEADER_BYTES;
+	if (list->bytes + bytes > list->max_bytes) {
+		free_pair(m);
+		return;
+	}
+	list->bytes += bytes;
+	g_ptr_array_add(list->pairs, m);
 }
 
 static void free_pair(gpointer data)
@@ -352,12 +377,14 @@
 	g_free(m);
 }
 
-GBytes *bh_learned_pack(const bh_sched_t *sched)
+GBytes *bh_learned_pack(const bh_sched_t *sched, size_t max_bytes)
 {
 	Bh__Sched__Learned m = BH__SCHED__LEARNED__INIT;
 	g_autoptr(GPtrArray) pairs = g_ptr_array_new_with_free_func(free_pair);
 
-	bh_sched_each_pair(sched, add_pair, pairs);
+	pair_list_t list = {.pairs = pairs, .max_bytes = max_bytes};
+
+	bh_sched_each_pair(sched, add_pair, &list);
 	m.n_pairs = pairs->len;
 	m.pairs = (Bh__Sched__Pair **)pairs->pdata;
 	return pack(&m.base);
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -27,9 +27,10 @@
 bh_progress_t *bh_progress_unpack(const void *data, size_t len);
 
 /**
- * bh_learned_pack() - encode the interference estimates for the next leader
+ * bh_learned_pack() - encode the interference estimates for the next leader, as
+ * many as fit
  */
-GBytes *bh_learned_pack(const bh_sched_t *sched);
+GBytes *bh_learned_pack(const bh_sched_t *sched, size_t max_bytes);
 void bh_learned_unpack(const void *data, size_t len, bh_sched_t *sched);
 
 /**
