A job that does not fit into a row is refused at once

What callers saw: 503 with Retry-After for a job that can never be stored, and after a few tries 503 for other callers' jobs.

Cause: the store refuses a row above 64 KB, and the entry took the refusal for a store that is away; its circuit breaker opened. Found on a path related to the rows of progress.

The entry now answers 400 with the limit before it calls the store.

Failed before: tests/jobs too_large_job_is_refused_at_once (503 for six tries and for another caller's job). After: passes, release build.

Why it works: the row is known before it is sent, and nothing that the store would refuse for its size reaches it or the breaker.

--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -7,6 +7,9 @@
 #include "sched/admit.h"
 #include "sched/breaker.h"
 
+/* Largest row of a job: a cancellation adds a field of two bytes. */
+#define JOB_ROW_BYTES_MAX (BH_STORE_ROW_BYTES_MAX - 2)
+
 /* Calls to the store for one request, at most, while the caller waits. */
 #define STORE_TRIES 4
 
@@ -445,6 +448,7 @@
 	const char *error;
 	bh_job_t *job = bh_decode_job(data, len, &error);
 	pending_t *p;
+	GBytes *row;
 
 	if (body)
 		g_bytes_unref(body);
@@ -453,15 +457,25 @@
 		return;
 	}
 	set_queue_terms(job, queue, id);
+	row = bh_job_pack(job);
+	/* The store would refuse it each time, which is not for the load. */
+	if (g_bytes_get_size(row) > JOB_ROW_BYTES_MAX) {
+		reply(req, e, 400,
+		      bh_encode_error("the job is larger than a row of the "
+				      "store, 65536 bytes"),
+		      0);
+		g_bytes_unref(row);
+		bh_job_free(job);
+		return;
+	}
 	p = pending_new(e, req, id, queue->name);
 	p->is_submission = true;
+	p->row = row;
 	TAILQ_INSERT_TAIL(&e->submissions, p, link);
-	if (!bh_breaker_allows(&e->breaker)) {
+	if (!bh_breaker_allows(&e->breaker))
 		give_up(p);
-	} else if (!refuse_if_late(p, job)) {
-		p->row = bh_job_pack(job);
+	else if (!refuse_if_late(p, job))
 		submit(p);
-	}
 	bh_job_free(job);
 }
 
