A leader that is cut off starts nothing that runs under its successor

Cause: a leader that reaches one agent but neither the store nor the other hosts takes the runs of those for lost once their leases have expired by its own bound, and starts them on the host that it reaches. Its successor has prolonged those leases. Ruled out: grants beyond their bound, a process that stood still (it would log that it was paused).

A lease now counts as over only once the store has confirmed, after its end, that this leader still leads; the leader commits at once when it waits for that.

Why it works: a commit that succeeds proves that no other leader had been elected when it was sent, so that none had prolonged the lease by its end.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -13,6 +13,10 @@
 /* Minimum time between two commits, in which changes are batched. */
 #define COMMIT_INTERVAL_US (15 * BH_USEC_PER_MS)
 
+/* Minimum time between two commits that store nothing, of which the leader
+ * needs to know only that it still leads. */
+#define CONFIRM_INTERVAL_US (100 * BH_USEC_PER_MS)
+
 /* Rows that a transaction of the leader has beside those of its progress: the
  * leader row and its precondition, and what was learned. */
 #define COMMIT_OTHER_ROWS 3
@@ -129,6 +133,7 @@
 	l->is_run_scheduled = false;
 	if (!bh_term_is_leader(l->term))
 		return;
+	bh_sched_note_leading(l->sched, bh_term_confirmed_at(l->term));
 	if (bh_term_is_confirmed(l->term))
 		bh_sched_run(l->sched, bh_runtime_now(), bh_runtime_unix_ms());
 	commit(l);
@@ -310,6 +315,15 @@
 	g_bytes_unref(bytes);
 }
 
+static bool must_commit(const bh_sched_leader_t *l, bh_usec_t now)
+{
+	if (l->is_committing || !bh_term_can_commit(l->term))
+		return false;
+	return bh_sched_has_uncommitted(l->sched) ||
+	       (bh_sched_awaits_confirmation(l->sched) &&
+		now - l->commit_sent_at >= CONFIRM_INTERVAL_US);
+}
+
 static void commit(bh_sched_leader_t *l)
 {
 	const char *id;
@@ -318,8 +332,7 @@
 	bh_usec_t now = bh_runtime_now();
 	bh_store_tx_t *tx;
 
-	if (l->is_committing || !bh_term_can_commit(l->term) ||
-	    !bh_sched_has_uncommitted(l->sched))
+	if (!must_commit(l, now))
 		return;
 	if (now - l->commit_sent_at < COMMIT_INTERVAL_US) {
 		struct timeval rest = {0, COMMIT_INTERVAL_US};
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -576,6 +576,11 @@
 	t->cb = NULL;
 }
 
+bh_usec_t bh_term_confirmed_at(const bh_term_t *t)
+{
+	return t->confirmed_at;
+}
+
 int64_t bh_term_confirmed_ago_ms(const bh_term_t *t)
 {
 	return (bh_runtime_now() - t->confirmed_at) / 1000;
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -101,6 +101,11 @@
  * bh_term_confirmed_ago_ms() - age of the last transaction that proved that
  * this process leads
  */
+/**
+ * bh_term_confirmed_at() - when the last transaction that succeeded was sent:
+ * until then no other process had won an election
+ */
+bh_usec_t bh_term_confirmed_at(const bh_term_t *t);
 int64_t bh_term_confirmed_ago_ms(const bh_term_t *t);
 
 /**
--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -31,10 +31,11 @@
 	start "jobagent-$1" "$BUILD/daemon/borageholdd" "$WORK/jobagent-$1.json"
 }
 
+# start_jobhost N [TASK-MS]
 start_jobhost() {
 	start "jobhost-$1" "$BUILD/standins/standin-jobhost" "worker-$1" \
 		"$(addr $((500 + $1)))" "$(addr $((300 + $1)))" \
-		"$WORK/jobhost-$1.tasks" 700
+		"$WORK/jobhost-$1.tasks" "${2:-700}"
 }
 
 # job_call METHOD ENTRY ID BODY: prints the body, sets STATUS
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -576,10 +576,26 @@
 		return false;
 	if (!TAILQ_EMPTY(&host->runs) && now - host->heard_at < LISTS_FRESH_US)
 		return false;
-	if (!may_calls_be_late(s, host) || now >= ends_at + BH_LATE_CALL_MAX_US)
-		return true;
-	note_lease_in_doubt(s, host, now);
-	return false;
+	if (may_calls_be_late(s, host) && now < ends_at + BH_LATE_CALL_MAX_US) {
+		note_lease_in_doubt(s, host, now);
+		return false;
+	}
+	/* Another leader may have been elected since, and prolong the lease. */
+	if (s->led_at < ends_at) {
+		s->awaits_confirmation = true;
+		return false;
+	}
+	return true;
+}
+
+void bh_sched_note_leading(bh_sched_t *s, bh_usec_t at)
+{
+	s->led_at = MAX(s->led_at, at);
+}
+
+bool bh_sched_awaits_confirmation(const bh_sched_t *s)
+{
+	return s->awaits_confirmation;
 }
 
 static bool may_hold_runs(const bh_host_t *host)
@@ -592,6 +608,7 @@
 	bh_host_t *host;
 	bool is_recovering = false;
 
+	s->awaits_confirmation = false;
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (may_hold_runs(host) && is_lease_over(s, host, now)) {
 			if (now - host->heard_at > LOG_LAPSE_AFTER_US)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -168,6 +168,18 @@
  */
 void bh_sched_note_jobs_read(bh_sched_t *s, bh_usec_t at);
 
+/**
+ * bh_sched_note_leading() - the store has confirmed that this leader led at @at,
+ * so that no later one had granted leases by then
+ */
+void bh_sched_note_leading(bh_sched_t *s, bh_usec_t at);
+
+/**
+ * bh_sched_awaits_confirmation() - whether what is known to be over by leases
+ * alone waits for bh_sched_note_leading()
+ */
+bool bh_sched_awaits_confirmation(const bh_sched_t *s);
+
 /**
  * bh_sched_add_host() - add a host whose agent has a row in the store
  * @may_hold_work: an earlier leader may have started tasks there; nothing is
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -381,6 +381,9 @@
  *	struct bh_host; nothing is placed meanwhile that may run there
  * @predecessor_over_at: by when the leases of earlier leaders are over, if no
  *	call is late; jobs that are stored later have no tasks of theirs
+ * @led_at: no other leader had granted leases by then
+ * @awaits_confirmation: the lease of a host that may hold runs has ended after
+ *	@led_at
  * @call_lost_at: when a call to some worker last got no answer although the
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
@@ -403,6 +406,8 @@
 	uint64_t change;
 	bool is_recovering;
 	bh_usec_t predecessor_over_at;
+	bh_usec_t led_at;
+	bool awaits_confirmation;
 	bh_usec_t call_lost_at;
 	bool must_place;
 	uint32_t n_reservations;
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -448,6 +448,7 @@
 					   G_N_ELEMENTS(w->loads), now_us(w));
 	}
 	submit_jobs(w);
+	bh_sched_note_leading(w->sched, now_us(w));
 	bh_sched_run(w->sched, now_us(w), UNIX_MS + (uint64_t)w->ms);
 	commit(w);
 }
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -1111,6 +1111,7 @@
 	}
 	if (!has_fault(w, NULL, SW_STORE_DOWN))
 		bh_sched_note_jobs_read(w->sched, w->now);
+	bh_sched_note_leading(w->sched, w->renewed_at);
 	bh_sched_run(w->sched, w->now, unix_ms(w));
 	commit(w);
 }
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -111,6 +111,12 @@
 	return s;
 }
 
+static void run(bh_sched_t *s, bh_usec_t now, uint64_t unix_ms)
+{
+	bh_sched_note_leading(s, now);
+	bh_sched_run(s, now, unix_ms);
+}
+
 static void report_lists(bh_sched_t *s, bh_worker_lists_t *lists, bh_usec_t now)
 {
 	bh_worker_info_t info = worker_info();
@@ -118,7 +124,7 @@
 	lists->clock_ms = (uint64_t)now / 1000;
 	lists->boot = 7;
 	bh_sched_report(s, HOST, &info, lists, true, now);
-	bh_sched_run(s, now, 1000 + (uint64_t)now / 1000);
+	run(s, now, 1000 + (uint64_t)now / 1000);
 }
 
 static void report(bh_sched_t *s, bh_active_t *active, bh_ended_t *ended,
@@ -163,7 +169,7 @@
 	(void)state;
 	report(s, &active, NULL, MS(50));
 	bh_sched_add_job(s, make_job(), NULL, MS(90));
-	bh_sched_run(s, MS(91), 1091);
+	run(s, MS(91), 1091);
 	assert_int_equal(o.starts, 0);
 	assert_int_equal(o.stops, 0);
 	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_RUNNING);
@@ -305,7 +311,7 @@
 	(void)state;
 	report_ends(s, &ended, 1, MS(50));
 	for (int ms = 100; ms < 9000; ms += 100)
-		bh_sched_run(s, MS(ms), 1000 + (uint64_t)ms);
+		run(s, MS(ms), 1000 + (uint64_t)ms);
 	report_ends(s, &ended, 1, MS(9000));
 	assert_int_equal(o.ack, 0);
 	bh_sched_add_job(s, make_job_as(LATER_JOB), NULL, MS(9010));
@@ -337,7 +343,7 @@
 	(void)state;
 	report(s, NULL, NULL, MS(20));
 	bh_sched_add_job(s, make_job(), NULL, MS(30));
-	bh_sched_run(s, MS(30), 1030);
+	run(s, MS(30), 1030);
 	assert_int_equal(o.starts, 1);
 	ended.attempt = o.attempt;
 	bh_sched_start_result(s, HOST, TASK, o.attempt, BH_ORDER_OK, MS(40));
@@ -395,7 +401,7 @@
 			    .how = BH_END_FAILED};
 
 	bh_sched_add_job(s, make_job_as(id), NULL, now);
-	bh_sched_run(s, now, 1000);
+	run(s, now, 1000);
 	report(s, NULL, &ended, now + MS(20));
 	bh_sched_cancel(s, id, now + MS(20));
 }
@@ -451,7 +457,7 @@
 		bh_sched_report(s, keys[i], &info, is_other ? &empty : lists,
 				true, now);
 	}
-	bh_sched_run(s, now, 1000 + (uint64_t)now / 1000);
+	run(s, now, 1000 + (uint64_t)now / 1000);
 }
 
 /* A worker lists a run that was lost with its lease, and the task has been
@@ -476,7 +482,7 @@
 	}
 	report_all(s, NULL, NULL, MS(10));
 	bh_sched_add_job(s, make_job(), NULL, MS(20));
-	bh_sched_run(s, MS(20), 1020);
+	run(s, MS(20), 1020);
 	assert_int_equal(o.starts, 1);
 	first = o.host;
 	active.attempt = o.attempt;
@@ -490,7 +496,7 @@
 	assert_int_equal(o.stops, 1);
 	bh_sched_start_result(s, o.host, TASK, o.attempt, BH_ORDER_NO_ROOM,
 			      MS(6010));
-	bh_sched_run(s, MS(6011), 7011);
+	run(s, MS(6011), 7011);
 	for (int ms = 6200; ms < 6700; ms += 100) {
 		lists.clock_ms = (uint64_t)ms;
 		report_all(s, first, &lists, MS(ms));
@@ -522,7 +528,7 @@
 	bh_sched_report(s, "10.0.0.2:1", &idle, NULL, false, MS(50));
 	info.lost_call_ms = 10;
 	bh_sched_report(s, HOST, &info, &lists, true, MS(100));
-	bh_sched_run(s, MS(200), 1200);
+	run(s, MS(200), 1200);
 	assert_int_equal(o.starts, 1);
 	bh_sched_free(s);
 	bh_config_free(config);
@@ -581,7 +587,7 @@
 		info.id = (char *)"w2";
 		info.boot = 9;
 		bh_sched_report(s, "10.0.0.2:1", &info, &none, true, MS(ms));
-		bh_sched_run(s, MS(ms), 1000 + (uint64_t)ms);
+		run(s, MS(ms), 1000 + (uint64_t)ms);
 		if (ms < 5300)
 			assert_int_equal(o.starts, 1);
 	}
