A late acknowledgement finds no ends of the worker's next process

Cause: a poll that acknowledges ends names the worker's id, not its process. Without an answer it may be carried out seconds later, by the next process under the same id, whose ends have the same numbers. The agent remembered starts without an answer, and not acknowledgements.

While one may still be carried out, the next process gets no tasks. A poll that acknowledges no longer waits for an end, so that a crash seldom leaves one without an answer.

Why it works: a process that has had no tasks has no ends to forget.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -5,6 +5,7 @@
 #include "platform/decode.h"
 #include "platform/runner.h"
 #include "platform/store.h"
+#include "sched/late_acks.h"
 #include "sched/late_starts.h"
 #include "sched/run_log.h"
 
@@ -115,6 +116,9 @@
  *	has passed on no start order
  * @leader_heard_at: when the last frame of the leader came
  * @starting: orders to start without an outcome
+ * @polled_ack: the acknowledgement in the poll in flight, which was sent to the
+ *	worker @polled_worker and may be held for @poll_wait_ms
+ * @late_acks: acknowledgements that got no answer
  * @late_starts: orders to start that got no answer
  * @has_late_starts: the worker's next process has answered, but could still
  *	carry out starts that were meant for the one before; the leader is not
@@ -168,6 +172,10 @@
 	bh_usec_t pinged_at;
 	uint32_t orders;
 	TAILQ_HEAD(, order) starting;
+	uint64_t polled_ack;
+	char *polled_worker;
+	int64_t poll_wait_ms;
+	bh_late_acks_t late_acks;
 	bh_late_starts_t *late_starts;
 	bool has_late_starts;
 	uint64_t starts;
@@ -225,6 +233,17 @@
 	return (uint32_t)MAX(ago / BH_USEC_PER_MS, 1);
 }
 
+/* Tasks may not end on the worker's process before it has carried out, or will
+ * not carry out any more, acknowledgements that were meant for the one before.
+ */
+static bool may_forget_ends(const bh_sched_agent_t *a)
+{
+	const char *id = a->info.boot == a->boot ? a->info.id : NULL;
+
+	return bh_late_acks_may_reach(&a->late_acks, id, a->boot,
+				      bh_runtime_now());
+}
+
 static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
 {
 	bh_worker_info_t info = a->info;
@@ -240,7 +259,8 @@
 	if (a->is_down)
 		info.state = BH_WORKER_DOWN;
 	/* A future leader learns only from the row that work may run here. */
-	else if (!a->is_registered && info.state == BH_WORKER_READY)
+	else if ((!a->is_registered || may_forget_ends(a)) &&
+		 info.state == BH_WORKER_READY)
 		info.state = BH_WORKER_SILENT;
 	info.is_idle = a->is_idle;
 	info.lease_expires_ms = a->expires_ms;
@@ -307,7 +327,7 @@
 	bh_usec_t now = bh_runtime_now();
 	bh_usec_t elapsed = now - a->poll_sent_at;
 	bh_usec_t timeout =
-		(POLL_WAIT_MS + a->poll_timeout_ms) * BH_USEC_PER_MS;
+		(a->poll_wait_ms + a->poll_timeout_ms) * BH_USEC_PER_MS;
 
 	a->polls_unanswered++;
 	if (a->unanswered_polls++ == 0)
@@ -411,6 +431,9 @@
 	bh_sched_agent_t *a = user;
 
 	a->is_polling = false;
+	if (!lists && a->polled_ack && !is_gone)
+		bh_late_acks_add(&a->late_acks, a->polled_worker, a->boot,
+				 a->poll_sent_at);
 	if (is_fenced)
 		bh_log_event(&a->rt->log, BH_LOG_WARN, "fenced", NULL);
 	if (!lists) {
@@ -488,14 +511,18 @@
 	return has_ended || is_next ? 0 : a->expires_ms;
 }
 
+/* A poll with an acknowledgement is answered at once, so that few are under way
+ * when the worker crashes. */
 static void poll_worker(bh_sched_agent_t *a)
 {
+	uint64_t ack = poll_ack(a);
+	int64_t wait_ms = ack ? 0 : POLL_WAIT_MS;
 	bh_runner_lists_request_t call = {
 		.worker = is_announced(a) ? a->info.id : NULL,
 		.term = a->term,
 		.expires_ms = poll_expires_ms(a),
-		.ack = poll_ack(a),
-		.wait_ms = POLL_WAIT_MS,
+		.ack = ack,
+		.wait_ms = wait_ms,
 		.timeout_ms = a->poll_timeout_ms,
 	};
 
@@ -504,6 +531,10 @@
 	event_del(a->poll_timer);
 	a->is_polling = true;
 	a->poll_sent_at = bh_runtime_now();
+	a->polled_ack = ack;
+	a->poll_wait_ms = wait_ms;
+	g_free(a->polled_worker);
+	a->polled_worker = g_strdup(call.worker);
 	a->poll_term = a->term;
 	bh_runner_lists(a->runner, &call, on_lists, a);
 }
@@ -687,7 +718,7 @@
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
 	if (a->info.state != BH_WORKER_READY || !is_addressable(a, m->boot) ||
-	    a->is_draining || !a->is_registered) {
+	    a->is_draining || !a->is_registered || may_forget_ends(a)) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
 	}
@@ -1096,6 +1127,8 @@
 	bh_store_free(a->store);
 	bh_worker_info_clear(&a->info);
 	bh_run_log_free(a->run_log);
+	bh_late_acks_clear(&a->late_acks);
+	g_free(a->polled_worker);
 	bh_late_starts_free(a->late_starts);
 	bh_crash_clear(&a->crash);
 	g_byte_array_free(a->scratch, TRUE);
--- a/standins/late_calls.c
+++ b/standins/late_calls.c
@@ -8,10 +8,12 @@
 /**
  * struct rule - calls that get no answer
  * @path: NULL for any
+ * @is_acking: only calls that acknowledge ends
  * @until_unix_ms: the rule applies to calls that arrive before
  */
 typedef struct rule {
 	char *path;
+	bool is_acking;
 	GRand *rand;
 	int64_t until_unix_ms;
 	int64_t share_percent;
@@ -111,6 +113,7 @@
 		g_rand_free(r->rand);
 	*r = (rule_t){
 		.path = g_strdup(bh_json_text(bh_json_get(record, "path"))),
+		.is_acking = get_int(record, "acking") != 0,
 		.rand = g_rand_new_with_seed((guint32)get_int(record, "seed")),
 		.until_unix_ms = get_int(record, "until-ms"),
 		.share_percent = get_int(record, "share-percent"),
@@ -167,6 +170,8 @@
 	json_object_set_int_member(record, "until-ms",
 				   standin_unix_ms() +
 					   standin_param_int(req, "for", 0));
+	json_object_set_int_member(record, "acking",
+				   standin_param_int(req, "acking", 0));
 	json_object_set_int_member(record, "seed",
 				   standin_param_int(req, "seed", 0));
 	json_object_set_int_member(record, "share-percent",
@@ -201,13 +206,14 @@
 }
 
 static const rule_t *find_rule(const late_calls_t *l, const char *path,
-			       int64_t *delay_ms)
+			       JsonNode *body, int64_t *delay_ms)
 {
 	for (int i = 0; i < RULES_MAX; i++) {
 		const rule_t *r = &l->rules[i];
 
 		if (standin_unix_ms() < r->until_unix_ms &&
 		    (!r->path || strcmp(r->path, path) == 0) &&
+		    (!r->is_acking || get_int(body, "ack-seq") > 0) &&
 		    draw(r, delay_ms))
 			return r;
 	}
@@ -220,7 +226,7 @@
 	const char *path =
 		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	int64_t delay_ms;
-	const rule_t *rule = find_rule(l, path, &delay_ms);
+	const rule_t *rule = find_rule(l, path, body, &delay_ms);
 	JsonObject *record;
 	JsonNode *node;
 
