Start orders that do not fit the connection wait

Cause: a connection drops frames while more than 4 MiB are unsent, and nobody learns of it. To the scheduler the tasks were ordered. Evidence: the worker saw 1,239 of 1,800 starts, the agent no more.

The scheduler now bounds what is ordered from a host and not confirmed to 1 MiB. A connection that overflows all the same is closed, so that both sides compare what they know.

Why it works: orders go out as fast as they are answered, and what is not sent is no longer taken for sent.

--- a/daemon/link.c
+++ b/daemon/link.c
@@ -17,6 +17,7 @@
 	bh_usec_t heard_at;
 	GByteArray *scratch;
 	bool is_open;
+	bool has_overflown;
 	bool is_in_callback;
 	bool is_closed;
 };
@@ -183,10 +184,16 @@
 {
 	struct evbuffer *out = bufferevent_get_output(link->bev);
 
-	/* The owner closes a stuck link when no frame arrives in time. */
-	if (link->is_closed ||
-	    evbuffer_get_length(out) > BH_LINK_SEND_BUFFER_MAX_BYTES)
+	if (link->is_closed || link->has_overflown)
 		return;
+	/* Neither side may take what is not sent for sent: both have to notice,
+	 * and compare what they know. */
+	if (evbuffer_get_length(out) > BH_LINK_SEND_BUFFER_MAX_BYTES) {
+		link->has_overflown = true;
+		bufferevent_trigger_event(link->bev, BEV_EVENT_ERROR,
+					  BEV_TRIG_DEFER_CALLBACKS);
+		return;
+	}
 	evbuffer_add(out, data, len);
 }
 
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -8,7 +8,8 @@
 #include "daemon/runtime.h"
 #include "wire/sched_codec.h"
 
-/* Further frames are dropped while more data than this is unsent. */
+/* A connection on which more data than this is unsent is closed when the next
+ * frame is sent. */
 #define BH_LINK_SEND_BUFFER_MAX_BYTES (4u << 20)
 
 typedef struct bh_link bh_link_t;
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -93,9 +93,9 @@
 }
 
 /* Reports from before the confirmation do not count as missing the run. */
-static void confirm_run(bh_run_t *run, bh_usec_t now)
+static void confirm_run(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
 {
-	run->is_confirmed = true;
+	bh_run_confirm(s, run);
 	run->confirmed_at = now;
 	run->reports_missed = 0;
 }
@@ -419,7 +419,7 @@
 	}
 	run->reports_missed = 0;
 	if (!run->is_confirmed)
-		confirm_run(run, now);
+		confirm_run(s, run, now);
 	note_started(run->task);
 	if (run->state == BH_RUN_ORDERED)
 		run->state = BH_RUN_ACTIVE;
@@ -821,7 +821,7 @@
 	 * the attempt, its answer was lost, and the attempt has ended since.
 	 * The worker's lists will tell. */
 	if (outcome == BH_ORDER_OK || outcome == BH_ORDER_OLD) {
-		confirm_run(run, now);
+		confirm_run(s, run, now);
 		note_started(task);
 		if (run->state == BH_RUN_ORDERED)
 			run->state = BH_RUN_ACTIVE;
@@ -865,7 +865,7 @@
 	if (!host || !run || run->host != host)
 		return;
 	if (outcome == BH_ORDER_OK) {
-		confirm_run(run, now);
+		confirm_run(s, run, now);
 		return;
 	}
 	bh_sched_log(s, "stop unclear", task->phase->rec->job->id,
--- a/sched/place.c
+++ b/sched/place.c
@@ -78,6 +78,7 @@
 	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
 	       now >= host->full_until && now >= host->trial_until &&
+	       host->order_bytes < BH_HOST_ORDER_BYTES_MAX &&
 	       !host->has_unknown_run;
 }
 
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -1,5 +1,8 @@
 #include "sched/sched_impl.h"
 
+/* Size of a start order beside its texts. */
+#define ORDER_OVERHEAD_BYTES 200
+
 /* Adds a task's resources to those in use on a host, or subtracts them if @sign
  * is -1. */
 static void host_charge(bh_host_t *host, const bh_step_t *step, int sign)
@@ -44,6 +47,14 @@
 	return NULL;
 }
 
+static uint32_t order_bytes(const bh_task_t *task)
+{
+	size_t checkpoint = task->checkpoint ? strlen(task->checkpoint) : 0;
+
+	return (uint32_t)(ORDER_OVERHEAD_BYTES + checkpoint +
+			  strlen(task->phase->rec->job->spec));
+}
+
 bh_run_t *bh_run_new(bh_task_t *task, bh_host_t *host, uint32_t attempt,
 		     bh_run_state_t state, bh_usec_t now)
 {
@@ -57,6 +68,8 @@
 	run->ordered_at = now;
 	run->progressed_at = now;
 	run->pace = 100;
+	run->order_bytes = state == BH_RUN_ORDERED ? order_bytes(task) : 0;
+	host->order_bytes += run->order_bytes;
 	bh_task_set_waiting(task, false);
 	task->held_since = 0;
 	task->runs[slot] = run;
@@ -69,10 +82,20 @@
 	return run;
 }
 
+void bh_run_confirm(bh_sched_t *s, bh_run_t *run)
+{
+	if (run->host->order_bytes >= BH_HOST_ORDER_BYTES_MAX)
+		s->must_place = true;
+	run->host->order_bytes -= run->order_bytes;
+	run->order_bytes = 0;
+	run->is_confirmed = true;
+}
+
 void bh_run_drop(bh_sched_t *s, bh_run_t *run)
 {
 	bh_task_t *task = run->task;
 
+	run->host->order_bytes -= run->order_bytes;
 	for (int i = 0; i < BH_RUNS_MAX; i++) {
 		if (task->runs[i] == run)
 			task->runs[i] = NULL;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -169,8 +169,8 @@
 void bh_sched_note_jobs_read(bh_sched_t *s, bh_usec_t at);
 
 /**
- * bh_sched_note_leading() - the store has confirmed that this leader led at @at,
- * so that no later one had granted leases by then
+ * bh_sched_note_leading() - the store has confirmed that this leader led at
+ * @at, so that no later one had granted leases by then
  */
 void bh_sched_note_leading(bh_sched_t *s, bh_usec_t at);
 
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -19,6 +19,10 @@
  * is higher than any of an earlier one. */
 #define BH_ATTEMPTS_PER_TERM 4096u
 
+/* Start orders to a host that are not confirmed yet: more wait. A connection
+ * buffers 4 MiB. */
+#define BH_HOST_ORDER_BYTES_MAX (1u << 20)
+
 /* Tasks whose progress is stored in one row. The limit on a row leaves 256
  * bytes for each, and what is noted of a task takes fewer than 100 beside its
  * checkpoint and five for each failed attempt. */
@@ -60,6 +64,7 @@
  * @reports_missed: consecutive reports that did not list it
  * @pace: limit on a filler's speed, in percent of full speed
  * @stop_ordered_at: when its stop was last ordered
+ * @order_bytes: size of its start order, 0 if there was none
  * @is_confirmed: an order was answered or a report listed it, so that it cannot
  *	start unnoticed later
  * @checkpoint: the last one reported; the task takes it over if the run is lost
@@ -84,6 +89,7 @@
 	uint32_t reports_missed;
 	uint32_t pace;
 	bh_usec_t stop_ordered_at;
+	uint32_t order_bytes;
 	bool is_confirmed;
 	bh_usec_t confirmed_at;
 	char *checkpoint;
@@ -281,6 +287,7 @@
  * @outlived_until: the same after the worker has listed runs past
  *	@lease_ends_at, so that it holds a later lease; 0: it has not
  * @expires_ms: end of the last lease granted, on the worker's clock
+ * @order_bytes: size of the start orders of runs that are not confirmed
  * @used_cpu: processor time that its tasks request, fillers excluded
  * @used_memory: memory that its tasks request, fillers included, as are
  *	accelerators
@@ -335,6 +342,7 @@
 	uint64_t expires_ms;
 	bh_runs_t runs;
 	uint32_t n_runs;
+	uint64_t order_bytes;
 	uint64_t used_cpu;
 	uint64_t used_memory;
 	uint64_t used_accelerators;
@@ -495,6 +503,12 @@
 bh_run_t *bh_run_new(bh_task_t *task, bh_host_t *host, uint32_t attempt,
 		     bh_run_state_t state, bh_usec_t now);
 
+/**
+ * bh_run_confirm() - its start order has been carried out or refused for
+ * certain
+ */
+void bh_run_confirm(bh_sched_t *s, bh_run_t *run);
+
 /**
  * bh_run_drop() - free a run that is over, and the resources it used
  */
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -391,6 +391,43 @@
 	bh_config_free(config);
 }
 
+/* Many tasks with a long specification start at once. Their orders exceeded
+ * what the connection to the agent buffers, and those behind were never carried
+ * out.
+ */
+static void test_unanswered_orders_are_bounded(void **state)
+{
+	enum { SPEC_BYTES = 4000, TASKS = 1500, BOUND_BYTES = 1 << 20 };
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_job_t *job = make_job();
+	int started = 0;
+
+	(void)state;
+	g_free(job->spec);
+	job->spec = g_strnfill(SPEC_BYTES, 'x');
+	job->steps[0].count = TASKS;
+	job->steps[0].cpu_milli = 1;
+	job->steps[0].memory_mb = 1;
+	report(s, NULL, NULL, MS(20));
+	bh_sched_add_job(s, job, NULL, MS(30));
+	for (int ms = 40; o.starts < TASKS; ms += 10) {
+		run(s, MS(ms), 1000 + (uint64_t)ms);
+		assert_true(o.starts > started);
+		assert_true((o.starts - started) * SPEC_BYTES <= BOUND_BYTES);
+		for (; started < o.starts; started++) {
+			g_autofree char *task =
+				g_strdup_printf(JOB ".0.0.%d", started);
+
+			bh_sched_start_result(s, HOST, task, o.attempt,
+					      BH_ORDER_OK, MS(ms));
+		}
+	}
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 static void fail_task(bh_sched_t *s, const char *id, uint64_t number,
 		      bh_usec_t now)
 {
@@ -610,6 +647,7 @@
 			test_run_behind_a_full_list_of_ends_is_not_lost),
 		cmocka_unit_test(
 			test_new_leader_waits_for_the_rest_of_a_full_list),
+		cmocka_unit_test(test_unanswered_orders_are_bounded),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
 		cmocka_unit_test(test_report_from_before_grant_ends_no_lease),
