The adviser is asked about further workers

Cause: each call named the first 30 usable hosts, and each answer replaced the one before.

Answers are kept for each worker while they are valid; workers of which nothing was said come first, and the adviser is asked again while a task finds no host.

Why it works: each answer takes its workers out of the next call until all have been named.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -849,7 +849,7 @@
 	if (outcome == BH_ORDER_UNHEALTHY)
 		bh_health_record(s, host, NULL, false, now);
 	if (outcome == BH_ORDER_TICKET)
-		task->phase->tickets_until = 0;
+		bh_phase_drop_ticket(task->phase, host);
 	bh_run_drop(s, run);
 	bh_task_requeue(s, task, now);
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -34,13 +34,6 @@
  * as long for them to stop before it preempts more. */
 #define PREEMPT_AFTER_US (300 * BH_USEC_PER_MS)
 
-/* Workers in a request to the adviser, which takes longer to answer with each
- * one. */
-#define ADVICE_WORKERS_MAX 30
-
-/* The adviser is asked again if it has not answered after this time. */
-#define ADVICE_RETRY_US (1500 * BH_USEC_PER_MS)
-
 /* Reports come every 200 ms. A host whose last report is older gets no new
  * work, since too little is known about it. */
 #define REPORT_AGE_MAX_US (1500 * BH_USEC_PER_MS)
@@ -174,8 +167,7 @@
 	if (step->max_per_host &&
 	    count_on_host(phase, host) >= step->max_per_host)
 		return false;
-	if (phase->tickets &&
-	    !g_hash_table_contains(phase->tickets, host->info.id))
+	if (phase->advice && !bh_phase_ticket(phase, host, now))
 		return false;
 	return true;
 }
@@ -585,38 +577,6 @@
 	return placed == n;
 }
 
-/* Asks the adviser for tickets if the queue needs them.
- *
- * Return: true while the phase has to wait for them. */
-static bool awaits_tickets(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
-{
-	const bh_queue_t *queue =
-		bh_config_queue(s->config, phase->rec->job->queue);
-	const char *workers[ADVICE_WORKERS_MAX];
-	char name[BH_TASK_NAME_BYTES];
-	const bh_host_t *host;
-	uint32_t n = 0;
-
-	if (!queue || !queue->needs_advice)
-		return false;
-	if (phase->tickets && now < phase->tickets_until)
-		return false;
-	if (phase->advice_asked_at &&
-	    now - phase->advice_asked_at < ADVICE_RETRY_US)
-		return true;
-	TAILQ_FOREACH(host, &s->hosts, link) {
-		if (n < G_N_ELEMENTS(workers) && bh_host_is_usable(host, now))
-			workers[n++] = host->info.id;
-	}
-	if (n == 0)
-		return true;
-	phase->advice_asked_at = now;
-	g_snprintf(name, sizeof(name), "%s.%u.%u", phase->rec->job->id,
-		   phase->occurrence, phase->step_index);
-	s->ops->advise(s->ctx, name, workers, n);
-	return true;
-}
-
 /* Whether an earlier leader may have started its tasks, and some host has not
  * been heard of since. */
 static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
@@ -652,11 +612,13 @@
 		bool is_placed;
 
 		phase = phases->pdata[i];
-		if (may_run_unseen(s, phase) || awaits_tickets(s, phase, now))
+		if (may_run_unseen(s, phase) ||
+		    bh_phase_awaits_advice(s, phase, now))
 			continue;
 		is_placed = phase->step->is_gang ? place_gang(s, phase, now)
 						 : place_phase(s, phase, now);
 		if (!is_placed) {
+			bh_phase_ask_advice(s, phase, now);
 			reserve_for_phase(s, phase, now);
 			unplaced++;
 		}
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -124,9 +124,7 @@
 	};
 
 	bh_task_full_name(task, name);
-	if (task->phase->tickets)
-		start.ticket = g_hash_table_lookup(task->phase->tickets,
-						   host->info.id);
+	start.ticket = bh_phase_ticket(task->phase, host, now);
 	bh_hist_add(&s->stats.wait, now - task->waiting_since);
 	bh_sched_log(s, "start", job->id,
 		     "task=%s attempt=%u worker=%s waited_ms=%" G_GINT64_FORMAT
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -117,27 +117,6 @@
 	g_free(s);
 }
 
-void bh_sched_advised(bh_sched_t *s, const char *phase_name,
-		      const bh_ticket_t *tickets, uint32_t n, uint32_t valid_ms,
-		      bh_usec_t now)
-{
-	g_autofree char *first = g_strdup_printf("%s.0", phase_name);
-	bh_task_t *task = bh_task_find(s, first);
-	bh_phase_t *phase;
-
-	if (!task)
-		return;
-	phase = task->phase;
-	g_clear_pointer(&phase->tickets, g_hash_table_destroy);
-	phase->tickets =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	for (uint32_t i = 0; i < n; i++)
-		g_hash_table_insert(phase->tickets, g_strdup(tickets[i].worker),
-				    g_strdup(tickets[i].ticket));
-	phase->tickets_until = now + valid_ms * BH_USEC_PER_MS;
-	s->must_place = true;
-}
-
 void bh_sched_run(bh_sched_t *s, bh_usec_t now, uint64_t unix_ms)
 {
 	bool is_due = now - s->checked_at >= CHECK_INTERVAL_US;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -138,8 +138,11 @@
  *	run time divided by the actual one
  * @rate_count: number of rates in @rate_sum
  * @rank: order of placement, lowest first
- * @tickets: the adviser's tickets by worker id, or NULL; used only if the queue
- *	needs advice
+ * @advice: the adviser's answers by worker id, see tickets.c, or NULL; used
+ *only if the queue needs advice
+ * @advised_on: ids of the workers that the adviser was last asked about, or
+ *NULL
+ * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
  * @explained_at: when the reason why one of its tasks waits was last logged
  * @image: number of the step's image
@@ -161,8 +164,8 @@
 	double rate_sum;
 	uint32_t rate_count;
 	uint64_t rank;
-	GHashTable *tickets;
-	bh_usec_t tickets_until;
+	GHashTable *advice;
+	GPtrArray *advised_on;
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
 	bh_usec_t explained_at;
@@ -616,6 +619,30 @@
  */
 uint64_t bh_phase_rank(const bh_sched_t *s, const bh_phase_t *phase);
 
+/* tickets.c */
+
+/**
+ * bh_phase_awaits_advice() - whether a phase has to wait for the adviser, which
+ * is asked if it has not been yet
+ */
+bool bh_phase_awaits_advice(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now);
+
+/**
+ * bh_phase_ask_advice() - ask the adviser about workers of which it has not
+ * said anything that is still valid, if the queue needs its advice
+ */
+void bh_phase_ask_advice(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now);
+
+/**
+ * bh_phase_ticket() - the ticket for a host
+ *
+ * Return: NULL if there is none that is valid.
+ */
+const char *bh_phase_ticket(const bh_phase_t *phase, const bh_host_t *host,
+			    bh_usec_t now);
+void bh_phase_drop_ticket(bh_phase_t *phase, const bh_host_t *host);
+void bh_phase_clear_advice(bh_phase_t *phase);
+
 /* place.c */
 
 /**
