Runs of a limited step are counted by host

Cause: the limit was checked by a walk over all tasks of the step, for each task and host; the first pass outlasted the time after which a leader is replaced.

Why it works: the count is kept when a run begins and ends, and a pass only reads it.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -23,6 +23,7 @@
 		g_free(phase->tasks[i].failed);
 	}
 	g_free(phase->tasks);
+	g_clear_pointer(&phase->runs_on, g_hash_table_destroy);
 	bh_phase_clear_advice(phase);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -85,21 +85,6 @@
 	return 0;
 }
 
-static uint32_t count_on_host(const bh_phase_t *phase, const bh_host_t *host)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < phase->step->count; i++) {
-		for (int r = 0; r < BH_RUNS_MAX; r++) {
-			const bh_run_t *run = phase->tasks[i].runs[r];
-
-			if (run && run->host == host)
-				n++;
-		}
-	}
-	return n;
-}
-
 static bool has_label(const bh_host_t *host, const char *label)
 {
 	for (uint32_t i = 0; i < host->info.n_labels; i++) {
@@ -165,7 +150,7 @@
 	if (host->is_probing && is_being_probed(host, now))
 		return false;
 	if (step->max_per_host &&
-	    count_on_host(phase, host) >= step->max_per_host)
+	    bh_phase_runs_on(phase, host) >= step->max_per_host)
 		return false;
 	if (phase->advice && !bh_phase_ticket(phase, host, now))
 		return false;
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -17,6 +17,30 @@
 	host->n_runs += (uint32_t)sign;
 }
 
+uint32_t bh_phase_runs_on(const bh_phase_t *phase, const bh_host_t *host)
+{
+	return phase->runs_on ? GPOINTER_TO_UINT(g_hash_table_lookup(
+					phase->runs_on, host))
+			      : 0;
+}
+
+static void count_run(const bh_run_t *run, int sign)
+{
+	bh_phase_t *phase = run->task->phase;
+	uint32_t n;
+
+	if (!phase->step->max_per_host)
+		return;
+	if (!phase->runs_on)
+		phase->runs_on = g_hash_table_new(NULL, NULL);
+	n = bh_phase_runs_on(phase, run->host) + (uint32_t)sign;
+	if (n)
+		g_hash_table_insert(phase->runs_on, run->host,
+				    GUINT_TO_POINTER(n));
+	else
+		g_hash_table_remove(phase->runs_on, run->host);
+}
+
 void bh_host_charge_unclaimed(bh_host_t *host, const bh_step_t *step)
 {
 	uint64_t cpu = step->is_filler ? 0 : step->cpu_milli;
@@ -70,6 +94,7 @@
 	run->pace = 100;
 	run->order_bytes = state == BH_RUN_ORDERED ? order_bytes(task) : 0;
 	host->order_bytes += run->order_bytes;
+	count_run(run, 1);
 	bh_task_set_waiting(task, false);
 	task->held_since = 0;
 	task->runs[slot] = run;
@@ -96,6 +121,7 @@
 	bh_task_t *task = run->task;
 
 	run->host->order_bytes -= run->order_bytes;
+	count_run(run, -1);
 	for (int i = 0; i < BH_RUNS_MAX; i++) {
 		if (task->runs[i] == run)
 			task->runs[i] = NULL;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -138,6 +138,8 @@
  *	run time divided by the actual one
  * @rate_count: number of rates in @rate_sum
  * @rank: order of placement, lowest first
+ * @runs_on: by host, the number of its runs there; NULL without a limit for
+ *each host
  * @advice: the adviser's answers by worker id, see tickets.c, or NULL; used
  *only if the queue needs advice
  * @advised_on: ids of the workers that the adviser was last asked about, or
@@ -164,6 +166,7 @@
 	double rate_sum;
 	uint32_t rate_count;
 	uint64_t rank;
+	GHashTable *runs_on;
 	GHashTable *advice;
 	GPtrArray *advised_on;
 	bh_usec_t advice_asked_at;
@@ -512,6 +515,11 @@
  */
 void bh_run_confirm(bh_sched_t *s, bh_run_t *run);
 
+/**
+ * bh_phase_runs_on() - number of runs of a phase with a limit for each host
+ */
+uint32_t bh_phase_runs_on(const bh_phase_t *phase, const bh_host_t *host);
+
 /**
  * bh_run_drop() - free a run that is over, and the resources it used
  */
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -497,6 +497,41 @@
 	run(s, now, 1000 + (uint64_t)now / 1000);
 }
 
+/* A leader that has not renewed its row for this long is replaced. */
+#define LEADER_TIMEOUT_US (1300 * BH_USEC_PER_MS)
+
+/* One wide step with a limit for each host. The time of a pass grew with the
+ * square of its width, so that each leader lost its term in its first pass. */
+static void test_pass_over_a_wide_limited_step_is_short(void **state)
+{
+	enum { TASKS = 16000 };
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = bh_sched_new(&bounds, &ops, &o, MS(1), 1000);
+	bh_job_t *job = make_job();
+	gint64 began;
+
+	(void)state;
+	bh_sched_set_config(s, config);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		bh_sched_add_host(s, keys[i], false, MS(1));
+		bh_sched_host_linked(s, keys[i], true, MS(1));
+	}
+	report_all(s, NULL, NULL, MS(10));
+	job->steps[0].count = TASKS;
+	job->steps[0].cpu_milli = 1;
+	job->steps[0].memory_mb = 0;
+	job->steps[0].max_per_host = TASKS / G_N_ELEMENTS(keys) + 1;
+	bh_sched_add_job(s, job, NULL, MS(20));
+	began = g_get_monotonic_time();
+	run(s, MS(20), 1020);
+	assert_true(g_get_monotonic_time() - began < LEADER_TIMEOUT_US);
+	assert_true(o.starts > 0);
+	assert_true(o.starts <= TASKS);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 /* A worker lists a run that was lost with its lease, and the task has been
  * started elsewhere. That start is refused: the task was started a third time,
  * although the first run had not ended. */
@@ -648,6 +683,7 @@
 		cmocka_unit_test(
 			test_new_leader_waits_for_the_rest_of_a_full_list),
 		cmocka_unit_test(test_unanswered_orders_are_bounded),
+		cmocka_unit_test(test_pass_over_a_wide_limited_step_is_short),
 		cmocka_unit_test(test_serving_task_ends_probation),
 		cmocka_unit_test(test_task_waits_for_listed_run_to_stop),
 		cmocka_unit_test(test_report_from_before_grant_ends_no_lease),
