Logs tell when a lease's end waits for the store

A leader that is cut off no longer decides on leases alone, but nothing showed whether it waits, or had decided before. `host lease unconfirmed` says that it waits, `host lease expired` when the store last confirmed it.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -567,6 +567,20 @@
 		     (now - s->call_lost_at) / 1000, host->n_runs);
 }
 
+static void note_lease_unconfirmed(bh_sched_t *s, bh_host_t *host,
+				   bh_usec_t now)
+{
+	s->awaits_confirmation = true;
+	if (host->is_lease_unconfirmed)
+		return;
+	host->is_lease_unconfirmed = true;
+	bh_sched_log(s, "host lease unconfirmed", NULL,
+		     "host=%s silent_ms=%" G_GINT64_FORMAT
+		     " led_ms_ago=%" G_GINT64_FORMAT " runs=%u",
+		     host->key, (now - host->heard_at) / 1000,
+		     (now - s->led_at) / 1000, host->n_runs);
+}
+
 /* Whether the worker's lease has ended, and with it all that ran there. */
 static bool is_lease_over(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
@@ -582,7 +596,7 @@
 	}
 	/* Another leader may have been elected since, and prolong the lease. */
 	if (s->led_at < ends_at) {
-		s->awaits_confirmation = true;
+		note_lease_unconfirmed(s, host, now);
 		return false;
 	}
 	return true;
@@ -614,9 +628,11 @@
 			if (now - host->heard_at > LOG_LAPSE_AFTER_US)
 				bh_sched_log(
 					s, "host lease expired", NULL,
-					"host=%s silent_ms=%" G_GINT64_FORMAT,
+					"host=%s silent_ms=%" G_GINT64_FORMAT
+					" led_ms_ago=%" G_GINT64_FORMAT,
 					host->key,
-					(now - host->heard_at) / 1000);
+					(now - host->heard_at) / 1000,
+					(now - s->led_at) / 1000);
 			bh_host_lose_runs(s, host, "lease expired", now);
 		}
 		if (!host->is_synced)
@@ -765,6 +781,7 @@
 	if (lists) {
 		host->heard_at = now;
 		host->is_lease_in_doubt = false;
+		host->is_lease_unconfirmed = false;
 	}
 	if (info->lost_call_ms)
 		s->call_lost_at =
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -290,6 +290,7 @@
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
  *	expired, and with it all its tasks have ended, unless it is extended
  * @is_lease_in_doubt: calls that got no answer may have prolonged its lease
+ * @is_lease_unconfirmed: it has ended, but another leader may have prolonged it
  * @outlived_until: the same after the worker has listed runs past
  *	@lease_ends_at, so that it holds a later lease; 0: it has not
  * @expires_ms: end of the last lease granted, on the worker's clock
@@ -344,6 +345,7 @@
 	bh_usec_t heard_at;
 	bh_usec_t lease_ends_at;
 	bool is_lease_in_doubt;
+	bool is_lease_unconfirmed;
 	bh_usec_t outlived_until;
 	uint64_t expires_ms;
 	bh_runs_t runs;
