A reply of the store's feed that was cut for its size is not taken for all

What callers would see: a task whose end was acknowledged runs again, after a burst of large jobs and a change of leader.

Cause: bh_follow took a reply with fewer than 500 rows for all changes. The store ends a reply at 1 MB too, which 180 jobs with specs of 4,000 bytes exceed. The end of a task whose job is in the part that is left out then counts as that of a job that does not exist, and is acknowledged without being recorded (may_become_known() in sched/hosts.c).

Failed before: test_follow reply_cut_by_its_size_may_not_be_all. It passes now, and small replies still count at once.

Why it works: a reply with at most half of that limit in values has not been cut, and a larger one counts with the next poll.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -4,6 +4,10 @@
 /* Rows per page; the store cuts a page of large rows at 1 MB. */
 #define PAGE_ROWS 500
 
+/* A reply with more than this in values, which are sent as base64, may have
+ * been cut for its size. */
+#define WHOLE_REPLY_BYTES_MAX ((size_t)512 * 1024)
+
 #define LIST_TIMEOUT_MS 2000
 
 /* Added to the time that the store may hold a poll. */
@@ -101,6 +105,16 @@
 	}
 }
 
+/* Whether a reply of the feed has all changes up to when it was made. */
+static bool is_whole(const bh_store_reply_t *reply)
+{
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < reply->n_rows; i++)
+		bytes += reply->rows[i].len;
+	return reply->n_rows < PAGE_ROWS && bytes <= WHOLE_REPLY_BYTES_MAX;
+}
+
 static void update_store_state(bh_follow_t *f, const bh_store_reply_t *reply)
 {
 	bool is_ok = reply->status == BH_STORE_OK ||
@@ -217,7 +231,7 @@
 		retry_later(f);
 	} else {
 		f->version = MAX(f->version, reply->version);
-		if (reply->n_rows < PAGE_ROWS)
+		if (is_whole(reply))
 			f->current_at = f->feed_sent_at;
 		deliver_rows(f, reply);
 		if (!f->is_freed)
