TWICE on the present code: a successor ends while the former leader grants

The set-up is shared with cut_off_leader_starts_what_others_run, which is as before; submit() takes the estimate.

--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -44,10 +44,10 @@
 		"$JOB_HOST"
 }
 
-# submit ENTRY ID TASKS [SPEC]: one step
+# submit ENTRY ID TASKS [SPEC [ESTIMATE-MS]]: one step
 submit() {
 	job_call POST "$1" "$2" "{\"spec\":\"${4:-demo}\",\"steps\":[{\"count\":$3,
-		\"cpu\":500,\"mem-mb\":100,\"estimate-ms\":700}]}" >/dev/null
+		\"cpu\":500,\"mem-mb\":100,\"estimate-ms\":${5:-700}}]}" >/dev/null
 }
 
 job_state() {
