TWICE on the present code: a late removal takes the next agent's row

The leader is killed; its successor loads two agents instead of three and starts elsewhere what runs on host 2.

The stand-in for the store carries out late what removes rows (late-removals).

--- a/standins/store.c
+++ b/standins/store.c
@@ -9,6 +9,8 @@
  *   hang  ignores the call and never replies
  *   slow  takes ms=N for each transaction, runs those of one part in sequence,
  *         and refuses with 429 when the backlog of the part exceeds a second
+ *   late-removals  a transaction that removes rows gets no reply, and is
+ * carried out after ms=N if its condition still holds
  */
 #include "platform/http_client.h"
 #include "platform/json.h"
@@ -35,9 +37,11 @@
 	MODE_LOSE,
 	MODE_HANG,
 	MODE_SLOW,
+	MODE_LATE_REMOVALS,
 } store_mode_t;
 
-static const char *const mode_names[] = {"up", "down", "lose", "hang", "slow"};
+static const char *const mode_names[] = {"up",	 "down", "lose",
+					 "hang", "slow", "late-removals"};
 
 typedef struct store_row {
 	char *table;
@@ -319,9 +323,10 @@
 	return part;
 }
 
+/* @req: NULL if it gets no reply */
 static void run_tx(store_t *st, struct evhttp_request *req, JsonNode *root)
 {
-	bool is_lost = st->mode == MODE_LOSE;
+	bool is_lost = !req || st->mode == MODE_LOSE;
 	JsonArray *rows = json_array_new();
 	bool is_ok;
 
@@ -383,6 +388,16 @@
 	event_base_once(st->base, -1, EV_TIMEOUT, on_slow_tx, tx, &delay);
 }
 
+static void run_tx_late(store_t *st, JsonNode *root)
+{
+	struct timeval delay = {st->slow_ms / 1000, st->slow_ms % 1000 * 1000};
+	slow_tx_t *tx = g_new0(slow_tx_t, 1);
+
+	tx->store = st;
+	tx->root = root;
+	event_base_once(st->base, -1, EV_TIMEOUT, on_slow_tx, tx, &delay);
+}
+
 static bool is_within_limits(JsonNode *root, size_t bytes)
 {
 	JsonNode *puts = bh_json_get(root, "puts");
@@ -423,6 +438,11 @@
 		queue_tx(st, req, root, part);
 		return;
 	}
+	if (part && st->mode == MODE_LATE_REMOVALS &&
+	    bh_json_size(bh_json_get(root, "remove")) > 0) {
+		run_tx_late(st, root);
+		return;
+	}
 	if (part)
 		run_tx(st, req, root);
 	else
