The wait for earlier leaders' grants outlives their successors

What callers saw: tasks ran twice at once, seconds after two changes of leader in a row beside a partition, or after one of which the store lost the answer.

Cause: a process that wins an election took its predecessor for the only one that may still grant leases. Where that one had ended, or was the process itself (its campaign was stored, but the answer lost; it or the successor restarted), it waited for no grants at all, while the leader before, cut off, may grant for some 4 s after its last renewal. Class: a bound that holds only for the immediate predecessor, taken for all that came before.

A process notes, when it sees another leader's row replaced, until when that leader may grant, and waits for the latest. Leaders between two rows, and the one before the first row that a process reads, are unknown and count as replaced just then. It costs time only where hosts stay silent and the leader has changed twice within 4 s, or the winner began to run less than 4 s before.

Why it works: whoever may grant at the time of an election was replaced at a moment that the winner saw, or before it began to read.

--- a/daemon/tables.h
+++ b/daemon/tables.h
@@ -22,6 +22,10 @@
  * the leader removes those of agents that are gone for good. */
 #define BH_TABLE_AGENTS "agents"
 
+/* The row of the leader, which it renews, see daemon/term.h. */
+#define BH_TABLE_LEADER "leader"
+#define BH_KEY_LEADER	"leader"
+
 /* Rows that the operator writes. */
 #define BH_TABLE_OPERATOR      "op"
 #define BH_KEY_OPERATOR_CONFIG "config"
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -1,9 +1,10 @@
 #include "daemon/term.h"
+#include "daemon/tables.h"
 #include "platform/address.h"
 #include "sched/grants.h"
 
-#define TABLE "leader"
-#define KEY   "leader"
+#define TABLE BH_TABLE_LEADER
+#define KEY   BH_KEY_LEADER
 #define PART  ""
 
 /* Interval of renewals; more than two fit into LEADER_TIMEOUT_US. */
@@ -67,6 +68,8 @@
  *	neither the last term nor who leads is known
  * @seen_term: the latest term that others have reported
  * @is_predecessor_gone: the previous leader can grant no more leases
+ * @earlier_grants_until: by then the leaders before the one that the row names
+ *	can grant no more leases
  */
 struct bh_term {
 	bh_runtime_t *rt;
@@ -102,6 +105,7 @@
 	uint64_t seen_term;
 	bool is_predecessor_gone;
 	int64_t predecessor_grant_ms;
+	bh_usec_t earlier_grants_until;
 	bh_term_cb_t cb;
 	void *user;
 };
@@ -145,8 +149,26 @@
 	t->campaign_at = 0;
 }
 
-/* Whether an entry that leads can have written the row. */
-static bool is_usable_row(const bh_leader_row_t *row)
+/* Whether the process that the row names can grant no more leases. */
+static bool is_leader_gone(const bh_term_t *t)
+{
+	return t->is_gone || (is_vacant(t) && !t->is_row_odd);
+}
+
+/* A leader that has been replaced may grant leases for some time, whatever
+ * becomes of its successor. Leaders between two rows are not known, nor the one
+ * before the first row that a process reads. */
+static void note_replaced(bh_term_t *t, bool was_gone, uint64_t next_term)
+{
+	if (t->is_row_known && was_gone && next_term <= t->row.term + 1)
+		return;
+	/* The same leader has resigned. */
+	if (t->is_row_known && next_term == t->row.term && !t->is_row_odd)
+		return;
+	t->earlier_grants_until = bh_grants_over_at(bh_runtime_now());
+}
+
+bool bh_term_row_is_usable(const bh_leader_row_t *row)
 {
 	return row->term <= TERM_MAX &&
 	       (!*row->address || bh_address_is_valid(row->address));
@@ -158,7 +180,7 @@
 		       bh_leader_row_t *out)
 {
 	t->is_row_odd = !bh_leader_row_unpack(row->value, row->len, out) ||
-			!is_usable_row(out);
+			!bh_term_row_is_usable(out);
 	if (!t->is_row_odd)
 		return;
 	bh_log_event(&t->rt->log, BH_LOG_ERROR, "cannot decode the leader row",
@@ -172,6 +194,7 @@
 {
 	bh_leader_row_t next = {0};
 	bool is_changed;
+	bool was_gone = is_leader_gone(t);
 	uint64_t led = t->is_leader ? t->row.term : 0;
 
 	if (row)
@@ -180,6 +203,8 @@
 		     g_strcmp0(next.address, t->row.address) != 0;
 	if (!t->is_row_known || (row ? row->version : 0) != t->version)
 		t->unchanged_since = bh_runtime_now();
+	if (is_changed && row)
+		note_replaced(t, was_gone, next.term);
 	t->version = row ? row->version : 0;
 	t->is_row_known = true;
 	if (!is_changed) {
@@ -264,12 +289,13 @@
 		t->is_row_odd = false;
 	t->confirmed_at = t->sent_at;
 	t->row_written_at = t->sent_at;
+	if (!t->is_predecessor_gone)
+		t->earlier_grants_until =
+			MAX(t->earlier_grants_until,
+			    bh_grants_over_at(t->unchanged_since));
 	t->predecessor_grant_ms =
-		t->is_predecessor_gone
-			? 0
-			: bh_grant_remaining_ms(
-				  (bh_runtime_now() - t->unchanged_since) /
-				  1000);
+		MAX(t->earlier_grants_until - bh_runtime_now() + 999, 0) /
+		BH_USEC_PER_MS;
 	t->ops->won(t->ctx, row.term);
 }
 
@@ -293,7 +319,7 @@
 	bh_store_tx_t *tx = bh_store_tx_new();
 
 	t->campaign_term = MAX(t->row.term, t->seen_term) + 1;
-	t->is_predecessor_gone = t->is_gone || (is_vacant(t) && !t->is_row_odd);
+	t->is_predecessor_gone = is_leader_gone(t);
 	bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 	put_row(t, tx, t->campaign_term, t->rt->settings->listen_frames);
 	t->is_writing = true;
@@ -535,12 +561,13 @@
 		.name = g_strdup(row->name),
 	};
 
-	if (row->term <= t->row.term || !*row->address || !is_usable_row(row) ||
-	    is_own_row(t, row)) {
+	if (row->term <= t->row.term || !*row->address ||
+	    !bh_term_row_is_usable(row) || is_own_row(t, row)) {
 		bh_leader_row_clear(&next);
 		return;
 	}
 	t->unchanged_since = bh_runtime_now();
+	note_replaced(t, is_leader_gone(t), next.term);
 	replace_row(t, &next);
 	step_down(t, "another entry knows a later leader");
 	t->ops->changed(t->ctx, &t->row);
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -115,8 +115,13 @@
 int64_t bh_term_row_written_ago_ms(const bh_term_t *t);
 
 /**
- * bh_term_predecessor_grant_ms() - how long the previous leader may go on
- * granting leases, counted from when this process won the election
+ * bh_term_row_is_usable() - whether an entry that leads can have written a row
+ */
+bool bh_term_row_is_usable(const bh_leader_row_t *row);
+
+/**
+ * bh_term_predecessor_grant_ms() - how long earlier leaders may go on granting
+ * leases, counted from when this process won the election
  */
 int64_t bh_term_predecessor_grant_ms(const bh_term_t *t);
 
--- a/sched/grants.c
+++ b/sched/grants.c
@@ -16,3 +16,8 @@
 
 	return MAX(longest - unchanged_ms, 0);
 }
+
+bh_usec_t bh_grants_over_at(bh_usec_t replaced_at)
+{
+	return replaced_at + bh_grant_remaining_ms(0) * BH_USEC_PER_MS;
+}
--- a/sched/grants.h
+++ b/sched/grants.h
@@ -48,4 +48,11 @@
  */
 int64_t bh_grant_remaining_ms(int64_t unchanged_ms);
 
+/**
+ * bh_grants_over_at() - when a leader that has been replaced can grant no more
+ * leases, on the caller's clock
+ * @replaced_at: a time by which its row had been replaced
+ */
+bh_usec_t bh_grants_over_at(bh_usec_t replaced_at);
+
 #endif
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -483,6 +483,46 @@
 	teardown(&f);
 }
 
+/* The answer to a campaign is lost, and the entry finds its own row. It took
+ * the leader before, which may still grant leases, for one that has ended, and
+ * did not wait for these leases. */
+static void test_lost_answer_to_a_campaign_keeps_the_wait(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 3);
+	run_for(&f.fake, f.term, 100);
+	bh_term_suspect(f.term, false);
+	f.fake.drops = 1;
+	for (int i = 0; i < 400 && !bh_term_is_leader(f.term); i++)
+		run_for(&f.fake, f.term, 10);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 5);
+	assert_true(bh_term_predecessor_grant_ms(f.term) > 1000);
+	teardown(&f);
+}
+
+/* A successor that ends soon after its election does not end the grants of the
+ * leader that it replaced. */
+static void test_end_of_a_successor_keeps_the_wait(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 3);
+	run_for(&f.fake, f.term, 100);
+	put_leader_row(&f.fake, 4, "127.0.0.1:7");
+	bh_term_suspect(f.term, false);
+	run_for(&f.fake, f.term, 700);
+	bh_term_suspect(f.term, true);
+	run_for(&f.fake, f.term, 500);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 5);
+	assert_true(bh_term_predecessor_grant_ms(f.term) > 1000);
+	teardown(&f);
+}
+
 /* Another writer overwrites the row of a leader with bytes that cannot be read.
  * The next election began again with term 1, which workers that had seen a
  * higher term refuse for ever. */
@@ -517,6 +557,8 @@
 		cmocka_unit_test(test_late_answer_to_a_campaign_does_not_win),
 		cmocka_unit_test(test_odd_leader_row_prevents_elections),
 		cmocka_unit_test(test_unreadable_leader_row_resets_the_term),
+		cmocka_unit_test(test_lost_answer_to_a_campaign_keeps_the_wait),
+		cmocka_unit_test(test_end_of_a_successor_keeps_the_wait),
 		cmocka_unit_test(
 			test_entry_starts_beside_unreadable_leader_row),
 	};
