The removal of an agent's row spares the next agent's row

What callers saw: after a planned stop of an agent, or a silence of 7 s, and a change of leader, what ran on the host was started elsewhere as well.

Cause: the agent removed its row without a condition, and so did the leader with that of a lapsed agent but for its own term. By the protocol a call that got no answer may be carried out seconds later if its condition still holds. By then the next agent at the address had found the row and counted as registered, and its leader went on to use it; the next leader loaded the table without it, and neither waited for the host nor fenced it. Class: an unclear write that may come late over what is newer.

An agent that finds a row writes it again, and each removal has the version of the row that it is meant for as its condition.

Why it works: the row that an agent counts on has a version that no call sent before it can name.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -112,6 +112,7 @@
  * @crash: the worker's last crash
  * @is_crash_sent: the present leader has been sent it
  * @is_registered: its row exists, as far as this process knows
+ * @row_version: version of its row; 0: this process knows of none
  * @is_idle: nothing can run on the worker: this process created the row, and
  *	has passed on no start order
  * @leader_heard_at: when the last frame of the leader came
@@ -162,6 +163,7 @@
 	bool is_down;
 	bool is_registering;
 	bool is_registered;
+	uint64_t row_version;
 	bool is_idle;
 	bool is_draining;
 	bh_usec_t drain_since;
@@ -978,27 +980,47 @@
 	bh_metrics_reply(req, out);
 }
 
+static void register_self(bh_sched_agent_t *a);
+
+/* Return: version of this agent's row as a refused write shows it, 0: none. */
+static uint64_t found_version(const bh_sched_agent_t *a,
+			      const bh_store_reply_t *reply)
+{
+	const bh_store_row_t *row = bh_store_row(
+		reply, BH_TABLE_AGENTS, a->rt->settings->listen_frames);
+
+	return row ? row->version : 0;
+}
+
 static void on_registered(void *user, const bh_store_reply_t *reply)
 {
 	bh_sched_agent_t *a = user;
 	bh_usec_t now = bh_runtime_now();
 
 	a->is_registering = false;
-	if (reply->status == BH_STORE_OK ||
-	    reply->status == BH_STORE_CONFLICT) {
+	if (reply->status == BH_STORE_OK) {
 		/* If there was no row, no leader can have known of this host,
 		 * so none can have started work here. */
-		if (reply->status == BH_STORE_OK && a->starts == 0)
+		if (a->row_version == 0 && a->starts == 0)
 			a->is_idle = true;
+		a->row_version = reply->version;
 		a->registered_at = now;
 		a->is_registered = true;
 		return;
 	}
+	if (reply->status == BH_STORE_CONFLICT &&
+	    found_version(a, reply) != a->row_version) {
+		a->row_version = found_version(a, reply);
+		register_self(a);
+		return;
+	}
 	a->registered_at = now - REGISTER_INTERVAL_US + REGISTER_RETRY_US;
 	bh_log_event(&a->rt->log, BH_LOG_WARN, "registration failed", "outcome",
 		     bh_store_status_name(reply->status), NULL);
 }
 
+/* The row is written again if there is one: an earlier process's removal of it
+ * that is carried out late has another version as its condition. */
 static void register_self(bh_sched_agent_t *a)
 {
 	const bh_settings_t *set = a->rt->settings;
@@ -1006,8 +1028,8 @@
 	a->is_registering = true;
 	bh_store_put(a->store, BH_TABLE_AGENTS,
 		     bh_table_part(BH_TABLE_AGENTS, set->listen_frames),
-		     set->listen_frames, 0, set->name, strlen(set->name),
-		     REGISTER_TIMEOUT_MS, on_registered, a);
+		     set->listen_frames, a->row_version, set->name,
+		     strlen(set->name), REGISTER_TIMEOUT_MS, on_registered, a);
 }
 
 static void on_deregistered(void *user, const bh_store_reply_t *reply)
@@ -1027,6 +1049,9 @@
 	const char *key = a->rt->settings->listen_frames;
 
 	a->is_deregistering = true;
+	bh_store_tx_check(tx, BH_TABLE_AGENTS,
+			  bh_table_part(BH_TABLE_AGENTS, key), key,
+			  a->row_version);
 	bh_store_tx_delete(tx, BH_TABLE_AGENTS,
 			   bh_table_part(BH_TABLE_AGENTS, key), key);
 	bh_store_commit(a->store, tx, REGISTER_TIMEOUT_MS, on_deregistered, a);
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -41,11 +41,13 @@
 
 /**
  * struct agent_link - the connection to an agent, which this side opens
+ * @row_version: version of the agent's row
  * @is_linked: the scheduler knows that the connection is open
  */
 typedef struct agent_link {
 	bh_sched_leader_t *leader;
 	char *address;
+	uint64_t row_version;
 	bh_link_t *link;
 	bh_usec_t dialled_at;
 	bh_usec_t reconnect_delay;
@@ -446,16 +448,22 @@
 	bh_term_commit(l->term, tx, on_progress_removed, l);
 }
 
+/* The row has to be the one that is known: an agent that has registered since
+ * is alive. */
 static void remove_agent(bh_sched_leader_t *l, bh_usec_t now)
 {
 	const char *host = bh_sched_removable_host(l->sched, now);
+	const agent_link_t *m = host ? agent_link_find(l, host) : NULL;
 	bh_store_tx_t *tx;
 
-	if (!host || !bh_term_can_commit(l->term))
+	if (!m || !bh_term_can_commit(l->term))
 		return;
 	bh_log_event(&l->rt->log, BH_LOG_INFO, "removed lapsed agent", "host",
 		     host, NULL);
 	tx = bh_store_tx_new();
+	bh_store_tx_check(tx, BH_TABLE_AGENTS,
+			  bh_table_part(BH_TABLE_AGENTS, host), host,
+			  m->row_version);
 	bh_store_tx_delete(tx, BH_TABLE_AGENTS,
 			   bh_table_part(BH_TABLE_AGENTS, host), host);
 	/* If the row stays, it only costs the next leader a wait. */
@@ -594,14 +602,18 @@
 	g_free(m);
 }
 
-static void agent_link_add(bh_sched_leader_t *l, const char *address)
+static void agent_link_add(bh_sched_leader_t *l, const char *address,
+			   uint64_t row_version)
 {
-	agent_link_t *m;
+	agent_link_t *m = agent_link_find(l, address);
 
-	if (agent_link_find(l, address))
+	if (m) {
+		m->row_version = row_version;
 		return;
+	}
 	m = g_new0(agent_link_t, 1);
 	m->leader = l;
+	m->row_version = row_version;
 	m->address = g_strdup(address);
 	m->reconnect_delay = RECONNECT_MIN_US;
 	g_hash_table_insert(l->agent_links, m->address, m);
@@ -651,11 +663,14 @@
 static void on_agent_row(void *ctx, const bh_store_row_t *row)
 {
 	bh_sched_leader_t *l = ctx;
+	agent_link_t *m = agent_link_find(l, row->key);
 
+	if (row->is_deleted && m)
+		m->row_version = 0;
 	if (row->is_deleted)
 		return;
 	if (bh_address_is_valid(row->key))
-		agent_link_add(l, row->key);
+		agent_link_add(l, row->key, row->version);
 	else
 		bh_log_event(&l->rt->log, BH_LOG_WARN,
 			     "agent row ignored: its key is not IP:PORT", "key",
