Agents read the term in the store before they report or start

What callers saw: tasks ran twice at once, or again after an acknowledged end, when a host was new or had been restarted beside a partition.

Cause: a host whose row appears after a leader has loaded counts there as one that no earlier leader can have used, and an agent and a worker that restart together have forgotten the term and the fencing token. A leader that has been replaced and has not noticed starts tasks there, under leases that it may still grant, which its successor starts elsewhere; it also took what had run there for lost.

An agent that has written its row reads the leader row, until then sends no report and refuses starts, and from then on refuses leaders of a lower term. It costs one read of the store for each start of an agent. An agent that starts while its store does not answer is not heard until it does.

Why it works: a leader that was elected before the read is known to the agent, and one that is elected later loads the agent's row and waits for the host.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -2,6 +2,7 @@
 #include "daemon/link.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
+#include "daemon/term.h"
 #include "platform/decode.h"
 #include "platform/runner.h"
 #include "platform/store.h"
@@ -39,6 +40,10 @@
 #define REGISTER_RETRY_US    (400 * BH_USEC_PER_MS)
 #define REGISTER_TIMEOUT_MS  1500
 
+/* After a read of the leader row that failed. */
+#define TERM_READ_RETRY_US   (400 * BH_USEC_PER_MS)
+#define TERM_READ_TIMEOUT_MS 1500
+
 /* Tries of calls to the worker that get no answer, and their timeout. The
  * worker is on the same host and answers within milliseconds: the first timeout
  * is most often a lost call, later ones a worker that is slow or hangs. */
@@ -113,6 +118,8 @@
  * @is_crash_sent: the present leader has been sent it
  * @is_registered: its row exists, as far as this process knows
  * @row_version: version of its row; 0: this process knows of none
+ * @knows_term: the leader row has been read since the agent's row exists:
+ *	leaders elected by then are known, and later ones know of this host
  * @is_idle: nothing can run on the worker: this process created the row, and
  *	has passed on no start order
  * @leader_heard_at: when the last frame of the leader came
@@ -164,6 +171,9 @@
 	bool is_registering;
 	bool is_registered;
 	uint64_t row_version;
+	bool knows_term;
+	bool is_reading_term;
+	bh_usec_t term_read_at;
 	bool is_idle;
 	bool is_draining;
 	bh_usec_t drain_since;
@@ -250,7 +260,9 @@
 {
 	bh_worker_info_t info = a->info;
 
-	if (!a->leader)
+	/* A leader that has been replaced would start elsewhere what ran on a
+	 * worker that is said to have ended. */
+	if (!a->leader || !a->knows_term)
 		return;
 	send_crash(a);
 	info.boot = a->boot;
@@ -720,7 +732,8 @@
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
 	if (a->info.state != BH_WORKER_READY || !is_addressable(a, m->boot) ||
-	    a->is_draining || !a->is_registered || may_forget_ends(a)) {
+	    a->is_draining || !a->is_registered || !a->knows_term ||
+	    may_forget_ends(a)) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
 	}
@@ -980,6 +993,56 @@
 	bh_metrics_reply(req, out);
 }
 
+/* The leader of an earlier term learns of its successor when it dials again. */
+static void learn_term(bh_sched_agent_t *a, uint64_t term)
+{
+	if (term <= a->term)
+		return;
+	a->term = term;
+	a->ack = 0;
+	if (!a->leader)
+		return;
+	send_ping(a, a->leader);
+	bh_link_free(a->leader);
+	a->leader = NULL;
+	bh_log_event(&a->rt->log, BH_LOG_WARN, "the store names a later leader",
+		     NULL);
+}
+
+static void on_term_read(void *user, const bh_store_reply_t *reply)
+{
+	bh_sched_agent_t *a = user;
+	const bh_store_row_t *row =
+		bh_store_row(reply, BH_TABLE_LEADER, BH_KEY_LEADER);
+	bh_leader_row_t found = {0};
+
+	a->is_reading_term = false;
+	if (reply->status != BH_STORE_OK || a->term_read_at < a->registered_at)
+		return;
+	a->knows_term = true;
+	/* Another writer's row tells no term. */
+	if (row && bh_leader_row_unpack(row->value, row->len, &found) &&
+	    bh_term_row_is_usable(&found))
+		learn_term(a, found.term);
+	bh_leader_row_clear(&found);
+	if (a->is_idle || a->is_down)
+		send_report(a, NULL);
+}
+
+static void read_term(bh_sched_agent_t *a)
+{
+	a->is_reading_term = true;
+	a->term_read_at = bh_runtime_now();
+	bh_store_list(a->store, BH_TABLE_LEADER, "", BH_KEY_LEADER, 1,
+		      TERM_READ_TIMEOUT_MS, on_term_read, a);
+}
+
+static bool must_read_term(const bh_sched_agent_t *a, bh_usec_t now)
+{
+	return a->is_registered && !a->knows_term && !a->is_reading_term &&
+	       now - a->term_read_at > TERM_READ_RETRY_US;
+}
+
 static void register_self(bh_sched_agent_t *a);
 
 /* Return: version of this agent's row as a refused write shows it, 0: none. */
@@ -1003,9 +1066,15 @@
 		 * so none can have started work here. */
 		if (a->row_version == 0 && a->starts == 0)
 			a->is_idle = true;
+		/* A leader that was elected while there was no row does not
+		 * know of this host. */
+		if (a->row_version == 0)
+			a->knows_term = false;
 		a->row_version = reply->version;
 		a->registered_at = now;
 		a->is_registered = true;
+		if (!a->knows_term && !a->is_reading_term)
+			read_term(a);
 		return;
 	}
 	if (reply->status == BH_STORE_CONFLICT &&
@@ -1105,6 +1174,8 @@
 	}
 	if (must_register(a, now))
 		register_self(a);
+	if (must_read_term(a, now))
+		read_term(a);
 }
 
 bh_sched_agent_t *bh_sched_agent_start(bh_runtime_t *rt)
