--- a/standins/jobhost.c
+++ b/standins/jobhost.c
@@ -35,6 +35,12 @@
 /* Ends that it lists at a time. */
 #define ENDED_ROWS_MAX 500
 
+/* A worker that leaves waits this long for the answer to its deregistration. */
+#define LEAVE_TIMEOUT_US 500000
+
+/* It stays this much longer than it has announced. */
+#define DRAIN_MARGIN_MS 200
+
 /* Longer than any lease that a leader grants. */
 #define LEASE_GRANTED_MAX_MS 6000
 
@@ -51,6 +57,8 @@
  * @name: names this process in the log
  * @id: that it announces, maybe that of an earlier process
  * @last_listed_seq: number of the last end in an answer
+ * @drained_at_us: it leaves then; 0 while it does not drain
+ * @is_leaving: it has deregistered itself
  */
 typedef struct jobhost {
 	struct event_base *base;
@@ -72,6 +80,8 @@
 	GPtrArray *tasks;
 	JsonArray *ended;
 	GHashTable *ended_attempts;
+	int64_t drained_at_us;
+	bool is_leaving;
 } jobhost_t;
 
 /**
@@ -337,6 +347,38 @@
 		end_task(h, 0, "lapsed");
 }
 
+static void log_all_gone(jobhost_t *h)
+{
+	for (guint i = 0; i < h->tasks->len; i++) {
+		const task_t *t = h->tasks->pdata[i];
+
+		log_event(h, "gone", t->name, t->attempt);
+	}
+}
+
+static void on_deregistered(void *user, const bh_http_reply_t *answer)
+{
+	(void)answer;
+	log_all_gone(user);
+	_exit(0);
+}
+
+static void leave_when_drained(jobhost_t *h, int64_t now)
+{
+	g_autofree char *path = g_strconcat("/instances/", h->id, NULL);
+	bh_http_call_t call = {
+		.method = EVHTTP_REQ_DELETE,
+		.path = path,
+		.timeout_us = LEAVE_TIMEOUT_US,
+	};
+
+	if (h->is_leaving || h->drained_at_us == 0 ||
+	    now < h->drained_at_us + DRAIN_MARGIN_MS * 1000)
+		return;
+	h->is_leaving = true;
+	bh_http_send(h->agent, &call, on_deregistered, h);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	jobhost_t *h = arg;
@@ -354,6 +396,7 @@
 		else
 			i++;
 	}
+	leave_when_drained(h, now);
 }
 
 static operation_t find_operation(const char *path)
@@ -461,9 +504,8 @@
 	(void)answer;
 }
 
-static void on_announce(evutil_socket_t fd, short what, void *arg)
+static void announce(jobhost_t *h)
 {
-	jobhost_t *h = arg;
 	g_autofree char *path = g_strconcat("/instances/", h->id, NULL);
 	JsonObject *body = json_object_new();
 	JsonObject *capacity = json_object_new();
@@ -474,15 +516,18 @@
 		.timeout_us = 1000000,
 	};
 
-	(void)fd;
-	(void)what;
 	json_object_set_int_member(capacity, "cpu", h->cpu_milli);
 	json_object_set_int_member(capacity, "mem-mb", 64000);
 	json_object_set_int_member(capacity, "gpu", 0);
 	json_array_add_string_element(labels, "a");
 	json_array_add_string_element(labels, "r1-1");
 	json_object_set_string_member(body, "service", "svc");
-	json_object_set_string_member(body, "state", "ready");
+	json_object_set_string_member(body, "state",
+				      h->drained_at_us ? "draining" : "ready");
+	if (h->drained_at_us)
+		json_object_set_int_member(
+			body, "drain-remaining-ms",
+			MAX(h->drained_at_us - standin_now_us(), 0) / 1000);
 	json_object_set_string_member(body, "zone", "z");
 	json_object_set_object_member(body, "capacity", capacity);
 	json_object_set_array_member(body, "labels", labels);
@@ -494,6 +539,27 @@
 	g_bytes_unref(call.body);
 }
 
+static void on_announce(evutil_socket_t fd, short what, void *arg)
+{
+	jobhost_t *h = arg;
+
+	(void)fd;
+	(void)what;
+	if (!h->is_leaving)
+		announce(h);
+}
+
+/* ?ms=N: the worker announces that it drains, and leaves after N ms. */
+static void on_drain(struct evhttp_request *req, void *ctx)
+{
+	jobhost_t *h = ctx;
+
+	h->drained_at_us =
+		standin_now_us() + standin_param_int(req, "ms", 0) * 1000;
+	announce(h);
+	standin_reply(req, 200, json_object_new());
+}
+
 static void on_late(struct evhttp_request *req, void *ctx)
 {
 	jobhost_t *h = ctx;
@@ -508,11 +574,7 @@
 {
 	jobhost_t *h = ctx;
 
-	for (guint i = 0; i < h->tasks->len; i++) {
-		const task_t *t = h->tasks->pdata[i];
-
-		log_event(h, "gone", t->name, t->attempt);
-	}
+	log_all_gone(h);
 	g_ptr_array_set_size(h->tasks, 0);
 	json_array_unref(h->ended);
 	h->ended = json_array_new();
@@ -525,8 +587,9 @@
 	h->last_ended_seq = 0;
 	h->last_listed_seq = 0;
 	h->last_announce_seq = 0;
+	h->drained_at_us = 0;
 	late_calls_new_life(h->late);
-	on_announce(-1, 0, h);
+	announce(h);
 	standin_reply(req, 200, json_object_new());
 }
 
@@ -545,6 +608,7 @@
 		{EVHTTP_REQ_POST, "/pace", on_call},
 		{EVHTTP_REQ_POST, "/hold", on_call},
 		{EVHTTP_REQ_POST, "/room", on_room},
+		{EVHTTP_REQ_POST, "/drain", on_drain},
 		{EVHTTP_REQ_POST, "/late", on_late},
 		{EVHTTP_REQ_POST, "/restart", on_restart},
 	};
