The soak has partitions and releases of workers

TWICE on real processes, reproduced at: a leader that was cut off with some hosts started what its successor ran. The soak missed it: it cut links to the store and to workers only, and no worker ever left as planned.

Checks: none is looser for what they checked. Known anew: a worker may end if it was told to drain, with status 0 only; its crash does not count as one, so jobs that fail for it are violations. An entry in a partition counts as disturbed, as one behind a cut link does.

--- a/soak/checks.sh
+++ b/soak/checks.sh
@@ -33,12 +33,23 @@
 	wait "${PIDS[$name]}" 2>/dev/null
 	status=$?
 	unset "PIDS[$name]" "PAUSED[$name]"
+	local drained_for=${DRAINING[$name]:-}
+	unset "DRAINING[$name]"
 	if [[ $name = worker-* ]] && [ "$status" = $CRASH_STATUS ]; then
 		unset "SMALL_ROOM[${name#worker-}]"
 		note_worker_killed "${name#worker-}"
 		schedule 2000 restart_crashed_worker "${name#worker-}"
 		return
 	fi
+	if [ -n "$drained_for" ] && [ "$status" = 0 ]; then
+		unset "SMALL_ROOM[${name#worker-}]"
+		if [ "$drained_for" = in-place ]; then
+			schedule 100 start_worker_of "${name#worker-}" 400
+		else
+			SPARES+=("${name#worker-}")
+		fi
+		return
+	fi
 	if [ -z "${ENDING[$name]:-}" ] || [ "$status" != 0 ]; then
 		violation "$name exited unexpectedly, status $status"
 	fi
--- a/soak/world.sh
+++ b/soak/world.sh
@@ -3,7 +3,7 @@
 JOBS=0
 CONFIG_VERSION=1
 STORE_MODE=up
-declare -A ENDING DISTURBED_AT PAUSED STARTED_AT
+declare -A ENDING DISTURBED_AT PAUSED STARTED_AT DRAINING
 DUE_AT=()
 DUE_COMMANDS=()
 
@@ -34,11 +34,16 @@
 }
 
 mark_disturbed() { DISTURBED_AT[$1]=$(now_ms); }
-ms_since_disturbed() { echo $(($(now_ms) - ${DISTURBED_AT[$1]:-0})); }
+
+# A process in a partition is disturbed as long as that lasts.
+ms_since_disturbed() {
+	[ ! -e "$WORK/$1.cut" ] || mark_disturbed "$1"
+	echo $(($(now_ms) - ${DISTURBED_AT[$1]:-0}))
+}
 
 kill_process() {
 	kill -CONT "${PIDS[$1]}"
-	unset "PAUSED[$1]" "ENDING[$1]"
+	unset "PAUSED[$1]" "ENDING[$1]" "DRAINING[$1]"
 	stop_process "$1" KILL
 } 2>/dev/null
 
@@ -60,6 +65,82 @@
 	mark_disturbed "$1"
 }
 
+# start_cuttable NAME COMMAND...: it does not reach the ports in $WORK/NAME.cut
+start_cuttable() {
+	local name=$1
+	shift
+	start "$name" env LD_PRELOAD="$(realpath "$BUILD")/standins/standin-cut.so" \
+		CUT_PORTS="$WORK/$name.cut" "$@"
+}
+
+# ports_of NAME: those that others connect to; the store is behind a link of each
+# entry, a worker behind one of its agent
+ports_of() {
+	local n=${1#*-}
+	case $1 in
+	entry-*) PORTS=($((100 + n)) $((200 + n))) ;;
+	agent-*) PORTS=($((300 + n)) $((400 + n))) ;;
+	worker-*) PORTS=($((500 + n)) $((720 + n))) ;;
+	store) PORTS=(0 $(seq 701 $((700 + ENTRIES)))) ;;
+	esac
+}
+
+# cut_way A B WAY: the connections of A to B, see standins/cut.c
+cut_way() {
+	local p PORTS
+	[ "$1" != store ] || return
+	ports_of "$2"
+	for p in "${PORTS[@]}"; do
+		printf ' %d%s ' $((BASE_PORT + p)) "$3" >>"$WORK/$1.cut"
+	done
+}
+
+cut_pair() {
+	cut_way "$1" "$2" ""
+	cut_way "$2" "$1" ""
+}
+
+# cut_one_way A B: nothing that A sends reaches B
+cut_one_way() {
+	cut_way "$1" "$2" w
+	cut_way "$2" "$1" r
+}
+
+# cut_groups "A..." "B...": no member of A reaches one of B
+cut_groups() {
+	local a b
+	for a in $1; do
+		for b in $2; do
+			cut_pair "$a" "$b"
+		done
+	done
+}
+
+# end_partition NUMBER: unless the next one has begun
+end_partition() {
+	local name
+	[ "$1" = "$PARTITIONS" ] || return
+	for name in "${!PIDS[@]}"; do
+		[ ! -e "$WORK/$name.cut" ] || mark_disturbed "$name"
+	done
+	rm -f "$WORK"/*.cut
+	echo "$(now_ms) end_partition $1" >>"$WORK/faults"
+}
+
+# release_worker N TASK-MS MS: it announces that it drains, and leaves MS later; the
+# next one starts first, on a host without a worker, or in place afterwards
+release_worker() {
+	local n=$1 spare=${SPARES[0]:-}
+	is_up "worker-$n" && [ -z "${DRAINING[worker-$n]:-}" ] || return
+	if [ -n "$spare" ]; then
+		SPARES=("${SPARES[@]:1}")
+		start_worker_of "$spare" "$2"
+	fi
+	echo "$(now_ms) release worker-$n for ${spare:-in place}" >>"$WORK/faults"
+	call POST "$(addr $((500 + n)))" "/drain?ms=$3" "" 1 >/dev/null
+	[ "$STATUS" = 200 ] && DRAINING[worker-$n]=${spare:-in-place}
+}
+
 restart_entry() {
 	local n=$1
 	is_up "entry-$n" && return
@@ -75,7 +156,7 @@
 	 "store": "$(addr $((700 + n)))"}
 	END
 	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
-	start "entry-$n" "$BUILD/daemon/borageholdd" "$WORK/entry-$n.json"
+	start_cuttable "entry-$n" "$BUILD/daemon/borageholdd" "$WORK/entry-$n.json"
 }
 
 restart_agent() {
@@ -87,7 +168,7 @@
 	 "listen_frames": "$(addr $((400 + n)))", "log_format": "json",
 	 "worker": "$(addr $((720 + n)))", "store": "$TABLE"}
 	END
-	start "agent-$n" "$BUILD/daemon/borageholdd" "$WORK/agent-$n.json"
+	start_cuttable "agent-$n" "$BUILD/daemon/borageholdd" "$WORK/agent-$n.json"
 }
 
 # Each incarnation of a worker has its own log file. With KEEP_IDS=1, every second
@@ -97,7 +178,7 @@
 	is_up "worker-$n" && return
 	WORKER_INCARNATION[n]=$((${WORKER_INCARNATION[n]:-0} + 1))
 	local id=$((WORKER_INCARNATION[n] - KEEP_IDS * ((WORKER_INCARNATION[n] + 1) % 2)))
-	start "worker-$n" "$BUILD/standins/standin-jobhost" \
+	start_cuttable "worker-$n" "$BUILD/standins/standin-jobhost" \
 		"worker-$n.${WORKER_INCARNATION[n]}" "$(addr $((500 + n)))" \
 		"$(addr $((300 + n)))" "$WORK/worker-$n.${WORKER_INCARNATION[n]}.tasks" \
 		"${2:-$((200 + RANDOM % 600))}" \
@@ -347,6 +428,9 @@
 		start_worker_of "$n"
 		restart_agent "$n"
 	done
+	SPARES=($((AGENTS + 1)))
+	start_link $((720 + SPARES)) "$(addr $((500 + SPARES)))"
+	restart_agent "$SPARES"
 	for n in $(seq "$ENTRIES"); do
 		wait_for "$(addr $((150 + n)))" /readiness || return 1
 	done
@@ -364,6 +448,7 @@
 		DUE_AT[n]=0
 	done
 	run_scheduled
+	end_partition "$PARTITIONS"
 	set_store up
 	for name in "${!PIDS[@]}"; do
 		kill -CONT "${PIDS[$name]}"
@@ -377,9 +462,9 @@
 		set_link $((700 + n)) pass
 		restart_entry "$n"
 	done
-	for n in $(seq "$AGENTS"); do
+	for n in $(seq $((AGENTS + 1))); do
 		set_link $((720 + n)) pass
-		start_worker_of "$n"
+		[[ " ${SPARES[*]} " = *" $n "* ]] || start_worker_of "$n"
 		restart_agent "$n"
 	done
 } 2>/dev/null
