--- a/soak/world.sh
+++ b/soak/world.sh
@@ -152,7 +152,7 @@
 	 "listen_ready": "$(addr $((150 + n)))",
 	 "metrics": "$(addr $((170 + n)))",
 	 "listen_frames": "$(addr $((200 + n)))", "log_format": "json",
-	 "lease_ms": 3000, "stop_within_s": 5,
+	 "lease_ms": $LEASE_MS, "stop_within_s": 5,
 	 "store": "$(addr $((700 + n)))"}
 	END
 	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
@@ -215,7 +215,7 @@
 
 # delay_calls N STREAM: for 4 s, most calls to a worker get no answer and are carried
 # out late, also by its next process. Every other pair of seeds, late grants count from
-# then. Leases are 3 s.
+# then.
 delay_calls() {
 	local counts=$((SEED / 2 % 2))
 	is_up "worker-$1" || return
