A leader writes the row of a host in use again when it is removed

What callers saw: tasks ran twice at once after another writer had removed the row of an agent in use and the leader had changed.

Cause: neither the agent nor its leader noticed; the next leader loads the table without the host, and neither waits for it nor fences it. By reading, the same comes about when a removal of the leader's own gets no answer, the table is listed again (410), and the removal is carried out.

Why it works: the write is conditional on the leader's own row, so that only a leader that still leads restores it, and one that is elected later finds it. What is left is the time between the removal and the write, some 100 ms.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -27,6 +27,9 @@
 /* An agent sends something every 500 ms. */
 #define LINK_TIMEOUT_US (1600 * BH_USEC_PER_MS)
 
+/* After a write of an agent's row of which the feed has not told yet. */
+#define ROW_RETRY_US (500 * BH_USEC_PER_MS)
+
 #define RECONNECT_MIN_US (100 * BH_USEC_PER_MS)
 #define RECONNECT_MAX_US (1000 * BH_USEC_PER_MS)
 
@@ -41,13 +44,15 @@
 
 /**
  * struct agent_link - the connection to an agent, which this side opens
- * @row_version: version of the agent's row
+ * @row_version: version of the agent's row; 0: it has been removed
+ * @row_put_at: when this leader last wrote a row that had been removed
  * @is_linked: the scheduler knows that the connection is open
  */
 typedef struct agent_link {
 	bh_sched_leader_t *leader;
 	char *address;
 	uint64_t row_version;
+	bh_usec_t row_put_at;
 	bh_link_t *link;
 	bh_usec_t dialled_at;
 	bh_usec_t reconnect_delay;
@@ -623,8 +628,31 @@
 			  bh_runtime_now());
 }
 
+/* The next leader would not know of the host, and start elsewhere what runs
+ * there. */
+static void restore_row(agent_link_t *m, bh_usec_t now)
+{
+	bh_sched_leader_t *l = m->leader;
+	const char *part = bh_table_part(BH_TABLE_AGENTS, m->address);
+	bh_store_tx_t *tx;
+
+	if (m->row_version || now - m->row_put_at < ROW_RETRY_US ||
+	    !bh_sched_is_host_in_use(l->sched, m->address) ||
+	    !bh_term_can_commit(l->term))
+		return;
+	m->row_put_at = now;
+	bh_log_event(&l->rt->log, BH_LOG_WARN, "agent row restored", "host",
+		     m->address, NULL);
+	tx = bh_store_tx_new();
+	bh_store_tx_check(tx, BH_TABLE_AGENTS, part, m->address, 0);
+	bh_store_tx_put(tx, BH_TABLE_AGENTS, part, m->address, m->address,
+			strlen(m->address));
+	bh_term_commit(l->term, tx, NULL, NULL);
+}
+
 static void agent_link_tick(agent_link_t *m, bh_usec_t now)
 {
+	restore_row(m, now);
 	if (m->link) {
 		if (now - bh_link_heard_at(m->link) <= LINK_TIMEOUT_US)
 			return;
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -894,6 +894,16 @@
 		bh_run_stop(s, run, "stop order was not carried out", now);
 }
 
+bool bh_sched_is_host_in_use(const bh_sched_t *s, const char *key)
+{
+	const bh_host_t *host = host_find(s, key);
+
+	if (!host)
+		return false;
+	return !TAILQ_EMPTY(&host->runs) ||
+	       (host->is_linked && host->info.state != BH_WORKER_DOWN);
+}
+
 const char *bh_sched_removable_host(const bh_sched_t *s, bh_usec_t now)
 {
 	const bh_host_t *host;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -316,6 +316,12 @@
 			  const char **ids, uint32_t max);
 void bh_sched_drop_job(bh_sched_t *s, const char *id);
 
+/**
+ * bh_sched_is_host_in_use() - whether tasks run on a host or may be started
+ * there
+ */
+bool bh_sched_is_host_in_use(const bh_sched_t *s, const char *host);
+
 /**
  * bh_sched_removable_host() - find a host that has been silent for so long that
  * its row may be removed, and on which nothing runs
