An agent that does not know the term keeps its worker's leases

Cause: until it had read the term the agent reported nothing, so that no leader prolonged the leases on its worker. That guard is against a leader that has been replaced and takes 'the worker has ended' for its own to act on.

Such an agent reports again, marked: a leader ignores what a marked report says of another process of the worker than it knows, or of none. Starts are refused as before.

Why it works: a process that the leader has heard of in its term has seen its fencing token, and would reject it once a successor had reached it.

--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -256,15 +256,21 @@
 				      bh_runtime_now());
 }
 
+/* A future leader learns only from the row that work may run here, and a leader
+ * that has been replaced must not start any. */
+static bool may_start_tasks(const bh_sched_agent_t *a)
+{
+	return a->is_registered && a->knows_term;
+}
+
 static void send_report(bh_sched_agent_t *a, const bh_worker_lists_t *lists)
 {
 	bh_worker_info_t info = a->info;
 
-	/* A leader that has been replaced would start elsewhere what ran on a
-	 * worker that is said to have ended. */
-	if (!a->leader || !a->knows_term)
+	if (!a->leader)
 		return;
-	send_crash(a);
+	if (a->knows_term)
+		send_crash(a);
 	info.boot = a->boot;
 	info.lost_call_ms = lost_call_ms(a);
 	/* An announcement is valid only for the boot that sent it. */
@@ -272,11 +278,11 @@
 		info.id = NULL;
 	if (a->is_down)
 		info.state = BH_WORKER_DOWN;
-	/* A future leader learns only from the row that work may run here. */
-	else if ((!a->is_registered || may_forget_ends(a)) &&
+	else if ((!may_start_tasks(a) || may_forget_ends(a)) &&
 		 info.state == BH_WORKER_READY)
 		info.state = BH_WORKER_SILENT;
 	info.is_idle = a->is_idle;
+	info.is_term_unknown = !a->knows_term;
 	info.lease_expires_ms = a->expires_ms;
 	if (!lists && a->lease_until)
 		info.lease_left_ms = lease_left_ms(a);
@@ -732,8 +738,7 @@
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
 	if (a->info.state != BH_WORKER_READY || !is_addressable(a, m->boot) ||
-	    a->is_draining || !a->is_registered || !a->knows_term ||
-	    may_forget_ends(a)) {
+	    a->is_draining || !may_start_tasks(a) || may_forget_ends(a)) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
 	}
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -767,6 +767,16 @@
 		(now - host->heard_at) / 1000, host->n_runs);
 }
 
+/* Whether the report says that runs on a worker have ended, while this leader
+ * may have been replaced and its successor may have them. A process that this
+ * leader has heard of is another matter: it would reject a replaced leader. */
+static bool is_unproved(const bh_host_t *host, const bh_worker_info_t *info)
+{
+	return info->is_term_unknown &&
+	       (info->state == BH_WORKER_DOWN ||
+		(info->boot && info->boot != host->boot));
+}
+
 void bh_sched_report(bh_sched_t *s, const char *key,
 		     const bh_worker_info_t *info,
 		     const bh_worker_lists_t *lists, bool may_grant,
@@ -775,7 +785,7 @@
 	bh_host_t *host = host_find(s, key);
 	bh_worker_state_t before;
 
-	if (!host)
+	if (!host || is_unproved(host, info))
 		return;
 	before = host->info.state;
 	if (lists) {
--- a/sched/worker.h
+++ b/sched/worker.h
@@ -122,6 +122,8 @@
  * @lease_expires_ms: end of the lease that @lease_left_ms speaks of, on the
  *	worker's clock
  * @is_idle: nothing can run on it, whether it answers or not
+ * @is_term_unknown: its agent does not know whether a later leader than the one
+ *	that it reports to has been elected
  * @lost_call_ms: time since a call to it got no answer although its process
  *	lived; 0: there was none within BH_LATE_CALL_MAX_US
  */
@@ -142,6 +144,7 @@
 	uint64_t lease_expires_ms;
 	uint32_t lost_call_ms;
 	bool is_idle;
+	bool is_term_unknown;
 } bh_worker_info_t;
 
 /**
--- a/tests/leadersworld.c
+++ b/tests/leadersworld.c
@@ -1270,9 +1270,11 @@
 		info->id = g_strdup(h->info_id);
 	if (h->is_down)
 		info->state = BH_WORKER_DOWN;
-	else if (!h->is_registered && info->state == BH_WORKER_READY)
+	else if ((!h->is_registered || !h->knows_term) &&
+		 info->state == BH_WORKER_READY)
 		info->state = BH_WORKER_SILENT;
 	info->is_idle = h->is_idle;
+	info->is_term_unknown = !h->knows_term;
 	info->lease_expires_ms = h->expires_ms;
 	if (!lists && h->lease_until)
 		info->lease_left_ms = (uint32_t)MAX(left / 1000, 1);
@@ -1281,10 +1283,7 @@
 	f->report.has_lists = lists != NULL;
 	if (lists)
 		f->report.lists = *lists;
-	if (h->knows_term)
-		conn_send(h->leader, TO_ENTRY, f);
-	else
-		frame_free(f);
+	conn_send(h->leader, TO_ENTRY, f);
 }
 
 static uint32_t percent_of(const world_t *w, const run_t *run)
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -2682,7 +2682,7 @@
   (ProtobufCMessageInit) bh__sched__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor bh__sched__report__field_descriptors[22] =
 {
   {
     "worker",
@@ -2936,6 +2936,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_term_unknown",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Report, is_term_unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__report__field_indices_by_name[] = {
   7,   /* field[7] = accelerators */
@@ -2948,6 +2960,7 @@
   11,   /* field[11] = has_lists */
   20,   /* field[20] = has_more_ended */
   18,   /* field[18] = is_idle */
+  21,   /* field[21] = is_term_unknown */
   8,   /* field[8] = labels */
   19,   /* field[19] = lease_expires_ms */
   16,   /* field[16] = lease_left_ms */
@@ -2963,7 +2976,7 @@
 static const ProtobufCIntRange bh__sched__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor bh__sched__report__descriptor =
 {
@@ -2973,7 +2986,7 @@
   "Bh__Sched__Report",
   "bh.sched",
   sizeof(Bh__Sched__Report),
-  21,
+  22,
   bh__sched__report__field_descriptors,
   bh__sched__report__field_indices_by_name,
   1,  bh__sched__report__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -336,10 +336,14 @@
    * The worker has more ends than are listed here.
    */
   protobuf_c_boolean has_more_ended;
+  /*
+   * The agent has not read the term yet: a later leader may have been elected.
+   */
+  protobuf_c_boolean is_term_unknown;
 };
 #define BH__SCHED__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -203,6 +203,7 @@
 	out->lease_left_ms = info->lease_left_ms;
 	out->lost_call_ms = info->lost_call_ms;
 	out->is_idle = info->is_idle;
+	out->is_term_unknown = info->is_term_unknown;
 	out->lease_expires_ms = info->lease_expires_ms;
 }
 
@@ -527,6 +528,7 @@
 	info->lease_left_ms = from->lease_left_ms;
 	info->lost_call_ms = from->lost_call_ms;
 	info->is_idle = from->is_idle;
+	info->is_term_unknown = from->is_term_unknown;
 	info->lease_expires_ms = from->lease_expires_ms;
 	out->term = from->term;
 	out->has_lists = from->has_lists;
