--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -668,6 +668,87 @@
 	bh_config_free(config);
 }
 
+/* An agent that does not know the term says that its worker has ended. A leader
+ * that had been replaced started elsewhere what had run there, and had ended
+ * under its successor. */
+static void test_end_of_worker_is_not_believed_without_term(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_active_t active = {.task = (char *)TASK};
+	bh_worker_info_t info = worker_info();
+	bh_worker_lists_t none = {.boot = 9};
+	bh_worker_lists_t other = {.boot = 8};
+
+	(void)state;
+	bh_sched_add_job(s, make_job(), NULL, MS(1));
+	report(s, NULL, NULL, MS(50));
+	report(s, NULL, NULL, MS(60));
+	active.attempt = o.attempt;
+	report(s, &active, NULL, MS(300));
+	bh_sched_add_host(s, "10.0.0.2:1", false, MS(360));
+	bh_sched_host_linked(s, "10.0.0.2:1", true, MS(360));
+	for (int ms = 400; ms < 4000; ms += 100) {
+		bool is_known = ms >= 3000;
+
+		info = worker_info();
+		info.state = ms == 400 ? BH_WORKER_DOWN : BH_WORKER_SILENT;
+		info.boot = 9;
+		info.is_term_unknown = !is_known;
+		none.clock_ms = (uint64_t)ms;
+		bh_sched_report(s, HOST, &info, ms == 400 ? NULL : &none, true,
+				MS(ms));
+		info = worker_info();
+		info.id = (char *)"w2";
+		info.boot = 8;
+		other.clock_ms = (uint64_t)ms;
+		bh_sched_report(s, "10.0.0.2:1", &info, &other, true, MS(ms));
+		run(s, MS(ms), 1000 + (uint64_t)ms);
+		store_all(s);
+		if (!is_known)
+			assert_int_equal(o.starts, 1);
+	}
+	assert_int_equal(o.starts, 2);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
+/* The leases on a worker lapsed while its restarted agent did not know the
+ * term.
+ */
+static void test_lease_is_granted_without_term(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	orders_t o = {0};
+	bh_sched_t *s = new_sched(&o, config);
+	bh_active_t active = {.task = (char *)TASK};
+	bh_worker_info_t info = worker_info();
+
+	(void)state;
+	bh_sched_add_job(s, make_job(), NULL, MS(1));
+	report(s, NULL, NULL, MS(50));
+	report(s, NULL, NULL, MS(60));
+	active.attempt = o.attempt;
+	info.is_term_unknown = true;
+	info.state = BH_WORKER_SILENT;
+	for (int ms = 300; ms < 12000; ms += 200) {
+		bh_worker_lists_t lists = {.clock_ms = (uint64_t)ms,
+					   .boot = 7,
+					   .n_active = 1,
+					   .active = &active};
+
+		active.percent = (uint32_t)ms / 200;
+		bh_sched_report(s, HOST, &info, &lists, true, MS(ms));
+		run(s, MS(ms), 1000 + (uint64_t)ms);
+	}
+	assert_int_equal(o.starts, 1);
+	assert_int_equal(o.stops, 0);
+	assert_int_equal(bh_sched_state(s, JOB), BH_JOB_RUNNING);
+	bh_sched_free(s);
+	bh_config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -690,6 +771,9 @@
 		cmocka_unit_test(test_jobs_loaded_late_wait_for_hosts),
 		cmocka_unit_test(
 			test_idle_host_is_not_waited_for_when_calls_are_lost),
+		cmocka_unit_test(
+			test_end_of_worker_is_not_believed_without_term),
+		cmocka_unit_test(test_lease_is_granted_without_term),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
