test_term: replies of its store that are due after a case are freed

Cause: the stand-in store kept a delayed reply in a one-shot event that only its own run freed. Since two cases end as soon as the entry leads, which may be while a read of the row waits for its reply; the reply was lost with the event loop.

Change: the store keeps its delayed replies in a list, and the fixture frees them. No case, bound or check is changed.

--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <sys/queue.h>
 
 #define READ_REPLY_MS 30
 
@@ -20,6 +21,7 @@
  * @last_puts: rows that the last transaction wrote
  * @won: term that was passed to the callback won()
  * @stored: term in the store at the time of that call
+ * @delayed: replies that have not been sent
  */
 typedef struct fake_store {
 	struct event_base *base;
@@ -32,10 +34,13 @@
 	size_t last_puts;
 	uint64_t won;
 	uint64_t stored;
+	LIST_HEAD(, delayed_reply) delayed;
 } fake_store_t;
 
 typedef struct delayed_reply {
+	LIST_ENTRY(delayed_reply) link;
 	fake_store_t *fake;
+	struct event *timer;
 	struct evhttp_request *req;
 	int status;
 	char *body;
@@ -63,6 +68,14 @@
 	evbuffer_free(out);
 }
 
+static void delayed_reply_free(delayed_reply_t *l)
+{
+	LIST_REMOVE(l, link);
+	event_free(l->timer);
+	g_free(l->body);
+	g_free(l);
+}
+
 static void on_delayed_reply(evutil_socket_t fd, short what, void *arg)
 {
 	delayed_reply_t *l = arg;
@@ -71,8 +84,7 @@
 	(void)fd;
 	(void)what;
 	send_now(l->req, l->status, l->body ? l->body : now);
-	g_free(l->body);
-	g_free(l);
+	delayed_reply_free(l);
 }
 
 static void reply_after(fake_store_t *fake, struct evhttp_request *req,
@@ -85,8 +97,9 @@
 	l->req = req;
 	l->status = status;
 	l->body = body;
-	event_base_once(fake->base, -1, EV_TIMEOUT, on_delayed_reply, l,
-			&delay);
+	l->timer = evtimer_new(fake->base, on_delayed_reply, l);
+	evtimer_add(l->timer, &delay);
+	LIST_INSERT_HEAD(&fake->delayed, l, link);
 }
 
 /* A read returns the row as of when the reply is sent. */
@@ -254,6 +267,8 @@
 	bh_term_free(f->term);
 	bh_store_free(f->store);
 	evhttp_free(f->fake.http);
+	while (!LIST_EMPTY(&f->fake.delayed))
+		delayed_reply_free(LIST_FIRST(&f->fake.delayed));
 	g_free(f->fake.value);
 	event_base_free(f->fake.base);
 }
