A restarted leader tells its peers that it does not lead

Cause: after a power loss of all processes the row names the former leader. Its new process, on a small host with a link of 10 Mbit/s, was the only one that campaigned: the others reached it and would have waited until the row had not been renewed for 1.3 s. Change: an entry whose row is vacant answers a peer that connects with a Leader frame without an address; the peer counts the former process as gone and campaigns, hosts with more processor time first. The delay of a campaign counts from the read that allows it, not from the next tick.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -211,15 +211,32 @@
 	const bh_leader_row_t *row = bh_term_row(hub->term);
 
 	leader.term = row->term;
-	if (row->address)
+	if (row->address && !bh_term_is_vacant(hub->term)) {
 		leader.address = row->address;
-	if (row->name)
-		leader.name = row->name;
+		leader.name = row->name ? row->name : leader.name;
+	}
 	frame.body_case = BH__SCHED__FRAME__BODY_LEADER;
 	frame.leader = &leader;
 	bh_link_send(link, &frame);
 }
 
+/* Whether peers may take this process for the leader by the row of its earlier
+ * run, and would wait until that has not been renewed for long enough. */
+static bool must_deny_leadership(const bh_hub_t *hub)
+{
+	return !hub->sched_leader && bh_term_is_vacant(hub->term);
+}
+
+static void deny_leadership(bh_hub_t *hub)
+{
+	peer_t *peer;
+
+	if (!must_deny_leadership(hub))
+		return;
+	TAILQ_FOREACH(peer, &hub->peers, entry)
+		send_leader(hub, peer->link);
+}
+
 static void on_leader_query(bh_hub_t *hub, bh_link_t *link)
 {
 	send_leader(hub, link);
@@ -287,6 +304,8 @@
 	if (*ping->address && !peer->address) {
 		peer->address = g_strdup(ping->address);
 		expire_entries(hub);
+		if (must_deny_leadership(hub))
+			send_leader(hub, peer->link);
 	}
 	bh_configs_on_report(hub->configs, peer->link, ping->config_version,
 			     is_store_lost(hub));
@@ -423,11 +442,26 @@
 	bh_lookup_add(hub->lookup, hub->link_address);
 }
 
+/* The process at the leader's address has restarted and does not lead: its
+ * earlier run can grant no more leases. */
+static void on_leader_denial(bh_hub_t *hub, const Bh__Sched__Leader *leader)
+{
+	if (*leader->address || leader->term != bh_term_number(hub->term))
+		return;
+	bh_log_event(&hub->rt->log, BH_LOG_WARN, "leader has restarted",
+		     "address", hub->link_address, NULL);
+	bh_term_suspect(hub->term, true);
+	bh_term_tick(hub->term);
+}
+
 static void on_leader_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
 {
 	bh_hub_t *hub = ctx;
 
 	switch (frame->body_case) {
+	case BH__SCHED__FRAME__BODY_LEADER:
+		on_leader_denial(hub, frame->leader);
+		break;
 	case BH__SCHED__FRAME__BODY_REPLY:
 		on_reply(hub, frame->reply);
 		break;
@@ -513,6 +547,7 @@
 	hub->dialled_at = 0;
 	g_free(hub->link_address);
 	hub->link_address = g_strdup(row->address ? row->address : "");
+	deny_leadership(hub);
 }
 
 static void on_won(void *ctx, uint64_t term)
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -221,6 +221,8 @@
 		t->ops->changed(t->ctx, &t->row);
 }
 
+static void tick_follower(bh_term_t *t, bh_usec_t now);
+
 static void on_read(void *user, const bh_store_reply_t *reply)
 {
 	bh_term_t *t = user;
@@ -241,6 +243,9 @@
 		update_row(t, row);
 	}
 	bh_leader_row_clear(&found);
+	/* The delay of a campaign counts from the read that allows it. */
+	if (!t->is_leader)
+		tick_follower(t, bh_runtime_now());
 }
 
 static void read_row(bh_term_t *t)
@@ -554,6 +559,12 @@
 	return &t->row;
 }
 
+bool bh_term_is_vacant(const bh_term_t *t)
+{
+	return t->is_row_known && !t->is_leader && !t->is_row_odd &&
+	       is_vacant(t);
+}
+
 void bh_term_adopt(bh_term_t *t, const bh_leader_row_t *row)
 {
 	bh_leader_row_t next = {
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -57,6 +57,12 @@
  */
 const bh_leader_row_t *bh_term_row(const bh_term_t *t);
 
+/**
+ * bh_term_is_vacant() - whether no process leads as far as this entry
+ * knows: the row names none, or an earlier run of this process
+ */
+bool bh_term_is_vacant(const bh_term_t *t);
+
 /**
  * bh_term_adopt() - another entry knows this leader; ignored unless its term is
  * later than any known one
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -687,6 +687,28 @@
 	teardown(&f);
 }
 
+/* A leader on a small host restarts. Entries that reach it took it for the
+ * leader until its row had not been renewed for 1.3 s. It tells them that it
+ * does not lead, until it has been elected again. */
+static void test_restarted_leader_does_not_lead(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 0);
+	f.settings.name = (char *)"odd";
+	f.settings.processor_share = 0.1;
+	put_leader_row(&f.fake, 7, "127.0.0.1:8");
+	assert_false(bh_term_is_vacant(f.term));
+	run_for(&f.fake, f.term, 100);
+	assert_true(bh_term_is_vacant(f.term));
+	run_for(&f.fake, f.term, 1000);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_number(f.term), 8);
+	assert_false(bh_term_is_vacant(f.term));
+	teardown(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -701,6 +723,7 @@
 		cmocka_unit_test(test_end_of_a_successor_keeps_the_wait),
 		cmocka_unit_test(
 			test_entry_starts_beside_unreadable_leader_row),
+		cmocka_unit_test(test_restarted_leader_does_not_lead),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
