--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 check: deps
 	cmake --preset sanitize
 	cmake --build --preset sanitize
-	ctest --preset sanitize
+	ctest --preset sanitize -j $$(nproc)
 
 lint: deps
 	ci/lint
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -1063,12 +1063,16 @@
 			test_late_grant_outlives_lease_of_former_leader),
 		cmocka_unit_test(
 			test_ends_after_restart_of_worker_and_agent_count),
+	};
+	/* Each takes a minute or more; CTest runs them side by side. */
+	const struct CMUnitTest series[] = {
 		cmocka_unit_test(test_fault_matrix),
 		cmocka_unit_test(test_random_faults),
 		cmocka_unit_test(test_disabled_mechanisms_are_detected),
 		cmocka_unit_test(test_calls_for_former_processes),
 		cmocka_unit_test(test_disabled_fences_are_detected),
 	};
+	int failed;
 
 	if (argc == 3 && strcmp(argv[1], "random") == 0) {
 		const char *violation = run_random(
@@ -1086,5 +1090,12 @@
 	}
 	if (argc == 4 && strcmp(argv[1], "count") == 0)
 		return count_relives(argv[2], argv[3]);
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	if (argc == 3 && strcmp(argv[1], "series") == 0) {
+		cmocka_set_test_filter(argv[2]);
+		return cmocka_run_group_tests(series, NULL, NULL);
+	}
+	failed = cmocka_run_group_tests(tests, NULL, NULL);
+	if (argc == 2 && strcmp(argv[1], "cases") == 0)
+		return failed;
+	return failed + cmocka_run_group_tests(series, NULL, NULL);
 }
