A leader dials an agent again when a connection does not open

Cause: a lost SYN is repeated after 1 s. Change: a connection that is not open after 150 ms is given up for a new one; the time doubles with each try.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -31,6 +31,11 @@
 /* After a write of an agent's row of which the feed has not told yet. */
 #define ROW_RETRY_US (500 * BH_USEC_PER_MS)
 
+/* A connection that is not open by then is tried again. The kernel repeats a
+ * lost SYN after 1 s, for which a new leader would wait with all tasks that may
+ * run on the host. Doubles with each try, up to LINK_TIMEOUT_US. */
+#define CONNECT_TIMEOUT_MIN_US (150 * BH_USEC_PER_MS)
+
 #define RECONNECT_MIN_US (100 * BH_USEC_PER_MS)
 #define RECONNECT_MAX_US (1000 * BH_USEC_PER_MS)
 
@@ -47,6 +52,7 @@
  * struct agent_link - the connection to an agent, which this side opens
  * @row_version: version of the agent's row; 0: it has been removed
  * @row_put_at: when this leader last wrote a row that had been removed
+ * @connect_timeout: of the connection that is being opened
  * @is_linked: the scheduler knows that the connection is open
  */
 typedef struct agent_link {
@@ -56,6 +62,7 @@
 	bh_usec_t row_put_at;
 	bh_link_t *link;
 	bh_usec_t dialled_at;
+	bh_usec_t connect_timeout;
 	bh_usec_t reconnect_delay;
 	bool is_linked;
 } agent_link_t;
@@ -568,6 +575,7 @@
 	Bh__Sched__Hello hello = BH__SCHED__HELLO__INIT;
 
 	m->is_linked = true;
+	m->connect_timeout = CONNECT_TIMEOUT_MIN_US;
 	m->reconnect_delay = RECONNECT_MIN_US;
 	hello.term = bh_term_number(m->leader->term);
 	hello.leader = m->leader->rt->settings->name;
@@ -625,6 +633,7 @@
 	m->leader = l;
 	m->row_version = row_version;
 	m->address = g_strdup(address);
+	m->connect_timeout = CONNECT_TIMEOUT_MIN_US;
 	m->reconnect_delay = RECONNECT_MIN_US;
 	g_hash_table_insert(l->agent_links, m->address, m);
 	/* An agent whose row appeared after loading has had no earlier
@@ -655,9 +664,22 @@
 	bh_term_commit(l->term, tx, NULL, NULL);
 }
 
+static bool is_connect_overdue(const agent_link_t *m, bh_usec_t now)
+{
+	return !bh_link_is_open(m->link) &&
+	       now - m->dialled_at > m->connect_timeout;
+}
+
 static void agent_link_tick(agent_link_t *m, bh_usec_t now)
 {
 	restore_row(m, now);
+	if (m->link && is_connect_overdue(m, now)) {
+		bh_link_free(m->link);
+		agent_link_closed(m);
+		m->connect_timeout =
+			MIN(m->connect_timeout * 2, LINK_TIMEOUT_US);
+		m->dialled_at = 0;
+	}
 	if (m->link) {
 		if (now - bh_link_heard_at(m->link) <= LINK_TIMEOUT_US)
 			return;
