A leader that was paused reads the jobs before it starts tasks again

A poll for changes that was sent before the pause does not tell what was stored during it. Change: after a gap of 500 ms the scheduler runs again only once all changes of the jobs table up to then are known; an additional poll that does not wait asks for them.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -34,6 +34,8 @@
  * @version: version of the store after which the next poll asks for changes
  * @parts_left: parts that are not listed completely
  * @feed_sent_at: when the last poll for changes was sent
+ * @refresh_sent_at: when the last call of bh_follow_refresh() was sent
+ * @is_refreshing: it has not been answered
  * @current_at: rows that were in the table then have been delivered
  * @is_loaded: the first listing is complete
  * @is_store_lost: the last call failed
@@ -59,6 +61,8 @@
 	int64_t retry_ms;
 	bh_usec_t answered_at;
 	bh_usec_t feed_sent_at;
+	bh_usec_t refresh_sent_at;
+	bool is_refreshing;
 	bh_usec_t current_at;
 	struct event *retry_timer;
 };
@@ -232,7 +236,7 @@
 	} else {
 		f->version = MAX(f->version, reply->version);
 		if (is_whole(reply))
-			f->current_at = f->feed_sent_at;
+			f->current_at = MAX(f->current_at, f->feed_sent_at);
 		deliver_rows(f, reply);
 		if (!f->is_freed)
 			send_calls(f);
@@ -240,6 +244,22 @@
 	end_reply(f);
 }
 
+/* Rows that the poll returns too are delivered twice, as after a listing. */
+static void on_refreshed(void *user, const bh_store_reply_t *reply)
+{
+	bh_follow_t *f = user;
+
+	if (!begin_reply(f, reply))
+		return;
+	f->is_refreshing = false;
+	if (reply->status == BH_STORE_OK) {
+		if (is_whole(reply))
+			f->current_at = MAX(f->current_at, f->refresh_sent_at);
+		deliver_rows(f, reply);
+	}
+	end_reply(f);
+}
+
 static void list_part(bh_follow_t *f, listing_t *l)
 {
 	l->is_due = false;
@@ -308,6 +328,17 @@
 		destroy(f);
 }
 
+void bh_follow_refresh(bh_follow_t *f)
+{
+	if (!f->is_loaded || f->is_listing || f->is_refreshing)
+		return;
+	f->n_in_flight++;
+	f->is_refreshing = true;
+	f->refresh_sent_at = bh_runtime_now();
+	bh_store_feed(f->store, f->table, f->version, 0, FEED_TIMEOUT_MARGIN_MS,
+		      on_refreshed, f);
+}
+
 int64_t bh_follow_answered_ago_ms(const bh_follow_t *f)
 {
 	return (bh_runtime_now() - f->answered_at) / 1000;
--- a/daemon/follow.h
+++ b/daemon/follow.h
@@ -36,6 +36,12 @@
  */
 void bh_follow_free(bh_follow_t *f);
 
+/**
+ * bh_follow_refresh() - read all changes up to now without waiting for the poll
+ * that is under way; does nothing before the first listing is complete
+ */
+void bh_follow_refresh(bh_follow_t *f);
+
 /**
  * bh_follow_current_at() - all rows that were in the table at this time have
  * been delivered
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -23,6 +23,9 @@
 #define COMMIT_OTHER_ROWS 3
 #define COMMIT_ROWS_MAX	  (BH_STORE_TX_ROWS_MAX - COMMIT_OTHER_ROWS)
 
+/* The leader runs every 100 ms; after a longer gap it was paused. */
+#define PAUSE_THRESHOLD_US (500 * BH_USEC_PER_MS)
+
 #define PING_INTERVAL_US (500 * BH_USEC_PER_MS)
 
 /* An agent sends something every 500 ms. */
@@ -79,6 +82,8 @@
 /**
  * struct bh_sched_leader - the leader's state
  * @progress: follows the progress table until it is loaded
+ * @ran_at: when the leader last ran or ticked
+ * @resumed_at: when it first did after a pause; 0: it was not paused
  * @agent_links: by the agent's address
  * @stored_progress: merged progress rows by job id, until all tables are loaded
  * @n_tables_loading: tables that are not loaded completely
@@ -108,6 +113,8 @@
 	bh_usec_t remove_run_at;
 	bh_usec_t store_reached_at;
 	bh_usec_t started_at;
+	bh_usec_t ran_at;
+	bh_usec_t resumed_at;
 	int64_t lease_ms;
 	GPtrArray *early_jobs;
 	removal_t *removal;
@@ -140,6 +147,25 @@
 	event_add(l->run, &soon);
 }
 
+static void note_pause(bh_sched_leader_t *l, bh_usec_t now)
+{
+	if (now - l->ran_at > PAUSE_THRESHOLD_US)
+		l->resumed_at = now;
+	l->ran_at = now;
+}
+
+/* Whether all jobs, and their cancellations, that were stored before the
+ * process resumed are known. Without this a leader that was paused started
+ * tasks of a job whose cancellation other entries had acknowledged meanwhile.
+ */
+static bool knows_jobs(bh_sched_leader_t *l)
+{
+	if (bh_follow_current_at(l->jobs) >= l->resumed_at)
+		return true;
+	bh_follow_refresh(l->jobs);
+	return false;
+}
+
 static void on_run(evutil_socket_t fd, short what, void *arg)
 {
 	bh_sched_leader_t *l = arg;
@@ -149,8 +175,9 @@
 	l->is_run_scheduled = false;
 	if (!bh_term_is_leader(l->term))
 		return;
+	note_pause(l, bh_runtime_now());
 	bh_sched_note_leading(l->sched, bh_term_confirmed_at(l->term));
-	if (bh_term_is_confirmed(l->term))
+	if (bh_term_is_confirmed(l->term) && knows_jobs(l))
 		bh_sched_run(l->sched, bh_runtime_now(), bh_runtime_unix_ms());
 	commit(l);
 }
@@ -785,6 +812,7 @@
 	bh_usec_t now = bh_runtime_now();
 	char detail[128];
 
+	l->ran_at = now;
 	for (guint i = 0; i < l->early_jobs->len; i++) {
 		bh_job_t *job = l->early_jobs->pdata[i];
 
@@ -956,6 +984,7 @@
 	/* Reports of agents cannot be interpreted before the jobs are known. */
 	if (l->n_tables_loading)
 		return;
+	note_pause(l, now);
 	g_hash_table_iter_init(&it, l->agent_links);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		agent_link_tick(value, now);
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -17,6 +17,7 @@
  * struct fake_store - a store whose table has changed since it was listed
  * @polls: polls for changes so far
  * @first_rows: number of rows in the reply to the first one
+ * @holds_polls: those that may wait get no reply
  */
 typedef struct fake_store {
 	struct event_base *base;
@@ -24,6 +25,7 @@
 	char address[32];
 	int polls;
 	int first_rows;
+	bool holds_polls;
 } fake_store_t;
 
 static void add_row(GString *out, int n)
@@ -44,9 +46,17 @@
 	bool is_poll =
 		g_str_has_prefix(evhttp_request_get_uri(req), "/rows-feed");
 	int n = 0;
-	GString *out = g_string_new("{\"rows\":[");
-	struct evbuffer *body = evbuffer_new();
+	GString *out;
+	struct evbuffer *body;
 
+	if (fake->holds_polls && is_poll &&
+	    !g_str_has_suffix(evhttp_request_get_uri(req), "wait-ms=0")) {
+		fake->polls++;
+		event_base_loopbreak(fake->base);
+		return;
+	}
+	out = g_string_new("{\"rows\":[");
+	body = evbuffer_new();
 	if (is_poll)
 		n = fake->polls++ ? 1 : fake->first_rows;
 	for (int i = 0; i < n; i++)
@@ -140,11 +150,51 @@
 	assert_true(is_current_after_first_poll(1));
 }
 
+/* A leader that resumes after a pause waited for a poll that the store may hold
+ * for a second, or went on without the changes that were stored meanwhile. */
+static void test_refresh_does_not_wait_for_the_poll(void **state)
+{
+	fake_store_t fake;
+	bh_settings_t settings = {.name = (char *)"me"};
+	bh_runtime_t rt = {.settings = &settings};
+	bh_store_t *store;
+	bh_follow_t *follow;
+	bh_usec_t began;
+	int rows = 0;
+
+	(void)state;
+	fake_store_open(&fake, 1);
+	fake.holds_polls = true;
+	rt.base = fake.base;
+	rt.log.level = BH_LOG_ERROR;
+	rt.log.out = stderr;
+	store = bh_store_new(fake.base, fake.address);
+	follow =
+		bh_follow_new(&rt, store, BH_TABLE_PROGRESS, 1000, &ops, &rows);
+	bh_follow_refresh(follow);
+	while (fake.polls == 0)
+		event_base_loop(fake.base, EVLOOP_ONCE);
+	assert_int_equal(rows, 0);
+	began = bh_runtime_now();
+	bh_follow_refresh(follow);
+	bh_follow_refresh(follow);
+	while (rows == 0)
+		event_base_loop(fake.base, EVLOOP_ONCE);
+	assert_int_equal(rows, 1);
+	assert_true(bh_follow_current_at(follow) >= began);
+	bh_store_close(store);
+	bh_follow_free(follow);
+	bh_store_free(store);
+	evhttp_free(fake.http);
+	event_base_free(fake.base);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_reply_cut_by_its_size_may_not_be_all),
 		cmocka_unit_test(test_small_reply_is_all),
+		cmocka_unit_test(test_refresh_does_not_wait_for_the_poll),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
