A follower of a table tells up to which version it has read it

Cause: the evacuated zones are a set that a listing replaces and the feed updates; its owner has to know when a listing begins, and up to which version and time of the store all rows have been delivered. A refresh whose reply comes during a listing of a small table would add rows that the listing no longer has. Change: two callbacks, which may be missing; such a reply is ignored. Measured: test_follow passed, with and without sanitizers.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -33,6 +33,7 @@
  * struct bh_follow - a table that is followed
  * @version: version of the store after which the next poll asks for changes
  * @parts_left: parts that are not listed completely
+ * @listed_from: when the present listing began
  * @feed_sent_at: when the last poll for changes was sent
  * @refresh_sent_at: when the last call of bh_follow_refresh() was sent
  * @is_refreshing: it has not been answered
@@ -60,6 +61,7 @@
 	bool is_in_callback;
 	int64_t retry_ms;
 	bh_usec_t answered_at;
+	bh_usec_t listed_from;
 	bh_usec_t feed_sent_at;
 	bh_usec_t refresh_sent_at;
 	bool is_refreshing;
@@ -138,6 +140,9 @@
 static void begin_listing(bh_follow_t *f)
 {
 	f->is_listing = true;
+	f->listed_from = bh_runtime_now();
+	if (f->ops->relisted)
+		f->ops->relisted(f->ctx);
 	f->version = UINT64_MAX;
 	f->parts_left = f->n_parts;
 	for (unsigned i = 0; i < f->n_parts; i++) {
@@ -146,9 +151,16 @@
 	}
 }
 
+static void note_read(bh_follow_t *f, uint64_t version, bh_usec_t read_at)
+{
+	if (f->ops->read && !f->is_freed)
+		f->ops->read(f->ctx, version, read_at);
+}
+
 static void end_listing(bh_follow_t *f)
 {
 	f->is_listing = false;
+	note_read(f, f->version, f->listed_from);
 	if (f->is_loaded)
 		return;
 	f->is_loaded = true;
@@ -238,6 +250,8 @@
 		if (is_whole(reply))
 			f->current_at = MAX(f->current_at, f->feed_sent_at);
 		deliver_rows(f, reply);
+		note_read(f, reply->version,
+			  is_whole(reply) ? f->feed_sent_at : 0);
 		if (!f->is_freed)
 			send_calls(f);
 	}
@@ -252,10 +266,14 @@
 	if (!begin_reply(f, reply))
 		return;
 	f->is_refreshing = false;
-	if (reply->status == BH_STORE_OK) {
+	/* A listing of a small table replaces what was delivered before. */
+	if (reply->status == BH_STORE_OK &&
+	    !(f->ops->is_small && f->is_listing)) {
 		if (is_whole(reply))
 			f->current_at = MAX(f->current_at, f->refresh_sent_at);
 		deliver_rows(f, reply);
+		note_read(f, reply->version,
+			  is_whole(reply) ? f->refresh_sent_at : 0);
 	}
 	end_reply(f);
 }
--- a/daemon/follow.h
+++ b/daemon/follow.h
@@ -14,12 +14,18 @@
  * struct bh_follow_ops - callbacks to the owner
  * @row: a row as it is now, or its deletion
  * @loaded: all rows that existed at the start have been delivered
+ * @relisted: the table is read again from its start; may be NULL
+ * @read: all rows up to a version of the store have been delivered, and those
+ *	that were in the table at @read_at; 0: these may not all have been; may
+ *	be NULL
  * @is_small: the table has few rows, which may be large: after a failed call it
  *	is listed again, as the feed would return each change since
  */
 typedef struct bh_follow_ops {
 	void (*row)(void *ctx, const bh_store_row_t *row);
 	void (*loaded)(void *ctx);
+	void (*relisted)(void *ctx);
+	void (*read)(void *ctx, uint64_t version, bh_usec_t read_at);
 	bool is_small;
 } bh_follow_ops_t;
 
