The scheduler starts nothing in an evacuated zone, and moves runs out of it

Change: sched/evacuation.c holds the set of zones with the store's version at which it was read, and says for which age of its copy a leader may start tasks. Hosts of these zones accept no work and count as no capacity. sched/vacate.c moves serving tasks, one of a step at a time and within max-unavailable, and checkpointing runs right after a checkpoint. A start order names the time, on the worker's clock, after which it is not passed on. An empty set changes nothing.

--- /dev/null
+++ b/sched/evacuation.c
@@ -0,0 +1,227 @@
+#include "sched/evacuation.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define KEY_PREFIX "evacuate/"
+
+/* Division of the bound, in percent. A task starts at most as long after the
+ * acknowledgement as the leader's copy of the set is old plus the lifetime of
+ * its order. Of 5 s the four tries of a start take 2.8 s; 4 % are left for
+ * clocks that differ and for a process that is late by a tick. */
+#define ORDER_PERCENT 56
+#define VIEW_PERCENT  40
+
+/* An entry whose connection was lost may reach the store. A leader that is cut
+ * off grants no leases 4 s after its last renewal, and its last leases of 5 s
+ * end within this time. */
+#define OTHERS_LOST_MS ((int64_t)10000)
+
+/**
+ * struct bh_evacuation - set of evacuated zones
+ * @rows: zones of the valid rows that this process has read
+ * @rows_version: version of the store up to which they were read
+ * @is_listing: @rows is not complete
+ * @zones: the set in force, by zone the time since when (bh_usec_t)
+ * @version: version of the store at which it was read, here or elsewhere
+ * @changes: number of changes of the set
+ */
+struct bh_evacuation {
+	GHashTable *rows;
+	uint64_t rows_version;
+	bool is_listing;
+	GHashTable *zones;
+	uint64_t version;
+	uint64_t changes;
+	bh_usec_t read_at;
+	bh_usec_t own_read_at;
+};
+
+bh_evacuation_t *bh_evacuation_new(void)
+{
+	bh_evacuation_t *e = g_new0(bh_evacuation_t, 1);
+
+	e->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	e->zones =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return e;
+}
+
+void bh_evacuation_free(bh_evacuation_t *e)
+{
+	if (!e)
+		return;
+	g_hash_table_destroy(e->rows);
+	g_hash_table_destroy(e->zones);
+	g_free(e);
+}
+
+static bool is_zone(const char *zone)
+{
+	return *zone && strlen(zone) <= BH_EVACUATION_ZONE_BYTES_MAX &&
+	       g_utf8_validate(zone, -1, NULL);
+}
+
+const char *bh_evacuation_zone_of(const char *key)
+{
+	const char *zone;
+
+	if (!key || !g_str_has_prefix(key, KEY_PREFIX))
+		return NULL;
+	zone = key + strlen(KEY_PREFIX);
+	return is_zone(zone) ? zone : NULL;
+}
+
+void bh_evacuation_begin_listing(bh_evacuation_t *e)
+{
+	e->is_listing = true;
+	g_hash_table_remove_all(e->rows);
+}
+
+void bh_evacuation_row(bh_evacuation_t *e, const char *key, bool is_valid,
+		       uint64_t version)
+{
+	const char *zone = bh_evacuation_zone_of(key);
+
+	/* Replies of the feed may come in another order than they were made. */
+	if (!zone || (!e->is_listing && version <= e->rows_version))
+		return;
+	if (!is_valid)
+		g_hash_table_remove(e->rows, zone);
+	else if (g_hash_table_size(e->rows) < BH_EVACUATION_ZONES_MAX)
+		g_hash_table_add(e->rows, g_strdup(zone));
+}
+
+static gboolean is_gone(gpointer zone, gpointer value, gpointer wanted)
+{
+	(void)value;
+	return !g_hash_table_contains(wanted, zone);
+}
+
+/* Zones that stay in the set keep the time since when they are. */
+static void set_zones(bh_evacuation_t *e, GHashTable *wanted, bh_usec_t now)
+{
+	bool is_changed =
+		g_hash_table_foreach_remove(e->zones, is_gone, wanted) > 0;
+	GHashTableIter it;
+	gpointer zone;
+
+	g_hash_table_iter_init(&it, wanted);
+	while (g_hash_table_iter_next(&it, &zone, NULL)) {
+		if (g_hash_table_contains(e->zones, zone))
+			continue;
+		g_hash_table_insert(e->zones, g_strdup(zone),
+				    g_memdup2(&now, sizeof(now)));
+		is_changed = true;
+	}
+	e->changes += is_changed;
+}
+
+void bh_evacuation_read(bh_evacuation_t *e, uint64_t version, bh_usec_t read_at,
+			bh_usec_t now)
+{
+	e->is_listing = false;
+	e->rows_version = MAX(e->rows_version, version);
+	e->own_read_at = MAX(e->own_read_at, read_at);
+	e->read_at = MAX(e->read_at, read_at);
+	if (e->rows_version < e->version)
+		return;
+	e->version = e->rows_version;
+	set_zones(e, e->rows, now);
+}
+
+void bh_evacuation_adopt(bh_evacuation_t *e, uint64_t version,
+			 char *const *zones, size_t n, bh_usec_t read_at,
+			 bh_usec_t now)
+{
+	g_autoptr(GHashTable) wanted = NULL;
+
+	/* A process with an older version that has read later knows that
+	 * nothing has changed since. */
+	e->read_at = MAX(e->read_at, read_at);
+	if (version <= e->version)
+		return;
+	wanted = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < MIN(n, BH_EVACUATION_ZONES_MAX); i++) {
+		if (is_zone(zones[i]))
+			g_hash_table_add(wanted, zones[i]);
+	}
+	e->version = version;
+	set_zones(e, wanted, now);
+}
+
+bool bh_evacuation_has(const bh_evacuation_t *e, const char *zone)
+{
+	return zone && g_hash_table_contains(e->zones, zone);
+}
+
+bh_usec_t bh_evacuation_since(const bh_evacuation_t *e, const char *zone)
+{
+	const bh_usec_t *since =
+		zone ? g_hash_table_lookup(e->zones, zone) : NULL;
+
+	return since ? *since : 0;
+}
+
+static int by_name(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+uint32_t bh_evacuation_zones(const bh_evacuation_t *e, const char **out)
+{
+	GHashTableIter it;
+	gpointer zone;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, e->zones);
+	while (n < BH_EVACUATION_ZONES_MAX &&
+	       g_hash_table_iter_next(&it, &zone, NULL))
+		out[n++] = zone;
+	if (n > 1)
+		qsort(out, n, sizeof(out[0]), by_name);
+	return n;
+}
+
+uint64_t bh_evacuation_version(const bh_evacuation_t *e)
+{
+	return e->version;
+}
+
+uint64_t bh_evacuation_changes(const bh_evacuation_t *e)
+{
+	return e->changes;
+}
+
+bh_usec_t bh_evacuation_read_at(const bh_evacuation_t *e)
+{
+	return e->read_at;
+}
+
+bh_usec_t bh_evacuation_own_read_at(const bh_evacuation_t *e)
+{
+	return e->own_read_at;
+}
+
+int64_t bh_evacuation_order_max_ms(int64_t evacuate_ms)
+{
+	return evacuate_ms * ORDER_PERCENT / 100;
+}
+
+int64_t bh_evacuation_view_max_ms(int64_t evacuate_ms)
+{
+	return evacuate_ms * VIEW_PERCENT / 100;
+}
+
+bool bh_evacuation_may_start(const bh_evacuation_view_t *view)
+{
+	int64_t max = bh_evacuation_view_max_ms(view->evacuate_ms);
+
+	if (!view->evacuate_ms)
+		return true;
+	if (view->has_resumed)
+		return false;
+	return view->read_ago_ms <= max ||
+	       (view->others_answered_ago_ms > max &&
+		view->others_lost_ago_ms > OTHERS_LOST_MS);
+}
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -444,7 +444,11 @@
 		run->progressed_at = now;
 	run->percent = a->percent;
 	run->gauge = a->gauge;
-	bh_run_set_checkpoint(run, a->checkpoint);
+	if (!run->task->phase->step->is_long_running || run->percent < 100)
+		run->serving_since = 0;
+	else if (!run->serving_since)
+		run->serving_since = now;
+	bh_run_set_checkpoint(run, a->checkpoint, now);
 	if (run->state == BH_RUN_STOPPING &&
 	    now - run->stop_ordered_at > STOP_RETRY_US)
 		bh_run_stop(s, run, "still running after its stop order", now);
@@ -820,6 +824,7 @@
 		host->down_at = now;
 	if (lists) {
 		host->heard_at = now;
+		host->clock_ms = lists->clock_ms;
 		host->is_lease_in_doubt = false;
 		host->is_lease_unconfirmed = false;
 	}
@@ -835,6 +840,7 @@
 	if (info->boot)
 		host->boot = info->boot;
 	copy_info(host, info);
+	bh_host_update_evacuated(s, host);
 	bh_host_drop_late_runs(s, host, now);
 	if (info->state == BH_WORKER_DOWN)
 		return;
@@ -971,6 +977,8 @@
 	g_hash_table_remove(s->by_key, key);
 	TAILQ_REMOVE(&s->hosts, host, link);
 	s->n_hosts--;
+	if (host->is_evacuated)
+		s->n_evacuated--;
 	clear_acks(host);
 	remove_orphans(host);
 	bh_host_clear_unknown_starts(host);
--- a/sched/place.c
+++ b/sched/place.c
@@ -66,8 +66,9 @@
 /* Whether the host can take new work, its quarantine left aside. */
 static bool accepts_work(const bh_host_t *host, bh_usec_t now)
 {
-	return host->is_linked && host->is_synced && host->info.id &&
-	       host->info.boot && host->info.state == BH_WORKER_READY &&
+	return !host->is_evacuated && host->is_linked && host->is_synced &&
+	       host->info.id && host->info.boot &&
+	       host->info.state == BH_WORKER_READY &&
 	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
 	       now >= host->full_until && now >= host->trial_until &&
@@ -310,6 +311,8 @@
 	double best_score = 0;
 	bool must_wait = false;
 
+	if (s->are_starts_held)
+		return NULL;
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		double spare;
 		double value;
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -149,6 +149,12 @@
 		.expires_ms = host->expires_ms,
 	};
 
+	/* The worker's clock is at least as late as that. */
+	if (s->bounds.order_max_ms)
+		start.starts_by_ms =
+			host->clock_ms +
+			(uint64_t)((now - host->heard_at) / BH_USEC_PER_MS +
+				   s->bounds.order_max_ms);
 	bh_task_full_name(task, name);
 	start.ticket = bh_phase_ticket(task->phase, host, now);
 	bh_hist_add(&s->stats.wait, now - task->waiting_since);
@@ -207,13 +213,14 @@
 		     run->attempt, pace);
 }
 
-void bh_run_set_checkpoint(bh_run_t *run, const char *checkpoint)
+void bh_run_set_checkpoint(bh_run_t *run, const char *checkpoint, bh_usec_t now)
 {
 	if (!checkpoint || !*checkpoint ||
 	    g_strcmp0(run->checkpoint, checkpoint) == 0)
 		return;
 	g_free(run->checkpoint);
 	run->checkpoint = g_strdup(checkpoint);
+	run->checkpoint_at = now;
 }
 
 int64_t bh_run_remaining_ms(const bh_run_t *run)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -121,6 +121,8 @@
 {
 	bool is_due = now - s->checked_at >= CHECK_INTERVAL_US;
 
+	bh_sched_apply_evacuation(s);
+
 	s->unix_ms = unix_ms;
 	if (is_due || s->is_recovering)
 		bh_hosts_expire(s, now);
@@ -131,10 +133,12 @@
 	bh_hosts_adopt_orphans(s, now);
 	if (s->is_recovering && now < s->predecessor_over_at)
 		return;
-	if (is_due)
+	if (is_due) {
 		bh_health_check_runs(s, now);
+		bh_vacate_hosts(s, now);
+	}
 	bh_steer_fillers(s, now);
-	if (!s->must_place || !s->config)
+	if (!s->must_place || !s->config || s->are_starts_held)
 		return;
 	s->must_place = false;
 	bh_sched_place_all(s, now);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -9,6 +9,7 @@
 
 #include "core/hist.h"
 #include "sched/blame.h"
+#include "sched/evacuation.h"
 #include "sched/job.h"
 #include "sched/queues.h"
 #include "sched/worker.h"
@@ -22,6 +23,8 @@
  * @ticket: the adviser's ticket for the worker, or NULL
  * @boot: the start is valid only for the worker's process that began then
  * @expires_ms: end of the worker's lease, on its own clock
+ * @starts_by_ms: the order is not passed on later, on the worker's clock; 0: no
+ *	limit
  */
 typedef struct bh_start {
 	const char *task;
@@ -32,6 +35,7 @@
 	uint64_t boot;
 	const char *worker;
 	uint64_t expires_ms;
+	uint64_t starts_by_ms;
 } bh_start_t;
 
 /**
@@ -69,6 +73,8 @@
  * @restore_ms: time that a task takes to resume from a checkpoint
  * @impact_ms: longest time that a long-running task may miss its objective
  *	because of fillers
+ * @order_max_ms: time after which an order to start a task is not passed on; 0:
+ *	no limit
  * @status_ms: time for which the state of a job that has ended is kept
  */
 typedef struct bh_sched_bounds {
@@ -78,6 +84,7 @@
 	int64_t predecessor_grant_ms;
 	int64_t restore_ms;
 	int64_t impact_ms;
+	int64_t order_max_ms;
 	int64_t status_ms;
 } bh_sched_bounds_t;
 
@@ -93,6 +100,28 @@
  */
 void bh_sched_set_config(bh_sched_t *s, const bh_config_t *config);
 
+/**
+ * bh_sched_set_evacuation() - use a set of evacuated zones
+ * @evacuation: owned by the caller, and valid until the scheduler is freed;
+ *	changes take effect with the next bh_sched_run()
+ */
+void bh_sched_set_evacuation(bh_sched_t *s, const bh_evacuation_t *evacuation);
+
+/**
+ * bh_sched_hold_starts() - start no task from now on, or do so again
+ */
+void bh_sched_hold_starts(bh_sched_t *s, bool is_held);
+
+/**
+ * bh_sched_closed_services() - services all of whose workers are in evacuated
+ * zones
+ * @out: set to their names, valid until the next event
+ *
+ * Return: how many of @out were set.
+ */
+uint32_t bh_sched_closed_services(const bh_sched_t *s, const char **out,
+				  uint32_t max);
+
 /**
  * struct bh_task_progress - stored progress of a task that is not done
  * @failed: numbers of the attempts that failed
@@ -377,6 +406,7 @@
  * @crashes: crashes of workers on which tasks ran
  * @given_up: jobs given up because of a task that crashes its workers
  * @paces: orders that changed a task's pace
+ * @serving_moved: serving tasks stopped to leave an evacuated zone
  * @jobs: jobs that ended, by enum bh_job_state
  * @hosts_ready: hosts whose agent is connected and whose worker is ready
  * @wait: time that tasks waited before they were started
@@ -392,6 +422,7 @@
 	uint64_t crashes;
 	uint64_t given_up;
 	uint64_t paces;
+	uint64_t serving_moved;
 	uint64_t jobs[BH_JOB_CANCELLED + 1];
 	uint32_t hosts_ready;
 	uint32_t tasks_waiting;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -58,6 +58,8 @@
  *	latency, as last reported
  * @bias: of a serving task, the recent average of how far its headroom was from
  *	the prediction
+ * @serving_since: when a report first showed that it serves requests; 0: it
+ *does not
  * @over_objective_since: when its tail latency rose above its objective; 0: it
  *is below
  * @peak_cpu: most processor time that a filler used at full pace; 0: not known
@@ -72,6 +74,7 @@
  * @is_kept: it is over or its process has ended, and it is kept only because it
  *	may start late
  * @checkpoint: the last one reported; the task takes it over if the run is lost
+ * @checkpoint_at: when a report first had it; 0: there is none
  */
 struct bh_run {
 	TAILQ_ENTRY(bh_run) link;
@@ -87,6 +90,7 @@
 	uint32_t gauge;
 	double headroom;
 	double bias;
+	bh_usec_t serving_since;
 	bh_usec_t over_objective_since;
 	uint32_t peak_cpu;
 	bh_usec_t paced_at;
@@ -99,6 +103,7 @@
 	bh_usec_t late_until;
 	bool is_kept;
 	char *checkpoint;
+	bh_usec_t checkpoint_at;
 };
 
 typedef TAILQ_HEAD(bh_runs, bh_run) bh_runs_t;
@@ -152,6 +157,8 @@
  *NULL
  * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
+ * @vacated_at: when one of its tasks was last stopped to leave an evacuated
+ *zone
  * @explained_at: when the reason why one of its tasks waits was last logged
  * @image: number of the step's image
  * @headroom: of its serving tasks if no fillers ran
@@ -177,6 +184,7 @@
 	GPtrArray *advised_on;
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
+	bh_usec_t vacated_at;
 	bh_usec_t explained_at;
 	bh_image_id_t image;
 	bh_headroom_t headroom;
@@ -299,6 +307,8 @@
 /**
  * struct bh_host - a host with its agent and its worker
  * @key: address of the agent
+ * @is_evacuated: its worker's zone is evacuated: it gets no new tasks
+ * @clock_ms: the worker's clock when its lists last came
  * @rack: which of the worker's labels names the rack, or NULL
  * @boot: of the worker's process that the runs, ends and acknowledgements are
  *	of; its agent may not know it after a restart; 0: none was reported
@@ -363,6 +373,8 @@
 	TAILQ_ENTRY(bh_host) link;
 	char *key;
 	bh_worker_info_t info;
+	bool is_evacuated;
+	uint64_t clock_ms;
 	const char *rack;
 	uint64_t boot;
 	bool is_linked;
@@ -436,6 +448,10 @@
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
  * @jobs_read_at: all jobs that were in the store then are known
+ * @evacuation: the evacuated zones, or NULL
+ * @evacuation_changes: changes of that set which the hosts show
+ * @n_evacuated: hosts in evacuated zones
+ * @are_starts_held: no task may be started
  * @checked_at: when hosts and runs were last checked for timeouts
  */
 struct bh_sched {
@@ -462,6 +478,10 @@
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
 	bh_usec_t jobs_read_at;
+	const bh_evacuation_t *evacuation;
+	uint64_t evacuation_changes;
+	uint32_t n_evacuated;
+	bool are_starts_held;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
@@ -574,7 +594,8 @@
 /**
  * bh_run_set_checkpoint() - keep a reported checkpoint; NULL and "" are ignored
  */
-void bh_run_set_checkpoint(bh_run_t *run, const char *checkpoint);
+void bh_run_set_checkpoint(bh_run_t *run, const char *checkpoint,
+			   bh_usec_t now);
 
 /**
  * bh_run_remaining_ms() - estimated remaining run time, at average speed
@@ -851,6 +872,26 @@
 double bh_plan_spare_headroom(const bh_sched_t *s, const bh_host_t *host,
 			      const bh_phase_t *filler);
 
+/* vacate.c */
+
+/**
+ * bh_vacate_hosts() - move runs out of evacuated zones
+ */
+void bh_vacate_hosts(bh_sched_t *s, bh_usec_t now);
+
+/**
+ * bh_host_update_evacuated() - note whether the zone of a host is evacuated
+ *
+ * Return: whether that has changed.
+ */
+bool bh_host_update_evacuated(bh_sched_t *s, bh_host_t *host);
+
+/**
+ * bh_sched_apply_evacuation() - the same for all hosts if the set of zones has
+ * changed
+ */
+void bh_sched_apply_evacuation(bh_sched_t *s);
+
 /* steer.c */
 
 /**
--- /dev/null
+++ b/sched/vacate.c
@@ -0,0 +1,238 @@
+/*
+ * Moves runs out of evacuated availability zones.
+ *
+ * Load: a zone with a third of the hosts is evacuated while serving tasks
+ * request most of the capacity. Serving tasks move one after another, as far as
+ * their step may lack them and another host has room; checkpointing runs move
+ * right after a checkpoint; others are left to end.
+ */
+#include "sched/sched_impl.h"
+
+/* A task that was stopped or did not serve counts as unavailable for this long
+ * afterwards. */
+#define UNAVAILABLE_US (5500 * BH_USEC_PER_MS)
+
+/* While another long-running task has waited for a host for less than this, no
+ * task moves, as both may need the same room. One that has waited for longer
+ * does not fit anywhere. */
+#define WAIT_FOR_ROOM_US (3000 * BH_USEC_PER_MS)
+
+/* Time after a checkpoint in which a move loses little work: one and a half
+ * intervals between two reports. */
+#define CHECKPOINT_FRESH_US (300 * BH_USEC_PER_MS)
+
+/* A checkpointing run that has less left beside the time to restore it is left
+ * to end. */
+#define MOVE_OVERHEAD_MS 300
+
+static bool is_available(const bh_task_t *task, bh_usec_t now)
+{
+	for (int i = 0; i < BH_RUNS_MAX; i++) {
+		const bh_run_t *run = task->runs[i];
+
+		if (run && run->state == BH_RUN_ACTIVE && run->serving_since &&
+		    now - run->serving_since >= UNAVAILABLE_US)
+			return true;
+	}
+	return false;
+}
+
+/* Whether one more task of a step may be unavailable. */
+static bool may_lack_one_more(const bh_phase_t *phase, bh_usec_t now)
+{
+	uint32_t unavailable = 0;
+
+	for (uint32_t i = 0; i < phase->step->count; i++) {
+		const bh_task_t *task = &phase->tasks[i];
+
+		if (!task->is_done && !is_available(task, now))
+			unavailable++;
+	}
+	return unavailable < phase->step->max_unavailable;
+}
+
+/* Whether a serving task is moving, or waits for a host. */
+static bool is_room_in_demand(const bh_sched_t *s, bh_usec_t now)
+{
+	const bh_phase_t *phase;
+	const bh_host_t *host;
+	const bh_run_t *run;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!host->is_evacuated)
+			continue;
+		TAILQ_FOREACH(run, &host->runs, link) {
+			if (run->state == BH_RUN_STOPPING &&
+			    run->task->phase->step->is_long_running)
+				return true;
+		}
+	}
+	TAILQ_FOREACH(phase, &s->open, link) {
+		if (!phase->step->is_long_running || !phase->waiting)
+			continue;
+		for (uint32_t i = 0; i < phase->step->count; i++) {
+			const bh_task_t *task = &phase->tasks[i];
+
+			if (task->is_waiting &&
+			    now - task->waiting_since < WAIT_FOR_ROOM_US)
+				return true;
+		}
+	}
+	return false;
+}
+
+static bool must_move_serving(bh_sched_t *s, const bh_run_t *run, bh_usec_t now)
+{
+	bh_phase_t *phase = run->task->phase;
+
+	return phase->step->is_long_running && !phase->step->is_gang &&
+	       (!phase->vacated_at ||
+		now - phase->vacated_at >= UNAVAILABLE_US) &&
+	       may_lack_one_more(phase, now) &&
+	       bh_sched_find_host(s, run->task, run->host, now);
+}
+
+/* How long the zone will stay evacuated is not known: it is expected to stay so
+ * for as long as it has been. */
+static bool must_move_checkpointing(bh_sched_t *s, const bh_run_t *run,
+				    bh_usec_t now)
+{
+	const bh_step_t *step = run->task->phase->step;
+	bh_usec_t since =
+		bh_evacuation_since(s->evacuation, run->host->info.zone);
+	int64_t left = bh_run_remaining_ms(run);
+
+	return step->is_checkpointing && !step->is_gang &&
+	       !step->is_long_running && run->checkpoint_at &&
+	       now - run->checkpoint_at <= CHECKPOINT_FRESH_US &&
+	       left > s->bounds.restore_ms + MOVE_OVERHEAD_MS &&
+	       (now - since) / BH_USEC_PER_MS > left &&
+	       bh_sched_find_host(s, run->task, run->host, now);
+}
+
+/* At most one serving task and one other run at a time, so that each finds the
+ * room that was free for it. */
+static void vacate_host(bh_sched_t *s, bh_host_t *host, bool *may_move_serving,
+			bool *may_move_other, bh_usec_t now)
+{
+	bh_run_t *run;
+	bh_run_t *next;
+
+	TAILQ_FOREACH_SAFE(run, &host->runs, link, next) {
+		if (run->state != BH_RUN_ACTIVE || run->is_kept)
+			continue;
+		if (*may_move_serving && must_move_serving(s, run, now)) {
+			*may_move_serving = false;
+			run->task->phase->vacated_at = now;
+			s->stats.serving_moved++;
+			bh_run_stop(s, run, "zone is evacuated", now);
+		} else if (*may_move_other &&
+			   must_move_checkpointing(s, run, now)) {
+			*may_move_other = false;
+			bh_run_stop(s, run, "zone is evacuated, checkpointed",
+				    now);
+		}
+	}
+}
+
+void bh_vacate_hosts(bh_sched_t *s, bh_usec_t now)
+{
+	bh_host_t *host;
+	bool may_move_serving;
+	bool may_move_other = true;
+
+	if (!s->n_evacuated || s->are_starts_held)
+		return;
+	may_move_serving = !is_room_in_demand(s, now);
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (host->is_evacuated && host->is_linked)
+			vacate_host(s, host, &may_move_serving, &may_move_other,
+				    now);
+	}
+}
+
+bool bh_host_update_evacuated(bh_sched_t *s, bh_host_t *host)
+{
+	bool before = host->is_evacuated;
+
+	host->is_evacuated = s->evacuation &&
+			     bh_evacuation_has(s->evacuation, host->info.zone);
+	if (host->is_evacuated == before)
+		return false;
+	if (host->is_evacuated)
+		s->n_evacuated++;
+	else
+		s->n_evacuated--;
+	s->must_place = true;
+	return true;
+}
+
+void bh_sched_apply_evacuation(bh_sched_t *s)
+{
+	bh_host_t *host;
+
+	if (!s->evacuation ||
+	    bh_evacuation_changes(s->evacuation) == s->evacuation_changes)
+		return;
+	s->evacuation_changes = bh_evacuation_changes(s->evacuation);
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (bh_host_update_evacuated(s, host))
+			bh_sched_log(s, "host evacuation", NULL,
+				     "host=%s zone=%s evacuated=%d runs=%u",
+				     host->key, host->info.zone,
+				     host->is_evacuated, host->n_runs);
+	}
+}
+
+void bh_sched_set_evacuation(bh_sched_t *s, const bh_evacuation_t *evacuation)
+{
+	s->evacuation = evacuation;
+	s->evacuation_changes = 0;
+	bh_sched_apply_evacuation(s);
+}
+
+void bh_sched_hold_starts(bh_sched_t *s, bool is_held)
+{
+	if (s->are_starts_held && !is_held)
+		s->must_place = true;
+	s->are_starts_held = is_held;
+}
+
+static bool is_listed(const char *const *list, uint32_t n, const char *service)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (strcmp(list[i], service) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool has_open_host(const bh_sched_t *s, const char *service)
+{
+	const bh_host_t *host;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!host->is_evacuated &&
+		    g_strcmp0(host->info.service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
+uint32_t bh_sched_closed_services(const bh_sched_t *s, const char **out,
+				  uint32_t max)
+{
+	const bh_host_t *host;
+	uint32_t n = 0;
+
+	if (!s->n_evacuated)
+		return 0;
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		const char *service = host->info.service;
+
+		if (n < max && host->is_evacuated && service &&
+		    !is_listed(out, n, service) && !has_open_host(s, service))
+			out[n++] = service;
+	}
+	return n;
+}
