--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -5,6 +5,8 @@
 #include "daemon/metrics.h"
 #include "daemon/relay.h"
 #include "daemon/tables.h"
+#include "daemon/zones.h"
+#include "platform/json.h"
 
 /* How long the store may hold a poll for a new configuration. With the timeout
  * of the call on top, a dead connection is noticed within about two seconds. */
@@ -31,6 +33,12 @@
 
 #define LOADS_MAX 16
 
+/* A leader's closed services are ignored when they are older. */
+#define CLOSED_MAX_AGE_US (3000 * BH_USEC_PER_MS)
+
+/* Services with workers in evacuated zones only; further ones count as open. */
+#define CLOSED_MAX 32
+
 /* A leader that the store has not confirmed for longer may have been replaced,
  * and asks other entries. */
 #define UNCONFIRMED_MAX_MS 1300
@@ -67,6 +75,11 @@
 /**
  * struct bh_hub - state that the entries share
  * @operator_rows: follows the table with the configuration
+ * @evacuation: the evacuated zones
+ * @evacuation_logged: changes of that set which have been logged
+ * @is_evacuation_asked: the leader waits for what this entry reads of them
+ * @closed_services: services all of whose workers are in evacuated zones, as
+ *	the leader told at @closed_at
  * @sched_leader: exists while this entry leads
  * @is_leadership_lost: @sched_leader is to be freed by the next tick
  * @peers: links that other entries opened
@@ -101,9 +114,19 @@
 	bh_usec_t loads_updated_at;
 	bh_usec_t pinged_at;
 	uint64_t terms_won;
+	bh_evacuation_t *evacuation;
+	uint64_t evacuation_logged;
+	bool is_evacuation_asked;
+	GPtrArray *closed_services;
+	bh_usec_t closed_at;
 	struct event *tick;
 };
 
+static bool has_evacuations(const bh_hub_t *hub)
+{
+	return hub->rt->settings->evacuate_ms > 0;
+}
+
 static bool is_store_lost(const bh_hub_t *hub)
 {
 	return bh_follow_is_store_lost(hub->operator_rows);
@@ -120,12 +143,77 @@
 	hub->pinged_at = 0;
 }
 
+static bool is_json_object(const bh_store_row_t *row)
+{
+	JsonNode *root = bh_json_parse(row->value, row->len);
+	bool is_object = root && JSON_NODE_HOLDS_OBJECT(root);
+
+	bh_json_free(root);
+	return is_object;
+}
+
+static void on_evacuation_row(bh_hub_t *hub, const bh_store_row_t *row)
+{
+	bool is_valid = !row->is_deleted && is_json_object(row);
+
+	if (!is_valid && !row->is_deleted)
+		bh_log_event(&hub->rt->log, BH_LOG_WARN,
+			     "evacuation row ignored: its value is not a JSON "
+			     "object",
+			     "key", row->key, NULL);
+	bh_evacuation_row(hub->evacuation, row->key, is_valid, row->version);
+}
+
 static void on_operator_row(void *ctx, const bh_store_row_t *row)
 {
 	bh_hub_t *hub = ctx;
 
 	if (strcmp(row->key, BH_KEY_OPERATOR_CONFIG) == 0 && !row->is_deleted)
 		bh_configs_apply(hub->configs, row->value, row->len, "store");
+	if (has_evacuations(hub) && bh_evacuation_zone_of(row->key))
+		on_evacuation_row(hub, row);
+}
+
+static void on_operator_relisted(void *ctx)
+{
+	bh_hub_t *hub = ctx;
+
+	bh_evacuation_begin_listing(hub->evacuation);
+}
+
+static void note_evacuation(bh_hub_t *hub, const char *source)
+{
+	uint64_t changes = bh_evacuation_changes(hub->evacuation);
+
+	if (changes == hub->evacuation_logged)
+		return;
+	hub->evacuation_logged = changes;
+	bh_log_evacuation(&hub->rt->log, hub->evacuation, source);
+	/* The next tick tells the other entries, and the leader its agents. */
+	hub->pinged_at = 0;
+}
+
+static void on_operator_read(void *ctx, uint64_t version, bh_usec_t read_at)
+{
+	bh_hub_t *hub = ctx;
+
+	if (!has_evacuations(hub))
+		return;
+	bh_evacuation_read(hub->evacuation, version, read_at, bh_runtime_now());
+	note_evacuation(hub, "store");
+	if (hub->is_evacuation_asked)
+		hub->pinged_at = 0;
+	hub->is_evacuation_asked = false;
+}
+
+static void adopt_evacuation(bh_hub_t *hub,
+			     const Bh__Sched__EvacuationState *state,
+			     const char *source)
+{
+	if (!has_evacuations(hub) || !state)
+		return;
+	bh_evacuation_from_wire(state, bh_runtime_now(), hub->evacuation);
+	note_evacuation(hub, source);
 }
 
 static void on_operator_loaded(void *ctx)
@@ -136,6 +224,8 @@
 static const bh_follow_ops_t operator_ops = {
 	.row = on_operator_row,
 	.loaded = on_operator_loaded,
+	.relisted = on_operator_relisted,
+	.read = on_operator_read,
 	.is_small = true,
 };
 
@@ -146,7 +236,18 @@
 	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
 	Bh__Sched__QueueLoad rows[LOADS_MAX];
 	Bh__Sched__QueueLoad *refs[LOADS_MAX];
-
+	const char *closed[CLOSED_MAX];
+	bh_evacuation_frame_t evacuation;
+
+	if (has_evacuations(hub))
+		ping.evacuation = bh_evacuation_to_wire(
+			hub->evacuation, bh_runtime_now(), &evacuation);
+	if (ping.evacuation && hub->sched_leader) {
+		ping.evacuation->n_closed_services =
+			bh_sched_leader_closed_services(hub->sched_leader,
+							closed, CLOSED_MAX);
+		ping.evacuation->closed_services = (char **)closed;
+	}
 	ping.term = bh_term_number(hub->term);
 	if (address)
 		ping.address = address;
@@ -298,6 +399,15 @@
 	}
 }
 
+static void note_answered(bh_hub_t *hub, const Bh__Sched__Ping *ping)
+{
+	bh_usec_t ago = (bh_usec_t)MIN(ping->renewed_ago_ms, INT32_MAX) *
+			BH_USEC_PER_MS;
+
+	bh_sched_leader_note_entry(hub->sched_leader,
+				   MAX(bh_runtime_now() - ago, 0));
+}
+
 static void on_peer_ping(bh_hub_t *hub, peer_t *peer,
 			 const Bh__Sched__Ping *ping)
 {
@@ -310,8 +420,11 @@
 	bh_configs_on_report(hub->configs, peer->link, ping->config_version,
 			     is_store_lost(hub));
 	bh_term_observe(hub->term, ping->term);
+	adopt_evacuation(hub, ping->evacuation, "entry");
 	if (hub->sched_leader && ping->renewed_ago_ms < STORE_FRESH_MS)
 		bh_sched_leader_note_store_reachable(hub->sched_leader);
+	if (hub->sched_leader)
+		note_answered(hub, ping);
 }
 
 static void on_peer_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
@@ -362,6 +475,8 @@
 	TAILQ_REMOVE(&hub->peers, peer, entry);
 	if (peer->address)
 		expire_entries(hub);
+	if (peer->address && hub->sched_leader)
+		bh_sched_leader_note_entry_lost(hub->sched_leader);
 	g_free(peer->address);
 	g_free(peer);
 }
@@ -400,6 +515,37 @@
 
 /* Follower side: frames from the leader. */
 
+static void set_closed_services(bh_hub_t *hub, char *const *services, size_t n)
+{
+	g_ptr_array_set_size(hub->closed_services, 0);
+	for (size_t i = 0; i < MIN(n, CLOSED_MAX); i++)
+		g_ptr_array_add(hub->closed_services, g_strdup(services[i]));
+	hub->closed_at = bh_runtime_now();
+}
+
+static void note_closed_services(bh_hub_t *hub,
+				 const Bh__Sched__EvacuationState *state)
+{
+	if (has_evacuations(hub) && state)
+		set_closed_services(hub, state->closed_services,
+				    state->n_closed_services);
+}
+
+/* The leader has not read the evacuations for some time: what this entry reads
+ * now goes along with its next ping. */
+static void answer_leader(bh_hub_t *hub,
+			  const Bh__Sched__EvacuationState *state)
+{
+	int64_t max = bh_evacuation_view_max_ms(
+		(int64_t)hub->rt->settings->evacuate_ms);
+
+	if (!has_evacuations(hub) || !state ||
+	    state->age_ms <= (uint64_t)max / 2)
+		return;
+	hub->is_evacuation_asked = true;
+	bh_follow_refresh(hub->operator_rows);
+}
+
 static void on_leader_ping(bh_hub_t *hub, bh_link_t *link,
 			   const Bh__Sched__Ping *ping)
 {
@@ -410,6 +556,9 @@
 			hub->term,
 			(int64_t)MIN(ping->renewed_ago_ms, INT64_MAX));
 	bh_term_observe(hub->term, ping->term);
+	note_closed_services(hub, ping->evacuation);
+	adopt_evacuation(hub, ping->evacuation, "leader");
+	answer_leader(hub, ping->evacuation);
 	hub->n_loads = (uint32_t)MIN(ping->n_load, LOADS_MAX);
 	hub->loads_updated_at = bh_runtime_now();
 	for (uint32_t i = 0; i < hub->n_loads; i++) {
@@ -561,7 +710,8 @@
 	hub->is_leadership_lost = false;
 	hub->terms_won++;
 	hub->listed_at = bh_runtime_now();
-	hub->sched_leader = bh_sched_leader_new(hub->rt, hub->store, hub->term);
+	hub->sched_leader = bh_sched_leader_new(hub->rt, hub->store, hub->term,
+						hub->evacuation);
 	if (bh_configs_current(hub->configs))
 		bh_sched_leader_set_config(hub->sched_leader,
 					   bh_configs_current(hub->configs));
@@ -606,6 +756,9 @@
 		bh_configs_on_report(hub->configs, link,
 				     frame->ping->config_version,
 				     is_store_lost(hub));
+		adopt_evacuation(hub, frame->ping->evacuation, "entry");
+		if (hub->sched_leader)
+			note_answered(hub, frame->ping);
 		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
 		bh_configs_on_copy(hub->configs, frame->config, "entry");
@@ -673,6 +826,18 @@
 	}
 }
 
+static void note_own_closed_services(bh_hub_t *hub)
+{
+	const char *closed[CLOSED_MAX];
+	uint32_t n;
+
+	if (!has_evacuations(hub))
+		return;
+	n = bh_sched_leader_closed_services(hub->sched_leader, closed,
+					    CLOSED_MAX);
+	set_closed_services(hub, (char **)closed, n);
+}
+
 static void ping_all(bh_hub_t *hub, bh_usec_t now)
 {
 	peer_t *peer;
@@ -685,6 +850,7 @@
 		hub->n_loads = bh_sched_leader_load(hub->sched_leader,
 						    hub->loads, LOADS_MAX);
 		hub->loads_updated_at = now;
+		note_own_closed_services(hub);
 	}
 	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next) {
 		if (now - bh_link_heard_at(peer->link) > LINK_TIMEOUT_US) {
@@ -715,6 +881,10 @@
 	}
 	if (hub->sched_leader)
 		bh_sched_leader_tick(hub->sched_leader);
+	if (hub->sched_leader &&
+	    bh_sched_leader_wants_evacuation(hub->sched_leader))
+		bh_follow_refresh(hub->operator_rows);
+	note_evacuation(hub, "agent");
 	maintain_leader_link(hub, now);
 	bh_lookup_tick(hub->lookup, must_look_up(hub), now);
 	list_entries(hub, now);
@@ -767,6 +937,8 @@
 		return NULL;
 	}
 	hub->configs = bh_configs_new(rt, on_config_applied, hub);
+	hub->evacuation = bh_evacuation_new();
+	hub->closed_services = g_ptr_array_new_with_free_func(g_free);
 	hub->lookup = bh_lookup_new(rt, &lookup_ops, hub);
 	hub->operator_rows =
 		bh_follow_new(rt, store, BH_TABLE_OPERATOR, CONFIG_POLL_WAIT_MS,
@@ -782,6 +954,7 @@
 		return;
 	event_free(hub->tick);
 	bh_sched_leader_free(hub->sched_leader);
+	hub->sched_leader = NULL;
 	bh_follow_free(hub->operator_rows);
 	bh_link_free(hub->link);
 	bh_lookup_free(hub->lookup);
@@ -791,6 +964,8 @@
 	bh_relay_free(hub->relay);
 	g_hash_table_destroy(hub->pending_queries);
 	bh_configs_free(hub->configs);
+	bh_evacuation_free(hub->evacuation);
+	g_ptr_array_free(hub->closed_services, TRUE);
 	g_free(hub->link_address);
 	g_free(hub);
 }
@@ -808,6 +983,14 @@
 	return hub->n_loads;
 }
 
+bool bh_hub_is_service_closed(const bh_hub_t *hub, const char *service)
+{
+	return service &&
+	       bh_runtime_now() - hub->closed_at < CLOSED_MAX_AGE_US &&
+	       g_ptr_array_find_with_equal_func(hub->closed_services, service,
+						g_str_equal, NULL);
+}
+
 void bh_hub_query_state(bh_hub_t *hub, const char *id, bh_hub_query_cb_t cb,
 			void *user)
 {
@@ -866,6 +1049,7 @@
 			 hub->sched_leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_terms_won_total", NULL,
 			 (double)hub->terms_won);
+	bh_metrics_evacuation(out, hub->evacuation);
 	if (hub->sched_leader)
 		bh_sched_leader_metrics(hub->sched_leader, out);
 }
--- a/daemon/hub.h
+++ b/daemon/hub.h
@@ -31,6 +31,12 @@
 uint32_t bh_hub_loads(const bh_hub_t *hub, const bh_backlog_t **out,
 		      int64_t *age_ms);
 
+/**
+ * bh_hub_is_service_closed() - whether all workers of a service are in
+ * evacuated availability zones, as far as the leader has told
+ */
+bool bh_hub_is_service_closed(const bh_hub_t *hub, const char *service);
+
 /**
  * bh_hub_query_state() - ask the leader for a job's state
  *
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -239,6 +239,8 @@
 			 (double)st->given_up);
 	bh_metrics_value(out, "boragehold_paces_total", NULL,
 			 (double)st->paces);
+	bh_metrics_value(out, "boragehold_serving_moved_total", NULL,
+			 (double)st->serving_moved);
 	for (int end = BH_END_DONE; end <= BH_END_ALONE; end++) {
 		g_autofree char *label = g_strdup_printf(
 			"how=\"%s\"", bh_end_name((bh_end_t)end));
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -3,9 +3,12 @@
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
 #include "daemon/term.h"
+#include "daemon/zones.h"
 #include "platform/decode.h"
 #include "platform/runner.h"
 #include "platform/store.h"
+#include "wire/sched_codec.h"
+#include "sched/evacuation.h"
 #include "sched/fence.h"
 #include "sched/run_log.h"
 
@@ -72,6 +75,8 @@
  *	sent
  * @term: term of the leader that sent it
  * @token: fencing token of the last try
+ * @starts_by_ms: of a start: no try is sent later, on the worker's clock; 0: no
+ *	limit
  */
 typedef struct order {
 	TAILQ_ENTRY(order) link;
@@ -87,6 +92,7 @@
 	uint32_t attempt;
 	uint32_t percent;
 	uint64_t expires_ms;
+	uint64_t starts_by_ms;
 	char *task;
 	char *spec;
 	char *checkpoint;
@@ -116,6 +122,8 @@
  * @leader_heard_at: when the last frame of the leader came
  * @starting: orders to start without an outcome
  * @poll_wait_ms: how long the worker may hold the poll in flight
+ * @evacuation: zones in which no task may start, as leaders tell them
+ * @starts_evacuated: starts refused, or not tried again, for that
  */
 struct bh_sched_agent {
 	bh_runtime_t *rt;
@@ -167,6 +175,8 @@
 	uint64_t starts;
 	uint64_t stops;
 	uint64_t unclear;
+	uint64_t starts_evacuated;
+	bh_evacuation_t *evacuation;
 	uint64_t polls_unanswered;
 	bh_hist_t start_latency;
 	GByteArray *scratch;
@@ -572,6 +582,20 @@
 	       is_announced(a) && !a->is_down && !a->gone_since;
 }
 
+static bool is_evacuated(const bh_sched_agent_t *a)
+{
+	return bh_evacuation_has(a->evacuation, a->info.zone);
+}
+
+/* An order that was delayed, or read after a pause of this process, may have
+ * been sent before the zone was evacuated. */
+static bool is_too_late(const order_t *o)
+{
+	return o->starts_by_ms &&
+	       bh_fence_has_expired(o->agent->fence, o->starts_by_ms,
+				    bh_runtime_now());
+}
+
 /* Whether a try of the order may be sent. */
 static bool is_order_wanted(void *user)
 {
@@ -580,7 +604,8 @@
 	if (o->kind != BH_ORDER_KIND_START)
 		return true;
 	return !o->is_superseded && is_addressable(o->agent, o->boot) &&
-	       o->agent->info.state == BH_WORKER_READY;
+	       o->agent->info.state == BH_WORKER_READY &&
+	       !is_evacuated(o->agent) && !is_too_late(o);
 }
 
 /* A call of this agent with a higher token has overtaken the order. A stop is
@@ -606,6 +631,9 @@
 				     bh_runtime_now());
 	if (outcome == BH_ORDER_UNCLEAR)
 		o->was_unclear = true;
+	if (outcome == BH_ORDER_UNCLEAR && o->kind == BH_ORDER_KIND_START &&
+	    is_evacuated(a))
+		a->starts_evacuated++;
 	/* A process of the worker runs an attempt at most once, so that it is
 	 * safe to repeat the order to the same process. */
 	if ((outcome == BH_ORDER_UNCLEAR || is_again) && is_order_wanted(o) &&
@@ -679,6 +707,20 @@
 	return o;
 }
 
+static void send_ping(bh_sched_agent_t *a, bh_link_t *link);
+
+/* A leader that does not know of the evacuation would order the start again at
+ * once: it is told before the outcome. */
+static void refuse_evacuated(order_t *o)
+{
+	bh_sched_agent_t *a = o->agent;
+
+	a->starts_evacuated++;
+	if (a->leader)
+		send_ping(a, a->leader);
+	order_finish(o, BH_ORDER_REFUSED);
+}
+
 static void on_start(bh_sched_agent_t *a, const Bh__Sched__StartOrder *m)
 {
 	order_t *o =
@@ -688,8 +730,13 @@
 	o->checkpoint = g_strdup(m->checkpoint);
 	o->ticket = g_strdup(m->ticket);
 	o->expires_ms = m->expires_ms;
+	o->starts_by_ms = m->starts_by_ms;
+	if (is_evacuated(a)) {
+		refuse_evacuated(o);
+		return;
+	}
 	if (a->info.state != BH_WORKER_READY || !is_addressable(a, m->boot) ||
-	    a->is_draining || !may_start_tasks(a) ||
+	    a->is_draining || !may_start_tasks(a) || is_too_late(o) ||
 	    bh_fence_has_expired(a->fence, m->expires_ms, bh_runtime_now())) {
 		order_finish(o, BH_ORDER_REFUSED);
 		return;
@@ -744,6 +791,11 @@
 {
 	bh_frame_t frame = BH__SCHED__FRAME__INIT;
 	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+	bh_evacuation_frame_t evacuation;
+
+	if (bh_evacuation_version(a->evacuation))
+		ping.evacuation = bh_evacuation_to_wire(
+			a->evacuation, bh_runtime_now(), &evacuation);
 
 	ping.term = a->term;
 	frame.body_case = BH__SCHED__FRAME__BODY_PING;
@@ -751,6 +803,18 @@
 	bh_link_send(link, &frame);
 }
 
+static void note_evacuation(bh_sched_agent_t *a,
+			    const Bh__Sched__EvacuationState *state)
+{
+	uint64_t before = bh_evacuation_changes(a->evacuation);
+
+	if (!a->rt->settings->evacuate_ms)
+		return;
+	bh_evacuation_from_wire(state, bh_runtime_now(), a->evacuation);
+	if (bh_evacuation_changes(a->evacuation) != before)
+		bh_log_evacuation(&a->rt->log, a->evacuation, "leader");
+}
+
 static void on_hello(bh_sched_agent_t *a, bh_link_t *link,
 		     const Bh__Sched__Hello *hello)
 {
@@ -767,6 +831,7 @@
 	a->leader = link;
 	a->leader_heard_at = bh_runtime_now();
 	a->term = hello->term;
+	note_evacuation(a, hello->evacuation);
 	bh_fence_set_leader(a->fence, hello->term, hello->first_number,
 			    (bh_usec_t)hello->lease_ms * BH_USEC_PER_MS);
 	bh_log_event(&a->rt->log, BH_LOG_INFO, "leader", "name", hello->leader,
@@ -801,6 +866,9 @@
 	case BH__SCHED__FRAME__BODY_PACE:
 		on_pace(a, frame->pace);
 		break;
+	case BH__SCHED__FRAME__BODY_PING:
+		note_evacuation(a, frame->ping->evacuation);
+		break;
 	default:
 		break;
 	}
@@ -934,6 +1002,9 @@
 			 (double)a->stops);
 	bh_metrics_value(out, "boragehold_agent_unclear_total", NULL,
 			 (double)a->unclear);
+	bh_metrics_value(out, "boragehold_agent_starts_evacuated_total", NULL,
+			 (double)a->starts_evacuated);
+	bh_metrics_evacuation(out, a->evacuation);
 	bh_metrics_value(out, "boragehold_agent_polls_unanswered_total", NULL,
 			 (double)a->polls_unanswered);
 	bh_metrics_value(out, "boragehold_agent_led", NULL, a->leader ? 1 : 0);
@@ -1137,6 +1208,7 @@
 	a->scratch = g_byte_array_new();
 	TAILQ_INIT(&a->starting);
 	a->run_log = bh_run_log_new();
+	a->evacuation = bh_evacuation_new();
 	a->fence = bh_fence_new((bh_usec_t)set->lease_max_ms * BH_USEC_PER_MS,
 				bh_runtime_now());
 	a->poll_timeout_ms = TRY_TIMEOUT_MIN_MS;
@@ -1174,6 +1246,7 @@
 	bh_store_free(a->store);
 	bh_worker_info_clear(&a->info);
 	bh_run_log_free(a->run_log);
+	bh_evacuation_free(a->evacuation);
 	bh_fence_free(a->fence);
 	bh_crash_clear(&a->crash);
 	g_byte_array_free(a->scratch, TRUE);
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -35,6 +35,10 @@
 /* For requests without X-Deadline-Ms. */
 #define DEADLINE_DEFAULT_MS 3000
 
+/* Retry-After while no worker of a service may start tasks. Evacuations last
+ * for longer, and callers retry up to four times. */
+#define EVACUATED_RETRY_AFTER_MS 5000
+
 /* Retry-After while the store is unavailable: long enough for it to recover,
  * short enough for a caller to retry before it gives up. */
 #define STORE_DOWN_RETRY_AFTER_MS 1000
@@ -429,8 +433,17 @@
 	uint64_t retry_ms;
 
 	/* A job that may be stored already must not be refused. */
-	if (g_hash_table_contains(p->entry->unclear, p->id) ||
-	    bh_admit(job, loads, n, age, &retry_ms))
+	if (g_hash_table_contains(p->entry->unclear, p->id))
+		return false;
+	if (bh_hub_is_service_closed(p->entry->hub, job->terms.service)) {
+		p->entry->refused++;
+		log_answer(p, 503, "all zones of its service are evacuated");
+		finish_error(p, 503, "all zones of its service are evacuated",
+			     EVACUATED_RETRY_AFTER_MS +
+				     (uint64_t)g_random_int_range(0, 1000));
+		return true;
+	}
+	if (bh_admit(job, loads, n, age, &retry_ms))
 		return false;
 	p->entry->refused++;
 	log_answer(p, 429, "it would end too late to count");
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -2,6 +2,7 @@
 #include "daemon/follow.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
+#include "daemon/zones.h"
 #include "platform/address.h"
 #include "sched/fence.h"
 #include "sched/grants.h"
@@ -88,6 +89,11 @@
  * @stored_progress: merged progress rows by job id, until all tables are loaded
  * @n_tables_loading: tables that are not loaded completely
  * @store_reached_at: when another entry last reported that it reaches the store
+ * @evacuation: the evacuated zones, shared with the hub
+ * @evacuation_sent: changes of that set which the agents have been sent
+ * @others_answered_at: when the store last answered another entry
+ * @entry_lost_at: when the connection to another entry last closed; 0: never
+ * @are_starts_held: its copy of the set is too old to start tasks
  * @early_jobs: jobs that arrived before all tables were loaded
  * @removal: in flight, or NULL
  * @removed_jobs: keys of the progress rows of jobs whose own row is removed
@@ -112,6 +118,11 @@
 	bh_usec_t pinged_at;
 	bh_usec_t remove_run_at;
 	bh_usec_t store_reached_at;
+	bh_evacuation_t *evacuation;
+	uint64_t evacuation_sent;
+	bh_usec_t others_answered_at;
+	bh_usec_t entry_lost_at;
+	bool are_starts_held;
 	bh_usec_t started_at;
 	bh_usec_t ran_at;
 	bh_usec_t resumed_at;
@@ -123,6 +134,7 @@
 };
 
 static void commit(bh_sched_leader_t *l);
+static void tell_agents(bh_sched_leader_t *l);
 
 static bool may_grant(const bh_sched_leader_t *l)
 {
@@ -166,6 +178,42 @@
 	return false;
 }
 
+static bool has_resumed(const bh_sched_leader_t *l)
+{
+	return bh_evacuation_own_read_at(l->evacuation) < l->resumed_at;
+}
+
+static int64_t ms_since(bh_usec_t at)
+{
+	return (bh_runtime_now() - at) / BH_USEC_PER_MS;
+}
+
+/* Holds starts in all zones while an evacuation may have been acknowledged that
+ * this process has not heard of. */
+static void update_hold(bh_sched_leader_t *l)
+{
+	bh_evacuation_view_t view = {
+		.evacuate_ms = (int64_t)l->rt->settings->evacuate_ms,
+		.read_ago_ms = ms_since(bh_evacuation_read_at(l->evacuation)),
+		.has_resumed = has_resumed(l),
+		.others_answered_ago_ms = ms_since(l->others_answered_at),
+		.others_lost_ago_ms = l->entry_lost_at
+					      ? ms_since(l->entry_lost_at)
+					      : INT64_MAX,
+	};
+	bool is_held = !bh_evacuation_may_start(&view);
+	g_autofree char *age = NULL;
+
+	bh_sched_hold_starts(l->sched, is_held);
+	if (is_held == l->are_starts_held)
+		return;
+	l->are_starts_held = is_held;
+	age = g_strdup_printf("%" G_GINT64_FORMAT, view.read_ago_ms);
+	bh_log_event(&l->rt->log, is_held ? BH_LOG_WARN : BH_LOG_INFO,
+		     is_held ? "starts held" : "starts resumed", "read_ms_ago",
+		     age, NULL);
+}
+
 static void on_run(evutil_socket_t fd, short what, void *arg)
 {
 	bh_sched_leader_t *l = arg;
@@ -177,6 +225,8 @@
 		return;
 	note_pause(l, bh_runtime_now());
 	bh_sched_note_leading(l->sched, bh_term_confirmed_at(l->term));
+	update_hold(l);
+	tell_agents(l);
 	if (bh_term_is_confirmed(l->term) && knows_jobs(l))
 		bh_sched_run(l->sched, bh_runtime_now(), bh_runtime_unix_ms());
 	commit(l);
@@ -214,6 +264,7 @@
 	m.ticket = text_or_empty(start->ticket);
 	m.boot = start->boot;
 	m.worker = text_or_empty(start->worker);
+	m.starts_by_ms = start->starts_by_ms;
 	frame.body_case = BH__SCHED__FRAME__BODY_START;
 	frame.start = &m;
 	send_frame(ctx, host, &frame);
@@ -571,6 +622,18 @@
 	schedule_run(l);
 }
 
+/* An agent may have heard of an evacuation from an earlier leader. What it
+ * knows is no newer than a leader's reads: it does not count as one. */
+static void note_evacuation(bh_sched_leader_t *l,
+			    const Bh__Sched__EvacuationState *state)
+{
+	if (!state || !l->rt->settings->evacuate_ms)
+		return;
+	bh_evacuation_adopt(l->evacuation, state->version, state->zones,
+			    state->n_zones, 0, bh_runtime_now());
+	schedule_run(l);
+}
+
 static void on_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
 {
 	agent_link_t *m = ctx;
@@ -589,6 +652,7 @@
 	case BH__SCHED__FRAME__BODY_PING:
 		if (frame->ping->term > bh_term_number(m->leader->term))
 			bh_term_observe(m->leader->term, frame->ping->term);
+		note_evacuation(m->leader, frame->ping->evacuation);
 		break;
 	default:
 		break;
@@ -600,6 +664,7 @@
 	agent_link_t *m = ctx;
 	bh_frame_t frame = BH__SCHED__FRAME__INIT;
 	Bh__Sched__Hello hello = BH__SCHED__HELLO__INIT;
+	bh_evacuation_frame_t evacuation;
 
 	m->is_linked = true;
 	m->connect_timeout = CONNECT_TIMEOUT_MIN_US;
@@ -609,6 +674,9 @@
 	hello.first_number =
 		bh_fence_first_number(bh_runtime_now() - m->leader->started_at);
 	hello.lease_ms = (uint64_t)m->leader->lease_ms;
+	if (m->leader->rt->settings->evacuate_ms)
+		hello.evacuation = bh_evacuation_to_wire(
+			m->leader->evacuation, bh_runtime_now(), &evacuation);
 	frame.body_case = BH__SCHED__FRAME__BODY_HELLO;
 	frame.hello = &hello;
 	bh_link_send(link, &frame);
@@ -724,12 +792,16 @@
 {
 	bh_frame_t frame = BH__SCHED__FRAME__INIT;
 	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+	bh_evacuation_frame_t evacuation;
 	GHashTableIter it;
 	gpointer value;
 
 	if (now - l->pinged_at < PING_INTERVAL_US)
 		return;
 	l->pinged_at = now;
+	if (l->rt->settings->evacuate_ms)
+		ping.evacuation =
+			bh_evacuation_to_wire(l->evacuation, now, &evacuation);
 	ping.term = bh_term_number(l->term);
 	frame.body_case = BH__SCHED__FRAME__BODY_PING;
 	frame.ping = &ping;
@@ -742,6 +814,19 @@
 	}
 }
 
+/* Agents hear of an evacuation at once: they refuse starts that are under way,
+ * and those of a former leader. */
+static void tell_agents(bh_sched_leader_t *l)
+{
+	uint64_t changes = bh_evacuation_changes(l->evacuation);
+
+	if (changes == l->evacuation_sent)
+		return;
+	l->evacuation_sent = changes;
+	l->pinged_at = 0;
+	ping_agents(l, bh_runtime_now());
+}
+
 static void on_agent_row(void *ctx, const bh_store_row_t *row)
 {
 	bh_sched_leader_t *l = ctx;
@@ -857,7 +942,8 @@
 					     on_progress_loaded};
 
 bh_sched_leader_t *bh_sched_leader_new(bh_runtime_t *rt, bh_store_t *store,
-				       bh_term_t *term)
+				       bh_term_t *term,
+				       bh_evacuation_t *evacuation)
 {
 	const bh_settings_t *set = rt->settings;
 	bh_sched_leader_t *l = g_new0(bh_sched_leader_t, 1);
@@ -869,6 +955,8 @@
 		.predecessor_grant_ms = bh_term_predecessor_grant_ms(term),
 		.restore_ms = (int64_t)set->restore_ms,
 		.impact_ms = (int64_t)set->impact_ms,
+		.order_max_ms =
+			bh_evacuation_order_max_ms((int64_t)set->evacuate_ms),
 		.status_ms = (int64_t)(set->status_s * 1000),
 	};
 
@@ -880,6 +968,9 @@
 	l->store_reached_at = l->started_at;
 	l->sched = bh_sched_new(&bounds, &sched_ops, l, l->started_at,
 				bh_runtime_unix_ms());
+	l->evacuation = evacuation;
+	l->evacuation_sent = bh_evacuation_changes(evacuation);
+	bh_sched_set_evacuation(l->sched, evacuation);
 	l->agent_links = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       agent_link_free);
 	l->stored_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -935,6 +1026,35 @@
 	l->store_reached_at = bh_runtime_now();
 }
 
+void bh_sched_leader_note_entry(bh_sched_leader_t *l, bh_usec_t answered_at)
+{
+	l->others_answered_at = MAX(l->others_answered_at, answered_at);
+	if (l->are_starts_held ||
+	    bh_evacuation_changes(l->evacuation) != l->evacuation_sent)
+		schedule_run(l);
+}
+
+void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l)
+{
+	l->entry_lost_at = bh_runtime_now();
+}
+
+bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l)
+{
+	int64_t max = bh_evacuation_view_max_ms(
+		(int64_t)l->rt->settings->evacuate_ms);
+
+	return max &&
+	       (has_resumed(l) ||
+		ms_since(bh_evacuation_own_read_at(l->evacuation)) > max / 2);
+}
+
+uint32_t bh_sched_leader_closed_services(bh_sched_leader_t *l, const char **out,
+					 uint32_t max)
+{
+	return bh_sched_closed_services(l->sched, out, max);
+}
+
 void bh_sched_leader_add_job(bh_sched_leader_t *l, const void *data, size_t len)
 {
 	bh_job_t *job = bh_job_unpack(data, len);
@@ -997,5 +1117,7 @@
 {
 	bh_metrics_value(out, "boragehold_term", NULL,
 			 (double)bh_term_number(l->term));
+	bh_metrics_value(out, "boragehold_starts_held", NULL,
+			 l->are_starts_held ? 1 : 0);
 	bh_metrics_sched(out, l->sched);
 }
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -14,8 +14,14 @@
 
 typedef struct bh_sched_leader bh_sched_leader_t;
 
+/**
+ * bh_sched_leader_new() - start to lead
+ * @evacuation: the evacuated zones as this entry knows them; owned by the
+ *	caller; the leader adds what agents report
+ */
 bh_sched_leader_t *bh_sched_leader_new(bh_runtime_t *rt, bh_store_t *store,
-				       bh_term_t *term);
+				       bh_term_t *term,
+				       bh_evacuation_t *evacuation);
 void bh_sched_leader_free(bh_sched_leader_t *l);
 void bh_sched_leader_set_config(bh_sched_leader_t *l,
 				const bh_config_t *config);
@@ -26,6 +32,34 @@
  */
 void bh_sched_leader_note_store_reachable(bh_sched_leader_t *l);
 
+/**
+ * bh_sched_leader_note_entry() - another entry has reported
+ * @answered_at: when the store last answered it
+ */
+void bh_sched_leader_note_entry(bh_sched_leader_t *l, bh_usec_t answered_at);
+
+/**
+ * bh_sched_leader_note_entry_lost() - the connection to another entry has
+ * closed; it may reach the store
+ */
+void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l);
+
+/**
+ * bh_sched_leader_wants_evacuation() - whether its copy of the evacuated zones
+ * is getting too old to start tasks
+ */
+bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l);
+
+/**
+ * bh_sched_leader_closed_services() - services all of whose workers are in
+ * evacuated zones
+ * @out: set to their names, valid until the next event
+ *
+ * Return: how many of @out were set.
+ */
+uint32_t bh_sched_leader_closed_services(bh_sched_leader_t *l, const char **out,
+					 uint32_t max);
+
 /**
  * bh_sched_leader_add_job() - an entry has stored a job, or its cancellation
  */
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -103,6 +103,10 @@
 	NUMBER(impact_ms, "ms", "4000", 100, 3600000,
 	       "longest time that a lasting task may miss its objective "
 	       "because of fillers, with store"),
+	NUMBER(evacuate_ms, "ms", "0", 0, 600000,
+	       "time after which no task starts in an availability zone that "
+	       "the operator evacuates, with store; 0: rows evacuate/ZONE are "
+	       "not followed"),
 	NUMBER(status_s, "s", "120", 1, 86400,
 	       "time that a job's final state is kept, with store"),
 	NUMBER(stop_within_s, "s", "6", 0.1, 600,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -71,6 +71,7 @@
 	double hedge_quantile;
 	double lease_max_ms;
 	double restore_ms;
+	double evacuate_ms;
 	double impact_ms;
 	double status_s;
 	double stop_within_s;
--- a/daemon/tables.h
+++ b/daemon/tables.h
@@ -29,6 +29,7 @@
 /* Rows that the operator writes. */
 #define BH_TABLE_OPERATOR      "op"
 #define BH_KEY_OPERATOR_CONFIG "config"
+/* Rows "evacuate/ZONE": see sched/evacuation.h. */
 
 /* Number of parts of a table that many hosts write to. The store runs the
  * transactions of a part one after another, so that the number of parts limits
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &bh__sched__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__evacuation_state__init
+                     (Bh__Sched__EvacuationState         *message)
+{
+  static const Bh__Sched__EvacuationState init_value = BH__SCHED__EVACUATION_STATE__INIT;
+  *message = init_value;
+}
+size_t bh__sched__evacuation_state__get_packed_size
+                     (const Bh__Sched__EvacuationState *message)
+{
+  assert(message->base.descriptor == &bh__sched__evacuation_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__evacuation_state__pack
+                     (const Bh__Sched__EvacuationState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__evacuation_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__evacuation_state__pack_to_buffer
+                     (const Bh__Sched__EvacuationState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__evacuation_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__EvacuationState *
+       bh__sched__evacuation_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__EvacuationState *)
+     protobuf_c_message_unpack (&bh__sched__evacuation_state__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__evacuation_state__free_unpacked
+                     (Bh__Sched__EvacuationState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__evacuation_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__hello__init
                      (Bh__Sched__Hello         *message)
 {
@@ -3115,7 +3160,84 @@
   (ProtobufCMessageInit) bh__sched__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bh__sched__evacuation_state__field_descriptors[4] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__EvacuationState, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bh__Sched__EvacuationState, n_zones),
+    offsetof(Bh__Sched__EvacuationState, zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__EvacuationState, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_services",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bh__Sched__EvacuationState, n_closed_services),
+    offsetof(Bh__Sched__EvacuationState, closed_services),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__evacuation_state__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  3,   /* field[3] = closed_services */
+  0,   /* field[0] = version */
+  1,   /* field[1] = zones */
+};
+static const ProtobufCIntRange bh__sched__evacuation_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bh__sched__evacuation_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.EvacuationState",
+  "EvacuationState",
+  "Bh__Sched__EvacuationState",
+  "bh.sched",
+  sizeof(Bh__Sched__EvacuationState),
+  4,
+  bh__sched__evacuation_state__field_descriptors,
+  bh__sched__evacuation_state__field_indices_by_name,
+  1,  bh__sched__evacuation_state__number_ranges,
+  (ProtobufCMessageInit) bh__sched__evacuation_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__hello__field_descriptors[5] =
 {
   {
     "term",
@@ -3165,8 +3287,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Hello, evacuation),
+    &bh__sched__evacuation_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__hello__field_indices_by_name[] = {
+  4,   /* field[4] = evacuation */
   2,   /* field[2] = first_number */
   1,   /* field[1] = leader */
   3,   /* field[3] = lease_ms */
@@ -3175,7 +3310,7 @@
 static const ProtobufCIntRange bh__sched__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bh__sched__hello__descriptor =
 {
@@ -3185,7 +3320,7 @@
   "Bh__Sched__Hello",
   "bh.sched",
   sizeof(Bh__Sched__Hello),
-  4,
+  5,
   bh__sched__hello__field_descriptors,
   bh__sched__hello__field_indices_by_name,
   1,  bh__sched__hello__number_ranges,
@@ -3256,7 +3391,7 @@
   (ProtobufCMessageInit) bh__sched__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__start_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bh__sched__start_order__field_descriptors[9] =
 {
   {
     "task",
@@ -3354,6 +3489,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starts_by_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__StartOrder, starts_by_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__start_order__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
@@ -3361,6 +3508,7 @@
   4,   /* field[4] = checkpoint */
   3,   /* field[3] = expires_ms */
   2,   /* field[2] = spec */
+  8,   /* field[8] = starts_by_ms */
   0,   /* field[0] = task */
   5,   /* field[5] = ticket */
   7,   /* field[7] = worker */
@@ -3368,7 +3516,7 @@
 static const ProtobufCIntRange bh__sched__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bh__sched__start_order__descriptor =
 {
@@ -3378,7 +3526,7 @@
   "Bh__Sched__StartOrder",
   "bh.sched",
   sizeof(Bh__Sched__StartOrder),
-  8,
+  9,
   bh__sched__start_order__field_descriptors,
   bh__sched__start_order__field_indices_by_name,
   1,  bh__sched__start_order__number_ranges,
@@ -3846,7 +3994,7 @@
   (ProtobufCMessageInit) bh__sched__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[6] =
 {
   {
     "term",
@@ -3908,10 +4056,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Ping, evacuation),
+    &bh__sched__evacuation_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__ping__field_indices_by_name[] = {
   4,   /* field[4] = address */
   1,   /* field[1] = config_version */
+  5,   /* field[5] = evacuation */
   3,   /* field[3] = load */
   2,   /* field[2] = renewed_ago_ms */
   0,   /* field[0] = term */
@@ -3919,7 +4080,7 @@
 static const ProtobufCIntRange bh__sched__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bh__sched__ping__descriptor =
 {
@@ -3929,7 +4090,7 @@
   "Bh__Sched__Ping",
   "bh.sched",
   sizeof(Bh__Sched__Ping),
-  5,
+  6,
   bh__sched__ping__field_descriptors,
   bh__sched__ping__field_indices_by_name,
   1,  bh__sched__ping__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Bh__Sched__Crash Bh__Sched__Crash;
 typedef struct Bh__Sched__LateStart Bh__Sched__LateStart;
 typedef struct Bh__Sched__Report Bh__Sched__Report;
+typedef struct Bh__Sched__EvacuationState Bh__Sched__EvacuationState;
 typedef struct Bh__Sched__Hello Bh__Sched__Hello;
 typedef struct Bh__Sched__Grant Bh__Sched__Grant;
 typedef struct Bh__Sched__StartOrder Bh__Sched__StartOrder;
@@ -366,6 +367,34 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * The availability zones that the operator evacuates, as the sender knows them.
+ * Missing where rows of evacuations are not followed.
+ */
+struct  Bh__Sched__EvacuationState
+{
+  ProtobufCMessage base;
+  /*
+   * Of the store, when the rows were read.
+   */
+  uint64_t version;
+  size_t n_zones;
+  char **zones;
+  /*
+   * Rows that the store acknowledged longer ago than this are in the set.
+   */
+  uint64_t age_ms;
+  /*
+   * Of a leader: services all of whose workers are in evacuated zones.
+   */
+  size_t n_closed_services;
+  char **closed_services;
+};
+#define BH__SCHED__EVACUATION_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__evacuation_state__descriptor) \
+    , 0, 0,NULL, 0, 0,NULL }
+
+
 /*
  * leader -> agent
  */
@@ -382,10 +411,11 @@
    * Length of the leases that the leader grants; 0: an earlier build, not known.
    */
   uint64_t lease_ms;
+  Bh__Sched__EvacuationState *evacuation;
 };
 #define BH__SCHED__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL }
 
 
 struct  Bh__Sched__Grant
@@ -411,10 +441,15 @@
   char *ticket;
   uint64_t boot;
   char *worker;
+  /*
+   * On the worker's clock: the agent does not pass the order on later; 0: no
+   * limit.
+   */
+  uint64_t starts_by_ms;
 };
 #define BH__SCHED__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__start_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Bh__Sched__StopOrder
@@ -523,10 +558,11 @@
    * Of an entry, in its first ping on a connection: its address for frames.
    */
   char *address;
+  Bh__Sched__EvacuationState *evacuation;
 };
 #define BH__SCHED__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__ping__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL }
 
 
 /*
@@ -954,6 +990,25 @@
 void   bh__sched__report__free_unpacked
                      (Bh__Sched__Report *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__EvacuationState methods */
+void   bh__sched__evacuation_state__init
+                     (Bh__Sched__EvacuationState         *message);
+size_t bh__sched__evacuation_state__get_packed_size
+                     (const Bh__Sched__EvacuationState   *message);
+size_t bh__sched__evacuation_state__pack
+                     (const Bh__Sched__EvacuationState   *message,
+                      uint8_t             *out);
+size_t bh__sched__evacuation_state__pack_to_buffer
+                     (const Bh__Sched__EvacuationState   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__EvacuationState *
+       bh__sched__evacuation_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__evacuation_state__free_unpacked
+                     (Bh__Sched__EvacuationState *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Hello methods */
 void   bh__sched__hello__init
                      (Bh__Sched__Hello         *message);
@@ -1343,6 +1398,9 @@
 typedef void (*Bh__Sched__Report_Closure)
                  (const Bh__Sched__Report *message,
                   void *closure_data);
+typedef void (*Bh__Sched__EvacuationState_Closure)
+                 (const Bh__Sched__EvacuationState *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Hello_Closure)
                  (const Bh__Sched__Hello *message,
                   void *closure_data);
@@ -1418,6 +1476,7 @@
 extern const ProtobufCMessageDescriptor bh__sched__crash__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__late_start__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__report__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__evacuation_state__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__hello__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__grant__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__start_order__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -438,6 +438,34 @@
 	memset(row, 0, sizeof(*row));
 }
 
+Bh__Sched__EvacuationState *bh_evacuation_to_wire(const bh_evacuation_t *e,
+						  bh_usec_t now,
+						  bh_evacuation_frame_t *out)
+{
+	Bh__Sched__EvacuationState *state = &out->state;
+	bh_usec_t age = now - bh_evacuation_read_at(e);
+
+	bh__sched__evacuation_state__init(state);
+	state->version = bh_evacuation_version(e);
+	state->n_zones = bh_evacuation_zones(e, out->zones);
+	state->zones = (char **)out->zones;
+	/* Rounded up: rows may have been acknowledged in between. */
+	state->age_ms = (uint64_t)MAX(age / BH_USEC_PER_MS + 1, 1);
+	return state;
+}
+
+void bh_evacuation_from_wire(const Bh__Sched__EvacuationState *from,
+			     bh_usec_t now, bh_evacuation_t *e)
+{
+	bh_usec_t age;
+
+	if (!from)
+		return;
+	age = (bh_usec_t)MIN(from->age_ms, BH_JOB_TIME_MAX_MS) * BH_USEC_PER_MS;
+	bh_evacuation_adopt(e, from->version, from->zones, from->n_zones,
+			    MAX(now - age, 0), now);
+}
+
 void bh_frame_append(const bh_frame_t *frame, GByteArray *out)
 {
 	guint start = out->len;
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -47,6 +47,32 @@
 bool bh_leader_row_unpack(const void *data, size_t len, bh_leader_row_t *out);
 void bh_leader_row_clear(bh_leader_row_t *row);
 
+/**
+ * struct bh_evacuation_frame - an evacuation state to send
+ * @state: refers to @zones
+ */
+typedef struct bh_evacuation_frame {
+	Bh__Sched__EvacuationState state;
+	const char *zones[BH_EVACUATION_ZONES_MAX];
+} bh_evacuation_frame_t;
+
+/**
+ * bh_evacuation_to_wire() - describe a set of evacuated zones for a frame
+ * @out: refers to the names in @e
+ *
+ * Return: the state, which is part of @out.
+ */
+Bh__Sched__EvacuationState *bh_evacuation_to_wire(const bh_evacuation_t *e,
+						  bh_usec_t now,
+						  bh_evacuation_frame_t *out);
+
+/**
+ * bh_evacuation_from_wire() - use the set of another process if it is newer
+ * @from: may be NULL
+ */
+void bh_evacuation_from_wire(const Bh__Sched__EvacuationState *from,
+			     bh_usec_t now, bh_evacuation_t *e);
+
 /**
  * bh_frame_append() - append a frame with its header
  */
