Cases on real processes: a zone is evacuated under load

Cause: the bound of an evacuation has to hold while the leader cannot reach the store, is killed or stopped, and after a cancellation.

--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -8,6 +8,10 @@
 "target-duration-ms":1000,"priority":0}],
 "services":[{"name":"svc","admission-check":true}],"limits":{}}'
 
+# Availability zone of worker N, and the bound on evacuations; 0: these are off.
+job_zone() { echo "${JOB_ZONES[$1]:-z}"; }
+EVACUATE_MS=${EVACUATE_MS:-0}
+
 # start_job_entry N [STORE]
 start_job_entry() {
 	cat >"$WORK/jobentry-$1.json" <<-END
@@ -16,7 +20,8 @@
 	 "listen_ready": "$(addr $((150 + $1)))",
 	 "metrics": "$(addr $((170 + $1)))",
 	 "listen_frames": "$(addr $((200 + $1)))", "log_format": "json",
-	 "lease_ms": 3000, "stop_within_s": 5, "store": "${2:-$TABLE}"}
+	 "lease_ms": 3000, "stop_within_s": 5, "evacuate_ms": $EVACUATE_MS,
+	 "store": "${2:-$TABLE}"}
 	END
 	start "jobentry-$1" "$BUILD/daemon/borageholdd" "$WORK/jobentry-$1.json"
 }
@@ -26,7 +31,8 @@
 	{"role": "agent", "name": "jobagent-$1", "zone": "z",
 	 "listen_http": "$(addr $((300 + $1)))",
 	 "listen_frames": "$(addr $((400 + $1)))", "log_format": "json",
-	 "worker": "$(addr $((500 + $1)))", "store": "$TABLE"}
+	 "worker": "$(addr $((500 + $1)))", "evacuate_ms": $EVACUATE_MS,
+	 "store": "$TABLE"}
 	END
 	start "jobagent-$1" "$BUILD/daemon/borageholdd" "$WORK/jobagent-$1.json"
 }
@@ -37,7 +43,7 @@
 	start "jobhost-$1" "$BUILD/standins/standin-jobhost" "worker-$1" \
 		"$(addr $((500 + $1)))" "$(addr $((300 + $1)))" \
 		"$WORK/jobhost-$1.tasks" "${2:-700}" "worker-$1" \
-		"$WORK/jobhost-$1.late"
+		"$WORK/jobhost-$1.late" "$(job_zone "$1")"
 }
 
 # job_call METHOD ENTRY ID BODY: prints the body, sets STATUS
