The soak evacuates a zone

Cause: an evacuation has to hold under any series of faults. The time for which the store does not answer extends the bound.

--- a/soak/checks.sh
+++ b/soak/checks.sh
@@ -28,6 +28,10 @@
 # announcement.
 SHRUNK_COUNTS_MS=4500
 
+# A call that a worker is told to carry out late comes up to this long after the
+# period was begun: 4 s during which calls are late, and 4 s by which one is.
+LATE_CALLS_MS=8000
+
 check_ended() {
 	local name=$1 status
 	wait "${PIDS[$name]}" 2>/dev/null
@@ -251,6 +255,53 @@
 			>>"$WORK/violations"
 }
 
+# No task starts on a worker in an evacuated zone, from the bound after the
+# acknowledgement on until the evacuation is cancelled. The time for which the store did
+# not answer is added to the bound, and starts that came late count as on time.
+check_zones() {
+	awk -v bound="$EVACUATE_MS" -v late_ms="$LATE_CALLS_MS" '
+	function zone_of(worker, part) {
+		sub(/^worker-/, "", worker)
+		split(worker, part, ".")
+		return "z" part[1] % 3
+	}
+	function store_lost(from, to, i, sum, a, b) {
+		for (i = 1; i <= n_lost; i++) {
+			a = lost_from[i] > from ? lost_from[i] : from
+			b = lost_to[i] < to ? lost_to[i] : to
+			if (b > a) sum += b - a
+		}
+		return sum
+	}
+	function may_be_late(worker, t, i, part) {
+		split(worker, part, ".")
+		for (i = 1; i <= n_late; i++)
+			if (late_worker[i] == part[1] && t > late_at[i] &&
+				t < late_at[i] + late_ms) return 1
+		return 0
+	}
+	$2 == "store-mode" {
+		if (is_lost) lost_to[n_lost] = $1
+		is_lost = $3 != "up"
+		if (is_lost) {
+			lost_from[++n_lost] = $1
+			lost_to[n_lost] = 1e15
+		}
+		next }
+	$2 == "delay_calls" { late_at[++n_late] = $1; late_worker[n_late] = $3; next }
+	$2 == "evacuated" { since[$3, ++n[$3]] = $1; until[$3, n[$3]] = 1e15; next }
+	$2 == "cancelled" {
+		if (until[$3, n[$3]] == 1e15) until[$3, n[$3]] = $1
+		next }
+	$2 != "start" { next }
+	{ zone = zone_of($5)
+	  for (i = 1; i <= n[zone]; i++)
+		if ($1 > since[zone, i] + bound + store_lost(since[zone, i], $1) &&
+			$1 < until[zone, i] && !may_be_late($5, $1))
+			print "started in an evacuated zone: " $3 " on " $5 " at " $1 }' \
+		"$WORK/zones" "$WORK/faults" "$WORK/all.tasks" >>"$WORK/violations"
+}
+
 report() {
 	local counts
 	counts="$(wc -l <"$WORK/accepted") accepted, $(wc -l <"$WORK/crashing") \
--- a/soak/world.sh
+++ b/soak/world.sh
@@ -141,6 +141,35 @@
 	[ "$STATUS" = 200 ] && DRAINING[worker-$n]=${spare:-in-place}
 }
 
+# zone_of N: the zone of worker N
+zone_of() { echo "z$(($1 % 3))"; }
+
+put_operator_row() {
+	call POST "$TABLE" /rows-tx "{\"puts\":[{\"table\":\"op\",\"part\":\"\",
+\"key\":\"$1\",\"value\":\"$(base64 -w0 <<<"$2")\"}]}" 2 >/dev/null
+	[ "$STATUS" = 200 ]
+}
+
+# evacuate_zone ZONE: skipped while the store does not answer
+evacuate_zone() {
+	[ "$STORE_MODE" = up ] || return
+	put_operator_row "evacuate/$1" "{}" || return
+	echo "$(now_ms) evacuated $1" >>"$WORK/zones"
+	schedule "$EVACUATION_MS" cancel_evacuation "$1"
+}
+
+# cancel_evacuation ZONE: tried again until it is stored
+cancel_evacuation() {
+	[ "$STORE_MODE" = up ] || {
+		schedule 300 cancel_evacuation "$1"
+		return
+	}
+	echo "$(now_ms) cancelled $1" >>"$WORK/zones"
+	call POST "$TABLE" /rows-tx "{\"remove\":[{\"table\":\"op\",
+\"part\":\"\",\"key\":\"evacuate/$1\"}]}" 2 >/dev/null
+	[ "$STATUS" = 200 ] || schedule 300 cancel_evacuation "$1"
+}
+
 restart_entry() {
 	local n=$1
 	is_up "entry-$n" && return
@@ -152,7 +181,7 @@
 	 "listen_ready": "$(addr $((150 + n)))",
 	 "metrics": "$(addr $((170 + n)))",
 	 "listen_frames": "$(addr $((200 + n)))", "log_format": "json",
-	 "lease_ms": $LEASE_MS, "stop_within_s": 5,
+	 "lease_ms": $LEASE_MS, "stop_within_s": 5, "evacuate_ms": $EVACUATE_MS,
 	 "store": "$(addr $((700 + n)))"}
 	END
 	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
@@ -166,7 +195,8 @@
 	{"role": "agent", "name": "agent-$n", "zone": "z",
 	 "listen_http": "$(addr $((300 + n)))",
 	 "listen_frames": "$(addr $((400 + n)))", "log_format": "json",
-	 "worker": "$(addr $((720 + n)))", "store": "$TABLE"}
+	 "worker": "$(addr $((720 + n)))", "evacuate_ms": $EVACUATE_MS,
+	 "store": "$TABLE"}
 	END
 	start_cuttable "agent-$n" "$BUILD/daemon/borageholdd" "$WORK/agent-$n.json"
 }
@@ -182,7 +212,7 @@
 		"worker-$n.${WORKER_INCARNATION[n]}" "$(addr $((500 + n)))" \
 		"$(addr $((300 + n)))" "$WORK/worker-$n.${WORKER_INCARNATION[n]}.tasks" \
 		"${2:-$((200 + RANDOM % 600))}" \
-		"worker-$n.$id" "$WORK/worker-$n.late"
+		"worker-$n.$id" "$WORK/worker-$n.late" "$(zone_of "$n")"
 }
 
 # restart_crashed_worker N: without random numbers, as it crashes at any time
@@ -253,6 +283,7 @@
 set_store() {
 	mark_disturbed store
 	STORE_MODE=$1
+	echo "$(now_ms) store-mode $1" >>"$WORK/zones"
 	call POST "$TABLE" "/fault?mode=$1" "" 1 >/dev/null
 }
 
@@ -417,7 +448,7 @@
 	SMALL_ROOM=()
 	touch "$WORK/accepted" "$WORK/refused" "$WORK/unclear" "$WORK/cancelled" \
 		"$WORK/cancel-asked" "$WORK/faults" "$WORK/violations" \
-		"$WORK/crashing" "$WORK/failed"
+		"$WORK/crashing" "$WORK/failed" "$WORK/zones"
 	start store "$BUILD/standins/standin-store" --listen "$TABLE"
 	wait_for "$TABLE" /stats || return 1
 	put_config 2
@@ -448,10 +479,13 @@
 	rm "$WORK/traffic"
 	for n in "${!DUE_AT[@]}"; do
 		DUE_AT[n]=0
+		[[ ${DUE_COMMANDS[n]} != cancel_evacuation* ]] ||
+			DUE_AT[n]=$(($(now_ms) + EVACUATED_AFTER_FAULTS_MS))
 	done
 	run_scheduled
 	end_partition "$PARTITIONS"
 	set_store up
+	run_scheduled
 	for name in "${!PIDS[@]}"; do
 		kill -CONT "${PIDS[$name]}"
 	done
