--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -224,6 +224,75 @@
 		assert_null(bh_json_parse(bad[i].text, bad[i].len));
 }
 
+/* A body of 1 MiB with 75,000 members took 22 MB as a tree and most of a
+ * processor; 150 of them held up all other callers for 10 s. They are refused
+ * before a tree is built, in objects of any shape. */
+static void test_many_short_members_are_refused(void **state)
+{
+	static const struct {
+		const char *open;
+		const char *value;
+		const char *close;
+	} shapes[] = {
+		{"{\"a\":1", ",\"b\":1", "}"},
+		{"{\"spec\":\"x\",\"steps\":[{}", ",{\"b\":1}", "]}"},
+		{"{\"spec\":\"x\",\"steps\":[{\"after\":[1", ",1", "]}]}"},
+		{"{\"spec\":\"x\",\"steps\":[[]", ",[]", "]}"},
+	};
+	bh_announcement_t announcement;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(shapes); i++) {
+		GString *text = g_string_new(shapes[i].open);
+		const char *error = NULL;
+		GError *err = NULL;
+
+		for (int k = 0; k < 75000; k++)
+			g_string_append(text, shapes[i].value);
+		g_string_append(text, shapes[i].close);
+		assert_null(bh_json_parse_client(text->str, text->len, &err));
+		assert_true(g_error_matches(err, BH_JSON_ERROR,
+					    BH_JSON_ERROR_SIZE));
+		assert_null(bh_decode_job(text->str, text->len, &error));
+		assert_non_null(strstr(error, "members"));
+		assert_false(bh_decode_announcement("w", text->str, text->len,
+						    &announcement));
+		g_error_free(err);
+		g_string_free(text, TRUE);
+	}
+}
+
+/* Jobs within all other limits pass, and the store's lists have no such limit:
+ * theirs are as long as the store is full. */
+static void test_limits_of_values_spare_valid_documents(void **state)
+{
+	GString *text = g_string_new("{\"spec\":\"[,,{\",\"steps\":[");
+	const char *error = NULL;
+	bh_job_t *job;
+	JsonNode *list;
+
+	(void)state;
+	for (int i = 0; i < 2000; i++)
+		g_string_append(
+			text, "{\"count\":1,\"cpu\":1,\"mem-mb\":1,\"gpu\":0,"
+			      "\"estimate-ms\":1,\"max-per-server\":0,"
+			      "\"target-ms\":0,\"gang\":false,\"fills\":false,"
+			      "\"same-rack\":false,\"after\":[]},");
+	text->str[text->len - 1] = ']';
+	g_string_append_c(text, '}');
+	job = bh_decode_job(text->str, text->len, &error);
+	assert_null(error);
+	bh_job_free(job);
+	g_string_assign(text, "[0");
+	for (int i = 0; i < 75000; i++)
+		g_string_append(text, ",1");
+	g_string_append_c(text, ']');
+	list = bh_json_parse(text->str, text->len);
+	assert_int_equal(bh_json_size(list), 75001);
+	bh_json_free(list);
+	g_string_free(text, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -235,6 +304,8 @@
 		cmocka_unit_test(test_huge_integers_wrap_around),
 		cmocka_unit_test(test_integers_of_64_bits_stay),
 		cmocka_unit_test(test_unreadable_bytes),
+		cmocka_unit_test(test_many_short_members_are_refused),
+		cmocka_unit_test(test_limits_of_values_spare_valid_documents),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
