HTTP clients cannot exhaust the memory or descriptors of a process

Cause: libevent buffers bodies, chunks and head fields of incomplete requests without a common bound, and the allocator keeps them; silent connections use up the descriptors, so that the store and other clients cannot connect.

Change: daemon/http_guard.c stands between the sockets of all servers of bh_http_listen() and libevent, which is told of a request once it is complete and gets one at a time. Bodies to paths without a route, to readiness and to the metrics are refused before they are read.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -2,6 +2,7 @@
 #include "core/agent.h"
 #include "daemon/conn.h"
 #include "daemon/leader.h"
+#include "daemon/http_guard.h"
 #include "daemon/metrics.h"
 #include "daemon/udp.h"
 #include "platform/address.h"
@@ -224,6 +225,7 @@
 			 (double)bh_table_writes(role->table));
 	bh_metrics_value(out, "boragehold_table_reads_total", NULL,
 			 (double)bh_table_reads(role->table));
+	bh_http_guard_metrics(role->rt, out);
 	bh_metrics_reply(req, out);
 }
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -1,6 +1,7 @@
 #include "daemon/entry.h"
 #include "core/entry.h"
 #include "daemon/conn.h"
+#include "daemon/http_guard.h"
 #include "daemon/keys.h"
 #include "daemon/metrics.h"
 #include "daemon/records.h"
@@ -324,6 +325,7 @@
 			 (double)role->garbage_conns);
 	bh_metrics_value(out, "boragehold_garbage_datagrams_total", NULL,
 			 (double)bh_udp_garbage(role->udp));
+	bh_http_guard_metrics(role->rt, out);
 	bh_metrics_reply(req, out);
 }
 
@@ -625,7 +627,8 @@
 	if (elapsed < s->drain_grace_ms * BH_USEC_PER_MS)
 		return;
 	if (role->socket)
-		evhttp_del_accept_socket(role->http, role->socket);
+		bh_http_guard_detach(role->rt, role->socket);
+	evhttp_del_accept_socket(role->http, role->socket);
 	role->socket = NULL;
 	if (elapsed >= s->drain_limit_ms * BH_USEC_PER_MS)
 		bh_entry_drain(role->core);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,5 +1,6 @@
 #include "daemon/agent.h"
 #include "daemon/entry.h"
+#include "daemon/http_guard.h"
 #include "daemon/sched_agent.h"
 #include "daemon/sched_entry.h"
 
@@ -123,6 +124,7 @@
 		bh_sched_entry_free(p.sched_entry);
 	if (p.sched_agent)
 		bh_sched_agent_free(p.sched_agent);
+	bh_http_guard_free(&p.rt);
 	for (int i = 0; i < 3; i++)
 		event_free(signals[i]);
 	event_base_free(p.rt.base);
--- a/daemon/runtime.c
+++ b/daemon/runtime.c
@@ -1,11 +1,10 @@
 #include "daemon/runtime.h"
+#include "daemon/http_guard.h"
 #include "platform/address.h"
 
 #include <event2/buffer.h>
 #include <time.h>
 
-#define HEADERS_MAX_BYTES 16384
-
 static const char *status_text(int status)
 {
 	switch (status) {
@@ -55,9 +54,27 @@
 	return ev;
 }
 
+int bh_http_refuse_body(void *arg, const struct bh_http_scan *head)
+{
+	(void)arg;
+	(void)head;
+	return 413;
+}
+
 struct evhttp *bh_http_listen(bh_runtime_t *rt, const char *address,
 			      void (*cb)(struct evhttp_request *, void *),
 			      void *arg, struct evhttp_bound_socket **socket)
+{
+	return bh_http_listen_guarded(rt, address, cb, arg, false, NULL,
+				      socket);
+}
+
+struct evhttp *
+bh_http_listen_guarded(bh_runtime_t *rt, const char *address,
+		       void (*cb)(struct evhttp_request *, void *), void *arg,
+		       bool is_small,
+		       int (*check)(void *arg, const struct bh_http_scan *head),
+		       struct evhttp_bound_socket **socket)
 {
 	struct evhttp *http = evhttp_new(rt->base);
 	struct evhttp_bound_socket *bound = NULL;
@@ -68,7 +85,7 @@
 					  1000};
 
 	evhttp_set_max_body_size(http, rt->settings->max_body_bytes);
-	evhttp_set_max_headers_size(http, HEADERS_MAX_BYTES);
+	evhttp_set_max_headers_size(http, rt->settings->max_header_bytes);
 	evhttp_set_timeout_tv(http, &timeout);
 	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
 						 EVHTTP_REQ_PUT |
@@ -78,8 +95,10 @@
 		bound = evhttp_bind_socket_with_handle(http, ip, port);
 	if (socket)
 		*socket = bound;
-	if (bound)
+	if (bound) {
+		bh_http_guard_attach(rt, http, bound, is_small, check, arg);
 		return http;
+	}
 	bh_log_event(&rt->log, BH_LOG_ERROR, "cannot listen", "address",
 		     address, NULL);
 	evhttp_free(http);
--- a/daemon/runtime.h
+++ b/daemon/runtime.h
@@ -13,15 +13,20 @@
 #include <event2/http.h>
 #include <json-glib/json-glib.h>
 
+struct bh_http_scan;
+struct bh_http_guard;
+
 /**
  * struct bh_runtime - shared state of a process
  * @incarnation: start time, Unix microseconds; increases with each restart
+ * @guard: of the HTTP servers, see daemon/http_guard.h; NULL without any
  */
 typedef struct bh_runtime {
 	struct event_base *base;
 	const bh_settings_t *settings;
 	bh_log_t log;
 	uint64_t incarnation;
+	struct bh_http_guard *guard;
 } bh_runtime_t;
 
 /**
@@ -48,6 +53,26 @@
 			      void (*cb)(struct evhttp_request *, void *),
 			      void *arg, struct evhttp_bound_socket **socket);
 
+/**
+ * bh_http_listen_guarded() - like bh_http_listen()
+ * @is_small: for probes and metrics, with a limit of its own on connections
+ * @check: decides on requests with a body before it is read; may be NULL. It
+ *         gets @arg.
+ */
+struct evhttp *
+bh_http_listen_guarded(bh_runtime_t *rt, const char *address,
+		       void (*cb)(struct evhttp_request *, void *), void *arg,
+		       bool is_small,
+		       int (*check)(void *arg, const struct bh_http_scan *head),
+		       struct evhttp_bound_socket **socket);
+
+/**
+ * bh_http_refuse_body() - check of a server that takes no bodies
+ *
+ * Return: 413.
+ */
+int bh_http_refuse_body(void *arg, const struct bh_http_scan *head);
+
 /**
  * bh_http_reply_json() - send a JSON document and free it
  */
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -1,4 +1,5 @@
 #include "daemon/sched_agent.h"
+#include "daemon/http_guard.h"
 #include "daemon/link.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
@@ -923,6 +924,12 @@
 		bh_http_reply_text(req, 404, "text/plain", "no such call\n");
 }
 
+static int check_http(void *arg, const bh_http_scan_t *head)
+{
+	(void)arg;
+	return g_str_has_prefix(head->path, INSTANCES_PATH) ? 0 : 404;
+}
+
 static void on_metrics(struct evhttp_request *req, void *arg)
 {
 	bh_sched_agent_t *a = arg;
@@ -939,6 +946,7 @@
 	bh_metrics_value(out, "boragehold_agent_led", NULL, a->leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
 			 (double)a->rt->log.dropped);
+	bh_http_guard_metrics(a->rt, out);
 	bh_metrics_reply(req, out);
 }
 
@@ -1145,10 +1153,12 @@
 	a->poll_timer = event_new(rt->base, -1, 0, on_poll_timer, a);
 	a->acceptor = bh_link_listen(rt, set->listen_frames, &link_ops, a,
 				     on_accepted);
-	a->http = bh_http_listen(rt, set->listen_http, on_http, a, NULL);
+	a->http = bh_http_listen_guarded(rt, set->listen_http, on_http, a,
+					 false, check_http, NULL);
 	if (*set->metrics)
 		a->metrics =
-			bh_http_listen(rt, set->metrics, on_metrics, a, NULL);
+			bh_http_listen_guarded(rt, set->metrics, on_metrics, a,
+					       true, bh_http_refuse_body, NULL);
 	if (!a->acceptor || !a->http || (*set->metrics && !a->metrics)) {
 		bh_sched_agent_free(a);
 		return NULL;
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -1,5 +1,6 @@
 #include "daemon/sched_entry.h"
 #include "daemon/drain.h"
+#include "daemon/http_guard.h"
 #include "daemon/hub.h"
 #include "daemon/metrics.h"
 #include "daemon/tables.h"
@@ -668,6 +669,17 @@
 	route(e, req, queue, id);
 }
 
+/* A body to a path without a route is refused before it is read. */
+static int check_front(void *arg, const bh_http_scan_t *head)
+{
+	bh_sched_entry_t *e = arg;
+	const bh_config_t *config = bh_hub_config(e->hub);
+
+	if (!config)
+		return 503;
+	return bh_config_match(config, head->host, head->path) ? 0 : 404;
+}
+
 static void on_ready(struct evhttp_request *req, void *arg)
 {
 	bh_sched_entry_t *e = arg;
@@ -702,6 +714,7 @@
 		bh_metrics_value(out, "boragehold_answers_total", label,
 				 (double)e->answers[i]);
 	}
+	bh_http_guard_metrics(e->rt, out);
 	bh_metrics_value(out, "boragehold_log_lines_dropped_total", NULL,
 			 (double)e->rt->log.dropped);
 	g_hash_table_iter_init(&it, e->latency);
@@ -785,13 +798,16 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->store = bh_store_new(rt->base, set->store);
 	e->hub = bh_hub_start(rt, e->store);
-	e->front = bh_http_listen(rt, set->listen_http, on_front, e, NULL);
+	e->front = bh_http_listen_guarded(rt, set->listen_http, on_front, e,
+					  false, check_front, NULL);
 	if (*set->listen_ready)
-		e->ready = bh_http_listen(rt, set->listen_ready, on_ready, e,
-					  NULL);
+		e->ready = bh_http_listen_guarded(rt, set->listen_ready,
+						  on_ready, e, true,
+						  bh_http_refuse_body, NULL);
 	if (*set->metrics)
 		e->metrics =
-			bh_http_listen(rt, set->metrics, on_metrics, e, NULL);
+			bh_http_listen_guarded(rt, set->metrics, on_metrics, e,
+					       true, bh_http_refuse_body, NULL);
 	e->tick = bh_runtime_every(rt, TICK_MS, on_tick, e);
 	if (e->hub && e->front && (e->ready || !*set->listen_ready) &&
 	    (e->metrics || !*set->metrics))
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -77,6 +77,24 @@
 	    "limit of requests in flight at an entry"),
 	INT(http_timeout_ms, "ms", "60000", 100, 3600000,
 	    "timeout of an idle HTTP connection or an incomplete message"),
+	INT(memory_mb, "MB", "512", 16, 16777216,
+	    "memory of this host; an eighth of it, at least four bodies of "
+	    "max_body_bytes, is for HTTP requests and responses"),
+	INT(max_fds, "descriptors", "1048576", 64, 1048576,
+	    "descriptors of this process, if RLIMIT_NOFILE allows as many; a "
+	    "quarter, at least 64, is kept from HTTP clients"),
+	INT(max_header_bytes, "B", "16384", 1024, 65536,
+	    "largest request line with all header fields"),
+	INT(max_header_fields, "fields", "256", 16, 4096,
+	    "header fields of a request"),
+	INT(header_timeout_ms, "ms", "10000", 100, 3600000,
+	    "time from the first byte of a request to the end of its header"),
+	INT(stall_timeout_ms, "ms", "10000", 100, 3600000,
+	    "time without progress of a request body or of reading a "
+	    "response, after which the connection is closed"),
+	INT(min_body_rate, "B/s", "1024", 0, 1000000000,
+	    "least average rate of a request, counted after "
+	    "stall_timeout_ms"),
 	INT(max_attempts, "attempts", "3", 1, 10,
 	    "attempts at one request, hedges included"),
 	INT(default_deadline_ms, "ms", "10000", 1, 3600000,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -53,6 +53,13 @@
 	int64_t max_body_bytes;
 	int64_t max_in_flight;
 	int64_t http_timeout_ms;
+	int64_t memory_mb;
+	int64_t max_fds;
+	int64_t max_header_bytes;
+	int64_t max_header_fields;
+	int64_t header_timeout_ms;
+	int64_t stall_timeout_ms;
+	int64_t min_body_rate;
 	int64_t max_attempts;
 	int64_t default_deadline_ms;
 	int64_t drain_grace_ms;
