A draining entry removes its listening socket once

Cause: put a call before evhttp_del_accept_socket() without braces, so that an entry in table mode removed a NULL socket while draining and crashed (tests/process drained_entry, exit status 139).

Change: braces.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -626,9 +626,10 @@
 	(void)what;
 	if (elapsed < s->drain_grace_ms * BH_USEC_PER_MS)
 		return;
-	if (role->socket)
+	if (role->socket) {
 		bh_http_guard_detach(role->rt, role->socket);
-	evhttp_del_accept_socket(role->http, role->socket);
+		evhttp_del_accept_socket(role->http, role->socket);
+	}
 	role->socket = NULL;
 	if (elapsed >= s->drain_limit_ms * BH_USEC_PER_MS)
 		bh_entry_drain(role->core);
