--- a/soak/world.sh
+++ b/soak/world.sh
@@ -152,7 +152,7 @@
 	 "listen_ready": "$(addr $((150 + n)))",
 	 "metrics": "$(addr $((170 + n)))",
 	 "listen_frames": "$(addr $((200 + n)))", "log_format": "json",
-	 "lease_ms": $LEASE_MS, "stop_within_s": 5,
+	 "lease_ms": $LEASE_MS, "stop_within_s": 5, "memory_mb": 64,
 	 "store": "$(addr $((700 + n)))"}
 	END
 	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
