--- a/soak/world.sh
+++ b/soak/world.sh
@@ -182,6 +182,7 @@
 	 "metrics": "$(addr $((170 + n)))",
 	 "listen_frames": "$(addr $((200 + n)))", "log_format": "json",
 	 "lease_ms": $LEASE_MS, "stop_within_s": 5, "evacuate_ms": $EVACUATE_MS,
+	 "memory_mb": 64,
 	 "store": "$(addr $((700 + n)))"}
 	END
 	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
