--- a/sched/sched.h
+++ b/sched/sched.h
@@ -76,6 +76,7 @@
  * @order_max_ms: time after which an order to start a task is not passed on; 0:
  *	no limit
  * @status_ms: time for which the state of a job that has ended is kept
+ * @has_shares: capacity is allocated by shares.h when demand exceeds it
  */
 typedef struct bh_sched_bounds {
 	uint64_t term;
@@ -86,6 +87,7 @@
 	int64_t impact_ms;
 	int64_t order_max_ms;
 	int64_t status_ms;
+	bool has_shares;
 } bh_sched_bounds_t;
 
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
