--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -130,8 +130,8 @@
 	NUMBER(stop_within_s, "s", "6", 0.1, 600,
 	       "time from SIGTERM to SIGKILL, with store"),
 	CHOICE(room_shares, "\"off\"", "on|off",
-	       "allocate insufficient capacity by forecast and minimum shares, "
-	       "with store"),
+	       "serving tasks rank after other tasks of their priority for the "
+	       "first 2 s of their wait, with store"),
 	NUMBER(processor_share, "cores", "1", 0.001, 1024,
 	       "processor time of this host; entries with more are preferred "
 	       "as leader"),
--- a/sched/shares.h
+++ b/sched/shares.h
@@ -1,9 +1,10 @@
 /*
  * Allocation of capacity when demand exceeds it.
  *
- * Load pattern: after a loss of all processes, or in a burst, everything waits
- * at the same time. What a caller loses per further second of delay, relative
- * to the processor time that ends its wait, decides who goes first.
+ * Load pattern: after a loss of all processes everything waits at the same
+ * time, and serving tasks alone would take all capacity. What a caller loses
+ * per further second of delay, relative to the processor time that ends its
+ * wait, decides who goes first.
  */
 #ifndef BH_SCHED_SHARES_H
 #define BH_SCHED_SHARES_H
