--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -263,6 +263,22 @@
 	bh_metrics_value(out, "boragehold_tasks_running", NULL,
 			 st->tasks_running);
 	bh_metrics_hist(out, "boragehold_task_wait_seconds", NULL, &st->wait);
+	bh_metrics_value(out, "boragehold_tasks_waiting_for_rack", NULL,
+			 st->tasks_waiting_for_rack);
+	bh_metrics_value(out, "boragehold_rack_waits_total", NULL,
+			 (double)st->rack_waits);
+	bh_metrics_value(out, "boragehold_rack_placed_total", NULL,
+			 (double)st->rack_placed);
+	for (int why = BH_LOCALITY_LOST; why < BH_LOCALITY_VERDICTS; why++) {
+		g_autofree char *label = g_strdup_printf(
+			"why=\"%s\"",
+			bh_locality_verdict_name((bh_locality_verdict_t)why));
+
+		bh_metrics_value(out, "boragehold_rack_abandoned_total", label,
+				 (double)st->rack_abandoned[why]);
+	}
+	bh_metrics_hist(out, "boragehold_rack_wait_seconds", NULL,
+			&st->rack_wait);
 	g_free(st);
 }
 
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -870,6 +870,8 @@
 		.restore_ms = (int64_t)set->restore_ms,
 		.impact_ms = (int64_t)set->impact_ms,
 		.status_ms = (int64_t)(set->status_s * 1000),
+		.remote_slowdown = set->remote_slowdown,
+		.locality_wait = strcmp(set->locality_wait, "on") == 0,
 	};
 
 	l->rt = rt;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -110,6 +110,13 @@
 	NUMBER(processor_share, "cores", "1", 0.001, 1024,
 	       "processor time of this host; entries with more are preferred "
 	       "as leader"),
+	NUMBER(remote_slowdown, "ratio", "1", 1, 100,
+	       "run time of a task outside the rack of its data, or of a "
+	       "group on several racks, relative to that in it; 1: placement "
+	       "does not affect it; with store"),
+	CHOICE(locality_wait, "\"off\"", "on|off",
+	       "whether tasks may wait for a rack on which they run faster, "
+	       "with store"),
 	INT(term_ms, "ms", "6000", 500, 600000,
 	    "term of a cell's leader without renewal"),
 	INT(journal_ms, "ms", "200", 10, 10000,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -50,6 +50,7 @@
 	char *metrics;
 	char *store;
 	char *advice;
+	char *locality_wait;
 	int64_t max_body_bytes;
 	int64_t max_in_flight;
 	int64_t http_timeout_ms;
@@ -75,6 +76,7 @@
 	double status_s;
 	double stop_within_s;
 	double processor_share;
+	double remote_slowdown;
 } bh_settings_t;
 
 /**
--- a/sched/health.c
+++ b/sched/health.c
@@ -142,7 +142,7 @@
 
 /* Estimates the host's speed from the progress of its running tasks, long
  * before they end. */
-static void update_speed(bh_host_t *host, bh_usec_t now)
+static void update_speed(const bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
 	double rate_sum = 0;
 	uint32_t n = 0;
@@ -157,7 +157,7 @@
 		    left < 0 || run->percent >= 100)
 			continue;
 		rate_sum += (double)(bh_run_remaining_ms(run) + 1) /
-			    (double)(left + 1);
+			    (double)(left + 1) * bh_run_slowdown(s, run);
 		n++;
 	}
 	if (n >= 2)
@@ -205,7 +205,7 @@
 		bh_run_t *run;
 		bh_run_t *next;
 
-		update_speed(host, now);
+		update_speed(s, host, now);
 		bh_host_clear_suspects(s, host, now);
 		TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
 			check_run(s, run, now);
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -132,7 +132,8 @@
 	bh_task_failed(s, task, e->attempt, now);
 }
 
-static void update_rate(const bh_run_t *run, bh_host_t *host, bh_usec_t now)
+static void update_rate(bh_sched_t *s, const bh_run_t *run, bh_host_t *host,
+			bh_usec_t now)
 {
 	bh_phase_t *phase = run->task->phase;
 	bh_usec_t elapsed = now - run->ordered_at;
@@ -142,7 +143,10 @@
 	if (phase->step->is_long_running || phase->step->is_filler ||
 	    elapsed < RATE_RUN_MIN_US || run->first_percent > 0)
 		return;
-	rate = (double)phase->step->estimate_ms * 1000 / (double)elapsed;
+	bh_racks_note_end(s, run, elapsed);
+	/* A longer run outside its rack tells nothing about the host. */
+	rate = (double)phase->step->estimate_ms * 1000 / (double)elapsed *
+	       bh_run_slowdown(s, run);
 	phase->rate_sum += rate;
 	phase->rate_count++;
 	mean = phase->rate_sum / phase->rate_count;
@@ -173,7 +177,7 @@
 	}
 	note_started(task);
 	if (run && e->how == BH_END_DONE)
-		update_rate(run, host, now);
+		update_rate(s, run, host, now);
 	if (run && (e->how == BH_END_DONE || !bh_run_keep(s, run, now)))
 		bh_run_drop(s, run);
 	if (e->how == BH_END_DONE) {
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -344,6 +344,8 @@
 	rec = g_new0(bh_rec_t, 1);
 	rec->job = job;
 	rec->state = BH_JOB_QUEUED;
+	rec->added_at = now;
+	rec->added_unix_ms = s->unix_ms;
 	rec->is_inherited = s->jobs_read_at < s->predecessor_over_at;
 	rec->n_phases = bh_job_occurrences(job) * job->n_steps;
 	rec->phases = g_new0(bh_phase_t, rec->n_phases);
--- a/sched/order.c
+++ b/sched/order.c
@@ -53,6 +53,12 @@
 	return due + retries_ms(phase) * job->terms.slack_percent / 100;
 }
 
+int64_t bh_phase_slack_ms(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	return (int64_t)due_ms(phase) - remaining_chain_ms(phase) -
+	       (int64_t)s->unix_ms;
+}
+
 uint64_t bh_phase_rank(const bh_sched_t *s, const bh_phase_t *phase)
 {
 	uint64_t rank = (uint64_t)phase->rec->job->terms.priority
--- a/sched/place.c
+++ b/sched/place.c
@@ -20,6 +20,7 @@
 #define WEIGHT_ENDANGERED   0.1
 #define WEIGHT_SUSPICION    1.5
 #define WEIGHT_SUSPECTS	    20.0
+#define WEIGHT_WANTED	    1.0
 
 /* A deficit of spare headroom above this is scored no worse. */
 #define SPARE_DEFICIT_MAX 3.0
@@ -134,21 +135,15 @@
 	       now - task->waiting_since > QUARANTINED_HOST_AFTER_US;
 }
 
-bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
-			 bh_usec_t now)
+bool bh_host_matches(const bh_phase_t *phase, const bh_host_t *host,
+		     bh_usec_t now)
 {
-	const bh_phase_t *phase = task->phase;
 	const bh_step_t *step = phase->step;
 
-	if (!accepts_work(host, now) ||
-	    (now < host->quarantined_until &&
-	     !may_use_quarantined(task, now)) ||
-	    g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
+	if (g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
 		return false;
 	if (step->label && !has_label(host, step->label))
 		return false;
-	if (host->is_probing && is_being_probed(host, now))
-		return false;
 	if (step->max_per_host &&
 	    bh_phase_runs_on(phase, host) >= step->max_per_host)
 		return false;
@@ -157,6 +152,17 @@
 	return true;
 }
 
+bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
+			 bh_usec_t now)
+{
+	if (!accepts_work(host, now) ||
+	    (now < host->quarantined_until && !may_use_quarantined(task, now)))
+		return false;
+	if (host->is_probing && is_being_probed(host, now))
+		return false;
+	return bh_host_matches(task->phase, host, now);
+}
+
 /* Suspicion that something else on the host is at fault for its next crash:
  * other suspects, or the worker itself. */
 static double other_suspicion(const bh_host_t *host)
@@ -277,13 +283,16 @@
 	       WEIGHT_SUSPECTS * other_suspicion(host);
 }
 
-static double score(const bh_task_t *task, const bh_host_t *host, double spare)
+static double score(const bh_task_t *task, const bh_host_t *host, double spare,
+		    bh_usec_t now)
 {
 	const bh_step_t *step = task->phase->step;
 	double value = load_score(host, step, spare);
 
 	if (step->rack && g_strcmp0(step->rack, host->rack) != 0)
 		value += WEIGHT_RACK;
+	if (bh_host_is_wanted(host, step, now))
+		value += WEIGHT_WANTED;
 	if (task->avoided_host == host)
 		value += WEIGHT_LAST_FAILED;
 	if (host->speed < 0.8)
@@ -302,8 +311,27 @@
 	return accepts_work(host, now) && now >= host->quarantined_until;
 }
 
-bh_host_t *bh_sched_find_host(bh_sched_t *s, bh_task_t *task,
-			      const bh_host_t *excluded, bh_usec_t now)
+int64_t bh_host_usable_in_ms(const bh_host_t *host, bh_usec_t now)
+{
+	if (!accepts_work(host, now))
+		return -1;
+	return (MAX(host->quarantined_until - now, 0) + BH_USEC_PER_MS - 1) /
+	       BH_USEC_PER_MS;
+}
+
+bool bh_host_can_start(bh_sched_t *s, const bh_task_t *task,
+		       const bh_host_t *host, bh_usec_t now)
+{
+	double spare;
+
+	return is_eligible(s, task, host, &spare, now) &&
+	       !must_wait_as_suspect(task, host, now);
+}
+
+/* @rack: the host has to be there; NULL: anywhere */
+static bh_host_t *find_host_in(bh_sched_t *s, bh_task_t *task,
+			       const bh_host_t *excluded, const char *rack,
+			       bh_usec_t now)
 {
 	bh_host_t *best = NULL;
 	bh_host_t *host;
@@ -315,13 +343,14 @@
 		double value;
 
 		if (host == excluded ||
+		    (rack && g_strcmp0(rack, host->rack) != 0) ||
 		    !is_eligible(s, task, host, &spare, now))
 			continue;
 		if (must_wait_as_suspect(task, host, now)) {
 			must_wait = true;
 			continue;
 		}
-		value = score(task, host, spare);
+		value = score(task, host, spare, now);
 		if (!best || value < best_score) {
 			best = host;
 			best_score = value;
@@ -332,6 +361,12 @@
 	return best;
 }
 
+bh_host_t *bh_sched_find_host(bh_sched_t *s, bh_task_t *task,
+			      const bh_host_t *excluded, bh_usec_t now)
+{
+	return find_host_in(s, task, excluded, NULL, now);
+}
+
 static bool is_preemptible(const bh_run_t *run, const bh_phase_t *preemptor)
 {
 	const bh_phase_t *phase = run->task->phase;
@@ -479,7 +514,7 @@
 		const bh_task_t *task = &phase->tasks[i];
 
 		if (task->is_done || bh_task_has_run(task) ||
-		    is_held(task, now) ||
+		    is_held(task, now) || task->waits_for_rack ||
 		    now - task->waiting_since < RESERVE_AFTER_US)
 			continue;
 		if (s->n_reservations == RESERVATIONS_MAX)
@@ -490,15 +525,29 @@
 	}
 }
 
-/* Return: false if a task lacks room. */
+static void start_task(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+		       uint32_t attempt, bh_usec_t now)
+{
+	bh_racks_note_start(s, task, host, now);
+	bh_run_start(s, task, host, attempt, now);
+}
+
+/* Tasks that wait for their rack lack no room: those after them are placed.
+ * Return: false if a task lacks room. */
 static bool place_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
 {
+	bool lacks_room = false;
+	bh_rack_plan_t plan;
+
+	bh_racks_plan(s, phase, &plan, now);
 	for (uint32_t i = 0; i < phase->step->count && phase->waiting; i++) {
 		bh_task_t *task = &phase->tasks[i];
 		bh_host_t *host;
 
 		if (task->is_done || bh_task_has_run(task))
 			continue;
+		if (bh_racks_defer_task(s, &plan, task, now) || lacks_room)
+			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
 		if (!host && is_held(task, now)) {
 			explain_wait(s, phase, task, now);
@@ -507,18 +556,26 @@
 		if (!host) {
 			explain_wait(s, phase, task, now);
 			preempt_for_task(s, phase, task, now);
-			return false;
+			/* Those after it may have to end their waits. */
+			if (!phase->rack_waits)
+				return false;
+			lacks_room = true;
+			continue;
 		}
-		bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
+		start_task(s, task, host, bh_task_next_attempt(s, task), now);
+		bh_racks_plan_start(s, &plan, phase, host);
 		if (is_on_trial(task))
 			host->trial_until = now + TRIAL_US;
 	}
-	return true;
+	return !lacks_room;
 }
 
 /* A gang starts as a whole or not at all: hosts are found for all members with
- * provisional runs before the first start is ordered. */
-static bool place_gang(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+ * provisional runs before the first start is ordered. The same holds for other
+ * tasks that are placed in one rack together.
+ * @rack: the hosts have to be there; NULL: anywhere */
+static bool place_together(bh_sched_t *s, bh_phase_t *phase, const char *rack,
+			   bh_usec_t now)
 {
 	uint32_t n = phase->step->count;
 	g_autofree bh_run_t **runs = g_new0(bh_run_t *, n);
@@ -538,7 +595,7 @@
 	}
 	for (; placed < n; placed++) {
 		bh_task_t *task = &phase->tasks[placed];
-		bh_host_t *host = bh_sched_find_host(s, task, NULL, now);
+		bh_host_t *host = find_host_in(s, task, NULL, rack, now);
 
 		if (!host)
 			break;
@@ -553,15 +610,31 @@
 		bh_task_set_waiting(task, true);
 		if (placed < n)
 			continue;
-		if (checkpoint && checkpoint != task->checkpoint) {
+		if (phase->step->is_gang && checkpoint &&
+		    checkpoint != task->checkpoint) {
 			g_free(task->checkpoint);
 			task->checkpoint = g_strdup(checkpoint);
 		}
-		bh_run_start(s, task, host, attempt, now);
+		start_task(s, task, host, attempt, now);
 	}
 	return placed == n;
 }
 
+/* Return: false if the group is to be spread. */
+static bool place_in_one_rack(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	int64_t wait_ms;
+	const bh_rack_t *rack =
+		bh_racks_find_for_group(s, phase, &wait_ms, now);
+
+	if (rack && wait_ms == 0 &&
+	    place_together(s, phase, bh_rack_name(rack), now)) {
+		phase->is_together = true;
+		return true;
+	}
+	return bh_racks_defer_group(s, phase, rack, wait_ms, now);
+}
+
 /* Whether an earlier leader may have started its tasks, and some host has not
  * been heard of since. */
 static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
@@ -579,6 +652,7 @@
 
 	bh_reserve_clear(s);
 	s->n_reservations = 0;
+	bh_racks_begin_pass(s, now);
 	TAILQ_FOREACH(host, &s->hosts, link)
 		bh_host_update_suspicion(host);
 	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
@@ -600,8 +674,12 @@
 		if (may_run_unseen(s, phase) ||
 		    bh_phase_awaits_advice(s, phase, now))
 			continue;
-		is_placed = phase->step->is_gang ? place_gang(s, phase, now)
-						 : place_phase(s, phase, now);
+		if (bh_racks_is_group(s, phase) &&
+		    place_in_one_rack(s, phase, now))
+			continue;
+		is_placed = phase->step->is_gang
+				    ? place_together(s, phase, NULL, now)
+				    : place_phase(s, phase, now);
 		if (!is_placed) {
 			bh_phase_ask_advice(s, phase, now);
 			reserve_for_phase(s, phase, now);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -82,6 +82,7 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->pairs = bh_pairs_new();
+	bh_racks_init(s);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&s->recs);
@@ -112,6 +113,7 @@
 	while ((rec = TAILQ_FIRST(&s->recs)) != NULL)
 		bh_sched_drop_job(s, rec->job->id);
 	bh_pairs_free(s->pairs);
+	bh_racks_clear(s);
 	g_hash_table_destroy(s->by_id);
 	g_hash_table_destroy(s->by_key);
 	g_free(s);
@@ -134,6 +136,8 @@
 	if (is_due)
 		bh_health_check_runs(s, now);
 	bh_steer_fillers(s, now);
+	if (s->racks_review_at && now >= s->racks_review_at)
+		s->must_place = true;
 	if (!s->must_place || !s->config)
 		return;
 	s->must_place = false;
@@ -227,6 +231,7 @@
 	const bh_phase_t *phase;
 
 	*out = s->stats;
+	out->tasks_waiting_for_rack = s->n_waiting_for_rack;
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		out->tasks_running += host->n_runs;
 		if (host->info.state == BH_WORKER_READY && host->is_linked)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -10,6 +10,7 @@
 #include "core/hist.h"
 #include "sched/blame.h"
 #include "sched/job.h"
+#include "sched/locality.h"
 #include "sched/queues.h"
 #include "sched/worker.h"
 
@@ -70,6 +71,9 @@
  * @impact_ms: longest time that a long-running task may miss its objective
  *	because of fillers
  * @status_ms: time for which the state of a job that has ended is kept
+ * @remote_slowdown: run time of tasks outside the rack of their data relative
+ *to that in it; up to 1: placement does not affect it
+ * @locality_wait: tasks may wait for a rack on which they run faster
  */
 typedef struct bh_sched_bounds {
 	uint64_t term;
@@ -79,6 +83,8 @@
 	int64_t restore_ms;
 	int64_t impact_ms;
 	int64_t status_ms;
+	double remote_slowdown;
+	bool locality_wait;
 } bh_sched_bounds_t;
 
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
@@ -380,6 +386,11 @@
  * @jobs: jobs that ended, by enum bh_job_state
  * @hosts_ready: hosts whose agent is connected and whose worker is ready
  * @wait: time that tasks waited before they were started
+ * @rack_waits: decisions of a task or a group to wait for a rack
+ * @rack_placed: of these, those that were started there
+ * @rack_abandoned: of these, those that did not wait on, by cause
+ * @rack_wait: time that they waited
+ * @tasks_waiting_for_rack: tasks that wait for a rack
  */
 typedef struct bh_sched_stats {
 	uint64_t starts;
@@ -397,6 +408,11 @@
 	uint32_t tasks_waiting;
 	uint32_t tasks_running;
 	bh_hist_t wait;
+	uint64_t rack_waits;
+	uint64_t rack_placed;
+	uint64_t rack_abandoned[BH_LOCALITY_VERDICTS];
+	bh_hist_t rack_wait;
+	uint32_t tasks_waiting_for_rack;
 } bh_sched_stats_t;
 
 void bh_sched_stats(const bh_sched_t *s, bh_sched_stats_t *out);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -5,6 +5,7 @@
 #define BH_SCHED_SCHED_IMPL_H
 
 #include "sched/headroom.h"
+#include "sched/locality.h"
 #include "sched/pairs.h"
 #include "sched/sched.h"
 
@@ -14,6 +15,7 @@
 typedef struct bh_rec bh_rec_t;
 typedef struct bh_segment bh_segment_t;
 typedef struct bh_host bh_host_t;
+typedef struct bh_rack bh_rack_t;
 
 /* Attempt numbers reserved for each term, so that every number of a later term
  * is higher than any of an earlier one. */
@@ -115,6 +117,12 @@
  *	crash there would not tell whether it is at fault; 0: it is not
  * @avoided_host: host of its last failure, stall or refused start; others are
  *	preferred
+ * @waits_for_rack: it has begun to wait for its rack; of a group the first task
+ *	stands for all
+ * @rack_wait_since: when it began
+ * @rack_wait_until: deadline of the wait, or when it ended; 0: it has not
+ *waited
+ * @rack_wait_limit_ms: longest time that the wait was worth
  * @runs: its attempts that may be running; unused entries are NULL
  */
 struct bh_task {
@@ -130,6 +138,10 @@
 	bh_usec_t held_since;
 	const bh_host_t *avoided_host;
 	bh_usec_t waiting_since;
+	bool waits_for_rack;
+	uint32_t rack_wait_limit_ms;
+	bh_usec_t rack_wait_since;
+	bh_usec_t rack_wait_until;
 	bh_run_t *runs[BH_RUNS_MAX];
 };
 
@@ -153,6 +165,13 @@
  * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
  * @explained_at: when the reason why one of its tasks waits was last logged
+ * @rack_waits: its tasks that wait for their rack
+ * @rack_placed: since none waited, those that were started there
+ * @rack_abandoned: those that did not wait on
+ * @rack_longest_ms: longest of these waits
+ * @rack_limit_ms: limit of that wait
+ * @is_together: its tasks were started in one rack, see @is_same_rack of struct
+ *	bh_step
  * @image: number of the step's image
  * @headroom: of its serving tasks if no fillers ran
  */
@@ -178,6 +197,12 @@
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
 	bh_usec_t explained_at;
+	uint32_t rack_waits;
+	uint32_t rack_placed;
+	uint32_t rack_abandoned;
+	int64_t rack_longest_ms;
+	uint32_t rack_limit_ms;
+	bool is_together;
 	bh_image_id_t image;
 	bh_headroom_t headroom;
 };
@@ -219,6 +244,8 @@
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
  * @is_inherited: an earlier leader may have started its tasks
+ * @added_at: when this leader read the job
+ * @added_unix_ms: the same as unix time
  */
 struct bh_rec {
 	TAILQ_ENTRY(bh_rec) link;
@@ -235,6 +262,8 @@
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
 	bool is_inherited;
+	bh_usec_t added_at;
+	uint64_t added_unix_ms;
 };
 
 typedef TAILQ_HEAD(bh_recs, bh_rec) bh_recs_t;
@@ -333,6 +362,10 @@
  * @gauges_read_at: time of the last report whose gauges were processed
  * @filler_loads: processor use of its fillers by image, low-pass filtered to
  *match the lag of the long-running tasks' gauges
+ * @in_rack: its rack in the present placement pass, see racks.c; NULL: no task
+ *	has asked for it
+ * @number_in_rack: its number there
+ * @rack_wanted_until: tasks that do not name its rack avoid the host until then
  * @speed: estimated speed relative to other hosts, 1 being average
  * @failure_streak: consecutive failed attempts that may be the host's fault
  * @streak_job: job of the last of these, or NULL
@@ -392,6 +425,9 @@
 	bh_usec_t gauges_read_at;
 	uint32_t n_filler_loads;
 	bh_filler_load_t filler_loads[BH_FILLER_LOADS_MAX];
+	bh_rack_t *in_rack;
+	int number_in_rack;
+	bh_usec_t rack_wanted_until;
 	double speed;
 	uint32_t failure_streak;
 	const bh_rec_t *streak_job;
@@ -435,6 +471,12 @@
  * @call_lost_at: when a call to some worker last got no answer although the
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
+ * @racks: the racks of the present placement pass, then unused ones
+ * @n_racks: the number of the former
+ * @n_waiting_for_rack: tasks that waited for their rack in the last pass
+ * @racks_review_at: when their decisions are taken anew; 0: none waits
+ * @utilization: part of the processor capacity of usable hosts that is in use
+ * @slowdown: observed slowdown of tasks outside their rack
  * @jobs_read_at: all jobs that were in the store then are known
  * @checked_at: when hosts and runs were last checked for timeouts
  */
@@ -461,6 +503,12 @@
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
+	GPtrArray *racks;
+	guint n_racks;
+	uint32_t n_waiting_for_rack;
+	bh_usec_t racks_review_at;
+	double utilization;
+	bh_slowdown_t slowdown;
 	bh_usec_t jobs_read_at;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
@@ -726,6 +774,106 @@
  */
 uint64_t bh_phase_rank(const bh_sched_t *s, const bh_phase_t *phase);
 
+/**
+ * bh_phase_slack_ms() - time by which a phase may start later for its job to
+ * meet its objective; negative if it is late already
+ */
+int64_t bh_phase_slack_ms(const bh_sched_t *s, const bh_phase_t *phase);
+
+/* racks.c */
+void bh_racks_init(bh_sched_t *s);
+void bh_racks_clear(bh_sched_t *s);
+
+/**
+ * bh_racks_begin_pass() - forget the forecasts of the last placement pass
+ */
+void bh_racks_begin_pass(bh_sched_t *s, bh_usec_t now);
+
+/**
+ * bh_run_slowdown() - run time relative to that in the rack that the run's step
+ * names; 1 if waits for racks are disabled
+ */
+double bh_run_slowdown(const bh_sched_t *s, const bh_run_t *run);
+
+/**
+ * bh_racks_note_end() - a run that was not slowed otherwise has ended
+ * @ran: its run time
+ */
+void bh_racks_note_end(bh_sched_t *s, const bh_run_t *run, bh_usec_t ran);
+
+/**
+ * bh_racks_note_start() - a task is started in the present pass
+ */
+void bh_racks_note_start(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+			 bh_usec_t now);
+
+/**
+ * struct bh_rack_plan - a phase's rack while its tasks are placed one by one
+ * @name: of the rack; NULL: the phase has none, or does not wait for it
+ * @hosts: bit mask of the hosts there that the tasks may run on
+ * @elsewhere_ms: longest remaining time of its tasks that run elsewhere
+ * @n_deferred: tasks of the phase that wait, so far in this pass
+ */
+typedef struct bh_rack_plan {
+	const char *name;
+	bh_rack_t *rack;
+	uint32_t hosts;
+	int64_t elsewhere_ms;
+	uint32_t n_deferred;
+} bh_rack_plan_t;
+
+void bh_racks_plan(bh_sched_t *s, const bh_phase_t *phase, bh_rack_plan_t *plan,
+		   bh_usec_t now);
+
+/**
+ * bh_racks_defer_task() - whether a task waits for capacity in its rack
+ *
+ * It does not if it can start there now. A task that waits reserves nothing.
+ */
+bool bh_racks_defer_task(bh_sched_t *s, bh_rack_plan_t *plan, bh_task_t *task,
+			 bh_usec_t now);
+
+/**
+ * bh_racks_plan_start() - a task of the phase is started on a host
+ */
+void bh_racks_plan_start(const bh_sched_t *s, bh_rack_plan_t *plan,
+			 const bh_phase_t *phase, const bh_host_t *host);
+
+/**
+ * bh_host_is_wanted() - whether tasks wait for the host's rack, and the step
+ * does not name that rack
+ */
+bool bh_host_is_wanted(const bh_host_t *host, const bh_step_t *step,
+		       bh_usec_t now);
+
+/**
+ * bh_racks_is_group() - whether a phase's tasks are best placed in one rack
+ * together
+ */
+bool bh_racks_is_group(const bh_sched_t *s, const bh_phase_t *phase);
+
+/**
+ * bh_racks_find_for_group() - the rack that can hold all tasks first
+ * @wait_ms: set to the predicted time until then
+ *
+ * Return: valid during the present pass; NULL if there is none within
+ * BH_LOCALITY_WAIT_MAX_MS.
+ */
+const bh_rack_t *bh_racks_find_for_group(bh_sched_t *s, const bh_phase_t *phase,
+					 int64_t *wait_ms, bh_usec_t now);
+const char *bh_rack_name(const bh_rack_t *rack);
+
+/**
+ * bh_racks_defer_group() - whether a group waits for a rack
+ * @found: result of bh_racks_find_for_group(), as is @wait_ms
+ *
+ * If it does, all that it needs is reserved there, unless another group has
+ * reserved capacity in that rack: a group never holds a part of what it needs.
+ */
+bool bh_racks_defer_group(bh_sched_t *s, bh_phase_t *phase,
+			  const bh_rack_t *found, int64_t wait_ms,
+			  bh_usec_t now);
+
 /* tickets.c */
 
 /**
@@ -757,6 +905,27 @@
  */
 bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
 
+/**
+ * bh_host_usable_in_ms() - time until a host may get new work: 0, or the rest
+ * of its quarantine
+ *
+ * Return: -1 if that is not known.
+ */
+int64_t bh_host_usable_in_ms(const bh_host_t *host, bh_usec_t now);
+
+/**
+ * bh_host_matches() - whether a host meets a phase's requirements, its state
+ * and free resources aside
+ */
+bool bh_host_matches(const bh_phase_t *phase, const bh_host_t *host,
+		     bh_usec_t now);
+
+/**
+ * bh_host_can_start() - whether a task can be started on a host now
+ */
+bool bh_host_can_start(bh_sched_t *s, const bh_task_t *task,
+		       const bh_host_t *host, bh_usec_t now);
+
 /**
  * bh_host_is_suitable() - whether a host may run a task, free resources aside
  */
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
 #define STEP_MS		       5
 #define REPORT_MS	       200
@@ -37,12 +38,15 @@
 	double tail_ms;
 	uint32_t pace;
 	double began_ms;
+	bool was_spread;
 } lw_run_t;
 
 typedef TAILQ_HEAD(lw_runs, lw_run) lw_runs_t;
 
 typedef struct lw_host {
 	char key[16];
+	char rack[16];
+	bool is_down;
 	lw_runs_t runs;
 	GArray *ended;
 	uint64_t last_number;
@@ -66,6 +70,8 @@
 	uint32_t tries;
 	bool is_accepted;
 	bool is_refused;
+	int64_t accepted_ms;
+	bool is_started;
 } lw_job_t;
 
 typedef struct lw_world {
@@ -81,6 +87,8 @@
 	uint32_t n_loads;
 	int64_t loads_ms;
 	int64_t commit_ms;
+	uint64_t runs_of_sched;
+	clock_t sched_time;
 	GHashTable *saved;
 } lw_world_t;
 
@@ -111,6 +119,11 @@
 	return &w->pattern->kinds[id[0] - '0'];
 }
 
+static bool has_flag(const lw_kind_t *kind, char flag)
+{
+	return strchr(kind->flags, flag) != NULL;
+}
+
 /* Run time of a task, which is the same for each attempt. */
 static double run_ms(const lw_world_t *w, const lw_kind_t *kind,
 		     const char *task)
@@ -121,12 +134,35 @@
 	return kind->ms * (1 + part * kind->spread_percent / 100);
 }
 
+/* Notes the time to the first start of a job's tasks. */
+static void note_first_start(lw_world_t *w, const char *task)
+{
+	lw_result_t *r = &w->report->kinds[task[0] - '0'];
+
+	for (guint i = w->jobs->len; i-- > 0;) {
+		lw_job_t *j = &g_array_index(w->jobs, lw_job_t, i);
+
+		if (strncmp(j->id, task, BH_JOB_ID_LEN) != 0)
+			continue;
+		if (!j->is_started)
+			r->first_wait_ms =
+				MAX(r->first_wait_ms,
+				    (uint32_t)(w->ms - j->accepted_ms));
+		j->is_started = true;
+		return;
+	}
+}
+
 static void on_start(void *ctx, const char *key, const bh_start_t *start)
 {
 	lw_world_t *w = ctx;
 	lw_host_t *h = host_of(w, key);
-	lw_run_t *run = g_new0(lw_run_t, 1);
+	lw_run_t *run;
 
+	if (h->is_down)
+		return;
+	note_first_start(w, start->task);
+	run = g_new0(lw_run_t, 1);
 	run->kind = kind_of(w, start->task);
 	g_strlcpy(run->name, start->task, sizeof(run->name));
 	run->attempt = start->attempt;
@@ -140,9 +176,19 @@
 	w->report->starts++;
 }
 
-static bool has_flag(const lw_kind_t *kind, char flag)
+/* Counts a run by whether it ran where it runs fastest. */
+static void count_place(const lw_world_t *w, const lw_host_t *h,
+			const lw_run_t *run)
 {
-	return strchr(kind->flags, flag) != NULL;
+	const lw_kind_t *kind = run->kind;
+	lw_result_t *r = &w->report->kinds[kind - w->pattern->kinds];
+
+	if (!kind->rack && !has_flag(kind, 't'))
+		return;
+	if (run->was_spread || (kind->rack && strcmp(kind->rack, h->rack) != 0))
+		r->remote++;
+	else
+		r->local++;
 }
 
 static void end_run(lw_world_t *w, lw_host_t *h, lw_run_t *run, bh_end_t how)
@@ -163,6 +209,7 @@
 		g_ascii_dtostr(text, sizeof(text), run->saved_ms);
 		e.checkpoint = g_strdup(text);
 	}
+	count_place(w, h, run);
 	g_array_append_val(h->ended, e);
 	TAILQ_REMOVE(&h->runs, run, link);
 	g_free(run);
@@ -209,11 +256,46 @@
 	}
 }
 
+static int64_t field_of(const char *detail, const char *name)
+{
+	const char *at = strstr(detail, name);
+
+	return at ? strtoll(at + strlen(name), NULL, 10) : 0;
+}
+
+static void note_rack_wait(lw_world_t *w, const char *what, const char *detail)
+{
+	lw_report_t *r = w->report;
+	int64_t longest = field_of(detail, " longest_ms=");
+
+	if (strcmp(what, "rack wait ended") != 0)
+		return;
+	r->longest_wait_ms = MAX(r->longest_wait_ms, longest);
+	r->over_limit_ms =
+		MAX(r->over_limit_ms, longest - field_of(detail, " limit_ms="));
+}
+
+/* Notes what the scheduler counted, and the time that it took. */
+static void note_stats(lw_world_t *w)
+{
+	g_autofree bh_sched_stats_t *stats = g_new0(bh_sched_stats_t, 1);
+	lw_report_t *r = w->report;
+
+	bh_sched_stats(w->sched, stats);
+	r->waits = (uint32_t)stats->rack_waits;
+	r->waits_placed = (uint32_t)stats->rack_placed;
+	for (int i = 0; i < BH_LOCALITY_VERDICTS; i++)
+		r->waits_abandoned[i] = (uint32_t)stats->rack_abandoned[i];
+	r->run_us = (double)w->sched_time * 1e6 / CLOCKS_PER_SEC /
+		    (double)MAX(w->runs_of_sched, 1);
+}
+
 static void on_event(void *ctx, const char *what, const char *job,
 		     const char *detail)
 {
-	const lw_world_t *w = ctx;
+	lw_world_t *w = ctx;
 
+	note_rack_wait(w, what, detail);
 	if (getenv("BH_TRACE"))
 		printf("%7.3f %s %s %s\n", (double)w->ms / 1000, what,
 		       job ? job : "-", detail);
@@ -227,6 +309,40 @@
 	.event = on_event,
 };
 
+/* Whether tasks of the same phase run in another rack. */
+static bool is_spread(const lw_world_t *w, const lw_host_t *h,
+		      const lw_run_t *run)
+{
+	size_t prefix = (size_t)(strrchr(run->name, '.') - run->name) + 1;
+
+	for (uint32_t i = 0; i < w->pattern->hosts; i++) {
+		const lw_host_t *other = &w->hosts[i];
+		const lw_run_t *r;
+
+		if (strcmp(other->rack, h->rack) == 0)
+			continue;
+		TAILQ_FOREACH(r, &other->runs, link) {
+			if (strncmp(r->name, run->name, prefix) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
+/* A run's speed relative to that where it runs fastest. */
+static double rack_speed(const lw_world_t *w, const lw_host_t *h, lw_run_t *run)
+{
+	const lw_kind_t *kind = run->kind;
+
+	if (w->pattern->remote_slowdown <= 1)
+		return 1;
+	if (has_flag(kind, 't') && !run->was_spread)
+		run->was_spread = is_spread(w, h, run);
+	if (run->was_spread || (kind->rack && strcmp(kind->rack, h->rack) != 0))
+		return 1 / w->pattern->remote_slowdown;
+	return 1;
+}
+
 /* Divides a host's processor time: long-running tasks use a part of what they
  * request, others all of it, and fillers share the rest. Sets the tail
  * latencies that result from it. */
@@ -246,7 +362,7 @@
 							  : 1);
 	}
 	TAILQ_FOREACH(run, &h->runs, link) {
-		run->speed = 1;
+		run->speed = rack_speed(w, h, run);
 		if (!has_flag(run->kind, 'f'))
 			continue;
 		run->speed = run->pace / 100.0 * CLAMP(room / wanted, 0, 1);
@@ -314,12 +430,20 @@
 		.state = BH_WORKER_READY,
 		.cpu_milli = w->pattern->cpu_milli,
 		.memory_mb = w->pattern->memory_mb,
+		.n_labels = w->pattern->rack_hosts ? 1 : 0,
+		.labels = {h->rack},
 	};
 	g_autoptr(GArray) active =
 		g_array_new(FALSE, FALSE, sizeof(bh_active_t));
 	bh_worker_lists_t lists = {.clock_ms = (uint64_t)w->ms, .boot = 7};
 	lw_run_t *run;
 
+	if (h->is_down) {
+		info.state = BH_WORKER_DOWN;
+		h->report_at = w->ms + REPORT_MS;
+		bh_sched_report(w->sched, h->key, &info, NULL, true, now_us(w));
+		return;
+	}
 	TAILQ_FOREACH(run, &h->runs, link) {
 		bh_active_t a = describe(w, run);
 
@@ -363,6 +487,8 @@
 		s->is_filler = has_flag(kind, 'f');
 		s->is_gang = has_flag(kind, 'g');
 		s->is_checkpointing = has_flag(kind, 'c');
+		s->is_same_rack = has_flag(kind, 't');
+		s->rack = g_strdup(kind->rack);
 		s->target_ms = s->is_long_running ? TAIL_TARGET_MS : 0;
 		s->image = g_strdup(kind->name);
 		s->after = g_new0(uint32_t, 1);
@@ -383,6 +509,7 @@
 	if (bh_admit(job, w->loads, w->n_loads, w->ms - w->loads_ms,
 		     &retry_ms)) {
 		j->is_accepted = true;
+		j->accepted_ms = w->ms;
 		bh_sched_add_job(w->sched, job, NULL, now_us(w));
 		return;
 	}
@@ -432,9 +559,31 @@
 	bh_sched_end_commit(w->sched, true);
 }
 
+/* The workers of the first rack exit, and their tasks with them. */
+static void lose_rack(lw_world_t *w)
+{
+	for (uint32_t i = 0; i < w->pattern->rack_hosts; i++) {
+		lw_host_t *h = &w->hosts[i];
+		lw_run_t *run;
+
+		if (h->is_down)
+			continue;
+		h->is_down = true;
+		h->report_at = w->ms;
+		while ((run = TAILQ_FIRST(&h->runs)) != NULL) {
+			TAILQ_REMOVE(&h->runs, run, link);
+			g_free(run);
+		}
+	}
+}
+
 static void step(lw_world_t *w)
 {
+	clock_t before;
+
 	w->ms += STEP_MS;
+	if (w->pattern->rack_lost_ms && w->ms >= w->pattern->rack_lost_ms)
+		lose_rack(w);
 	for (uint32_t i = 0; i < w->pattern->hosts; i++) {
 		lw_host_t *h = &w->hosts[i];
 
@@ -449,7 +598,10 @@
 	}
 	submit_jobs(w);
 	bh_sched_note_leading(w->sched, now_us(w));
+	before = clock();
 	bh_sched_run(w->sched, now_us(w), UNIX_MS + (uint64_t)w->ms);
+	w->sched_time += clock() - before;
+	w->runs_of_sched++;
 	commit(w);
 }
 
@@ -518,7 +670,10 @@
 				    .predecessor_grant_ms = 1500,
 				    .restore_ms = 100,
 				    .impact_ms = 4000,
-				    .status_ms = 120000};
+				    .status_ms = 120000,
+				    .remote_slowdown =
+					    w->pattern->remote_slowdown,
+				    .locality_wait = w->pattern->locality_wait};
 
 	w->config = bh_config_new(0, 0);
 	w->sched = bh_sched_new(&bounds, &ops, w, 0, UNIX_MS);
@@ -529,6 +684,9 @@
 		lw_host_t *h = &w->hosts[i];
 
 		g_snprintf(h->key, sizeof(h->key), "%u", i);
+		if (w->pattern->rack_hosts)
+			g_snprintf(h->rack, sizeof(h->rack), "r1-%u",
+				   i / w->pattern->rack_hosts);
 		TAILQ_INIT(&h->runs);
 		h->ended = g_array_new(FALSE, FALSE, sizeof(bh_ended_t));
 		h->report_at = 1 + i * REPORT_MS / w->pattern->hosts;
@@ -574,6 +732,7 @@
 		if (wanted[k] > 0)
 			out->kinds[k].serving = served[k] / wanted[k];
 	}
+	note_stats(&w);
 	clear_world(&w);
 }
 
@@ -592,4 +751,27 @@
 	       "over the objective %.1f task s\n",
 	       report->starts, report->stops, report->worked, report->wasted,
 	       report->over_objective);
+	for (uint32_t k = 0; k < pattern->n_kinds; k++) {
+		const lw_result_t *r = &report->kinds[k];
+
+		if (r->local + r->remote)
+			printf("%-10s runs in its rack %u, elsewhere %u, "
+			       "longest time to a first start %u ms\n",
+			       pattern->kinds[k].name, r->local, r->remote,
+			       r->first_wait_ms);
+	}
+	if (!pattern->rack_hosts)
+		return;
+	printf("rack waits %u, placed %u, longest %" G_GINT64_FORMAT
+	       " ms, over the limit %" G_GINT64_FORMAT
+	       " ms; %.0f us for a run of the scheduler\n",
+	       report->waits, report->waits_placed, report->longest_wait_ms,
+	       report->over_limit_ms, report->run_us);
+	for (int i = 0; i < BH_LOCALITY_VERDICTS; i++) {
+		if (report->waits_abandoned[i])
+			printf("abandoned, %s: %u\n",
+			       bh_locality_verdict_name(
+				       (bh_locality_verdict_t)i),
+			       report->waits_abandoned[i]);
+	}
 }
--- /dev/null
+++ b/tests/test_locality.c
@@ -0,0 +1,606 @@
+/*
+ * Tests of the decision how long a task waits for its rack (locality.c), and
+ * replays of loads in which it matters. `test_locality NAME on|off [SEED]`
+ * prints the results of a replay.
+ */
+#include "sched/locality.h"
+#include "sched/sched.h"
+#include "tests/loadworld.h"
+#include "tests/test.h"
+
+#include <stdlib.h>
+
+#define SEEDS 5
+
+/* Interval of the runs of the scheduler in a replay. */
+#define STEP_MS 5
+
+/* 60 % of the quick jobs request one of five racks for 5.5 s, twice as much
+ * work as its hosts can run in that time, while the others are half idle. */
+static const lw_pattern_t hot_rack = {.hosts = 40,
+				      .cpu_milli = 8000,
+				      .memory_mb = 32000,
+				      .seconds = 16,
+				      .rack_hosts = 8,
+				      .remote_slowdown = 2.5,
+				      .locality_wait = true,
+				      .n_kinds = 2,
+				      .kinds = {{.name = "hot",
+						 .interval_ms = 90,
+						 .from_ms = 2000,
+						 .until_ms = 7500,
+						 .steps = 2,
+						 .count = 10,
+						 .cpu_milli = 900,
+						 .memory_mb = 200,
+						 .ms = 650,
+						 .estimate_percent = 100,
+						 .spread_percent = 30,
+						 .target_ms = 300,
+						 .flags = "",
+						 .rack = "r1-0"},
+						{.name = "other",
+						 .interval_ms = 135,
+						 .until_ms = 12000,
+						 .steps = 2,
+						 .count = 10,
+						 .cpu_milli = 900,
+						 .memory_mb = 200,
+						 .ms = 650,
+						 .estimate_percent = 100,
+						 .spread_percent = 30,
+						 .target_ms = 300,
+						 .flags = ""}}};
+
+/* Groups of twelve tasks that are slow on more than one rack, among tasks that
+ * leave each rack about half used. */
+static lw_pattern_t groups(void)
+{
+	lw_pattern_t p = hot_rack;
+	lw_kind_t *group = &p.kinds[0];
+
+	p.hosts = 24;
+	group->name = "group";
+	group->rack = NULL;
+	group->flags = "t";
+	group->interval_ms = 400;
+	group->until_ms = 11000;
+	group->steps = 1;
+	group->count = 12;
+	group->cpu_milli = 2500;
+	group->ms = 1000;
+	p.kinds[1].interval_ms = 100;
+	p.kinds[1].steps = 1;
+	p.kinds[1].count = 8;
+	return p;
+}
+
+/* Short tasks whose rack is full of long ones. */
+static lw_pattern_t short_among_long(void)
+{
+	lw_pattern_t p = hot_rack;
+	lw_kind_t *long_ones = &p.kinds[1];
+
+	p.hosts = 64;
+	p.kinds[0].interval_ms = 200;
+	p.kinds[0].ms = 300;
+	p.kinds[0].count = 6;
+	p.kinds[0].target_ms = 1000;
+	long_ones->name = "long";
+	long_ones->rack = "r1-0";
+	long_ones->from_ms = 100;
+	long_ones->until_ms = 1000;
+	long_ones->interval_ms = 20000;
+	long_ones->steps = 1;
+	long_ones->count = 64;
+	long_ones->cpu_milli = 1000;
+	long_ones->ms = 12000;
+	long_ones->spread_percent = 0;
+	return p;
+}
+
+/* Adds up the results of a kind over all seeds. */
+typedef struct sums {
+	uint32_t in_time;
+	uint32_t open;
+	uint32_t local;
+	uint32_t first_wait_ms;
+	uint32_t waits;
+	uint32_t placed;
+	uint32_t lost;
+	int64_t longest_ms;
+	int64_t over_limit_ms;
+} sums_t;
+
+static sums_t replay(const lw_pattern_t *pattern, bool is_on, uint32_t kind)
+{
+	lw_pattern_t p = *pattern;
+	sums_t sum = {0};
+
+	p.locality_wait = is_on;
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		lw_report_t r;
+
+		lw_replay(&p, seed, &r);
+		sum.in_time += r.kinds[kind].in_time;
+		sum.open += r.kinds[kind].open;
+		sum.local += r.kinds[kind].local;
+		sum.first_wait_ms =
+			MAX(sum.first_wait_ms, r.kinds[kind].first_wait_ms);
+		sum.waits += r.waits;
+		sum.placed += r.waits_placed;
+		sum.lost += r.waits_abandoned[BH_LOCALITY_LOST];
+		sum.longest_ms = MAX(sum.longest_ms, r.longest_wait_ms);
+		sum.over_limit_ms = MAX(sum.over_limit_ms, r.over_limit_ms);
+	}
+	return sum;
+}
+
+/* Guards against tasks that run two and a half times as long elsewhere although
+ * their rack has capacity a moment later, and against waits beyond what the
+ * longer run costs. */
+static void test_hot_rack(void **state)
+{
+	sums_t on = replay(&hot_rack, true, 0);
+	sums_t off = replay(&hot_rack, false, 0);
+
+	(void)state;
+	assert_true(on.placed > 0);
+	assert_true(on.local * 2 > off.local * 3);
+	assert_true(on.in_time * 2 > off.in_time * 3);
+	assert_true(on.over_limit_ms <= STEP_MS);
+	assert_true(on.open == 0);
+}
+
+/* Guards against tasks that wait for their rack and keep others from idle
+ * hosts, or take their turn. */
+static void test_waiting_tasks_keep_nothing_from_others(void **state)
+{
+	sums_t on = replay(&hot_rack, true, 1);
+	sums_t off = replay(&hot_rack, false, 1);
+
+	(void)state;
+	assert_true(on.waits > 0);
+	assert_true(on.first_wait_ms <= off.first_wait_ms);
+	assert_true(on.in_time >= off.in_time);
+}
+
+/* Guards against waits that rely on predictions: run times are ten times as
+ * long, or a tenth of it, as estimated. A job without a run has to get capacity
+ * within 3 s. */
+static void test_estimates_wrong_by_ten(void **state)
+{
+	static const uint32_t percents[] = {10, 1000};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+		lw_pattern_t pattern = hot_rack;
+		sums_t on;
+		sums_t off;
+
+		pattern.kinds[0].estimate_percent = percents[i];
+		pattern.kinds[1].estimate_percent = percents[i];
+		on = replay(&pattern, true, 0);
+		off = replay(&pattern, false, 0);
+		assert_true(on.waits > 0);
+		assert_true(on.longest_ms <= BH_LOCALITY_WAIT_MAX_MS);
+		assert_true(on.over_limit_ms <= STEP_MS);
+		assert_true(on.first_wait_ms < 2000);
+		assert_true(on.open == 0);
+		assert_true(on.local > off.local);
+	}
+}
+
+/* Guards against tasks that go on waiting for a rack whose workers have all
+ * exited. The others have enough capacity for the tasks at their slower speed.
+ */
+static void test_rack_lost_while_tasks_wait(void **state)
+{
+	lw_pattern_t pattern = hot_rack;
+	sums_t on;
+
+	(void)state;
+	pattern.rack_lost_ms = 5000;
+	pattern.seconds = 25;
+	pattern.kinds[1].interval_ms = 1000;
+	on = replay(&pattern, true, 0);
+	assert_true(on.lost > 0);
+	assert_true(on.open == 0);
+	assert_true(on.over_limit_ms <= STEP_MS);
+	assert_true(on.first_wait_ms < 2000);
+}
+
+/* Guards against waits that are never worthwhile: tasks start at once, as they
+ * do without the decision. */
+static void test_wait_is_never_worthwhile(void **state)
+{
+	lw_pattern_t pattern = short_among_long();
+	sums_t on = replay(&pattern, true, 0);
+	sums_t off = replay(&pattern, false, 0);
+
+	(void)state;
+	assert_int_equal(on.local, 0);
+	assert_int_equal(on.waits, 0);
+	assert_int_equal(on.first_wait_ms, off.first_wait_ms);
+	assert_int_equal(on.in_time, off.in_time);
+	assert_true(on.in_time > 0);
+}
+
+/* Guards against groups that are spread over racks while one has capacity for
+ * all of their tasks, or soon will, and against groups that block each other.
+ */
+static void test_groups(void **state)
+{
+	static const char *const flags[] = {"t", "gt"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(flags); i++) {
+		lw_pattern_t pattern = groups();
+		sums_t on;
+		sums_t off;
+
+		pattern.kinds[0].flags = flags[i];
+		on = replay(&pattern, true, 0);
+		off = replay(&pattern, false, 0);
+		assert_true(on.placed > 0);
+		assert_true(on.open == 0);
+		assert_true(on.in_time > off.in_time);
+		assert_true(on.over_limit_ms <= STEP_MS);
+		assert_true(on.first_wait_ms < 2000);
+	}
+}
+
+/* A single task that waits for its rack: host 0 in its rack runs a job whose
+ * progress stays at 97 %, host 1 in another rack is idle. */
+#define RACK_CPU     4000
+#define BUSY_JOB     "b000000000000000"
+#define JOB	     "a000000000000000"
+#define BUSY_MS	     800
+#define BUSY_PERCENT 97
+#define RUN_MS	     1000
+#define SLOWDOWN     2.0
+#define UNIX_MS	     1000000
+#define STARTED_NONE (-1)
+
+typedef struct small {
+	bh_sched_t *sched;
+	bh_config_t *config;
+	int64_t ms;
+	int64_t job_at_ms;
+	int64_t started_ms[2];
+	bool is_draining;
+} small_t;
+
+static void on_start(void *ctx, const char *key, const bh_start_t *start)
+{
+	small_t *w = ctx;
+
+	if (start->task[0] == JOB[0])
+		w->started_ms[key[0] - '0'] = w->ms;
+}
+
+static void on_stop(void *ctx, const char *key, uint64_t boot, const char *task,
+		    uint32_t attempt)
+{
+	(void)ctx;
+	(void)key;
+	(void)boot;
+	(void)task;
+	(void)attempt;
+}
+
+static void on_grant(void *ctx, const char *key, uint64_t boot,
+		     uint64_t expires_ms, uint64_t ack)
+{
+	(void)ctx;
+	(void)key;
+	(void)boot;
+	(void)expires_ms;
+	(void)ack;
+}
+
+static const bh_sched_ops_t ops = {
+	.start = on_start, .stop = on_stop, .grant = on_grant};
+
+static void add_job(small_t *w, const char *id, uint32_t ms)
+{
+	bh_job_t *job = g_new0(bh_job_t, 1);
+
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->queue = g_strdup("q");
+	job->spec = g_strdup("s");
+	job->accepted_ms = UNIX_MS + (uint64_t)w->job_at_ms;
+	job->terms.service = g_strdup("svc");
+	job->terms.slack_percent = 300;
+	job->terms.target_ms = 2000;
+	job->n_steps = 1;
+	job->steps = g_new0(bh_step_t, 1);
+	job->steps[0].count = 1;
+	job->steps[0].cpu_milli = RACK_CPU;
+	job->steps[0].memory_mb = 100;
+	job->steps[0].estimate_ms = ms;
+	job->steps[0].rack = g_strdup("r1-0");
+	bh_sched_add_job(w->sched, job, NULL, w->ms * BH_USEC_PER_MS);
+}
+
+static void small_report(small_t *w, uint32_t host)
+{
+	char key[] = {(char)('0' + host), 0};
+	char rack[] = {'r', '1', '-', (char)('0' + host), 0};
+	bh_active_t active = {.task = (char *)BUSY_JOB ".0.0.0",
+			      .attempt = 1,
+			      .percent = BUSY_PERCENT};
+	bh_worker_info_t info = {
+		.id = key,
+		.boot = 7,
+		.service = (char *)"svc",
+		.zone = (char *)"z",
+		.state = w->is_draining && host == 0 ? BH_WORKER_DRAINING
+						     : BH_WORKER_READY,
+		.cpu_milli = RACK_CPU,
+		.memory_mb = 1000,
+		.n_labels = 1,
+		.labels = {rack},
+	};
+	bh_worker_lists_t lists = {.clock_ms = (uint64_t)w->ms, .boot = 7};
+
+	if (host == 0 && w->ms > 50) {
+		lists.n_active = 1;
+		lists.active = &active;
+	}
+	bh_sched_report(w->sched, key, &info, &lists, true,
+			w->ms * BH_USEC_PER_MS);
+}
+
+static void small_lead(small_t *w, uint64_t term)
+{
+	bh_sched_bounds_t bounds = {.term = term,
+				    .lease_ms = 5000,
+				    .predecessor_grant_ms = 1500,
+				    .restore_ms = 100,
+				    .impact_ms = 4000,
+				    .status_ms = 120000,
+				    .remote_slowdown = SLOWDOWN,
+				    .locality_wait = true};
+
+	w->sched = bh_sched_new(&bounds, &ops, w, w->ms * BH_USEC_PER_MS,
+				UNIX_MS + (uint64_t)w->ms);
+	bh_sched_set_config(w->sched, w->config);
+	for (uint32_t i = 0; i < 2; i++) {
+		char key[] = {(char)('0' + i), 0};
+
+		bh_sched_add_host(w->sched, key, false, w->ms * BH_USEC_PER_MS);
+		bh_sched_host_linked(w->sched, key, true,
+				     w->ms * BH_USEC_PER_MS);
+		small_report(w, i);
+	}
+}
+
+static void small_advance(small_t *w, int64_t until_ms)
+{
+	for (; w->ms < until_ms; w->ms += 5) {
+		if (w->ms % 200 == 0) {
+			small_report(w, 0);
+			small_report(w, 1);
+		}
+		bh_sched_note_leading(w->sched, w->ms * BH_USEC_PER_MS);
+		bh_sched_run(w->sched, w->ms * BH_USEC_PER_MS,
+			     UNIX_MS + (uint64_t)w->ms);
+	}
+}
+
+static void small_init(small_t *w)
+{
+	*w = (small_t){.ms = 5,
+		       .started_ms = {STARTED_NONE, STARTED_NONE},
+		       .config = bh_config_new(0, 0)};
+	small_lead(w, 1);
+	add_job(w, BUSY_JOB, BUSY_MS);
+	small_advance(w, 405);
+	w->job_at_ms = w->ms;
+	add_job(w, JOB, RUN_MS);
+}
+
+static void small_free(small_t *w)
+{
+	bh_sched_free(w->sched);
+	bh_config_free(w->config);
+}
+
+/* Longest wait of the task, and by how much it may end earlier, as the
+ * predicted rest of the other job is longer than what is left of it, or later.
+ */
+#define LIMIT_MS ((int64_t)(RUN_MS * (SLOWDOWN - 1)))
+#define SLACK_MS 30
+
+/* Guards against a wait without a deadline: the prediction says for the whole
+ * time that the rack has capacity soon. */
+static void test_wait_has_a_deadline(void **state)
+{
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	small_advance(&w, w.job_at_ms + LIMIT_MS + 500);
+	assert_int_equal(w.started_ms[0], STARTED_NONE);
+	assert_true(w.started_ms[1] >= w.job_at_ms + LIMIT_MS - SLACK_MS);
+	assert_true(w.started_ms[1] <= w.job_at_ms + LIMIT_MS + SLACK_MS);
+	small_free(&w);
+}
+
+/* Guards against a wait that starts again with each leader. */
+static void test_new_leader_counts_from_acceptance(void **state)
+{
+	bh_sched_t *first;
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	small_advance(&w, w.job_at_ms + 600);
+	assert_int_equal(w.started_ms[1], STARTED_NONE);
+	first = w.sched;
+	small_lead(&w, 2);
+	bh_sched_free(first);
+	add_job(&w, JOB, RUN_MS);
+	add_job(&w, BUSY_JOB, BUSY_MS);
+	small_report(&w, 0);
+	small_advance(&w, w.job_at_ms + LIMIT_MS + 500);
+	assert_true(w.started_ms[1] >= w.job_at_ms + LIMIT_MS - SLACK_MS);
+	assert_true(w.started_ms[1] <= w.job_at_ms + LIMIT_MS + SLACK_MS);
+	small_free(&w);
+}
+
+/* Guards against a task that waits for a rack whose only host is draining: it
+ * notices that with the next decision, at most 200 ms later. */
+static void test_wait_ends_when_rack_drains(void **state)
+{
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	small_advance(&w, w.job_at_ms + 100);
+	assert_int_equal(w.started_ms[1], STARTED_NONE);
+	w.is_draining = true;
+	small_report(&w, 0);
+	small_advance(&w, w.ms + 250);
+	assert_true(w.started_ms[1] > w.job_at_ms);
+	assert_true(w.started_ms[1] <= w.job_at_ms + 300 + SLACK_MS);
+	small_free(&w);
+}
+
+/* Guards against waiting tasks that are all promised the same capacity. */
+static void test_forecast_counts_tasks_before(void **state)
+{
+	bh_rack_forecast_t *f = bh_rack_forecast_new();
+	const bh_capacity_t none = {0};
+	const bh_capacity_t one = {1000, 100, 0};
+	const bh_capacity_t two = {2000, 100, 0};
+
+	(void)state;
+	bh_rack_forecast_reset(f);
+	assert_int_equal(bh_rack_forecast_add_host(f, &none), 0);
+	assert_int_equal(bh_rack_forecast_add_host(f, &none), 1);
+	bh_rack_forecast_add_release(f, 1, 500, &one);
+	bh_rack_forecast_add_release(f, 0, 200, &one);
+	bh_rack_forecast_add_release(f, 0, 900, &one);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 3, 1000), 200);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 2, 3, 1000), 500);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &two, 1, 3, 1000), 900);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 2, 1000), 500);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 2, 499), -1);
+	bh_rack_forecast_take(f, &one, 1, 3, 1000, 100, NULL);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 3, 1000), 300);
+	bh_rack_forecast_free(f);
+}
+
+static void assert_verdict(bh_locality_choice_t c,
+			   bh_locality_verdict_t verdict)
+{
+	assert_int_equal(bh_locality_decide(&c), verdict);
+}
+
+/* A run takes 600 ms in the rack and 1,500 ms elsewhere. */
+static void test_decision(void **state)
+{
+	const bh_locality_choice_t base = {.run_ms = 600,
+					   .slowdown = 2.5,
+					   .wait_ms = 300,
+					   .left_ms = 900,
+					   .slack_ms = 5000,
+					   .utilization = 0};
+	bh_locality_choice_t c = base;
+
+	(void)state;
+	assert_verdict(c, BH_LOCALITY_WAIT);
+	/* The prediction may be wrong by two while hosts elsewhere are idle. */
+	c.wait_ms = 500;
+	assert_verdict(c, BH_LOCALITY_TOO_LONG);
+	/* The longer run would take their capacity from others. */
+	c.utilization = 0.8;
+	assert_verdict(c, BH_LOCALITY_WAIT);
+	c.wait_ms = 900;
+	c.utilization = 1;
+	assert_verdict(c, BH_LOCALITY_TOO_LONG);
+	c = base;
+	c.wait_ms = -1;
+	assert_verdict(c, BH_LOCALITY_TOO_LONG);
+	c = base;
+	c.left_ms = 0;
+	assert_verdict(c, BH_LOCALITY_EXPIRED);
+	c = base;
+	c.is_lost = true;
+	assert_verdict(c, BH_LOCALITY_LOST);
+	/* Another task of the step ends as late in any case. */
+	c = base;
+	c.elsewhere_ms = 1500;
+	assert_verdict(c, BH_LOCALITY_TOO_LONG);
+	/* Only with a wait is the job in time. */
+	c = base;
+	c.wait_ms = 600;
+	c.slack_ms = 700;
+	assert_verdict(c, BH_LOCALITY_WAIT);
+	/* It is in time elsewhere, but not if the wait takes twice as long. */
+	c = base;
+	c.elsewhere_ms = 1100;
+	c.slack_ms = 500;
+	assert_verdict(c, BH_LOCALITY_WOULD_BE_LATE);
+}
+
+/* Guards against a setting that does not match the deployment, and against
+ * single runs that count as much. */
+static void test_slowdown_follows_runs(void **state)
+{
+	bh_slowdown_t s = {0};
+
+	(void)state;
+	assert_true(bh_slowdown_get(&s, 2) > 1.99);
+	bh_slowdown_add(&s, 1, true);
+	bh_slowdown_add(&s, 3, false);
+	assert_true(bh_slowdown_get(&s, 2) < 2.1);
+	for (int i = 0; i < 100; i++) {
+		bh_slowdown_add(&s, 1, true);
+		bh_slowdown_add(&s, 3, false);
+	}
+	assert_true(bh_slowdown_get(&s, 2) > 2.6);
+	assert_true(bh_slowdown_get(&s, 1.2) <= 2.4);
+	assert_true(bh_slowdown_get(&s, 1) >= 1);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_forecast_counts_tasks_before),
+		cmocka_unit_test(test_decision),
+		cmocka_unit_test(test_slowdown_follows_runs),
+		cmocka_unit_test(test_hot_rack),
+		cmocka_unit_test(test_waiting_tasks_keep_nothing_from_others),
+		cmocka_unit_test(test_estimates_wrong_by_ten),
+		cmocka_unit_test(test_rack_lost_while_tasks_wait),
+		cmocka_unit_test(test_wait_is_never_worthwhile),
+		cmocka_unit_test(test_groups),
+		cmocka_unit_test(test_wait_has_a_deadline),
+		cmocka_unit_test(test_new_leader_counts_from_acceptance),
+		cmocka_unit_test(test_wait_ends_when_rack_drains),
+	};
+	struct {
+		const char *name;
+		lw_pattern_t pattern;
+	} patterns[] = {{"hot-rack", hot_rack},
+			{"groups", groups()},
+			{"short-among-long", short_among_long()}};
+
+	for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS(patterns); i++) {
+		lw_report_t r;
+
+		if (strcmp(argv[1], patterns[i].name) != 0)
+			continue;
+		patterns[i].pattern.locality_wait =
+			argc < 3 || strcmp(argv[2], "on") == 0;
+		lw_replay(&patterns[i].pattern,
+			  argc > 3 ? (uint32_t)strtoul(argv[3], NULL, 10) : 1,
+			  &r);
+		lw_print(&patterns[i].pattern, &r);
+		return 0;
+	}
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
