A rack wait ends with a run that is found or a task that is done

Cause: found by review. A task whose run was taken over from an earlier leader, or which was done, still counted as waiting for its rack, so that the step's end of the wait was never logged. A group that could not be placed although its rack was predicted to have capacity had the next pass follow at once, as dropped provisional runs ask for one. A group without a rack within the limit was logged as lost instead of too-long.

Change: such waits are forgotten; the request for a pass is kept as it was.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -108,6 +108,7 @@
 	if (task->is_done)
 		return false;
 	bh_task_set_waiting(task, false);
+	bh_racks_forget_wait(task);
 	task->is_done = true;
 	phase->n_done++;
 	g_clear_pointer(&task->checkpoint, g_free);
--- a/sched/place.c
+++ b/sched/place.c
@@ -623,6 +623,7 @@
 /* Return: false if the group is to be spread. */
 static bool place_in_one_rack(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
 {
+	bool must_place = s->must_place;
 	int64_t wait_ms;
 	const bh_rack_t *rack =
 		bh_racks_find_for_group(s, phase, &wait_ms, now);
@@ -632,6 +633,8 @@
 		phase->is_together = true;
 		return true;
 	}
+	/* Nothing has changed by provisional runs that were dropped. */
+	s->must_place = must_place;
 	return bh_racks_defer_group(s, phase, rack, wait_ms, now);
 }
 
--- a/sched/racks.c
+++ b/sched/racks.c
@@ -22,7 +22,7 @@
 
 /**
  * struct bh_rack - a rack's hosts of one service in the present pass
- * @name: owned by the first host
+ * @name: owned by a job or a host, as is @service; valid during the pass
  * @hosts: those that can be used now or after a quarantine, by their numbers in
  *	@forecast
  * @is_reserved: a group has reserved capacity there
@@ -494,6 +494,15 @@
 	return true;
 }
 
+void bh_racks_forget_wait(bh_task_t *task)
+{
+	if (!task->waits_for_rack)
+		return;
+	task->waits_for_rack = false;
+	task->rack_wait_until = 0;
+	task->phase->rack_waits--;
+}
+
 /* A host of the rack may have become free and be worse than one elsewhere, for
  * example since a suspect runs there. */
 static void end_wait_at_start(bh_sched_t *s, bh_task_t *task,
@@ -621,10 +630,10 @@
 	bh_locality_choice_t c = choice_of(s, first, now);
 	uint32_t taken[BH_RACK_HOSTS_MAX] = {0};
 
-	c.wait_ms = wait_ms;
-	c.is_lost = !rack;
+	c.wait_ms = rack ? wait_ms : -1;
 	if (!follow_verdict(s, first, phase->step->count,
-			    rack ? rack->name : "-", &c, now))
+			    rack ? rack->name : "-", &c, now) ||
+	    !rack)
 		return false;
 	bh_rack_forecast_take(rack->forecast, &need, phase->step->count,
 			      matching_hosts(phase, rack, now), c.left_ms,
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -96,6 +96,8 @@
 	host->order_bytes += run->order_bytes;
 	count_run(run, 1);
 	bh_task_set_waiting(task, false);
+	if (state != BH_RUN_ORDERED)
+		bh_racks_forget_wait(task);
 	task->held_since = 0;
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -839,6 +839,12 @@
 void bh_racks_plan_start(const bh_sched_t *s, bh_rack_plan_t *plan,
 			 const bh_phase_t *phase, const bh_host_t *host);
 
+/**
+ * bh_racks_forget_wait() - a task does not wait for its rack any more, as it is
+ * done or a run of it has been found
+ */
+void bh_racks_forget_wait(bh_task_t *task);
+
 /**
  * bh_host_is_wanted() - whether tasks wait for the host's rack, and the step
  * does not name that rack
