A phase without room looks only at its tasks that wait for their rack

Cause: found by review. When a task of a phase lacked room and another one waited for the rack, the decision was taken for each of the others, which may be thousands.

Change: it is taken only for those that wait already and may have to end their waits.

--- a/sched/place.c
+++ b/sched/place.c
@@ -546,6 +546,8 @@
 
 		if (task->is_done || bh_task_has_run(task))
 			continue;
+		if (lacks_room && !task->waits_for_rack)
+			continue;
 		if (bh_racks_defer_task(s, &plan, task, now) || lacks_room)
 			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
