A wait for a rack ends when its task has no rack any more

Cause: found by review. bh_racks_defer_task() returned early for a suspect and for a group that has lost its rack, and left a wait that had begun. No capacity is reserved for a task that waits for a rack, so that it could wait for ever.

Change: the wait is abandoned with the reason "lost".

--- a/sched/racks.c
+++ b/sched/racks.c
@@ -471,8 +471,12 @@
 	bh_capacity_t need = step_capacity(phase->step);
 	bh_locality_choice_t c;
 
-	if (!plan->name || bh_task_is_suspect(task))
+	if (!plan->name || bh_task_is_suspect(task)) {
+		/* A task that waits for a rack has no capacity reserved. */
+		if (task->waits_for_rack)
+			abandon_wait(s, task, BH_LOCALITY_LOST, -1, now);
 		return false;
+	}
 	c = choice_of(s, task, now);
 	if (c.left_ms <= 0 && !task->waits_for_rack)
 		return false;
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -4,7 +4,7 @@
  * prints the results of a replay.
  */
 #include "sched/locality.h"
-#include "sched/sched.h"
+#include "sched/sched_impl.h"
 #include "tests/loadworld.h"
 #include "tests/test.h"
 
@@ -457,6 +457,33 @@
 	small_free(&w);
 }
 
+static bh_task_t *small_task(const small_t *w)
+{
+	return &bh_rec_find(w->sched, JOB)->phases[0].tasks[0];
+}
+
+/* Guards against a task that waits for ever: no capacity is reserved for it as
+ * long as it counts as waiting for a rack, and it has no rack any more, since
+ * the group it belongs to has none or since it has become a suspect. */
+static void test_wait_ends_without_a_rack(void **state)
+{
+	bh_rack_plan_t none = {0};
+	bh_task_t *task;
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	small_advance(&w, w.job_at_ms + 100);
+	task = small_task(&w);
+	assert_true(task->waits_for_rack);
+	assert_false(bh_racks_defer_task(w.sched, &none, task,
+					 w.ms * BH_USEC_PER_MS));
+	assert_false(task->waits_for_rack);
+	assert_int_equal(task->phase->rack_waits, 0);
+	assert_int_equal(w.sched->stats.rack_abandoned[BH_LOCALITY_LOST], 1);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -569,6 +596,7 @@
 		cmocka_unit_test(test_groups),
 		cmocka_unit_test(test_deadline_counts_from_acceptance),
 		cmocka_unit_test(test_wait_ends_when_rack_drains),
+		cmocka_unit_test(test_wait_ends_without_a_rack),
 	};
 	struct {
 		const char *name;
