A gang without room keeps its attempt numbers

Cause: found by review. A gang's provisional runs raise the attempt number of their tasks, and dropping them did not lower it. Passes are 5 ms apart while it has no room, so that the 4096 numbers of a term last about 20 s. Those of the next leader are then not higher.

Change: the number is restored when a provisional run is dropped without a start.

--- a/sched/place.c
+++ b/sched/place.c
@@ -581,6 +581,7 @@
 {
 	uint32_t n = phase->step->count;
 	g_autofree bh_run_t **runs = g_new0(bh_run_t *, n);
+	g_autofree uint32_t *last_attempts = g_new0(uint32_t, n);
 	uint32_t attempt = 0;
 	uint32_t placed = 0;
 	const char *checkpoint = NULL;
@@ -601,6 +602,7 @@
 
 		if (!host)
 			break;
+		last_attempts[placed] = task->attempt;
 		runs[placed] =
 			bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
 	}
@@ -610,8 +612,12 @@
 
 		bh_run_drop(s, runs[i]);
 		bh_task_set_waiting(task, true);
-		if (placed < n)
+		if (placed < n) {
+			/* A gang without room is tried in each pass, which
+			 * would soon use up the numbers of the term. */
+			task->attempt = last_attempts[i];
 			continue;
+		}
 		if (phase->step->is_gang && checkpoint &&
 		    checkpoint != task->checkpoint) {
 			g_free(task->checkpoint);
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -304,10 +304,17 @@
 static const bh_sched_ops_t ops = {
 	.start = on_start, .stop = on_stop, .grant = on_grant};
 
-static void add_job(small_t *w, const char *id, uint32_t ms)
+/* @like: step of the job; a processor request of 0 stands for a whole host */
+static void add_step(small_t *w, const char *id, const bh_step_t *like)
 {
 	bh_job_t *job = g_new0(bh_job_t, 1);
+	bh_step_t *step = g_new0(bh_step_t, 1);
 
+	*step = *like;
+	step->rack = g_strdup(like->rack);
+	if (!step->cpu_milli)
+		step->cpu_milli = RACK_CPU;
+	step->memory_mb = 100;
 	g_strlcpy(job->id, id, sizeof(job->id));
 	job->queue = g_strdup("q");
 	job->spec = g_strdup("s");
@@ -316,15 +323,18 @@
 	job->terms.slack_percent = 300;
 	job->terms.target_ms = 2000;
 	job->n_steps = 1;
-	job->steps = g_new0(bh_step_t, 1);
-	job->steps[0].count = 1;
-	job->steps[0].cpu_milli = RACK_CPU;
-	job->steps[0].memory_mb = 100;
-	job->steps[0].estimate_ms = ms;
-	job->steps[0].rack = g_strdup("r1-0");
+	job->steps = step;
 	bh_sched_add_job(w->sched, job, NULL, w->ms * BH_USEC_PER_MS);
 }
 
+static void add_job(small_t *w, const char *id, uint32_t ms)
+{
+	bh_step_t step = {
+		.count = 1, .estimate_ms = ms, .rack = (char *)"r1-0"};
+
+	add_step(w, id, &step);
+}
+
 static void small_report(small_t *w, uint32_t host)
 {
 	char key[] = {(char)('0' + host), 0};
@@ -387,7 +397,7 @@
 	}
 }
 
-static void small_init(small_t *w)
+static void small_init_busy(small_t *w)
 {
 	*w = (small_t){.ms = 5,
 		       .started_ms = {STARTED_NONE, STARTED_NONE},
@@ -396,6 +406,11 @@
 	add_job(w, BUSY_JOB, BUSY_MS);
 	small_advance(w, 405);
 	w->job_at_ms = w->ms;
+}
+
+static void small_init(small_t *w)
+{
+	small_init_busy(w);
 	add_job(w, JOB, RUN_MS);
 }
 
@@ -484,6 +499,24 @@
 	small_free(&w);
 }
 
+/* Guards against a gang that uses up the attempt numbers of a term while it has
+ * no room for one of its tasks: those of the next leader would not be higher.
+ */
+static void test_gang_without_room_keeps_attempts(void **state)
+{
+	const bh_step_t step = {
+		.count = 2, .estimate_ms = RUN_MS, .is_gang = true};
+	small_t w;
+
+	(void)state;
+	small_init_busy(&w);
+	add_step(&w, JOB, &step);
+	small_advance(&w, w.job_at_ms + 100);
+	assert_int_equal(w.started_ms[1], STARTED_NONE);
+	assert_int_equal(small_task(&w)->attempt, 0);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -597,6 +630,7 @@
 		cmocka_unit_test(test_deadline_counts_from_acceptance),
 		cmocka_unit_test(test_wait_ends_when_rack_drains),
 		cmocka_unit_test(test_wait_ends_without_a_rack),
+		cmocka_unit_test(test_gang_without_room_keeps_attempts),
 	};
 	struct {
 		const char *name;
