Forecasts of racks count reservations that are made after them

Cause: found by review. A rack's forecast is made when the first task of a pass asks for it. Capacity that was reserved for a wide task later in the pass was missing in it, so that tasks waited for it in vain.

Change: the step's capacity is taken from the forecast of the rack of the host that bh_reserve() returns.

--- a/sched/place.c
+++ b/sched/place.c
@@ -512,6 +512,7 @@
 		return;
 	for (uint32_t i = 0; i < phase->step->count && wanted; i++) {
 		const bh_task_t *task = &phase->tasks[i];
+		bh_host_t *host;
 
 		if (task->is_done || bh_task_has_run(task) ||
 		    is_held(task, now) || task->waits_for_rack ||
@@ -521,7 +522,9 @@
 			return;
 		s->n_reservations++;
 		wanted--;
-		bh_reserve(s, task, now);
+		host = bh_reserve(s, task, now);
+		if (host)
+			bh_racks_note_reservation(phase, host);
 	}
 }
 
--- a/sched/racks.c
+++ b/sched/racks.c
@@ -523,6 +523,19 @@
 	abandon_wait(s, task, BH_LOCALITY_LOST, -1, now);
 }
 
+/* Lets a phase's task take capacity of a host in the forecast of its rack. */
+static void take_on_host(const bh_phase_t *phase, const bh_host_t *host,
+			 const bh_capacity_t *need, int64_t limit_ms)
+{
+	if (!host->in_rack)
+		return;
+	bh_rack_forecast_take(host->in_rack->forecast, need, 1,
+			      1u << host->number_in_rack, limit_ms,
+			      phase->step->is_long_running ? G_MAXINT32
+							   : run_ms(phase),
+			      NULL);
+}
+
 void bh_racks_note_start(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
 			 bh_usec_t now)
 {
@@ -532,14 +545,16 @@
 	if (task->waits_for_rack)
 		end_wait_at_start(s, task, host, now);
 	task->rack_wait_until = 0;
-	if (!host->in_rack)
-		return;
 	if (step->is_filler)
 		need.cpu = 0;
-	bh_rack_forecast_take(
-		host->in_rack->forecast, &need, 1, 1u << host->number_in_rack,
-		0, step->is_long_running ? G_MAXINT32 : run_ms(task->phase),
-		NULL);
+	take_on_host(task->phase, host, &need, 0);
+}
+
+void bh_racks_note_reservation(const bh_phase_t *phase, const bh_host_t *host)
+{
+	bh_capacity_t need = step_capacity(phase->step);
+
+	take_on_host(phase, host, &need, G_MAXINT32);
 }
 
 bool bh_racks_is_group(const bh_sched_t *s, const bh_phase_t *phase)
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -807,6 +807,12 @@
 void bh_racks_note_start(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
 			 bh_usec_t now);
 
+/**
+ * bh_racks_note_reservation() - capacity of a host is reserved for a task of a
+ * phase in the present pass
+ */
+void bh_racks_note_reservation(const bh_phase_t *phase, const bh_host_t *host);
+
 /**
  * struct bh_rack_plan - a phase's rack while its tasks are placed one by one
  * @name: of the rack; NULL: the phase has none, or does not wait for it
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -257,7 +257,9 @@
 #define RACK_CPU     4000
 #define BUSY_JOB     "b000000000000000"
 #define JOB	     "a000000000000000"
+#define WIDE_JOB     "c000000000000000"
 #define BUSY_MS	     800
+#define WIDE_MS	     1200
 #define BUSY_PERCENT 97
 #define RUN_MS	     1000
 #define SLOWDOWN     2.0
@@ -312,6 +314,7 @@
 
 	*step = *like;
 	step->rack = g_strdup(like->rack);
+	step->label = g_strdup(like->label);
 	if (!step->cpu_milli)
 		step->cpu_milli = RACK_CPU;
 	step->memory_mb = 100;
@@ -517,6 +520,27 @@
 	small_free(&w);
 }
 
+/* Guards against waits for capacity that is reserved for a wide task which
+ * comes later in the pass than the first task that asks for the rack. */
+static void test_forecast_counts_reservations(void **state)
+{
+	const bh_step_t wide = {
+		.count = 1, .estimate_ms = WIDE_MS, .label = (char *)"r1-0"};
+	int64_t wait_ms;
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	add_step(&w, WIDE_JOB, &wide);
+	small_advance(&w, w.job_at_ms + 500);
+	assert_true(small_task(&w)->waits_for_rack);
+	assert_int_equal(w.sched->n_reservations, 1);
+	/* It is free after both, later than any wait may last. */
+	assert_null(bh_racks_find_for_group(w.sched, small_task(&w)->phase,
+					    &wait_ms, w.ms * BH_USEC_PER_MS));
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -631,6 +655,7 @@
 		cmocka_unit_test(test_wait_ends_when_rack_drains),
 		cmocka_unit_test(test_wait_ends_without_a_rack),
 		cmocka_unit_test(test_gang_without_room_keeps_attempts),
+		cmocka_unit_test(test_forecast_counts_reservations),
 	};
 	struct {
 		const char *name;
