A group tries the next rack, and counts its tasks per host

Cause: found by review. A predicted wait of 0 ms did not mean that the tasks of a group fit in a rack: max-per-server, hosts on probation and overdue runs were left out of the forecast. The group failed in that rack in each pass, did not try another one, and kept capacity reserved there.

Change: a forecast limits the tasks per host by max-per-server and by the one task of a host on probation, an overdue run holds its capacity for at least 1 ms, and a group that fails at 0 ms goes on to the next rack.

Result: a group with max-per-server 1 waited in the new test, and starts at once with the change. No test covers probation or the next rack.

--- a/sched/locality.c
+++ b/sched/locality.c
@@ -141,17 +141,14 @@
  * capacity from when it fits.
  * Return: -1 if that is after @limit_ms. */
 static int64_t find(const bh_rack_forecast_t *f, const bh_capacity_t *need,
-		    uint32_t count, uint32_t hosts, int64_t limit_ms,
-		    uint32_t taken[BH_RACK_HOSTS_MAX])
+		    uint32_t count, const uint32_t most[BH_RACK_HOSTS_MAX],
+		    int64_t limit_ms, uint32_t taken[BH_RACK_HOSTS_MAX])
 {
 	bh_capacity_t free[BH_RACK_HOSTS_MAX];
 
 	for (uint32_t i = 0; i < f->n_hosts; i++) {
 		free[i] = f->free[i];
-		taken[i] = 0;
-		if (!(hosts & (1u << i)))
-			continue;
-		taken[i] = fill_host(&free[i], need, count);
+		taken[i] = fill_host(&free[i], need, MIN(count, most[i]));
 		count -= taken[i];
 	}
 	if (count == 0)
@@ -162,10 +159,9 @@
 
 		if (r->in_ms > limit_ms)
 			return -1;
-		if (!(hosts & (1u << r->host)))
-			continue;
 		add(&free[r->host], &r->capacity, 1);
-		n = fill_host(&free[r->host], need, count);
+		n = fill_host(&free[r->host], need,
+			      MIN(count, most[r->host] - taken[r->host]));
 		taken[r->host] += n;
 		count -= n;
 		if (count == 0)
@@ -176,23 +172,26 @@
 
 int64_t bh_rack_forecast_wait_ms(bh_rack_forecast_t *f,
 				 const bh_capacity_t *need, uint32_t count,
-				 uint32_t hosts, int64_t limit_ms)
+				 const uint32_t most[BH_RACK_HOSTS_MAX],
+				 int64_t limit_ms)
 {
 	uint32_t taken[BH_RACK_HOSTS_MAX];
 
 	sort_releases(f);
-	return find(f, need, count, hosts, limit_ms, taken);
+	return find(f, need, count, most, limit_ms, taken);
 }
 
 void bh_rack_forecast_take(bh_rack_forecast_t *f, const bh_capacity_t *need,
-			   uint32_t count, uint32_t hosts, int64_t limit_ms,
-			   int64_t run_ms, uint32_t out[BH_RACK_HOSTS_MAX])
+			   uint32_t count,
+			   const uint32_t most[BH_RACK_HOSTS_MAX],
+			   int64_t limit_ms, int64_t run_ms,
+			   uint32_t out[BH_RACK_HOSTS_MAX])
 {
 	uint32_t taken[BH_RACK_HOSTS_MAX] = {0};
 	int64_t wait_ms;
 
 	sort_releases(f);
-	wait_ms = find(f, need, count, hosts, limit_ms, taken);
+	wait_ms = find(f, need, count, most, limit_ms, taken);
 	for (uint32_t i = 0; i < f->n_hosts; i++) {
 		bh_capacity_t sum = {0};
 
--- a/sched/locality.h
+++ b/sched/locality.h
@@ -71,14 +71,15 @@
  * bh_rack_forecast_wait_ms() - predicted time until tasks fit at the same time
  * @need: capacity that one of them requests
  * @count: number of tasks
- * @hosts: bit mask of the hosts that they may run on
+ * @most: by host, how many of them may run there
  * @limit_ms: longest wait that is of interest
  *
  * Return: -1 if it is longer than @limit_ms.
  */
 int64_t bh_rack_forecast_wait_ms(bh_rack_forecast_t *f,
 				 const bh_capacity_t *need, uint32_t count,
-				 uint32_t hosts, int64_t limit_ms);
+				 const uint32_t most[BH_RACK_HOSTS_MAX],
+				 int64_t limit_ms);
 
 /**
  * bh_rack_forecast_take() - let tasks that wait take the capacity that
@@ -87,8 +88,10 @@
  * @taken: by host, set to the number of tasks on it; may be NULL
  */
 void bh_rack_forecast_take(bh_rack_forecast_t *f, const bh_capacity_t *need,
-			   uint32_t count, uint32_t hosts, int64_t limit_ms,
-			   int64_t run_ms, uint32_t taken[BH_RACK_HOSTS_MAX]);
+			   uint32_t count,
+			   const uint32_t most[BH_RACK_HOSTS_MAX],
+			   int64_t limit_ms, int64_t run_ms,
+			   uint32_t taken[BH_RACK_HOSTS_MAX]);
 
 /**
  * struct bh_locality_choice - inputs of a decision
--- a/sched/place.c
+++ b/sched/place.c
@@ -117,10 +117,12 @@
 
 /* A host on probation gets one new task at a time. Runs that started before its
  * quarantine ended do not count. */
-static bool is_being_probed(const bh_host_t *host, bh_usec_t now)
+bool bh_host_is_being_probed(const bh_host_t *host, bh_usec_t now)
 {
 	const bh_run_t *run;
 
+	if (!host->is_probing)
+		return false;
 	TAILQ_FOREACH(run, &host->runs, link) {
 		if (bh_run_is_probe(run, now))
 			return true;
@@ -158,7 +160,7 @@
 	if (!accepts_work(host, now) ||
 	    (now < host->quarantined_until && !may_use_quarantined(task, now)))
 		return false;
-	if (host->is_probing && is_being_probed(host, now))
+	if (bh_host_is_being_probed(host, now))
 		return false;
 	return bh_host_matches(task->phase, host, now);
 }
@@ -636,16 +638,19 @@
 {
 	bool must_place = s->must_place;
 	int64_t wait_ms;
-	const bh_rack_t *rack =
-		bh_racks_find_for_group(s, phase, &wait_ms, now);
+	bh_rack_t *rack;
 
-	if (rack && wait_ms == 0 &&
-	    place_together(s, phase, bh_rack_name(rack), now)) {
-		phase->is_together = true;
-		return true;
+	while ((rack = bh_racks_find_for_group(s, phase, &wait_ms, now)) !=
+		       NULL &&
+	       wait_ms == 0) {
+		if (place_together(s, phase, bh_rack_name(rack), now)) {
+			phase->is_together = true;
+			return true;
+		}
+		/* Nothing has changed by provisional runs that were dropped. */
+		s->must_place = must_place;
+		bh_rack_refuse(rack, phase);
 	}
-	/* Nothing has changed by provisional runs that were dropped. */
-	s->must_place = must_place;
 	return bh_racks_defer_group(s, phase, rack, wait_ms, now);
 }
 
--- a/sched/racks.c
+++ b/sched/racks.c
@@ -26,6 +26,7 @@
  * @hosts: those that can be used now or after a quarantine, by their numbers in
  *	@forecast
  * @is_reserved: a group has reserved capacity there
+ * @refused: group that could not be placed there although it seemed to fit
  */
 struct bh_rack {
 	const char *name;
@@ -34,6 +35,7 @@
 	bh_host_t *hosts[BH_RACK_HOSTS_MAX];
 	bh_rack_forecast_t *forecast;
 	bool is_reserved;
+	const bh_phase_t *refused;
 };
 
 static void rack_free(gpointer data)
@@ -148,8 +150,10 @@
 			continue;
 		if (step->is_filler)
 			c.cpu = 0;
+		/* The capacity of an overdue run is not free yet. */
 		bh_rack_forecast_add_release(rack->forecast, number,
-					     time_left_ms(s, run, now), &c);
+					     MAX(time_left_ms(s, run, now), 1),
+					     &c);
 	}
 }
 
@@ -200,6 +204,7 @@
 	rack->service = service;
 	rack->n_hosts = 0;
 	rack->is_reserved = false;
+	rack->refused = NULL;
 	bh_rack_forecast_reset(rack->forecast);
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (g_strcmp0(host->rack, name) == 0 &&
@@ -209,17 +214,28 @@
 	return rack;
 }
 
-/* Bit mask of the hosts of a rack that a phase's tasks may run on. */
-static uint32_t matching_hosts(const bh_phase_t *phase, const bh_rack_t *rack,
-			       bh_usec_t now)
+/* Sets how many of a phase's tasks each host of a rack may get.
+ * Return: whether any host may get one. */
+static bool count_places(const bh_phase_t *phase, const bh_rack_t *rack,
+			 uint32_t most[BH_RACK_HOSTS_MAX], bh_usec_t now)
 {
-	uint32_t mask = 0;
+	uint32_t per_host = phase->step->max_per_host;
+	bool has_place = false;
 
 	for (uint32_t i = 0; i < rack->n_hosts; i++) {
-		if (bh_host_matches(phase, rack->hosts[i], now))
-			mask |= 1u << i;
+		const bh_host_t *host = rack->hosts[i];
+
+		most[i] = 0;
+		if (!bh_host_matches(phase, host, now) ||
+		    bh_host_is_being_probed(host, now))
+			continue;
+		most[i] = per_host ? per_host - bh_phase_runs_on(phase, host)
+				   : phase->step->count;
+		if (host->is_probing)
+			most[i] = 1;
+		has_place = true;
 	}
-	return mask;
+	return has_place;
 }
 
 static int64_t run_ms(const bh_phase_t *phase)
@@ -448,7 +464,7 @@
 		return;
 	plan->name = name;
 	plan->rack = rack_of(s, name, phase->rec->job->terms.service, now);
-	plan->hosts = matching_hosts(phase, plan->rack, now);
+	plan->is_lost = !count_places(phase, plan->rack, plan->most, now);
 	plan->elsewhere_ms = time_left_elsewhere_ms(s, phase, plan, now);
 }
 
@@ -469,6 +485,7 @@
 {
 	const bh_phase_t *phase = task->phase;
 	bh_capacity_t need = step_capacity(phase->step);
+	uint32_t taken[BH_RACK_HOSTS_MAX];
 	bh_locality_choice_t c;
 
 	if (!plan->name || bh_task_is_suspect(task)) {
@@ -483,17 +500,19 @@
 	/* The tasks before it found no capacity there. */
 	if (!plan->n_deferred && can_start_in(s, task, plan->rack, now))
 		return false;
-	c.is_lost = plan->hosts == 0;
+	c.is_lost = plan->is_lost;
 	c.elsewhere_ms = plan->elsewhere_ms;
 	c.wait_ms = bh_rack_forecast_wait_ms(
 		plan->rack->forecast, &need,
 		phase->waiting - MIN(plan->n_deferred, phase->waiting - 1),
-		plan->hosts, MAX(c.left_ms, 0));
+		plan->most, MAX(c.left_ms, 0));
 	if (!follow_verdict(s, task, 1, plan->name, &c, now))
 		return false;
 	plan->n_deferred++;
-	bh_rack_forecast_take(plan->rack->forecast, &need, 1, plan->hosts,
-			      c.left_ms, c.run_ms, NULL);
+	bh_rack_forecast_take(plan->rack->forecast, &need, 1, plan->most,
+			      c.left_ms, c.run_ms, taken);
+	for (uint32_t i = 0; i < plan->rack->n_hosts; i++)
+		plan->most[i] -= taken[i];
 	mark_wanted(plan->rack, now);
 	return true;
 }
@@ -527,10 +546,12 @@
 static void take_on_host(const bh_phase_t *phase, const bh_host_t *host,
 			 const bh_capacity_t *need, int64_t limit_ms)
 {
+	uint32_t most[BH_RACK_HOSTS_MAX] = {0};
+
 	if (!host->in_rack)
 		return;
-	bh_rack_forecast_take(host->in_rack->forecast, need, 1,
-			      1u << host->number_in_rack, limit_ms,
+	most[host->number_in_rack] = 1;
+	bh_rack_forecast_take(host->in_rack->forecast, need, 1, most, limit_ms,
 			      phase->step->is_long_running ? G_MAXINT32
 							   : run_ms(phase),
 			      NULL);
@@ -573,14 +594,15 @@
 	return true;
 }
 
-const bh_rack_t *bh_racks_find_for_group(bh_sched_t *s, const bh_phase_t *phase,
-					 int64_t *wait_ms, bh_usec_t now)
+bh_rack_t *bh_racks_find_for_group(bh_sched_t *s, const bh_phase_t *phase,
+				   int64_t *wait_ms, bh_usec_t now)
 {
 	const bh_step_t *step = phase->step;
 	const char *service = phase->rec->job->terms.service;
 	int64_t limit_ms = BH_LOCALITY_WAIT_MAX_MS;
 	bh_capacity_t need = step_capacity(step);
-	const bh_rack_t *best = NULL;
+	uint32_t most[BH_RACK_HOSTS_MAX];
+	bh_rack_t *best = NULL;
 	bh_host_t *host;
 
 	*wait_ms = -1;
@@ -598,11 +620,12 @@
 		rack = host->in_rack;
 		/* Each rack is looked at with its first host. */
 		if (!rack || rack->hosts[0] != host ||
-		    g_strcmp0(rack->service, service) != 0)
+		    g_strcmp0(rack->service, service) != 0 ||
+		    rack->refused == phase ||
+		    !count_places(phase, rack, most, now))
 			continue;
-		ms = bh_rack_forecast_wait_ms(
-			rack->forecast, &need, step->count,
-			matching_hosts(phase, rack, now), limit_ms);
+		ms = bh_rack_forecast_wait_ms(rack->forecast, &need,
+					      step->count, most, limit_ms);
 		if (ms < 0 || (best && ms >= *wait_ms))
 			continue;
 		best = rack;
@@ -613,6 +636,11 @@
 	return best;
 }
 
+void bh_rack_refuse(bh_rack_t *rack, const bh_phase_t *phase)
+{
+	rack->refused = phase;
+}
+
 const char *bh_rack_name(const bh_rack_t *rack)
 {
 	return rack->name;
@@ -639,24 +667,23 @@
 	}
 }
 
-bool bh_racks_defer_group(bh_sched_t *s, bh_phase_t *phase,
-			  const bh_rack_t *found, int64_t wait_ms,
-			  bh_usec_t now)
+bool bh_racks_defer_group(bh_sched_t *s, bh_phase_t *phase, bh_rack_t *rack,
+			  int64_t wait_ms, bh_usec_t now)
 {
-	bh_rack_t *rack = (bh_rack_t *)found;
 	bh_capacity_t need = step_capacity(phase->step);
 	bh_task_t *first = &phase->tasks[0];
 	bh_locality_choice_t c = choice_of(s, first, now);
 	uint32_t taken[BH_RACK_HOSTS_MAX] = {0};
+	uint32_t most[BH_RACK_HOSTS_MAX];
 
 	c.wait_ms = rack ? wait_ms : -1;
 	if (!follow_verdict(s, first, phase->step->count,
 			    rack ? rack->name : "-", &c, now) ||
 	    !rack)
 		return false;
-	bh_rack_forecast_take(rack->forecast, &need, phase->step->count,
-			      matching_hosts(phase, rack, now), c.left_ms,
-			      c.run_ms, taken);
+	count_places(phase, rack, most, now);
+	bh_rack_forecast_take(rack->forecast, &need, phase->step->count, most,
+			      c.left_ms, c.run_ms, taken);
 	if (!rack->is_reserved)
 		reserve_for_group(rack, phase->step, taken, wait_ms);
 	mark_wanted(rack, now);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -816,14 +816,16 @@
 /**
  * struct bh_rack_plan - a phase's rack while its tasks are placed one by one
  * @name: of the rack; NULL: the phase has none, or does not wait for it
- * @hosts: bit mask of the hosts there that the tasks may run on
+ * @is_lost: its tasks may not run on any of its hosts
+ * @most: how many more of its tasks each host may get
  * @elsewhere_ms: longest remaining time of its tasks that run elsewhere
  * @n_deferred: tasks of the phase that wait, so far in this pass
  */
 typedef struct bh_rack_plan {
 	const char *name;
 	bh_rack_t *rack;
-	uint32_t hosts;
+	bool is_lost;
+	uint32_t most[BH_RACK_HOSTS_MAX];
 	int64_t elsewhere_ms;
 	uint32_t n_deferred;
 } bh_rack_plan_t;
@@ -871,20 +873,25 @@
  * Return: valid during the present pass; NULL if there is none within
  * BH_LOCALITY_WAIT_MAX_MS.
  */
-const bh_rack_t *bh_racks_find_for_group(bh_sched_t *s, const bh_phase_t *phase,
-					 int64_t *wait_ms, bh_usec_t now);
+bh_rack_t *bh_racks_find_for_group(bh_sched_t *s, const bh_phase_t *phase,
+				   int64_t *wait_ms, bh_usec_t now);
+
+/**
+ * bh_rack_refuse() - bh_racks_find_for_group() does not return a rack for a
+ * phase again in this pass, as its tasks could not be placed there
+ */
+void bh_rack_refuse(bh_rack_t *rack, const bh_phase_t *phase);
 const char *bh_rack_name(const bh_rack_t *rack);
 
 /**
  * bh_racks_defer_group() - whether a group waits for a rack
- * @found: result of bh_racks_find_for_group(), as is @wait_ms
+ * @rack: result of bh_racks_find_for_group(), as is @wait_ms
  *
  * If it does, all that it needs is reserved there, unless another group has
  * reserved capacity in that rack: a group never holds a part of what it needs.
  */
-bool bh_racks_defer_group(bh_sched_t *s, bh_phase_t *phase,
-			  const bh_rack_t *found, int64_t wait_ms,
-			  bh_usec_t now);
+bool bh_racks_defer_group(bh_sched_t *s, bh_phase_t *phase, bh_rack_t *rack,
+			  int64_t wait_ms, bh_usec_t now);
 
 /* tickets.c */
 
@@ -932,6 +939,11 @@
 bool bh_host_matches(const bh_phase_t *phase, const bh_host_t *host,
 		     bh_usec_t now);
 
+/**
+ * bh_host_is_being_probed() - whether a host on probation has its one new task
+ */
+bool bh_host_is_being_probed(const bh_host_t *host, bh_usec_t now);
+
 /**
  * bh_host_can_start() - whether a task can be started on a host now
  */
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -541,12 +541,35 @@
 	small_free(&w);
 }
 
+/* Guards against a group that waits for a rack, and reserves its capacity, as
+ * the rack has room for all of its tasks but not for two of them on a host. */
+static void test_group_counts_tasks_per_host(void **state)
+{
+	const bh_step_t step = {.count = 2,
+				.cpu_milli = RACK_CPU / 2,
+				.estimate_ms = RUN_MS,
+				.max_per_host = 1,
+				.is_same_rack = true};
+	small_t w;
+
+	(void)state;
+	small_init_busy(&w);
+	add_step(&w, JOB, &step);
+	small_advance(&w, w.job_at_ms + 20);
+	assert_true(w.started_ms[1] >= w.job_at_ms);
+	assert_int_equal(small_task(&w)->phase->rack_waits, 0);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
 	bh_rack_forecast_t *f = bh_rack_forecast_new();
 	const bh_capacity_t none = {0};
 	const bh_capacity_t one = {1000, 100, 0};
+	const uint32_t any[BH_RACK_HOSTS_MAX] = {9, 9};
+	const uint32_t second[BH_RACK_HOSTS_MAX] = {0, 9};
+	const uint32_t one_each[BH_RACK_HOSTS_MAX] = {1, 1};
 	const bh_capacity_t two = {2000, 100, 0};
 
 	(void)state;
@@ -556,13 +579,19 @@
 	bh_rack_forecast_add_release(f, 1, 500, &one);
 	bh_rack_forecast_add_release(f, 0, 200, &one);
 	bh_rack_forecast_add_release(f, 0, 900, &one);
-	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 3, 1000), 200);
-	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 2, 3, 1000), 500);
-	assert_int_equal(bh_rack_forecast_wait_ms(f, &two, 1, 3, 1000), 900);
-	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 2, 1000), 500);
-	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 2, 499), -1);
-	bh_rack_forecast_take(f, &one, 1, 3, 1000, 100, NULL);
-	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, 3, 1000), 300);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, any, 1000), 200);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 2, any, 1000), 500);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &two, 1, any, 1000), 900);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, second, 1000),
+			 500);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, second, 499), -1);
+	/* Two fit on host 0, which may get one. */
+	bh_rack_forecast_add_release(f, 0, 300, &one);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 2, any, 1000), 300);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 2, one_each, 1000),
+			 500);
+	bh_rack_forecast_take(f, &one, 1, any, 1000, 100, NULL);
+	assert_int_equal(bh_rack_forecast_wait_ms(f, &one, 1, any, 1000), 300);
 	bh_rack_forecast_free(f);
 }
 
@@ -656,6 +685,7 @@
 		cmocka_unit_test(test_wait_ends_without_a_rack),
 		cmocka_unit_test(test_gang_without_room_keeps_attempts),
 		cmocka_unit_test(test_forecast_counts_reservations),
+		cmocka_unit_test(test_group_counts_tasks_per_host),
 	};
 	struct {
 		const char *name;
