A group that has waited for a rack does not wait again task by task

Cause: found by review. The wait of a group is kept on its first task. When a same-rack step that also names a rack gave up, its other tasks waited once more for the named rack.

Change: the end of a group's wait is noted on all of its tasks.

--- a/sched/racks.c
+++ b/sched/racks.c
@@ -667,19 +667,32 @@
 	}
 }
 
+/* The tasks do not wait one by one for the rack that their step names after the
+ * group has waited. */
+static void end_waits_of_group(bh_phase_t *phase, bh_usec_t now)
+{
+	for (uint32_t i = 0; i < phase->step->count; i++)
+		phase->tasks[i].rack_wait_until = now;
+}
+
 bool bh_racks_defer_group(bh_sched_t *s, bh_phase_t *phase, bh_rack_t *rack,
 			  int64_t wait_ms, bh_usec_t now)
 {
 	bh_capacity_t need = step_capacity(phase->step);
 	bh_task_t *first = &phase->tasks[0];
 	bh_locality_choice_t c = choice_of(s, first, now);
+	bool was_waiting = first->waits_for_rack;
 	uint32_t taken[BH_RACK_HOSTS_MAX] = {0};
 	uint32_t most[BH_RACK_HOSTS_MAX];
 
 	c.wait_ms = rack ? wait_ms : -1;
 	if (!follow_verdict(s, first, phase->step->count,
-			    rack ? rack->name : "-", &c, now) ||
-	    !rack)
+			    rack ? rack->name : "-", &c, now)) {
+		if (was_waiting)
+			end_waits_of_group(phase, now);
+		return false;
+	}
+	if (!rack)
 		return false;
 	count_places(phase, rack, most, now);
 	bh_rack_forecast_take(rack->forecast, &need, phase->step->count, most,
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -561,6 +561,27 @@
 	small_free(&w);
 }
 
+/* Guards against a group whose tasks wait again one by one, for the rack that
+ * their step names, when the group has waited until its deadline. */
+static void test_group_waits_once(void **state)
+{
+	const bh_step_t step = {.count = 2,
+				.cpu_milli = RACK_CPU / 2,
+				.estimate_ms = RUN_MS,
+				.rack = (char *)"r1-0",
+				.is_same_rack = true};
+	small_t w;
+
+	(void)state;
+	small_init_busy(&w);
+	add_step(&w, JOB, &step);
+	small_advance(&w, w.job_at_ms + LIMIT_MS - SLACK_MS);
+	assert_true(small_task(&w)->waits_for_rack);
+	small_advance(&w, w.job_at_ms + LIMIT_MS + SLACK_MS);
+	assert_int_equal(small_task(&w)->phase->waiting, 0);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -686,6 +707,7 @@
 		cmocka_unit_test(test_gang_without_room_keeps_attempts),
 		cmocka_unit_test(test_forecast_counts_reservations),
 		cmocka_unit_test(test_group_counts_tasks_per_host),
+		cmocka_unit_test(test_group_waits_once),
 	};
 	struct {
 		const char *name;
