The phases that wait for racks in a pass are bounded

Cause: found by review. A pass ends after 200 phases without room, and phases that wait for a rack did not count. The inputs of a decision were also computed for tasks whose wait was over.

Change: beyond 200 waiting phases those of a lower rank run elsewhere, or in their rack if it has room. A task that has waited is passed over first.

Result: the new test fails without the bound; test_locality (17 tests) and test_order pass. The cost of a pass was not measured.

--- a/sched/racks.c
+++ b/sched/racks.c
@@ -69,6 +69,7 @@
 
 	s->n_racks = 0;
 	s->n_waiting_for_rack = 0;
+	s->n_deferred_phases = 0;
 	s->racks_review_at = 0;
 	if (!is_enabled(s))
 		return;
@@ -464,6 +465,7 @@
 		return;
 	plan->name = name;
 	plan->rack = rack_of(s, name, phase->rec->job->terms.service, now);
+	plan->is_full = s->n_deferred_phases >= BH_DEFERRED_PHASES_MAX;
 	plan->is_lost = !count_places(phase, plan->rack, plan->most, now);
 	plan->elsewhere_ms = time_left_elsewhere_ms(s, phase, plan, now);
 }
@@ -494,6 +496,9 @@
 			abandon_wait(s, task, BH_LOCALITY_LOST, -1, now);
 		return false;
 	}
+	/* Its one wait is over. */
+	if (task->rack_wait_until && !task->waits_for_rack)
+		return false;
 	c = choice_of(s, task, now);
 	if (c.left_ms <= 0 && !task->waits_for_rack)
 		return false;
@@ -502,13 +507,17 @@
 		return false;
 	c.is_lost = plan->is_lost;
 	c.elsewhere_ms = plan->elsewhere_ms;
-	c.wait_ms = bh_rack_forecast_wait_ms(
-		plan->rack->forecast, &need,
-		phase->waiting - MIN(plan->n_deferred, phase->waiting - 1),
-		plan->most, MAX(c.left_ms, 0));
+	c.wait_ms = -1;
+	if (!plan->is_full)
+		c.wait_ms = bh_rack_forecast_wait_ms(
+			plan->rack->forecast, &need,
+			phase->waiting -
+				MIN(plan->n_deferred, phase->waiting - 1),
+			plan->most, MAX(c.left_ms, 0));
 	if (!follow_verdict(s, task, 1, plan->name, &c, now))
 		return false;
-	plan->n_deferred++;
+	if (!plan->n_deferred++)
+		s->n_deferred_phases++;
 	bh_rack_forecast_take(plan->rack->forecast, &need, 1, plan->most,
 			      c.left_ms, c.run_ms, taken);
 	for (uint32_t i = 0; i < plan->rack->n_hosts; i++)
@@ -599,7 +608,9 @@
 {
 	const bh_step_t *step = phase->step;
 	const char *service = phase->rec->job->terms.service;
-	int64_t limit_ms = BH_LOCALITY_WAIT_MAX_MS;
+	int64_t limit_ms = s->n_deferred_phases < BH_DEFERRED_PHASES_MAX
+				   ? BH_LOCALITY_WAIT_MAX_MS
+				   : 0;
 	bh_capacity_t need = step_capacity(step);
 	uint32_t most[BH_RACK_HOSTS_MAX];
 	bh_rack_t *best = NULL;
@@ -694,6 +705,7 @@
 	}
 	if (!rack)
 		return false;
+	s->n_deferred_phases++;
 	count_places(phase, rack, most, now);
 	bh_rack_forecast_take(rack->forecast, &need, phase->step->count, most,
 			      c.left_ms, c.run_ms, taken);
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -474,6 +474,8 @@
  * @racks: the racks of the present placement pass, then unused ones
  * @n_racks: the number of the former
  * @n_waiting_for_rack: tasks that waited for their rack in the last pass
+ * @n_deferred_phases: phases of which a task waited for its rack, so far in the
+ *	pass
  * @racks_review_at: when their decisions are taken anew; 0: none waits
  * @utilization: part of the processor capacity of usable hosts that is in use
  * @slowdown: observed slowdown of tasks outside their rack
@@ -506,6 +508,7 @@
 	GPtrArray *racks;
 	guint n_racks;
 	uint32_t n_waiting_for_rack;
+	uint32_t n_deferred_phases;
 	bh_usec_t racks_review_at;
 	double utilization;
 	bh_slowdown_t slowdown;
@@ -781,6 +784,11 @@
 int64_t bh_phase_slack_ms(const bh_sched_t *s, const bh_phase_t *phase);
 
 /* racks.c */
+
+/* Phases that wait for their racks in a pass, which bounds its cost; those of a
+ * lower rank do not wait. */
+#define BH_DEFERRED_PHASES_MAX 200
+
 void bh_racks_init(bh_sched_t *s);
 void bh_racks_clear(bh_sched_t *s);
 
@@ -816,6 +824,7 @@
 /**
  * struct bh_rack_plan - a phase's rack while its tasks are placed one by one
  * @name: of the rack; NULL: the phase has none, or does not wait for it
+ * @is_full: too many other phases wait for racks
  * @is_lost: its tasks may not run on any of its hosts
  * @most: how many more of its tasks each host may get
  * @elsewhere_ms: longest remaining time of its tasks that run elsewhere
@@ -824,6 +833,7 @@
 typedef struct bh_rack_plan {
 	const char *name;
 	bh_rack_t *rack;
+	bool is_full;
 	bool is_lost;
 	uint32_t most[BH_RACK_HOSTS_MAX];
 	int64_t elsewhere_ms;
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -582,6 +582,33 @@
 	small_free(&w);
 }
 
+/* Guards against passes whose cost grows with the number of phases that wait
+ * for a rack. */
+static void test_waiting_phases_are_bounded(void **state)
+{
+	bh_rack_plan_t plan;
+	bh_task_t *task;
+	bh_usec_t now;
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	small_advance(&w, w.job_at_ms + 100);
+	task = small_task(&w);
+	now = w.ms * BH_USEC_PER_MS;
+	assert_int_equal(w.sched->n_deferred_phases, 1);
+	for (uint32_t n = BH_DEFERRED_PHASES_MAX - 1;
+	     n <= BH_DEFERRED_PHASES_MAX; n++) {
+		bh_racks_begin_pass(w.sched, now);
+		w.sched->n_deferred_phases = n;
+		bh_racks_plan(w.sched, task->phase, &plan, now);
+		assert_int_equal(bh_racks_defer_task(w.sched, &plan, task, now),
+				 n < BH_DEFERRED_PHASES_MAX);
+	}
+	assert_false(task->waits_for_rack);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -708,6 +735,7 @@
 		cmocka_unit_test(test_forecast_counts_reservations),
 		cmocka_unit_test(test_group_counts_tasks_per_host),
 		cmocka_unit_test(test_group_waits_once),
+		cmocka_unit_test(test_waiting_phases_are_bounded),
 	};
 	struct {
 		const char *name;
