A group that runs on several racks has no rack

Cause: found by review. A phase kept a flag that its tasks had been placed in one rack together. After a later spread, tasks waited for the rack of the first run although that gained nothing.

Change: the rack of a group is that of all its runs, or none; the flag is gone.

Result: the new test fails if runs in other racks are not looked at; all 18 of test_locality pass, test_order and test_sched as well.

--- a/sched/place.c
+++ b/sched/place.c
@@ -643,10 +643,8 @@
 	while ((rack = bh_racks_find_for_group(s, phase, &wait_ms, now)) !=
 		       NULL &&
 	       wait_ms == 0) {
-		if (place_together(s, phase, bh_rack_name(rack), now)) {
-			phase->is_together = true;
+		if (place_together(s, phase, bh_rack_name(rack), now))
 			return true;
-		}
 		/* Nothing has changed by provisional runs that were dropped. */
 		s->must_place = must_place;
 		bh_rack_refuse(rack, phase);
--- a/sched/racks.c
+++ b/sched/racks.c
@@ -396,18 +396,25 @@
 	       !step->is_long_running && g_strcmp0(step->rack, host->rack) != 0;
 }
 
-/* Rack in which the other tasks of a group run, or NULL. */
+/* Rack in which the other tasks of a group run, or NULL if they run in none or
+ * in several. */
 static const char *rack_of_group(const bh_phase_t *phase)
 {
-	if (!phase->is_together)
-		return NULL;
+	const bh_run_t *first = NULL;
+
 	for (uint32_t i = 0; i < phase->step->count; i++) {
 		for (int r = 0; r < BH_RUNS_MAX; r++) {
-			if (phase->tasks[i].runs[r])
-				return phase->tasks[i].runs[r]->host->rack;
+			const bh_run_t *run = phase->tasks[i].runs[r];
+
+			if (!run)
+				continue;
+			if (!first)
+				first = run;
+			if (g_strcmp0(run->host->rack, first->host->rack) != 0)
+				return NULL;
 		}
 	}
-	return NULL;
+	return first ? first->host->rack : NULL;
 }
 
 /* Fillers run at a pace that depends on their hosts, and long-running tasks do
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -170,8 +170,6 @@
  * @rack_abandoned: those that did not wait on
  * @rack_longest_ms: longest of these waits
  * @rack_limit_ms: limit of that wait
- * @is_together: its tasks were started in one rack, see @is_same_rack of struct
- *	bh_step
  * @image: number of the step's image
  * @headroom: of its serving tasks if no fillers ran
  */
@@ -202,7 +200,6 @@
 	uint32_t rack_abandoned;
 	int64_t rack_longest_ms;
 	uint32_t rack_limit_ms;
-	bool is_together;
 	bh_image_id_t image;
 	bh_headroom_t headroom;
 };
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -609,6 +609,37 @@
 	small_free(&w);
 }
 
+/* Guards against tasks of a group that wait for a rack although others of it
+ * run elsewhere, so that it is slow in any case. */
+static void test_group_on_two_racks_has_none(void **state)
+{
+	const bh_step_t step = {.count = 3,
+				.cpu_milli = RACK_CPU / 4,
+				.estimate_ms = RUN_MS,
+				.is_same_rack = true};
+	bh_phase_t *phase;
+	bh_host_t *host;
+	bh_rack_plan_t plan;
+	bh_usec_t now;
+	small_t w;
+
+	(void)state;
+	small_init_busy(&w);
+	add_step(&w, JOB, &step);
+	phase = small_task(&w)->phase;
+	now = w.ms * BH_USEC_PER_MS;
+	host = TAILQ_FIRST(&w.sched->hosts);
+	bh_run_new(&phase->tasks[0], host, 1, BH_RUN_ORDERED, now);
+	bh_racks_begin_pass(w.sched, now);
+	bh_racks_plan(w.sched, phase, &plan, now);
+	assert_string_equal(plan.name, host->rack);
+	bh_run_new(&phase->tasks[1], TAILQ_NEXT(host, link), 1, BH_RUN_ORDERED,
+		   now);
+	bh_racks_plan(w.sched, phase, &plan, now);
+	assert_null(plan.name);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -736,6 +767,7 @@
 		cmocka_unit_test(test_group_counts_tasks_per_host),
 		cmocka_unit_test(test_group_waits_once),
 		cmocka_unit_test(test_waiting_phases_are_bounded),
+		cmocka_unit_test(test_group_on_two_racks_has_none),
 	};
 	struct {
 		const char *name;
