Rack names that no host has share one forecast

Cause: found by review. Each rack name in a job, which callers choose, made a forecast of 20 KB that was kept.

Change: names that no host of the service has share one without hosts.

Result: the new test fails without the change; all 19 of test_locality and test_order pass.

--- a/sched/racks.c
+++ b/sched/racks.c
@@ -182,10 +182,24 @@
 		add_releases(s, rack, number, host, now);
 }
 
-/* Finds a rack among those of the pass, or makes its forecast. */
+static bool is_known(const bh_sched_t *s, const char *name, const char *service)
+{
+	const bh_host_t *host;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (g_strcmp0(host->rack, name) == 0 &&
+		    g_strcmp0(host->info.service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Finds a rack among those of the pass, or makes its forecast. Callers choose
+ * the names in their steps: those that no host has share one forecast. */
 static bh_rack_t *rack_of(bh_sched_t *s, const char *name, const char *service,
 			  bh_usec_t now)
 {
+	static const char unknown[] = "";
 	bh_rack_t *rack;
 	bh_host_t *host;
 
@@ -195,6 +209,8 @@
 		    g_strcmp0(rack->service, service) == 0)
 			return rack;
 	}
+	if (name != unknown && !is_known(s, name, service))
+		return rack_of(s, unknown, unknown, now);
 	if (s->n_racks == s->racks->len) {
 		rack = g_new0(bh_rack_t, 1);
 		rack->forecast = bh_rack_forecast_new();
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -640,6 +640,33 @@
 	small_free(&w);
 }
 
+/* Guards against a forecast that is kept for each rack name in a job, which
+ * callers choose. */
+static void test_unknown_racks_share_a_forecast(void **state)
+{
+	static const char *const racks[] = {"x", "y", "z", "r1-0"};
+	small_t w;
+
+	(void)state;
+	small_init_busy(&w);
+	bh_racks_begin_pass(w.sched, w.ms * BH_USEC_PER_MS);
+	for (size_t i = 0; i < G_N_ELEMENTS(racks); i++) {
+		const char id[] = {(char)('c' + i), '0', 0};
+		const bh_step_t step = {.count = 1,
+					.estimate_ms = RUN_MS,
+					.rack = (char *)racks[i]};
+		bh_rack_plan_t plan;
+
+		add_step(&w, id, &step);
+		bh_racks_plan(w.sched, &bh_rec_find(w.sched, id)->phases[0],
+			      &plan, w.ms * BH_USEC_PER_MS);
+		assert_string_equal(plan.name, racks[i]);
+		assert_int_equal(plan.is_lost, racks[i][0] != 'r');
+	}
+	assert_int_equal(w.sched->n_racks, 2);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -768,6 +795,7 @@
 		cmocka_unit_test(test_group_waits_once),
 		cmocka_unit_test(test_waiting_phases_are_bounded),
 		cmocka_unit_test(test_group_on_two_racks_has_none),
+		cmocka_unit_test(test_unknown_racks_share_a_forecast),
 	};
 	struct {
 		const char *name;
