The end of a host's pause is predicted as that of a quarantine is

Cause: found by review. The time until a host is usable was unknown while it took no tasks for 150 ms after a refusal or a start on trial, so that its rack counted as lost for tasks that waited for it.

Change: the rest of both pauses is returned.

--- a/sched/place.c
+++ b/sched/place.c
@@ -64,18 +64,24 @@
 /* Least time between two log lines on why tasks of a phase wait. */
 #define EXPLAIN_EVERY_US (2000 * BH_USEC_PER_MS)
 
-/* Whether the host can take new work, its quarantine left aside. */
-static bool accepts_work(const bh_host_t *host, bh_usec_t now)
+/* Whether the host can take new work once its quarantine and its pauses end. */
+static bool accepts_work_later(const bh_host_t *host, bh_usec_t now)
 {
 	return host->is_linked && host->is_synced && host->info.id &&
 	       host->info.boot && host->info.state == BH_WORKER_READY &&
 	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
-	       now >= host->full_until && now >= host->trial_until &&
 	       host->order_bytes < BH_HOST_ORDER_BYTES_MAX &&
 	       !host->has_unknown_run;
 }
 
+/* Whether the host can take new work, its quarantine left aside. */
+static bool accepts_work(const bh_host_t *host, bh_usec_t now)
+{
+	return accepts_work_later(host, now) && now >= host->full_until &&
+	       now >= host->trial_until;
+}
+
 static int by_rank(const void *a, const void *b)
 {
 	const bh_phase_t *x = *(bh_phase_t *const *)a;
@@ -315,10 +321,12 @@
 
 int64_t bh_host_usable_in_ms(const bh_host_t *host, bh_usec_t now)
 {
-	if (!accepts_work(host, now))
+	bh_usec_t until = MAX(host->quarantined_until,
+			      MAX(host->full_until, host->trial_until));
+
+	if (!accepts_work_later(host, now))
 		return -1;
-	return (MAX(host->quarantined_until - now, 0) + BH_USEC_PER_MS - 1) /
-	       BH_USEC_PER_MS;
+	return (MAX(until - now, 0) + BH_USEC_PER_MS - 1) / BH_USEC_PER_MS;
 }
 
 bool bh_host_can_start(bh_sched_t *s, const bh_task_t *task,
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -933,7 +933,7 @@
 
 /**
  * bh_host_usable_in_ms() - time until a host may get new work: 0, or the rest
- * of its quarantine
+ * of its quarantine or of a pause (@full_until, @trial_until)
  *
  * Return: -1 if that is not known.
  */
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -667,6 +667,29 @@
 	small_free(&w);
 }
 
+/* Guards against a rack that counts as lost while its host takes no tasks for
+ * 150 ms, since it refused one or one is on trial there. */
+static void test_pause_of_a_host_is_predicted(void **state)
+{
+	bh_host_t *host;
+	bh_usec_t now;
+	small_t w;
+
+	(void)state;
+	small_init_busy(&w);
+	now = w.ms * BH_USEC_PER_MS;
+	host = TAILQ_FIRST(&w.sched->hosts);
+	assert_int_equal(bh_host_usable_in_ms(host, now), 0);
+	host->full_until = now + 150 * BH_USEC_PER_MS;
+	assert_int_equal(bh_host_usable_in_ms(host, now), 150);
+	assert_false(bh_host_is_usable(host, now));
+	host->full_until = 0;
+	host->trial_until = now + 100 * BH_USEC_PER_MS;
+	assert_int_equal(bh_host_usable_in_ms(host, now), 100);
+	assert_false(bh_host_is_usable(host, now));
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -796,6 +819,7 @@
 		cmocka_unit_test(test_waiting_phases_are_bounded),
 		cmocka_unit_test(test_group_on_two_racks_has_none),
 		cmocka_unit_test(test_unknown_racks_share_a_forecast),
+		cmocka_unit_test(test_pause_of_a_host_is_predicted),
 	};
 	struct {
 		const char *name;
