The rest of a task's run elsewhere is that of its first copy to end

Only the first of a task's runs was looked at, which may have ended, or may be the slower copy.

Change: the run that is predicted to end first counts. The function is named predicted_left_ms(), since health.c has a time_left_ms() of another meaning.

Result: test_locality passes (20 tests); none of them covers this case.

--- a/sched/racks.c
+++ b/sched/racks.c
@@ -124,8 +124,8 @@
 
 /* The progress of a run is as old as the worker's last lists, and its run time
  * longer if its data is elsewhere. */
-static int64_t time_left_ms(const bh_sched_t *s, const bh_run_t *run,
-			    bh_usec_t now)
+static int64_t predicted_left_ms(const bh_sched_t *s, const bh_run_t *run,
+				 bh_usec_t now)
 {
 	bh_usec_t known_at =
 		run->seen_at ? run->host->heard_at : run->ordered_at;
@@ -152,9 +152,9 @@
 		if (step->is_filler)
 			c.cpu = 0;
 		/* The capacity of an overdue run is not free yet. */
-		bh_rack_forecast_add_release(rack->forecast, number,
-					     MAX(time_left_ms(s, run, now), 1),
-					     &c);
+		bh_rack_forecast_add_release(
+			rack->forecast, number,
+			MAX(predicted_left_ms(s, run, now), 1), &c);
 	}
 }
 
@@ -457,19 +457,29 @@
 }
 
 /* Longest remaining time of a phase's runs outside its rack. */
-static int64_t time_left_elsewhere_ms(const bh_sched_t *s,
-				      const bh_phase_t *phase,
-				      const bh_rack_plan_t *plan, bh_usec_t now)
+static int64_t left_elsewhere_ms(const bh_sched_t *s, const bh_phase_t *phase,
+				 const bh_rack_plan_t *plan, bh_usec_t now)
 {
 	int64_t longest = 0;
 
 	if (phase->waiting + phase->n_done == phase->step->count)
 		return 0;
 	for (uint32_t i = 0; i < phase->step->count; i++) {
-		const bh_run_t *run = phase->tasks[i].runs[0];
+		const bh_run_t *first = NULL;
+		int64_t first_ms = 0;
+
+		/* A task ends with the first of its copies. */
+		for (int r = 0; r < BH_RUNS_MAX; r++) {
+			const bh_run_t *run = phase->tasks[i].runs[r];
+			int64_t ms = run ? predicted_left_ms(s, run, now) : 0;
 
-		if (run && is_elsewhere(plan, run->host))
-			longest = MAX(longest, time_left_ms(s, run, now));
+			if (run && (!first || ms < first_ms)) {
+				first = run;
+				first_ms = ms;
+			}
+		}
+		if (first && is_elsewhere(plan, first->host))
+			longest = MAX(longest, first_ms);
 	}
 	return longest;
 }
@@ -490,7 +500,7 @@
 	plan->rack = rack_of(s, name, phase->rec->job->terms.service, now);
 	plan->is_full = s->n_deferred_phases >= BH_DEFERRED_PHASES_MAX;
 	plan->is_lost = !count_places(phase, plan->rack, plan->most, now);
-	plan->elsewhere_ms = time_left_elsewhere_ms(s, phase, plan, now);
+	plan->elsewhere_ms = left_elsewhere_ms(s, phase, plan, now);
 }
 
 void bh_racks_plan_start(const bh_sched_t *s, bh_rack_plan_t *plan,
