--- a/sched/sched.h
+++ b/sched/sched.h
@@ -72,7 +72,7 @@
  *	because of fillers
  * @status_ms: time for which the state of a job that has ended is kept
  * @remote_slowdown: run time of tasks outside the rack of their data relative
- *to that in it; up to 1: placement does not affect it
+ *	to that in it; up to 1: placement does not affect it
  * @locality_wait: tasks may wait for a rack on which they run faster
  */
 typedef struct bh_sched_bounds {
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -121,7 +121,7 @@
  *	stands for all
  * @rack_wait_since: when it began
  * @rack_wait_until: deadline of the wait, or when it ended; 0: it has not
- *waited
+ *	waited
  * @rack_wait_limit_ms: longest time that the wait was worth
  * @runs: its attempts that may be running; unused entries are NULL
  */
