Only a confirmed start lets a task wait for its rack again

Cause: found by review. A start cleared the end of the task's wait. When its host refused the start, the task could wait for its full limit once more.

Change: it is cleared when the run is confirmed.

Result: the new test asserts both; it was not run against the code before.

--- a/sched/racks.c
+++ b/sched/racks.c
@@ -350,7 +350,7 @@
 	char name[BH_TASK_NAME_BYTES];
 
 	task->waits_for_rack = false;
-	/* It does not wait for its rack again before it has run. */
+	/* It does not wait for its rack again before a start is confirmed. */
 	task->rack_wait_until = now;
 	if (waited / BH_USEC_PER_MS >= phase->rack_longest_ms) {
 		phase->rack_longest_ms = waited / BH_USEC_PER_MS;
@@ -607,7 +607,6 @@
 
 	if (task->waits_for_rack)
 		end_wait_at_start(s, task, host, now);
-	task->rack_wait_until = 0;
 	if (step->is_filler)
 		need.cpu = 0;
 	take_on_host(task->phase, host, &need, 0);
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -116,6 +116,8 @@
 	run->host->order_bytes -= run->order_bytes;
 	run->order_bytes = 0;
 	run->is_confirmed = true;
+	/* A start that was refused does not allow another wait. */
+	run->task->rack_wait_until = 0;
 }
 
 void bh_run_drop(bh_sched_t *s, bh_run_t *run)
--- a/tests/test_locality.c
+++ b/tests/test_locality.c
@@ -690,6 +690,25 @@
 	small_free(&w);
 }
 
+/* Guards against a task that waits for its full limit again after a start that
+ * its host refused. */
+static void test_only_a_confirmed_start_allows_a_wait(void **state)
+{
+	bh_task_t *task;
+	small_t w;
+
+	(void)state;
+	small_init(&w);
+	small_advance(&w, w.job_at_ms + LIMIT_MS + SLACK_MS);
+	task = small_task(&w);
+	assert_non_null(task->runs[0]);
+	assert_false(task->runs[0]->is_confirmed);
+	assert_true(task->rack_wait_until > 0);
+	bh_run_confirm(w.sched, task->runs[0]);
+	assert_int_equal(task->rack_wait_until, 0);
+	small_free(&w);
+}
+
 /* Guards against waiting tasks that are all promised the same capacity. */
 static void test_forecast_counts_tasks_before(void **state)
 {
@@ -820,6 +839,7 @@
 		cmocka_unit_test(test_group_on_two_racks_has_none),
 		cmocka_unit_test(test_unknown_racks_share_a_forecast),
 		cmocka_unit_test(test_pause_of_a_host_is_predicted),
+		cmocka_unit_test(test_only_a_confirmed_start_allows_a_wait),
 	};
 	struct {
 		const char *name;
