--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -959,6 +959,8 @@
 			bh_evacuation_order_max_ms((int64_t)set->evacuate_ms),
 		.status_ms = (int64_t)(set->status_s * 1000),
 		.has_shares = g_strcmp0(set->room_shares, "on") == 0,
+		.remote_slowdown = set->remote_slowdown,
+		.locality_wait = strcmp(set->locality_wait, "on") == 0,
 	};
 
 	l->rt = rt;
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -108,6 +108,7 @@
 	if (task->is_done)
 		return false;
 	bh_task_set_waiting(task, false);
+	bh_racks_forget_wait(task);
 	task->is_done = true;
 	phase->n_done++;
 	g_clear_pointer(&task->checkpoint, g_free);
@@ -344,6 +345,8 @@
 	rec = g_new0(bh_rec_t, 1);
 	rec->job = job;
 	rec->state = BH_JOB_QUEUED;
+	rec->added_at = now;
+	rec->added_unix_ms = s->unix_ms;
 	rec->is_inherited = s->jobs_read_at < s->predecessor_over_at;
 	rec->n_phases = bh_job_occurrences(job) * job->n_steps;
 	rec->phases = g_new0(bh_phase_t, rec->n_phases);
--- a/sched/order.c
+++ b/sched/order.c
@@ -71,6 +71,12 @@
 	return (now - since) / BH_USEC_PER_MS;
 }
 
+int64_t bh_phase_slack_ms(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	return (int64_t)due_ms(phase) - remaining_chain_ms(phase) -
+	       (int64_t)s->unix_ms;
+}
+
 uint64_t bh_phase_rank(const bh_sched_t *s, const bh_phase_t *phase,
 		       bh_usec_t now)
 {
--- a/sched/place.c
+++ b/sched/place.c
@@ -20,6 +20,7 @@
 #define WEIGHT_ENDANGERED   0.1
 #define WEIGHT_SUSPICION    1.5
 #define WEIGHT_SUSPECTS	    20.0
+#define WEIGHT_WANTED	    1.0
 
 /* A deficit of spare headroom above this is scored no worse. */
 #define SPARE_DEFICIT_MAX 3.0
@@ -63,19 +64,25 @@
 /* Least time between two log lines on why tasks of a phase wait. */
 #define EXPLAIN_EVERY_US (2000 * BH_USEC_PER_MS)
 
-/* Whether the host can take new work, its quarantine left aside. */
-static bool accepts_work(const bh_host_t *host, bh_usec_t now)
+/* Whether the host can take new work once its quarantine and its pauses end. */
+static bool accepts_work_later(const bh_host_t *host, bh_usec_t now)
 {
 	return !host->is_evacuated && host->is_linked && host->is_synced &&
 	       host->info.id && host->info.boot &&
 	       host->info.state == BH_WORKER_READY &&
 	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
-	       now >= host->full_until && now >= host->trial_until &&
 	       host->order_bytes < BH_HOST_ORDER_BYTES_MAX &&
 	       !host->has_unknown_run;
 }
 
+/* Whether the host can take new work, its quarantine left aside. */
+static bool accepts_work(const bh_host_t *host, bh_usec_t now)
+{
+	return accepts_work_later(host, now) && now >= host->full_until &&
+	       now >= host->trial_until;
+}
+
 static int by_rank(const void *a, const void *b)
 {
 	const bh_phase_t *x = *(bh_phase_t *const *)a;
@@ -117,10 +124,12 @@
 
 /* A host on probation gets one new task at a time. Runs that started before its
  * quarantine ended do not count. */
-static bool is_being_probed(const bh_host_t *host, bh_usec_t now)
+bool bh_host_is_being_probed(const bh_host_t *host, bh_usec_t now)
 {
 	const bh_run_t *run;
 
+	if (!host->is_probing)
+		return false;
 	TAILQ_FOREACH(run, &host->runs, link) {
 		if (bh_run_is_probe(run, now))
 			return true;
@@ -135,21 +144,15 @@
 	       now - task->waiting_since > QUARANTINED_HOST_AFTER_US;
 }
 
-bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
-			 bh_usec_t now)
+bool bh_host_matches(const bh_phase_t *phase, const bh_host_t *host,
+		     bh_usec_t now)
 {
-	const bh_phase_t *phase = task->phase;
 	const bh_step_t *step = phase->step;
 
-	if (!accepts_work(host, now) ||
-	    (now < host->quarantined_until &&
-	     !may_use_quarantined(task, now)) ||
-	    g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
+	if (g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
 		return false;
 	if (step->label && !has_label(host, step->label))
 		return false;
-	if (host->is_probing && is_being_probed(host, now))
-		return false;
 	if (step->max_per_host &&
 	    bh_phase_runs_on(phase, host) >= step->max_per_host)
 		return false;
@@ -158,6 +161,17 @@
 	return true;
 }
 
+bool bh_host_is_suitable(const bh_task_t *task, const bh_host_t *host,
+			 bh_usec_t now)
+{
+	if (!accepts_work(host, now) ||
+	    (now < host->quarantined_until && !may_use_quarantined(task, now)))
+		return false;
+	if (bh_host_is_being_probed(host, now))
+		return false;
+	return bh_host_matches(task->phase, host, now);
+}
+
 /* Suspicion that something else on the host is at fault for its next crash:
  * other suspects, or the worker itself. */
 static double other_suspicion(const bh_host_t *host)
@@ -278,13 +292,16 @@
 	       WEIGHT_SUSPECTS * other_suspicion(host);
 }
 
-static double score(const bh_task_t *task, const bh_host_t *host, double spare)
+static double score(const bh_task_t *task, const bh_host_t *host, double spare,
+		    bh_usec_t now)
 {
 	const bh_step_t *step = task->phase->step;
 	double value = load_score(host, step, spare);
 
 	if (step->rack && g_strcmp0(step->rack, host->rack) != 0)
 		value += WEIGHT_RACK;
+	if (bh_host_is_wanted(host, step, now))
+		value += WEIGHT_WANTED;
 	if (task->avoided_host == host)
 		value += WEIGHT_LAST_FAILED;
 	if (host->speed < 0.8)
@@ -303,8 +320,29 @@
 	return accepts_work(host, now) && now >= host->quarantined_until;
 }
 
-bh_host_t *bh_sched_find_host(bh_sched_t *s, bh_task_t *task,
-			      const bh_host_t *excluded, bh_usec_t now)
+int64_t bh_host_usable_in_ms(const bh_host_t *host, bh_usec_t now)
+{
+	bh_usec_t until = MAX(host->quarantined_until,
+			      MAX(host->full_until, host->trial_until));
+
+	if (!accepts_work_later(host, now))
+		return -1;
+	return (MAX(until - now, 0) + BH_USEC_PER_MS - 1) / BH_USEC_PER_MS;
+}
+
+bool bh_host_can_start(bh_sched_t *s, const bh_task_t *task,
+		       const bh_host_t *host, bh_usec_t now)
+{
+	double spare;
+
+	return is_eligible(s, task, host, &spare, now) &&
+	       !must_wait_as_suspect(task, host, now);
+}
+
+/* @rack: the host has to be there; NULL: anywhere */
+static bh_host_t *find_host_in(bh_sched_t *s, bh_task_t *task,
+			       const bh_host_t *excluded, const char *rack,
+			       bh_usec_t now)
 {
 	bh_host_t *best = NULL;
 	bh_host_t *host;
@@ -318,13 +356,14 @@
 		double value;
 
 		if (host == excluded ||
+		    (rack && g_strcmp0(rack, host->rack) != 0) ||
 		    !is_eligible(s, task, host, &spare, now))
 			continue;
 		if (must_wait_as_suspect(task, host, now)) {
 			must_wait = true;
 			continue;
 		}
-		value = score(task, host, spare);
+		value = score(task, host, spare, now);
 		if (!best || value < best_score) {
 			best = host;
 			best_score = value;
@@ -335,6 +374,12 @@
 	return best;
 }
 
+bh_host_t *bh_sched_find_host(bh_sched_t *s, bh_task_t *task,
+			      const bh_host_t *excluded, bh_usec_t now)
+{
+	return find_host_in(s, task, excluded, NULL, now);
+}
+
 static bool is_preemptible(const bh_run_t *run, const bh_phase_t *preemptor)
 {
 	const bh_phase_t *phase = run->task->phase;
@@ -480,28 +525,47 @@
 		return;
 	for (uint32_t i = 0; i < phase->step->count && wanted; i++) {
 		const bh_task_t *task = &phase->tasks[i];
+		bh_host_t *host;
 
 		if (task->is_done || bh_task_has_run(task) ||
-		    is_held(task, now) ||
+		    is_held(task, now) || task->waits_for_rack ||
 		    now - task->waiting_since < RESERVE_AFTER_US)
 			continue;
 		if (s->n_reservations == RESERVATIONS_MAX)
 			return;
 		s->n_reservations++;
 		wanted--;
-		bh_reserve(s, task, now);
+		host = bh_reserve(s, task, now);
+		if (host)
+			bh_racks_note_reservation(phase, host);
 	}
 }
 
-/* Return: false if a task lacks room. */
+static void start_task(bh_sched_t *s, bh_task_t *task, bh_host_t *host,
+		       uint32_t attempt, bh_usec_t now)
+{
+	bh_racks_note_start(s, task, host, now);
+	bh_run_start(s, task, host, attempt, now);
+}
+
+/* Tasks that wait for their rack lack no room: those after them are placed.
+ * Return: false if a task lacks room. */
 static bool place_phase(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
 {
+	bool lacks_room = false;
+	bh_rack_plan_t plan;
+
+	bh_racks_plan(s, phase, &plan, now);
 	for (uint32_t i = 0; i < phase->step->count && phase->waiting; i++) {
 		bh_task_t *task = &phase->tasks[i];
 		bh_host_t *host;
 
 		if (task->is_done || bh_task_has_run(task))
 			continue;
+		if (lacks_room && !task->waits_for_rack)
+			continue;
+		if (bh_racks_defer_task(s, &plan, task, now) || lacks_room)
+			continue;
 		host = bh_sched_find_host(s, task, NULL, now);
 		if (!host && is_held(task, now)) {
 			explain_wait(s, phase, task, now);
@@ -510,21 +574,30 @@
 		if (!host) {
 			explain_wait(s, phase, task, now);
 			preempt_for_task(s, phase, task, now);
-			return false;
+			/* Those after it may have to end their waits. */
+			if (!phase->rack_waits)
+				return false;
+			lacks_room = true;
+			continue;
 		}
-		bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
+		start_task(s, task, host, bh_task_next_attempt(s, task), now);
+		bh_racks_plan_start(s, &plan, phase, host);
 		if (is_on_trial(task))
 			host->trial_until = now + TRIAL_US;
 	}
-	return true;
+	return !lacks_room;
 }
 
 /* A gang starts as a whole or not at all: hosts are found for all members with
- * provisional runs before the first start is ordered. */
-static bool place_gang(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+ * provisional runs before the first start is ordered. The same holds for other
+ * tasks that are placed in one rack together.
+ * @rack: the hosts have to be there; NULL: anywhere */
+static bool place_together(bh_sched_t *s, bh_phase_t *phase, const char *rack,
+			   bh_usec_t now)
 {
 	uint32_t n = phase->step->count;
 	g_autofree bh_run_t **runs = g_new0(bh_run_t *, n);
+	g_autofree uint32_t *last_attempts = g_new0(uint32_t, n);
 	uint32_t attempt = 0;
 	uint32_t placed = 0;
 	const char *checkpoint = NULL;
@@ -541,10 +614,11 @@
 	}
 	for (; placed < n; placed++) {
 		bh_task_t *task = &phase->tasks[placed];
-		bh_host_t *host = bh_sched_find_host(s, task, NULL, now);
+		bh_host_t *host = find_host_in(s, task, NULL, rack, now);
 
 		if (!host)
 			break;
+		last_attempts[placed] = task->attempt;
 		runs[placed] =
 			bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
 	}
@@ -554,17 +628,41 @@
 
 		bh_run_drop(s, runs[i]);
 		bh_task_set_waiting(task, true);
-		if (placed < n)
+		if (placed < n) {
+			/* A gang without room is tried in each pass, which
+			 * would soon use up the numbers of the term. */
+			task->attempt = last_attempts[i];
 			continue;
-		if (checkpoint && checkpoint != task->checkpoint) {
+		}
+		if (phase->step->is_gang && checkpoint &&
+		    checkpoint != task->checkpoint) {
 			g_free(task->checkpoint);
 			task->checkpoint = g_strdup(checkpoint);
 		}
-		bh_run_start(s, task, host, attempt, now);
+		start_task(s, task, host, attempt, now);
 	}
 	return placed == n;
 }
 
+/* Return: false if the group is to be spread. */
+static bool place_in_one_rack(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now)
+{
+	bool must_place = s->must_place;
+	int64_t wait_ms;
+	bh_rack_t *rack;
+
+	while ((rack = bh_racks_find_for_group(s, phase, &wait_ms, now)) !=
+		       NULL &&
+	       wait_ms == 0) {
+		if (place_together(s, phase, bh_rack_name(rack), now))
+			return true;
+		/* Nothing has changed by provisional runs that were dropped. */
+		s->must_place = must_place;
+		bh_rack_refuse(rack, phase);
+	}
+	return bh_racks_defer_group(s, phase, rack, wait_ms, now);
+}
+
 /* Whether an earlier leader may have started its tasks, and some host has not
  * been heard of since. */
 static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
@@ -582,6 +680,7 @@
 
 	bh_reserve_clear(s);
 	s->n_reservations = 0;
+	bh_racks_begin_pass(s, now);
 	TAILQ_FOREACH(host, &s->hosts, link)
 		bh_host_update_suspicion(host);
 	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
@@ -603,8 +702,12 @@
 		if (may_run_unseen(s, phase) ||
 		    bh_phase_awaits_advice(s, phase, now))
 			continue;
-		is_placed = phase->step->is_gang ? place_gang(s, phase, now)
-						 : place_phase(s, phase, now);
+		if (bh_racks_is_group(s, phase) &&
+		    place_in_one_rack(s, phase, now))
+			continue;
+		is_placed = phase->step->is_gang
+				    ? place_together(s, phase, NULL, now)
+				    : place_phase(s, phase, now);
 		if (!is_placed) {
 			bh_phase_ask_advice(s, phase, now);
 			reserve_for_phase(s, phase, now);
