A copy of the evacuated zones that is sent back is no newer

Cause: an entry raised the time of its copy from the leader's ping and sent that time back, so that each way of a ping made the copy look newer by its delay. A leader cut off from the store could take its own old copy for a fresh one for ever, and start in an evacuated zone. Change: pings and Hello tell the age of the sender's own last read. The leader's ping gives an entry zones and version only. A process that never read tells the highest age.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -208,11 +208,12 @@
 
 static void adopt_evacuation(bh_hub_t *hub,
 			     const Bh__Sched__EvacuationState *state,
-			     const char *source)
+			     bool is_read, const char *source)
 {
 	if (!has_evacuations(hub) || !state)
 		return;
-	bh_evacuation_from_wire(state, bh_runtime_now(), hub->evacuation);
+	bh_evacuation_from_wire(state, is_read, bh_runtime_now(),
+				hub->evacuation);
 	note_evacuation(hub, source);
 }
 
@@ -420,7 +421,7 @@
 	bh_configs_on_report(hub->configs, peer->link, ping->config_version,
 			     is_store_lost(hub));
 	bh_term_observe(hub->term, ping->term);
-	adopt_evacuation(hub, ping->evacuation, "entry");
+	adopt_evacuation(hub, ping->evacuation, true, "entry");
 	if (hub->sched_leader && ping->renewed_ago_ms < STORE_FRESH_MS)
 		bh_sched_leader_note_store_reachable(hub->sched_leader);
 	if (hub->sched_leader)
@@ -557,7 +558,9 @@
 			(int64_t)MIN(ping->renewed_ago_ms, INT64_MAX));
 	bh_term_observe(hub->term, ping->term);
 	note_closed_services(hub, ping->evacuation);
-	adopt_evacuation(hub, ping->evacuation, "leader");
+	/* What this entry tells the leader must not be what it heard from it:
+	 * each way would make it look newer by the delay of a ping. */
+	adopt_evacuation(hub, ping->evacuation, false, "leader");
 	answer_leader(hub, ping->evacuation);
 	hub->n_loads = (uint32_t)MIN(ping->n_load, LOADS_MAX);
 	hub->loads_updated_at = bh_runtime_now();
@@ -758,7 +761,7 @@
 		bh_configs_on_report(hub->configs, link,
 				     frame->ping->config_version,
 				     is_store_lost(hub));
-		adopt_evacuation(hub, frame->ping->evacuation, "entry");
+		adopt_evacuation(hub, frame->ping->evacuation, true, "entry");
 		if (hub->sched_leader)
 			note_answered(hub, frame->ping);
 		break;
--- a/daemon/sched_agent.c
+++ b/daemon/sched_agent.c
@@ -810,7 +810,7 @@
 
 	if (!a->rt->settings->evacuate_ms)
 		return;
-	bh_evacuation_from_wire(state, bh_runtime_now(), a->evacuation);
+	bh_evacuation_from_wire(state, false, bh_runtime_now(), a->evacuation);
 	if (bh_evacuation_changes(a->evacuation) != before)
 		bh_log_evacuation(&a->rt->log, a->evacuation, "leader");
 }
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -6,6 +6,7 @@
 #include "sched/evacuation.h"
 #include "sched/sched.h"
 #include "tests/test.h"
+#include "wire/sched_codec.h"
 
 #define EVACUATE_MS 5000
 #define JOB	    "00000000000000aa"
@@ -148,6 +149,35 @@
 	assert_true(bh_evacuation_may_start(&view));
 }
 
+/* Guards against a leader that is cut off from the store and takes its own
+ * copy, which an entry sends back later, for a newer one: with delays of pings
+ * it would stay new for ever. */
+static void test_copy_sent_back_is_no_read(void **state)
+{
+	bh_evacuation_t *leader = bh_evacuation_new();
+	bh_evacuation_t *entry = bh_evacuation_new();
+	bh_evacuation_frame_t frame;
+
+	(void)state;
+	bh_evacuation_read(leader, 3, MS(1000), MS(1000));
+	bh_evacuation_to_wire(leader, MS(1000), &frame);
+	bh_evacuation_from_wire(&frame.state, false, MS(1400), entry);
+	assert_int_equal(bh_evacuation_version(entry), 3);
+	assert_int_equal(bh_evacuation_read_at(entry), 0);
+	bh_evacuation_to_wire(entry, MS(1400), &frame);
+	bh_evacuation_from_wire(&frame.state, true, MS(1800), leader);
+	assert_int_equal(bh_evacuation_read_at(leader), MS(1000));
+	/* The entry's own read counts, and is not passed on as the leader's. */
+	bh_evacuation_read(entry, 3, MS(1900), MS(2000));
+	bh_evacuation_to_wire(entry, MS(2000), &frame);
+	bh_evacuation_from_wire(&frame.state, true, MS(2000), leader);
+	assert_int_equal(bh_evacuation_read_at(leader), MS(1899));
+	bh_evacuation_to_wire(leader, MS(2000), &frame);
+	assert_int_equal(frame.state.age_ms, 1001);
+	bh_evacuation_free(leader);
+	bh_evacuation_free(entry);
+}
+
 /* The oldest copy that is used and the longest life of an order stay within the
  * bound together. */
 static void test_bound_is_kept_for_any_setting(void **state)
@@ -568,6 +598,7 @@
 		cmocka_unit_test(test_malformed_rows_are_ignored),
 		cmocka_unit_test(test_listing_replaces_set),
 		cmocka_unit_test(test_leader_with_old_copy_holds_starts),
+		cmocka_unit_test(test_copy_sent_back_is_no_read),
 		cmocka_unit_test(test_bound_is_kept_for_any_setting),
 		cmocka_unit_test(test_evacuated_zone_gets_no_tasks),
 		cmocka_unit_test(test_cold_hosts_are_used_last),
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -443,19 +443,22 @@
 						  bh_evacuation_frame_t *out)
 {
 	Bh__Sched__EvacuationState *state = &out->state;
-	bh_usec_t age = now - bh_evacuation_read_at(e);
+	bh_usec_t read_at = bh_evacuation_own_read_at(e);
 
 	bh__sched__evacuation_state__init(state);
 	state->version = bh_evacuation_version(e);
 	state->n_zones = bh_evacuation_zones(e, out->zones);
 	state->zones = (char **)out->zones;
+	state->age_ms = BH_JOB_TIME_MAX_MS;
 	/* Rounded up: rows may have been acknowledged in between. */
-	state->age_ms = (uint64_t)MAX(age / BH_USEC_PER_MS + 1, 1);
+	if (read_at)
+		state->age_ms =
+			(uint64_t)MAX((now - read_at) / BH_USEC_PER_MS + 1, 1);
 	return state;
 }
 
 void bh_evacuation_from_wire(const Bh__Sched__EvacuationState *from,
-			     bh_usec_t now, bh_evacuation_t *e)
+			     bool is_read, bh_usec_t now, bh_evacuation_t *e)
 {
 	bh_usec_t age;
 
@@ -463,7 +466,7 @@
 		return;
 	age = (bh_usec_t)MIN(from->age_ms, BH_JOB_TIME_MAX_MS) * BH_USEC_PER_MS;
 	bh_evacuation_adopt(e, from->version, from->zones, from->n_zones,
-			    MAX(now - age, 0), now);
+			    is_read ? MAX(now - age, 0) : 0, now);
 }
 
 void bh_frame_append(const bh_frame_t *frame, GByteArray *out)
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -60,6 +60,9 @@
  * bh_evacuation_to_wire() - describe a set of evacuated zones for a frame
  * @out: refers to the names in @e
  *
+ * Its age is that of this process's own last read, so that no other process
+ * gets back what it told.
+ *
  * Return: the state, which is part of @out.
  */
 Bh__Sched__EvacuationState *bh_evacuation_to_wire(const bh_evacuation_t *e,
@@ -69,9 +72,11 @@
 /**
  * bh_evacuation_from_wire() - use the set of another process if it is newer
  * @from: may be NULL
+ * @is_read: the sender's read counts as one of @e, as that of an entry does for
+ *	the leader
  */
 void bh_evacuation_from_wire(const Bh__Sched__EvacuationState *from,
-			     bh_usec_t now, bh_evacuation_t *e);
+			     bool is_read, bh_usec_t now, bh_evacuation_t *e);
 
 /**
  * bh_frame_append() - append a frame with its header
