Tasks that no report shows count as unavailable for a move

Cause: a serving run on a host that was cut off or silent, or that its worker no longer listed, counted as available, so that a move could exceed max-unavailable of the step. Change: such a run is unavailable, and for 5.5 s after the host is connected, reports or lists the run again. The age limit of a report moves to sched_impl.h.

--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -500,6 +500,10 @@
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (run->reports_missed)
+			run->missed_at = now;
+	}
 	remove_orphan_runs(host, false);
 	repeat_stops(s, host, now);
 	if (!lists->has_more_ended) {
@@ -823,6 +827,8 @@
 	if (info->state == BH_WORKER_DOWN)
 		host->down_at = now;
 	if (lists) {
+		if (now - host->heard_at >= BH_REPORT_AGE_MAX_US)
+			host->silent_until = now;
 		host->heard_at = now;
 		host->clock_ms = lists->clock_ms;
 		host->is_lease_in_doubt = false;
--- a/sched/place.c
+++ b/sched/place.c
@@ -34,10 +34,6 @@
  * as long for them to stop before it preempts more. */
 #define PREEMPT_AFTER_US (300 * BH_USEC_PER_MS)
 
-/* Reports come every 200 ms. A host whose last report is older gets no new
- * work, since too little is known about it. */
-#define REPORT_AGE_MAX_US (1500 * BH_USEC_PER_MS)
-
 /* A pass ends after this many phases that could not be placed, which bounds its
  * cost. */
 #define UNPLACED_PHASES_MAX 200
@@ -69,7 +65,8 @@
 	return !host->is_evacuated && host->is_linked && host->is_synced &&
 	       host->info.id && host->info.boot &&
 	       host->info.state == BH_WORKER_READY &&
-	       now - host->heard_at < REPORT_AGE_MAX_US && host->expires_ms &&
+	       now - host->heard_at < BH_REPORT_AGE_MAX_US &&
+	       host->expires_ms &&
 	       host->lease_ends_at - now > BH_USEC_PER_SEC &&
 	       now >= host->full_until && now >= host->trial_until &&
 	       host->order_bytes < BH_HOST_ORDER_BYTES_MAX &&
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -19,6 +19,10 @@
  * is higher than any of an earlier one. */
 #define BH_ATTEMPTS_PER_TERM 4096u
 
+/* Reports come every 200 ms. A host whose last report is older gets no new
+ * work, since too little is known about it. */
+#define BH_REPORT_AGE_MAX_US (1500 * BH_USEC_PER_MS)
+
 /* Start orders to a host that are not confirmed yet: more wait. A connection
  * buffers 4 MiB. */
 #define BH_HOST_ORDER_BYTES_MAX (1u << 20)
@@ -64,6 +68,7 @@
  *is below
  * @peak_cpu: most processor time that a filler used at full pace; 0: not known
  * @reports_missed: consecutive reports that did not list it
+ * @missed_at: when a report last did not list it; 0: never
  * @pace: limit on a filler's speed, in percent of full speed
  * @stop_ordered_at: when its stop was last ordered
  * @order_bytes: size of its start order, 0 if there was none
@@ -95,6 +100,7 @@
 	uint32_t peak_cpu;
 	bh_usec_t paced_at;
 	uint32_t reports_missed;
+	bh_usec_t missed_at;
 	uint32_t pace;
 	bh_usec_t stop_ordered_at;
 	uint32_t order_bytes;
@@ -317,6 +323,8 @@
  *or its lease expired
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
+ * @silent_until: when lists came that ended a silence of more than
+ *	BH_REPORT_AGE_MAX_US; 0: never
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
  *	expired, and with it all its tasks have ended, unless it is extended
  * @is_lease_in_doubt: calls that got no answer may have prolonged its lease
@@ -381,6 +389,7 @@
 	bool is_synced;
 	bh_usec_t linked_at;
 	bh_usec_t heard_at;
+	bh_usec_t silent_until;
 	bh_usec_t lease_ends_at;
 	bool is_lease_in_doubt;
 	bool is_lease_unconfirmed;
--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -25,13 +25,29 @@
  * to end. */
 #define MOVE_OVERHEAD_MS 300
 
+/* Whether reports have shown for long enough that the run serves. One on a host
+ * that is cut off or silent, or that its worker does not list, may have ended.
+ */
+static bool has_served(const bh_run_t *run, bh_usec_t now)
+{
+	const bh_host_t *host = run->host;
+	bh_usec_t since = run->serving_since;
+
+	if (run->state != BH_RUN_ACTIVE || !since || run->reports_missed ||
+	    !host->is_linked || now - host->heard_at >= BH_REPORT_AGE_MAX_US)
+		return false;
+	since = MAX(since, run->missed_at);
+	since = MAX(since, host->linked_at);
+	since = MAX(since, host->silent_until);
+	return now - since >= UNAVAILABLE_US;
+}
+
 static bool is_available(const bh_task_t *task, bh_usec_t now)
 {
 	for (int i = 0; i < BH_RUNS_MAX; i++) {
 		const bh_run_t *run = task->runs[i];
 
-		if (run && run->state == BH_RUN_ACTIVE && run->serving_since &&
-		    now - run->serving_since >= UNAVAILABLE_US)
+		if (run && has_served(run, now))
 			return true;
 	}
 	return false;
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -196,6 +196,8 @@
  * @runs: running tasks of each host
  * @ended: of each host, its ends
  * @stops: orders to stop a task
+ * @silent: bits of hosts that send no report
+ * @unlisted: bits of hosts whose reports list no runs
  */
 typedef struct world {
 	bh_sched_t *s;
@@ -211,6 +213,8 @@
 	uint32_t n_ended[HOSTS];
 	int starts;
 	int stops;
+	uint32_t silent;
+	uint32_t unlisted;
 	uint64_t starts_by_ms;
 } world_t;
 
@@ -299,6 +303,10 @@
 				   .n_ended = w->n_ended[h],
 				   .ended = w->ended[h]};
 
+	if (w->silent >> h & 1)
+		return;
+	if (w->unlisted >> h & 1)
+		lists.n_active = 0;
 	info.cold_ms = h < HOSTS / 2 ? w->cold_ms : 0;
 	bh_sched_report(w->s, key, &info, &lists, true, w->now);
 }
@@ -544,6 +552,47 @@
 	}
 }
 
+/* Guards against a move while other tasks of the step may not serve: those on a
+ * host that is silent or cut off, or that its worker does not list, count as
+ * unavailable, and for 5.5 s afterwards. */
+static void test_unseen_tasks_count_as_unavailable(void **state)
+{
+	enum { SILENT, CUT_OFF, UNLISTED, KINDS };
+
+	(void)state;
+	for (int kind = 0; kind < KINDS; kind++) {
+		bh_step_t *step;
+		world_t w;
+
+		world_init(&w, 4000);
+		step = submit(&w, 8, 1000);
+		step->is_long_running = true;
+		step->max_unavailable = 1;
+		step->max_per_host = 2;
+		advance(&w, 8000);
+		step->max_per_host = 4;
+		if (kind == SILENT)
+			w.silent = 1 << 2;
+		else if (kind == CUT_OFF)
+			bh_sched_host_linked(w.s, "2", false, w.now);
+		else
+			w.unlisted = 1 << 2;
+		if (kind == SILENT)
+			advance(&w, 1600);
+		evacuate(&w, zone_a, 1);
+		advance(&w, REPORT_MS);
+		assert_int_equal(w.stops, 0);
+		w.silent = w.unlisted = 0;
+		if (kind == CUT_OFF)
+			bh_sched_host_linked(w.s, "2", true, w.now);
+		advance(&w, 5400);
+		assert_int_equal(w.stops, 0);
+		advance(&w, 600);
+		assert_int_equal(w.stops, 1);
+		world_clear(&w);
+	}
+}
+
 /* Without progress a run counts as stalled. */
 static void advance_with_progress(world_t *w, int ms)
 {
@@ -606,6 +655,7 @@
 		cmocka_unit_test(test_service_without_open_zone_is_closed),
 		cmocka_unit_test(test_serving_tasks_move_one_at_a_time),
 		cmocka_unit_test(test_serving_tasks_stay_without_room),
+		cmocka_unit_test(test_unseen_tasks_count_as_unavailable),
 		cmocka_unit_test(test_run_moves_after_checkpoint),
 	};
 
