max-unavailable 0 sets no limit for moves out of a zone

Cause: sched/job.h defines max_unavailable 0 as no limit, while moves took it for "no task may be unavailable", so that serving tasks of steps without a limit never left the zone. Change: 0 is no limit; moves are still one at a time. That a step which lacks as many tasks as it may keeps the others is checked in test_unseen_tasks_count_as_unavailable.

--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -53,11 +53,13 @@
 	return false;
 }
 
-/* Whether one more task of a step may be unavailable. */
+/* Whether one more task of a step may be unavailable; 0 sets no limit. */
 static bool may_lack_one_more(const bh_phase_t *phase, bh_usec_t now)
 {
 	uint32_t unavailable = 0;
 
+	if (!phase->step->max_unavailable)
+		return true;
 	for (uint32_t i = 0; i < phase->step->count; i++) {
 		const bh_task_t *task = &phase->tasks[i];
 
