Starts are held after the loss of an entry from the leader's own cut-off

Cause: the 10 s for which an entry that was lost may reach the store counted from the loss. A leader that was cut off from the store more than 10 s after it had lost an entry went on with starts, although the store may have acknowledged an evacuation to that entry.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -92,7 +92,7 @@
  * @evacuation: the evacuated zones, shared with the hub
  * @evacuation_sent: changes of that set which the agents have been sent
  * @others_answered_at: when the store last answered another entry
- * @entry_lost_at: when the connection to another entry last closed; 0: never
+ * @is_entry_lost: the connection to another entry has closed
  * @are_starts_held: its copy of the set is too old to start tasks
  * @early_jobs: jobs that arrived before all tables were loaded
  * @removal: in flight, or NULL
@@ -121,7 +121,7 @@
 	bh_evacuation_t *evacuation;
 	uint64_t evacuation_sent;
 	bh_usec_t others_answered_at;
-	bh_usec_t entry_lost_at;
+	bool is_entry_lost;
 	bool are_starts_held;
 	bh_usec_t started_at;
 	bh_usec_t ran_at;
@@ -197,9 +197,7 @@
 		.read_ago_ms = ms_since(bh_evacuation_read_at(l->evacuation)),
 		.has_resumed = has_resumed(l),
 		.others_answered_ago_ms = ms_since(l->others_answered_at),
-		.others_lost_ago_ms = l->entry_lost_at
-					      ? ms_since(l->entry_lost_at)
-					      : INT64_MAX,
+		.is_other_lost = l->is_entry_lost,
 	};
 	bool is_held = !bh_evacuation_may_start(&view);
 	g_autofree char *age = NULL;
@@ -1036,7 +1034,7 @@
 
 void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l)
 {
-	l->entry_lost_at = bh_runtime_now();
+	l->is_entry_lost = true;
 }
 
 bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l)
--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -15,8 +15,9 @@
 
 /* An entry whose connection was lost may reach the store. A leader that is cut
  * off grants no leases 4 s after its last renewal, and its last leases of 5 s
- * end within this time. */
-#define OTHERS_LOST_MS ((int64_t)10000)
+ * end within this time. It counts from the leader's last knowledge of the
+ * table, as the loss may have been long before its own cut-off. */
+#define LOST_READ_AGE_MS ((int64_t)10000)
 
 /**
  * struct bh_evacuation - set of evacuated zones
@@ -229,7 +230,9 @@
 		return true;
 	if (view->has_resumed)
 		return false;
-	return view->read_ago_ms <= max ||
-	       (view->others_answered_ago_ms > max &&
-		view->others_lost_ago_ms > OTHERS_LOST_MS);
+	if (view->read_ago_ms <= max)
+		return true;
+	if (view->is_other_lost && view->read_ago_ms <= LOST_READ_AGE_MS)
+		return false;
+	return view->others_answered_ago_ms > max;
 }
--- a/sched/evacuation.h
+++ b/sched/evacuation.h
@@ -126,14 +126,15 @@
  * @has_resumed: the process was paused, and has not read the table since
  * @others_answered_ago_ms: time since the store last answered another entry, as
  *	far as that is known
- * @others_lost_ago_ms: time since the connection to another entry was lost
+ * @is_other_lost: the connection to another entry was lost; it may reach the
+ *	store
  */
 typedef struct bh_evacuation_view {
 	int64_t evacuate_ms;
 	int64_t read_ago_ms;
 	bool has_resumed;
 	int64_t others_answered_ago_ms;
-	int64_t others_lost_ago_ms;
+	bool is_other_lost;
 } bh_evacuation_view_t;
 
 /**
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -130,7 +130,6 @@
 		.evacuate_ms = EVACUATE_MS,
 		.read_ago_ms = 1400,
 		.others_answered_ago_ms = 100,
-		.others_lost_ago_ms = INT64_MAX,
 	};
 
 	(void)state;
@@ -139,8 +138,14 @@
 	assert_false(bh_evacuation_may_start(&view));
 	view.others_answered_ago_ms = 1900;
 	assert_true(bh_evacuation_may_start(&view));
-	view.others_lost_ago_ms = 1000;
+	/* An entry that was lost before the leader was cut off, however long
+	 * ago: the store may answer it. */
+	view.is_other_lost = true;
 	assert_false(bh_evacuation_may_start(&view));
+	view.read_ago_ms = 10000;
+	assert_false(bh_evacuation_may_start(&view));
+	view.read_ago_ms = 10001;
+	assert_true(bh_evacuation_may_start(&view));
 	view.read_ago_ms = 0;
 	assert_true(bh_evacuation_may_start(&view));
 	view.has_resumed = true;
