An entry that reconnects ends the hold; a new one has no answer yet

Cause: a leader that had lost an entry held starts in later outages of the store although the entry was connected again, and an entry reported an answer of the store "just now" before it had got one, for which a leader with an old copy held starts too. Change: the leader keeps the addresses of lost entries and drops one at its next ping. EvacuationState.never_answered tells that the store has not answered the sender since its start; renewed_ago_ms is unchanged for its other uses. No unit test covers the set of lost addresses.

--- a/daemon/follow.c
+++ b/daemon/follow.c
@@ -61,6 +61,7 @@
 	bool is_in_callback;
 	int64_t retry_ms;
 	bh_usec_t answered_at;
+	bool has_answered;
 	bh_usec_t listed_from;
 	bh_usec_t feed_sent_at;
 	bh_usec_t refresh_sent_at;
@@ -126,8 +127,10 @@
 	bool is_ok = reply->status == BH_STORE_OK ||
 		     reply->status == BH_STORE_COMPACTED;
 
-	if (is_ok)
+	if (is_ok) {
 		f->answered_at = bh_runtime_now();
+		f->has_answered = true;
+	}
 	if (is_ok == !f->is_store_lost)
 		return;
 	f->is_store_lost = !is_ok;
@@ -366,6 +369,11 @@
 	return (bh_runtime_now() - f->answered_at) / 1000;
 }
 
+bool bh_follow_has_answered(const bh_follow_t *f)
+{
+	return f->has_answered;
+}
+
 bh_usec_t bh_follow_current_at(const bh_follow_t *f)
 {
 	return f->current_at;
--- a/daemon/follow.h
+++ b/daemon/follow.h
@@ -55,10 +55,16 @@
 bh_usec_t bh_follow_current_at(const bh_follow_t *f);
 
 /**
- * bh_follow_answered_ago_ms() - age of the store's last successful answer
+ * bh_follow_answered_ago_ms() - age of the store's last successful answer, or
+ * of @f before the first one
  */
 int64_t bh_follow_answered_ago_ms(const bh_follow_t *f);
 
+/**
+ * bh_follow_has_answered() - whether the store has answered successfully
+ */
+bool bh_follow_has_answered(const bh_follow_t *f);
+
 /**
  * bh_follow_is_store_lost() - whether the last call to the store failed
  */
--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -243,6 +243,9 @@
 	if (has_evacuations(hub))
 		ping.evacuation = bh_evacuation_to_wire(
 			hub->evacuation, bh_runtime_now(), &evacuation);
+	if (ping.evacuation)
+		ping.evacuation->never_answered =
+			!bh_follow_has_answered(hub->operator_rows);
 	if (ping.evacuation && hub->sched_leader) {
 		ping.evacuation->n_closed_services =
 			bh_sched_leader_closed_services(hub->sched_leader,
@@ -400,13 +403,16 @@
 	}
 }
 
-static void note_answered(bh_hub_t *hub, const Bh__Sched__Ping *ping)
+/* @address: of the entry, or NULL */
+static void note_answered(bh_hub_t *hub, const char *address,
+			  const Bh__Sched__Ping *ping)
 {
 	bh_usec_t ago = (bh_usec_t)MIN(ping->renewed_ago_ms, INT32_MAX) *
 			BH_USEC_PER_MS;
+	bool never = ping->evacuation && ping->evacuation->never_answered;
 
-	bh_sched_leader_note_entry(hub->sched_leader,
-				   MAX(bh_runtime_now() - ago, 0));
+	bh_sched_leader_note_entry(hub->sched_leader, address,
+				   never ? 0 : MAX(bh_runtime_now() - ago, 0));
 }
 
 static void on_peer_ping(bh_hub_t *hub, peer_t *peer,
@@ -425,7 +431,7 @@
 	if (hub->sched_leader && ping->renewed_ago_ms < STORE_FRESH_MS)
 		bh_sched_leader_note_store_reachable(hub->sched_leader);
 	if (hub->sched_leader)
-		note_answered(hub, ping);
+		note_answered(hub, peer->address, ping);
 }
 
 static void on_peer_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
@@ -477,7 +483,8 @@
 	if (peer->address)
 		expire_entries(hub);
 	if (peer->address && hub->sched_leader)
-		bh_sched_leader_note_entry_lost(hub->sched_leader);
+		bh_sched_leader_note_entry_lost(hub->sched_leader,
+						peer->address);
 	g_free(peer->address);
 	g_free(peer);
 }
@@ -763,7 +770,7 @@
 				     is_store_lost(hub));
 		adopt_evacuation(hub, frame->ping->evacuation, true, "entry");
 		if (hub->sched_leader)
-			note_answered(hub, frame->ping);
+			note_answered(hub, NULL, frame->ping);
 		break;
 	case BH__SCHED__FRAME__BODY_CONFIG:
 		bh_configs_on_copy(hub->configs, frame->config, "entry");
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -92,7 +92,7 @@
  * @evacuation: the evacuated zones, shared with the hub
  * @evacuation_sent: changes of that set which the agents have been sent
  * @others_answered_at: when the store last answered another entry
- * @is_entry_lost: the connection to another entry has closed
+ * @lost_entries: addresses of entries whose connection has closed
  * @are_starts_held: its copy of the set is too old to start tasks
  * @early_jobs: jobs that arrived before all tables were loaded
  * @removal: in flight, or NULL
@@ -121,7 +121,7 @@
 	bh_evacuation_t *evacuation;
 	uint64_t evacuation_sent;
 	bh_usec_t others_answered_at;
-	bool is_entry_lost;
+	GHashTable *lost_entries;
 	bool are_starts_held;
 	bh_usec_t started_at;
 	bh_usec_t ran_at;
@@ -197,7 +197,7 @@
 		.read_ago_ms = ms_since(bh_evacuation_read_at(l->evacuation)),
 		.has_resumed = has_resumed(l),
 		.others_answered_ago_ms = ms_since(l->others_answered_at),
-		.is_other_lost = l->is_entry_lost,
+		.is_other_lost = g_hash_table_size(l->lost_entries) > 0,
 	};
 	bool is_held = !bh_evacuation_may_start(&view);
 	g_autofree char *age = NULL;
@@ -973,6 +973,8 @@
 					       agent_link_free);
 	l->stored_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, free_progress);
+	l->lost_entries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	l->early_jobs = g_ptr_array_new();
 	l->removed_jobs = g_ptr_array_new_with_free_func(g_free);
 	l->run = event_new(rt->base, -1, 0, on_run, l);
@@ -998,6 +1000,7 @@
 	bh_follow_free(l->agents);
 	event_free(l->run);
 	g_hash_table_destroy(l->agent_links);
+	g_hash_table_destroy(l->lost_entries);
 	g_hash_table_destroy(l->stored_progress);
 	for (guint i = 0; i < l->early_jobs->len; i++)
 		bh_job_free(l->early_jobs->pdata[i]);
@@ -1024,17 +1027,20 @@
 	l->store_reached_at = bh_runtime_now();
 }
 
-void bh_sched_leader_note_entry(bh_sched_leader_t *l, bh_usec_t answered_at)
+void bh_sched_leader_note_entry(bh_sched_leader_t *l, const char *address,
+				bh_usec_t answered_at)
 {
+	if (address)
+		g_hash_table_remove(l->lost_entries, address);
 	l->others_answered_at = MAX(l->others_answered_at, answered_at);
 	if (l->are_starts_held ||
 	    bh_evacuation_changes(l->evacuation) != l->evacuation_sent)
 		schedule_run(l);
 }
 
-void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l)
+void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l, const char *address)
 {
-	l->is_entry_lost = true;
+	g_hash_table_add(l->lost_entries, g_strdup(address));
 }
 
 bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l)
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -34,15 +34,17 @@
 
 /**
  * bh_sched_leader_note_entry() - another entry has reported
- * @answered_at: when the store last answered it
+ * @address: its address, or NULL
+ * @answered_at: when the store last answered it; 0: never
  */
-void bh_sched_leader_note_entry(bh_sched_leader_t *l, bh_usec_t answered_at);
+void bh_sched_leader_note_entry(bh_sched_leader_t *l, const char *address,
+				bh_usec_t answered_at);
 
 /**
  * bh_sched_leader_note_entry_lost() - the connection to another entry has
- * closed; it may reach the store
+ * closed; it may reach the store, until bh_sched_leader_note_entry() names it
  */
-void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l);
+void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l, const char *address);
 
 /**
  * bh_sched_leader_wants_evacuation() - whether its copy of the evacuated zones
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -172,6 +172,8 @@
 	follow =
 		bh_follow_new(&rt, store, BH_TABLE_PROGRESS, 1000, &ops, &rows);
 	bh_follow_refresh(follow);
+	/* A leader held starts for an entry that had not reached the store. */
+	assert_false(bh_follow_has_answered(follow));
 	while (fake.polls == 0)
 		event_base_loop(fake.base, EVLOOP_ONCE);
 	assert_int_equal(rows, 0);
@@ -182,6 +184,7 @@
 		event_base_loop(fake.base, EVLOOP_ONCE);
 	assert_int_equal(rows, 1);
 	assert_true(bh_follow_current_at(follow) >= began);
+	assert_true(bh_follow_has_answered(follow));
 	bh_store_close(store);
 	bh_follow_free(follow);
 	bh_store_free(store);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -3160,7 +3160,7 @@
   (ProtobufCMessageInit) bh__sched__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__evacuation_state__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bh__sched__evacuation_state__field_descriptors[5] =
 {
   {
     "version",
@@ -3210,17 +3210,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "never_answered",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__EvacuationState, never_answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__evacuation_state__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = closed_services */
+  4,   /* field[4] = never_answered */
   0,   /* field[0] = version */
   1,   /* field[1] = zones */
 };
 static const ProtobufCIntRange bh__sched__evacuation_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bh__sched__evacuation_state__descriptor =
 {
@@ -3230,7 +3243,7 @@
   "Bh__Sched__EvacuationState",
   "bh.sched",
   sizeof(Bh__Sched__EvacuationState),
-  4,
+  5,
   bh__sched__evacuation_state__field_descriptors,
   bh__sched__evacuation_state__field_indices_by_name,
   1,  bh__sched__evacuation_state__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -389,10 +389,14 @@
    */
   size_t n_closed_services;
   char **closed_services;
+  /*
+   * The store has not answered the sender since its start.
+   */
+  protobuf_c_boolean never_answered;
 };
 #define BH__SCHED__EVACUATION_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__evacuation_state__descriptor) \
-    , 0, 0,NULL, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
