Rows after a listing at a lower version are not dropped

Cause: a listing cleared the rows but kept the version up to which rows had been read, so that rows of the feed between the listing's version and that one were taken for late ones. Change: a listing starts at version 0. The set in force still never goes back in version.

--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -77,6 +77,7 @@
 void bh_evacuation_begin_listing(bh_evacuation_t *e)
 {
 	e->is_listing = true;
+	e->rows_version = 0;
 	g_hash_table_remove_all(e->rows);
 }
 
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -58,6 +58,28 @@
 	bh_evacuation_free(e);
 }
 
+/* Guards against rows that are lost after a listing at a lower version than an
+ * earlier read, as another replica of the store may answer it: the listing
+ * forgets what the earlier read had. */
+static void test_rows_after_older_listing_count(void **state)
+{
+	bh_evacuation_t *e = bh_evacuation_new();
+
+	(void)state;
+	bh_evacuation_begin_listing(e);
+	bh_evacuation_row(e, "evacuate/a", true, 8);
+	bh_evacuation_read(e, 8, MS(1), MS(1));
+	bh_evacuation_begin_listing(e);
+	bh_evacuation_read(e, 5, MS(2), MS(2));
+	assert_true(bh_evacuation_has(e, "a"));
+	bh_evacuation_row(e, "evacuate/a", true, 8);
+	bh_evacuation_row(e, "evacuate/b", true, 9);
+	bh_evacuation_read(e, 9, MS(3), MS(3));
+	assert_true(bh_evacuation_has(e, "a"));
+	assert_true(bh_evacuation_has(e, "b"));
+	bh_evacuation_free(e);
+}
+
 /* Guards against rows of another writer that end the process or evacuate what
  * nobody named. */
 static void test_malformed_rows_are_ignored(void **state)
@@ -669,6 +691,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_version_never_decreases),
 		cmocka_unit_test(test_late_reply_of_feed_is_ignored),
+		cmocka_unit_test(test_rows_after_older_listing_count),
 		cmocka_unit_test(test_malformed_rows_are_ignored),
 		cmocka_unit_test(test_listing_replaces_set),
 		cmocka_unit_test(test_leader_with_old_copy_holds_starts),
