One checkpointing run at a time leaves an evacuated zone

Cause: each pass could stop a checkpointing run, whether or not the room of the one before was in use yet, so that several were stopped for the same room. Change: a pass moves one run at most. Runs that are kept only as they may start late do not count as stopping.

--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -120,6 +120,7 @@
  * @failed: numbers of the attempts that failed; those of a gang are all kept in
  *	its first task
  * @is_waiting: counted in the phase's @waiting
+ * @is_vacated: one of its runs was stopped to leave an evacuated zone
  * @checkpoint: where the next attempt resumes, or NULL
  * @blame: what is known of it from crashes of its workers
  * @held_since: when it was first kept from all hosts that it fits on, since a
@@ -136,6 +137,7 @@
 	uint32_t *failed;
 	bool is_done;
 	bool is_waiting;
+	bool is_vacated;
 	char *checkpoint;
 	bh_blame_t blame;
 	bh_usec_t held_since;
--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -99,6 +99,35 @@
 	return false;
 }
 
+/* Whether the room that was free for a run that moves is not used yet. */
+static bool is_move_under_way(const bh_sched_t *s, bh_usec_t now)
+{
+	const bh_phase_t *phase;
+	const bh_host_t *host;
+	const bh_run_t *run;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!host->is_evacuated)
+			continue;
+		TAILQ_FOREACH(run, &host->runs, link) {
+			if (run->state == BH_RUN_STOPPING && !run->is_kept)
+				return true;
+		}
+	}
+	TAILQ_FOREACH(phase, &s->open, link) {
+		if (!phase->vacated_at || !phase->waiting)
+			continue;
+		for (uint32_t i = 0; i < phase->step->count; i++) {
+			const bh_task_t *task = &phase->tasks[i];
+
+			if (task->is_waiting && task->is_vacated &&
+			    now - task->waiting_since < WAIT_FOR_ROOM_US)
+				return true;
+		}
+	}
+	return false;
+}
+
 static bool must_move_serving(bh_sched_t *s, const bh_run_t *run, bh_usec_t now)
 {
 	bh_phase_t *phase = run->task->phase;
@@ -128,8 +157,16 @@
 	       bh_sched_find_host(s, run->task, run->host, now);
 }
 
-/* At most one serving task and one other run at a time, so that each finds the
- * room that was free for it. */
+static void vacate_run(bh_sched_t *s, bh_run_t *run, const char *why,
+		       bh_usec_t now)
+{
+	run->task->is_vacated = true;
+	run->task->phase->vacated_at = now;
+	bh_run_stop(s, run, why, now);
+}
+
+/* At most one run in a pass, and no checkpointing one while another move is
+ * under way, so that each finds the room that was free for it. */
 static void vacate_host(bh_sched_t *s, bh_host_t *host, bool *may_move_serving,
 			bool *may_move_other, bh_usec_t now)
 {
@@ -141,14 +178,15 @@
 			continue;
 		if (*may_move_serving && must_move_serving(s, run, now)) {
 			*may_move_serving = false;
-			run->task->phase->vacated_at = now;
+			*may_move_other = false;
 			s->stats.serving_moved++;
-			bh_run_stop(s, run, "zone is evacuated", now);
+			vacate_run(s, run, "zone is evacuated", now);
 		} else if (*may_move_other &&
 			   must_move_checkpointing(s, run, now)) {
+			*may_move_serving = false;
 			*may_move_other = false;
-			bh_run_stop(s, run, "zone is evacuated, checkpointed",
-				    now);
+			vacate_run(s, run, "zone is evacuated, checkpointed",
+				   now);
 		}
 	}
 }
@@ -157,11 +195,12 @@
 {
 	bh_host_t *host;
 	bool may_move_serving;
-	bool may_move_other = true;
+	bool may_move_other;
 
 	if (!s->n_evacuated || s->are_starts_held)
 		return;
 	may_move_serving = !is_room_in_demand(s, now);
+	may_move_other = may_move_serving && !is_move_under_way(s, now);
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (host->is_evacuated && host->is_linked)
 			vacate_host(s, host, &may_move_serving, &may_move_other,
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -223,6 +223,7 @@
  * @runs: running tasks of each host
  * @ended: of each host, its ends
  * @stops: orders to stop a task
+ * @are_stops_slow: runs that are stopped do not end
  * @silent: bits of hosts that send no report
  * @unlisted: bits of hosts whose reports list no runs
  */
@@ -240,6 +241,7 @@
 	uint32_t n_ended[HOSTS];
 	int starts;
 	int stops;
+	bool are_stops_slow;
 	uint32_t silent;
 	uint32_t unlisted;
 	uint64_t starts_by_ms;
@@ -267,6 +269,8 @@
 	(void)boot;
 	(void)attempt;
 	w->stops++;
+	if (w->are_stops_slow)
+		return;
 	for (uint32_t i = 0; i < w->n_runs[h]; i++) {
 		bh_active_t *run = &w->runs[h][i];
 
@@ -686,6 +690,36 @@
 	}
 }
 
+/* Guards against several checkpointing runs that are stopped for the same room,
+ * of which all but one would wait without a host. */
+static void test_one_checkpointing_run_moves_at_a_time(void **state)
+{
+	static char *zone_b[] = {(char *)"b"};
+	bh_step_t *step;
+	world_t w;
+
+	(void)state;
+	world_init(&w, 4000);
+	evacuate(&w, zone_b, 1);
+	step = submit(&w, 2, 4000);
+	step->is_checkpointing = true;
+	advance(&w, 400);
+	assert_int_equal(runs_in_a(&w), 2);
+	w.runs[0][0].percent = w.runs[1][0].percent = 50;
+	evacuate(&w, zone_a, 1);
+	w.runs[0][0].checkpoint = g_strdup("early");
+	w.runs[1][0].checkpoint = g_strdup("early");
+	advance_with_progress(&w, 2400);
+	w.are_stops_slow = true;
+	for (int h = 0; h < 2; h++) {
+		g_free(w.runs[h][0].checkpoint);
+		w.runs[h][0].checkpoint = g_strdup("later");
+	}
+	advance_with_progress(&w, 2 * REPORT_MS);
+	assert_int_equal(w.stops, 1);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -706,6 +740,7 @@
 		cmocka_unit_test(test_serving_tasks_move_without_limit),
 		cmocka_unit_test(test_unseen_tasks_count_as_unavailable),
 		cmocka_unit_test(test_run_moves_after_checkpoint),
+		cmocka_unit_test(test_one_checkpointing_run_moves_at_a_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
