The first checkpoint that a leader hears of is not taken for new

Cause: the time of a checkpoint was set at the first report of a run too, so that right after an election runs were stopped although their checkpoint was old. Change: the time is set when a checkpoint replaces one that was known. A run's first checkpoint therefore causes no move; the next one does.

--- a/sched/runs.c
+++ b/sched/runs.c
@@ -218,9 +218,11 @@
 	if (!checkpoint || !*checkpoint ||
 	    g_strcmp0(run->checkpoint, checkpoint) == 0)
 		return;
+	/* The first one that a new leader hears of may be old. */
+	if (run->checkpoint)
+		run->checkpoint_at = now;
 	g_free(run->checkpoint);
 	run->checkpoint = g_strdup(checkpoint);
-	run->checkpoint_at = now;
 }
 
 int64_t bh_run_remaining_ms(const bh_run_t *run)
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -79,7 +79,7 @@
  * @is_kept: it is over or its process has ended, and it is kept only because it
  *	may start late
  * @checkpoint: the last one reported; the task takes it over if the run is lost
- * @checkpoint_at: when a report first had it; 0: there is none
+ * @checkpoint_at: when a report first had it in place of another; 0: not known
  */
 struct bh_run {
 	TAILQ_ENTRY(bh_run) link;
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -690,6 +690,30 @@
 	}
 }
 
+/* Guards against a run that loses much work, as the checkpoint that a leader
+ * first hears of may be old. */
+static void test_first_checkpoint_is_not_new(void **state)
+{
+	static char *zone_b[] = {(char *)"b"};
+	bh_step_t *step;
+	world_t w;
+
+	(void)state;
+	world_init(&w, 4000);
+	evacuate(&w, zone_b, 1);
+	step = submit(&w, 2, 4000);
+	step->is_checkpointing = true;
+	advance(&w, 400);
+	assert_int_equal(runs_in_a(&w), 2);
+	w.runs[0][0].percent = w.runs[1][0].percent = 50;
+	evacuate(&w, zone_a, 1);
+	advance_with_progress(&w, 2400);
+	w.runs[0][0].checkpoint = g_strdup("old");
+	advance_with_progress(&w, REPORT_MS);
+	assert_int_equal(w.stops, 0);
+	world_clear(&w);
+}
+
 /* Guards against several checkpointing runs that are stopped for the same room,
  * of which all but one would wait without a host. */
 static void test_one_checkpointing_run_moves_at_a_time(void **state)
@@ -740,6 +764,7 @@
 		cmocka_unit_test(test_serving_tasks_move_without_limit),
 		cmocka_unit_test(test_unseen_tasks_count_as_unavailable),
 		cmocka_unit_test(test_run_moves_after_checkpoint),
+		cmocka_unit_test(test_first_checkpoint_is_not_new),
 		cmocka_unit_test(test_one_checkpointing_run_moves_at_a_time),
 	};
 
