Kept runs do not hold up moves out of a zone

Cause: a run that is kept only as it may start late has the state of one that is stopping, so that one on an evacuated host held up the moves of serving tasks until it was dropped. Change: is_room_in_demand leaves kept runs aside. No test covers it.

--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -80,7 +80,7 @@
 		if (!host->is_evacuated)
 			continue;
 		TAILQ_FOREACH(run, &host->runs, link) {
-			if (run->state == BH_RUN_STOPPING &&
+			if (run->state == BH_RUN_STOPPING && !run->is_kept &&
 			    run->task->phase->step->is_long_running)
 				return true;
 		}
