A phase whose run has to stay in its zone is looked at again after 300 ms

Cause: while an evacuated zone's runs had no other host, each pass searched all hosts and counted all tasks of the step for every one of its runs. Change: after a run had to stay, its phase is left out for 300 ms. A checkpoint may then be missed for one interval. The cost was not measured, and no test counts the searches.

--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -167,6 +167,8 @@
  * @preempted_at: when fillers were last stopped to make room for it
  * @vacated_at: when one of its tasks was last stopped to leave an evacuated
  *zone
+ * @stayed_at: when a run in an evacuated zone last had to stay, for lack of a
+ *	host or as too many of its tasks are unavailable; 0: never
  * @explained_at: when the reason why one of its tasks waits was last logged
  * @image: number of the step's image
  * @headroom: of its serving tasks if no fillers ran
@@ -193,6 +195,7 @@
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
 	bh_usec_t vacated_at;
+	bh_usec_t stayed_at;
 	bh_usec_t explained_at;
 	bh_image_id_t image;
 	bh_headroom_t headroom;
--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -21,6 +21,10 @@
  * intervals between two reports. */
 #define CHECKPOINT_FRESH_US (300 * BH_USEC_PER_MS)
 
+/* After a run had to stay, its phase is not looked at for this long: the answer
+ * is mostly the same for all its tasks, and a search looks at all hosts. */
+#define STAY_RETRY_US (300 * BH_USEC_PER_MS)
+
 /* A checkpointing run that has less left beside the time to restore it is left
  * to end. */
 #define MOVE_OVERHEAD_MS 300
@@ -128,6 +132,20 @@
 	return false;
 }
 
+/* Whether there is another host for the run, and its step may lack the task. */
+static bool can_move(bh_sched_t *s, const bh_run_t *run, bh_usec_t now)
+{
+	bh_phase_t *phase = run->task->phase;
+
+	if (phase->stayed_at && now - phase->stayed_at < STAY_RETRY_US)
+		return false;
+	if ((!phase->step->is_long_running || may_lack_one_more(phase, now)) &&
+	    bh_sched_find_host(s, run->task, run->host, now))
+		return true;
+	phase->stayed_at = now;
+	return false;
+}
+
 static bool must_move_serving(bh_sched_t *s, const bh_run_t *run, bh_usec_t now)
 {
 	bh_phase_t *phase = run->task->phase;
@@ -135,8 +153,7 @@
 	return phase->step->is_long_running && !phase->step->is_gang &&
 	       (!phase->vacated_at ||
 		now - phase->vacated_at >= UNAVAILABLE_US) &&
-	       may_lack_one_more(phase, now) &&
-	       bh_sched_find_host(s, run->task, run->host, now);
+	       can_move(s, run, now);
 }
 
 /* How long the zone will stay evacuated is not known: it is expected to stay so
@@ -153,8 +170,7 @@
 	       !step->is_long_running && run->checkpoint_at &&
 	       now - run->checkpoint_at <= CHECKPOINT_FRESH_US &&
 	       left > s->bounds.restore_ms + MOVE_OVERHEAD_MS &&
-	       (now - since) / BH_USEC_PER_MS > left &&
-	       bh_sched_find_host(s, run->task, run->host, now);
+	       (now - since) / BH_USEC_PER_MS > left && can_move(s, run, now);
 }
 
 static void vacate_run(bh_sched_t *s, bh_run_t *run, const char *why,
