The services without an open zone are computed once per round of pings

Cause: the leader computed them anew for each entry's ping. Change: ping_all computes them once, for the leader's own use, and pings send that list.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -237,7 +237,6 @@
 	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
 	Bh__Sched__QueueLoad rows[LOADS_MAX];
 	Bh__Sched__QueueLoad *refs[LOADS_MAX];
-	const char *closed[CLOSED_MAX];
 	bh_evacuation_frame_t evacuation;
 
 	if (has_evacuations(hub))
@@ -247,10 +246,9 @@
 		ping.evacuation->never_answered =
 			!bh_follow_has_answered(hub->operator_rows);
 	if (ping.evacuation && hub->sched_leader) {
-		ping.evacuation->n_closed_services =
-			bh_sched_leader_closed_services(hub->sched_leader,
-							closed, CLOSED_MAX);
-		ping.evacuation->closed_services = (char **)closed;
+		ping.evacuation->n_closed_services = hub->closed_services->len;
+		ping.evacuation->closed_services =
+			(char **)hub->closed_services->pdata;
 	}
 	ping.term = bh_term_number(hub->term);
 	if (address)
