Only hosts that are up keep the service of an evacuated zone open

Cause: submissions were refused while a host that may serve them had not reported its service, or while a new leader did not know all hosts, and accepted although the only hosts outside of the zones were down or gone. Change: no service is listed as closed while the leader recovers or a host has not reported its service. A host that is down, or cut off for 1.5 s, keeps none open. The condition on recovery has no test.

--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -280,12 +280,34 @@
 	return false;
 }
 
+/* Whether its worker is down, or its agent has been cut off for so long that
+ * the host would get no work. */
+static bool is_host_gone(const bh_sched_t *s, const bh_host_t *host)
+{
+	if (host->info.state == BH_WORKER_DOWN)
+		return true;
+	return !host->is_linked &&
+	       s->checked_at - MAX(host->linked_at, host->heard_at) >=
+		       BH_REPORT_AGE_MAX_US;
+}
+
+static bool has_unknown_service(const bh_sched_t *s)
+{
+	const bh_host_t *host;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!host->info.service && !is_host_gone(s, host))
+			return true;
+	}
+	return false;
+}
+
 static bool has_open_host(const bh_sched_t *s, const char *service)
 {
 	const bh_host_t *host;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
-		if (!host->is_evacuated &&
+		if (!host->is_evacuated && !is_host_gone(s, host) &&
 		    g_strcmp0(host->info.service, service) == 0)
 			return true;
 	}
@@ -298,7 +320,8 @@
 	const bh_host_t *host;
 	uint32_t n = 0;
 
-	if (!s->n_evacuated)
+	/* A host that has not reported may be an open one of any service. */
+	if (!s->n_evacuated || s->is_recovering || has_unknown_service(s))
 		return 0;
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		const char *service = host->info.service;
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -518,6 +518,30 @@
 	world_clear(&w);
 }
 
+/* Guards against submissions that are refused while a host which may serve them
+ * has not reported, and against those that are accepted although the only hosts
+ * outside of the zone are gone. */
+static void test_gone_hosts_keep_no_service_open(void **state)
+{
+	const char *closed[4];
+	world_t w;
+
+	(void)state;
+	world_init(&w, 4000);
+	evacuate(&w, zone_a, 1);
+	advance(&w, REPORT_MS);
+	w.silent = 1 << 2 | 1 << 3;
+	bh_sched_host_linked(w.s, "2", false, w.now);
+	bh_sched_host_linked(w.s, "3", false, w.now);
+	advance(&w, 1200);
+	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 0);
+	advance(&w, 600);
+	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 1);
+	bh_sched_add_host(w.s, "4", false, w.now);
+	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 0);
+	world_clear(&w);
+}
+
 /* Serving tasks leave the zone one after another, the next one 5.5 s after the
  * former was stopped, although the step may lack two. */
 static void test_serving_tasks_move_one_at_a_time(void **state)
@@ -759,6 +783,7 @@
 		cmocka_unit_test(test_cold_hosts_are_used_last),
 		cmocka_unit_test(test_held_starts_wait),
 		cmocka_unit_test(test_service_without_open_zone_is_closed),
+		cmocka_unit_test(test_gone_hosts_keep_no_service_open),
 		cmocka_unit_test(test_serving_tasks_move_one_at_a_time),
 		cmocka_unit_test(test_serving_tasks_stay_without_room),
 		cmocka_unit_test(test_serving_tasks_move_without_limit),
