Zones beyond the limit are evacuated once others are removed

Cause: the row of the 65th zone was dropped for good, so that its zone got tasks although another row had been removed since. Which zones were dropped depended on the order of rows. Change: up to 1,024 rows are kept, and the set is made of their first 64 in byte order.

--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -5,6 +5,10 @@
 
 #define KEY_PREFIX "evacuate/"
 
+/* Rows beyond the zones that fit into the set count once others are removed.
+ * The bound on memory is far above what an operator writes. */
+#define ROWS_MAX 1024
+
 /* Division of the bound, in percent. A task starts at most as long after the
  * acknowledgement as the leader's copy of the set is old plus the lifetime of
  * its order. Of 5 s the four tries of a start, which are sent within 1.1 s,
@@ -91,7 +95,7 @@
 		return;
 	if (!is_valid)
 		g_hash_table_remove(e->rows, zone);
-	else if (g_hash_table_size(e->rows) < BH_EVACUATION_ZONES_MAX)
+	else if (g_hash_table_size(e->rows) < ROWS_MAX)
 		g_hash_table_add(e->rows, g_strdup(zone));
 }
 
@@ -120,9 +124,35 @@
 	e->changes += is_changed;
 }
 
+static int by_name(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The first zones in byte order, so that all processes ignore the same ones. */
+static GHashTable *first_rows(const bh_evacuation_t *e)
+{
+	GHashTable *wanted = g_hash_table_new(g_str_hash, g_str_equal);
+	const char *names[ROWS_MAX];
+	GHashTableIter it;
+	gpointer zone;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, e->rows);
+	while (n < ROWS_MAX && g_hash_table_iter_next(&it, &zone, NULL))
+		names[n++] = zone;
+	if (n > 1)
+		qsort(names, n, sizeof(names[0]), by_name);
+	for (uint32_t i = 0; i < MIN(n, BH_EVACUATION_ZONES_MAX); i++)
+		g_hash_table_add(wanted, (gpointer)names[i]);
+	return wanted;
+}
+
 void bh_evacuation_read(bh_evacuation_t *e, uint64_t version, bh_usec_t read_at,
 			bh_usec_t now)
 {
+	g_autoptr(GHashTable) wanted = NULL;
+
 	e->is_listing = false;
 	e->rows_version = MAX(e->rows_version, version);
 	e->own_read_at = MAX(e->own_read_at, read_at);
@@ -130,7 +160,8 @@
 	if (e->rows_version < e->version)
 		return;
 	e->version = e->rows_version;
-	set_zones(e, e->rows, now);
+	wanted = first_rows(e);
+	set_zones(e, wanted, now);
 }
 
 void bh_evacuation_adopt(bh_evacuation_t *e, uint64_t version,
@@ -166,11 +197,6 @@
 	return since ? *since : 0;
 }
 
-static int by_name(const void *a, const void *b)
-{
-	return strcmp(*(const char *const *)a, *(const char *const *)b);
-}
-
 uint32_t bh_evacuation_zones(const bh_evacuation_t *e, const char **out)
 {
 	GHashTableIter it;
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -114,6 +114,28 @@
 	bh_evacuation_free(e);
 }
 
+/* Guards against a zone that is forgotten as its row came when the set was
+ * full: it would get tasks after other rows were removed. */
+static void test_zones_beyond_the_limit_count_later(void **state)
+{
+	bh_evacuation_t *e = bh_evacuation_new();
+	char key[32];
+
+	(void)state;
+	bh_evacuation_begin_listing(e);
+	for (int i = BH_EVACUATION_ZONES_MAX; i >= 0; i--) {
+		g_snprintf(key, sizeof(key), "evacuate/%03d", i);
+		bh_evacuation_row(e, key, true, 2);
+	}
+	bh_evacuation_read(e, 2, MS(1), MS(1));
+	assert_true(bh_evacuation_has(e, "000"));
+	assert_false(bh_evacuation_has(e, "064"));
+	bh_evacuation_row(e, "evacuate/007", false, 3);
+	bh_evacuation_read(e, 3, MS(2), MS(2));
+	assert_true(bh_evacuation_has(e, "064"));
+	bh_evacuation_free(e);
+}
+
 /* Two zones at once, one of them named twice, cancelled and evacuated again: a
  * listing replaces the set, and a zone that stays keeps its time. */
 static void test_listing_replaces_set(void **state)
@@ -775,6 +797,7 @@
 		cmocka_unit_test(test_late_reply_of_feed_is_ignored),
 		cmocka_unit_test(test_rows_after_older_listing_count),
 		cmocka_unit_test(test_malformed_rows_are_ignored),
+		cmocka_unit_test(test_zones_beyond_the_limit_count_later),
 		cmocka_unit_test(test_listing_replaces_set),
 		cmocka_unit_test(test_leader_with_old_copy_holds_starts),
 		cmocka_unit_test(test_copy_sent_back_is_no_read),
