evacuate_ms is 0 or at least 5000

Cause: any value was accepted, while the division of the bound leaves time for the tries of a start and for two pauses from 5 s on only. Change: values between 0 and 5000 are refused with an error that names what is allowed.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -34,6 +34,8 @@
 			min, max, NULL, help                                   \
 	}
 
+#define EVACUATE_MIN_MS 5000
+
 static const bh_option_t options[] = {
 	CHOICE(role, NULL, "entry|agent", "role of this process"),
 	TEXT(name, NULL, "unique name of this process"),
@@ -105,8 +107,8 @@
 	       "because of fillers, with store"),
 	NUMBER(evacuate_ms, "ms", "0", 0, 600000,
 	       "time after which no task starts in an availability zone that "
-	       "the operator evacuates, with store; 0: rows evacuate/ZONE are "
-	       "not followed"),
+	       "the operator evacuates, with store, at least 5000; 0: rows "
+	       "evacuate/ZONE are not followed"),
 	NUMBER(status_s, "s", "120", 1, 86400,
 	       "time that a job's final state is kept, with store"),
 	NUMBER(stop_within_s, "s", "6", 0.1, 600,
@@ -275,6 +277,19 @@
 	return FALSE;
 }
 
+/* Of a shorter bound, the age of a leader's copy and the lifetime of an order
+ * leave too little for pauses and for the tries of a start. */
+static gboolean check_evacuate_ms(const bh_settings_t *s, GError **err)
+{
+	if (!s->evacuate_ms || s->evacuate_ms >= EVACUATE_MIN_MS)
+		return TRUE;
+	g_set_error(err, BH_SETTINGS_ERROR, BH_SETTINGS_ERROR_VALUE,
+		    "evacuate_ms: %g is not allowed; expected 0, or %d to "
+		    "600000",
+		    s->evacuate_ms, EVACUATE_MIN_MS);
+	return FALSE;
+}
+
 static gboolean check_required(const bh_settings_t *s, GError **err)
 {
 	if (!*s->listen_http)
@@ -306,7 +321,7 @@
 			return FALSE;
 		}
 	}
-	return check_required(s, err);
+	return check_evacuate_ms(s, err) && check_required(s, err);
 }
 
 bh_settings_t *bh_settings_parse(const char *text, gssize len, GError **err)
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -54,6 +54,28 @@
 	assert_refused("[]", "settings are not a JSON object");
 }
 
+/* Guards against a bound that is too short to be kept. */
+static void test_evacuate_ms_is_0_or_long_enough(void **state)
+{
+	static const int accepted[] = {0, 5000, 600000};
+
+	(void)state;
+	assert_refused("{" REQUIRED ",\"evacuate_ms\":4999}",
+		       "evacuate_ms: 4999 is not allowed; expected 0, or 5000 "
+		       "to 600000");
+	assert_refused("{" REQUIRED ",\"evacuate_ms\":0.5}",
+		       "evacuate_ms: 0.5 is not allowed; expected 0, or 5000 "
+		       "to 600000");
+	for (size_t i = 0; i < G_N_ELEMENTS(accepted); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{" REQUIRED ",\"evacuate_ms\":%d}", accepted[i]);
+		bh_settings_t *s = bh_settings_parse(text, -1, NULL);
+
+		assert_non_null(s);
+		bh_settings_free(s);
+	}
+}
+
 static void test_page_matches_the_table(void **state)
 {
 	g_autofree char *table = bh_options_markdown();
@@ -70,6 +92,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_defaults),
 		cmocka_unit_test(test_errors_name_key_value_and_range),
+		cmocka_unit_test(test_evacuate_ms_is_0_or_long_enough),
 		cmocka_unit_test(test_page_matches_the_table),
 	};
 
