A malformed value does not end an evacuation

Cause: a row that was overwritten with a value which is no JSON object counted as removed, so that its zone got tasks although the row was there. Change: a zone that is evacuated stays so until its row is removed; a row that was never valid stays ignored.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -154,14 +154,18 @@
 
 static void on_evacuation_row(bh_hub_t *hub, const bh_store_row_t *row)
 {
-	bool is_valid = !row->is_deleted && is_json_object(row);
+	bh_evacuation_row_kind_t kind = BH_EVACUATION_ROW_VALID;
 
-	if (!is_valid && !row->is_deleted)
+	if (row->is_deleted) {
+		kind = BH_EVACUATION_ROW_REMOVED;
+	} else if (!is_json_object(row)) {
+		kind = BH_EVACUATION_ROW_MALFORMED;
 		bh_log_event(&hub->rt->log, BH_LOG_WARN,
 			     "evacuation row ignored: its value is not a JSON "
 			     "object",
 			     "key", row->key, NULL);
-	bh_evacuation_row(hub->evacuation, row->key, is_valid, row->version);
+	}
+	bh_evacuation_row(hub->evacuation, row->key, kind, row->version);
 }
 
 static void on_operator_row(void *ctx, const bh_store_row_t *row)
--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -85,16 +85,19 @@
 	g_hash_table_remove_all(e->rows);
 }
 
-void bh_evacuation_row(bh_evacuation_t *e, const char *key, bool is_valid,
-		       uint64_t version)
+void bh_evacuation_row(bh_evacuation_t *e, const char *key,
+		       bh_evacuation_row_kind_t kind, uint64_t version)
 {
 	const char *zone = bh_evacuation_zone_of(key);
 
 	/* Replies of the feed may come in another order than they were made. */
 	if (!zone || (!e->is_listing && version <= e->rows_version))
 		return;
-	if (!is_valid)
+	if (kind == BH_EVACUATION_ROW_REMOVED)
 		g_hash_table_remove(e->rows, zone);
+	else if (kind == BH_EVACUATION_ROW_MALFORMED &&
+		 !bh_evacuation_has(e, zone))
+		return;
 	else if (g_hash_table_size(e->rows) < ROWS_MAX)
 		g_hash_table_add(e->rows, g_strdup(zone));
 }
--- a/sched/evacuation.h
+++ b/sched/evacuation.h
@@ -35,15 +35,27 @@
  */
 void bh_evacuation_begin_listing(bh_evacuation_t *e);
 
+/**
+ * enum bh_evacuation_row_kind - what a row says
+ * @BH_EVACUATION_ROW_VALID: its value is a JSON object: the zone is evacuated
+ * @BH_EVACUATION_ROW_MALFORMED: its value is another: a zone that is evacuated
+ *	stays so, as only the removal of the row ends that; others are not
+ * @BH_EVACUATION_ROW_REMOVED: there is no such row any more
+ */
+typedef enum bh_evacuation_row_kind {
+	BH_EVACUATION_ROW_VALID,
+	BH_EVACUATION_ROW_MALFORMED,
+	BH_EVACUATION_ROW_REMOVED,
+} bh_evacuation_row_kind_t;
+
 /**
  * bh_evacuation_row() - a row of a listing or of the feed
- * @is_valid: its value is a JSON object; other rows count as removed
  * @version: version of the store at the row's last change
  *
  * Takes effect with the next bh_evacuation_read().
  */
-void bh_evacuation_row(bh_evacuation_t *e, const char *key, bool is_valid,
-		       uint64_t version);
+void bh_evacuation_row(bh_evacuation_t *e, const char *key,
+		       bh_evacuation_row_kind_t kind, uint64_t version);
 
 /**
  * bh_evacuation_read() - all rows up to a version of the store have been passed
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -47,12 +47,12 @@
 
 	(void)state;
 	bh_evacuation_begin_listing(e);
-	bh_evacuation_row(e, "evacuate/a", true, 3);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_VALID, 3);
 	bh_evacuation_read(e, 8, MS(1), MS(1));
-	bh_evacuation_row(e, "evacuate/a", false, 9);
-	bh_evacuation_row(e, "evacuate/a", true, 11);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_REMOVED, 9);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_VALID, 11);
 	bh_evacuation_read(e, 12, MS(2), MS(2));
-	bh_evacuation_row(e, "evacuate/a", false, 9);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_REMOVED, 9);
 	bh_evacuation_read(e, 9, MS(1), MS(3));
 	assert_true(bh_evacuation_has(e, "a"));
 	bh_evacuation_free(e);
@@ -67,13 +67,13 @@
 
 	(void)state;
 	bh_evacuation_begin_listing(e);
-	bh_evacuation_row(e, "evacuate/a", true, 8);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_VALID, 8);
 	bh_evacuation_read(e, 8, MS(1), MS(1));
 	bh_evacuation_begin_listing(e);
 	bh_evacuation_read(e, 5, MS(2), MS(2));
 	assert_true(bh_evacuation_has(e, "a"));
-	bh_evacuation_row(e, "evacuate/a", true, 8);
-	bh_evacuation_row(e, "evacuate/b", true, 9);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_VALID, 8);
+	bh_evacuation_row(e, "evacuate/b", BH_EVACUATION_ROW_VALID, 9);
 	bh_evacuation_read(e, 9, MS(3), MS(3));
 	assert_true(bh_evacuation_has(e, "a"));
 	assert_true(bh_evacuation_has(e, "b"));
@@ -95,18 +95,19 @@
 	assert_null(bh_evacuation_zone_of(NULL));
 	bh_evacuation_begin_listing(e);
 	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
-		bh_evacuation_row(e, keys[i], true, 2);
-	bh_evacuation_row(e, "evacuate/invalid", false, 2);
+		bh_evacuation_row(e, keys[i], BH_EVACUATION_ROW_VALID, 2);
+	bh_evacuation_row(e, "evacuate/invalid", BH_EVACUATION_ROW_MALFORMED,
+			  2);
 	memset(key, 'z', sizeof(key));
 	memcpy(key, "evacuate/", strlen("evacuate/"));
 	key[sizeof(key) - 1] = '\0';
-	bh_evacuation_row(e, key, true, 2);
+	bh_evacuation_row(e, key, BH_EVACUATION_ROW_VALID, 2);
 	bh_evacuation_read(e, 2, MS(1), MS(1));
 	assert_int_equal(bh_evacuation_zones(e, zones), 0);
 	assert_false(bh_evacuation_has(e, NULL));
 	for (int i = 0; i < BH_EVACUATION_ZONES_MAX + 9; i++) {
 		g_snprintf(key, sizeof(key), "evacuate/%d", i);
-		bh_evacuation_row(e, key, true, 3);
+		bh_evacuation_row(e, key, BH_EVACUATION_ROW_VALID, 3);
 	}
 	bh_evacuation_read(e, 3, MS(2), MS(2));
 	assert_int_equal(bh_evacuation_zones(e, zones),
@@ -114,6 +115,31 @@
 	bh_evacuation_free(e);
 }
 
+/* Guards against a zone that gets tasks as its row was overwritten with a value
+ * that is no JSON object: only the row's removal ends the request. */
+static void test_malformed_value_keeps_zone_evacuated(void **state)
+{
+	bh_evacuation_t *e = bh_evacuation_new();
+
+	(void)state;
+	bh_evacuation_begin_listing(e);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_VALID, 2);
+	bh_evacuation_read(e, 2, MS(1), MS(1));
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_MALFORMED, 3);
+	bh_evacuation_row(e, "evacuate/b", BH_EVACUATION_ROW_MALFORMED, 4);
+	bh_evacuation_read(e, 4, MS(2), MS(2));
+	assert_true(bh_evacuation_has(e, "a"));
+	assert_false(bh_evacuation_has(e, "b"));
+	bh_evacuation_begin_listing(e);
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_MALFORMED, 3);
+	bh_evacuation_read(e, 5, MS(3), MS(3));
+	assert_true(bh_evacuation_has(e, "a"));
+	bh_evacuation_row(e, "evacuate/a", BH_EVACUATION_ROW_REMOVED, 6);
+	bh_evacuation_read(e, 6, MS(4), MS(4));
+	assert_false(bh_evacuation_has(e, "a"));
+	bh_evacuation_free(e);
+}
+
 /* Guards against a zone that is forgotten as its row came when the set was
  * full: it would get tasks after other rows were removed. */
 static void test_zones_beyond_the_limit_count_later(void **state)
@@ -125,12 +151,12 @@
 	bh_evacuation_begin_listing(e);
 	for (int i = BH_EVACUATION_ZONES_MAX; i >= 0; i--) {
 		g_snprintf(key, sizeof(key), "evacuate/%03d", i);
-		bh_evacuation_row(e, key, true, 2);
+		bh_evacuation_row(e, key, BH_EVACUATION_ROW_VALID, 2);
 	}
 	bh_evacuation_read(e, 2, MS(1), MS(1));
 	assert_true(bh_evacuation_has(e, "000"));
 	assert_false(bh_evacuation_has(e, "064"));
-	bh_evacuation_row(e, "evacuate/007", false, 3);
+	bh_evacuation_row(e, "evacuate/007", BH_EVACUATION_ROW_REMOVED, 3);
 	bh_evacuation_read(e, 3, MS(2), MS(2));
 	assert_true(bh_evacuation_has(e, "064"));
 	bh_evacuation_free(e);
@@ -146,20 +172,20 @@
 	(void)state;
 	bh_evacuation_adopt(e, 2, zones_ab, 2, MS(1), MS(1));
 	bh_evacuation_begin_listing(e);
-	bh_evacuation_row(e, "evacuate/b", true, 2);
+	bh_evacuation_row(e, "evacuate/b", BH_EVACUATION_ROW_VALID, 2);
 	assert_true(bh_evacuation_has(e, "a"));
 	bh_evacuation_read(e, 4, MS(3), MS(3));
 	assert_int_equal(bh_evacuation_zones(e, zones), 1);
 	assert_string_equal(zones[0], "b");
 	assert_int_equal(bh_evacuation_since(e, "b"), MS(1));
 	assert_int_equal(bh_evacuation_changes(e), 2);
-	bh_evacuation_row(e, "evacuate/b", true, 5);
+	bh_evacuation_row(e, "evacuate/b", BH_EVACUATION_ROW_VALID, 5);
 	bh_evacuation_read(e, 5, MS(4), MS(4));
 	assert_int_equal(bh_evacuation_changes(e), 2);
-	bh_evacuation_row(e, "evacuate/b", false, 6);
+	bh_evacuation_row(e, "evacuate/b", BH_EVACUATION_ROW_REMOVED, 6);
 	bh_evacuation_read(e, 6, MS(5), MS(5));
 	assert_int_equal(bh_evacuation_since(e, "b"), 0);
-	bh_evacuation_row(e, "evacuate/b", true, 7);
+	bh_evacuation_row(e, "evacuate/b", BH_EVACUATION_ROW_VALID, 7);
 	bh_evacuation_read(e, 7, MS(6), MS(6));
 	assert_int_equal(bh_evacuation_since(e, "b"), MS(6));
 	bh_evacuation_free(e);
@@ -797,6 +823,7 @@
 		cmocka_unit_test(test_late_reply_of_feed_is_ignored),
 		cmocka_unit_test(test_rows_after_older_listing_count),
 		cmocka_unit_test(test_malformed_rows_are_ignored),
+		cmocka_unit_test(test_malformed_value_keeps_zone_evacuated),
 		cmocka_unit_test(test_zones_beyond_the_limit_count_later),
 		cmocka_unit_test(test_listing_replaces_set),
 		cmocka_unit_test(test_leader_with_old_copy_holds_starts),
