Names of the code for evacuations

Cause: evacuate() meant a draining worker, "closed" services and "open" hosts stood for evacuated ones, and the leader's copy of the set was also called a view. Change: stop_runs_before_exit, evacuated_services, has_usable_host, copy; kernel-doc of read_at and own_read_at; continuation lines in sched_impl.h are indented again.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -34,10 +34,10 @@
 #define LOADS_MAX 16
 
 /* A leader's closed services are ignored when they are older. */
-#define CLOSED_MAX_AGE_US (3000 * BH_USEC_PER_MS)
+#define EVACUATED_SERVICES_MAX_AGE_US (3000 * BH_USEC_PER_MS)
 
 /* Services with workers in evacuated zones only; further ones count as open. */
-#define CLOSED_MAX 32
+#define EVACUATED_SERVICES_MAX 32
 
 /* A leader that the store has not confirmed for longer may have been replaced,
  * and asks other entries. */
@@ -78,8 +78,8 @@
  * @evacuation: the evacuated zones
  * @evacuation_logged: changes of that set which have been logged
  * @is_evacuation_asked: the leader waits for what this entry reads of them
- * @closed_services: services all of whose workers are in evacuated zones, as
- *	the leader told at @closed_at
+ * @evacuated_services: services all of whose workers are in evacuated zones, as
+ *	the leader told at @services_told_at
  * @sched_leader: exists while this entry leads
  * @is_leadership_lost: @sched_leader is to be freed by the next tick
  * @peers: links that other entries opened
@@ -117,8 +117,8 @@
 	bh_evacuation_t *evacuation;
 	uint64_t evacuation_logged;
 	bool is_evacuation_asked;
-	GPtrArray *closed_services;
-	bh_usec_t closed_at;
+	GPtrArray *evacuated_services;
+	bh_usec_t services_told_at;
 	struct event *tick;
 };
 
@@ -250,9 +250,10 @@
 		ping.evacuation->never_answered =
 			!bh_follow_has_answered(hub->operator_rows);
 	if (ping.evacuation && hub->sched_leader) {
-		ping.evacuation->n_closed_services = hub->closed_services->len;
-		ping.evacuation->closed_services =
-			(char **)hub->closed_services->pdata;
+		ping.evacuation->n_evacuated_services =
+			hub->evacuated_services->len;
+		ping.evacuation->evacuated_services =
+			(char **)hub->evacuated_services->pdata;
 	}
 	ping.term = bh_term_number(hub->term);
 	if (address)
@@ -525,20 +526,21 @@
 
 /* Follower side: frames from the leader. */
 
-static void set_closed_services(bh_hub_t *hub, char *const *services, size_t n)
+static void set_evacuated_services(bh_hub_t *hub, char *const *services,
+				   size_t n)
 {
-	g_ptr_array_set_size(hub->closed_services, 0);
-	for (size_t i = 0; i < MIN(n, CLOSED_MAX); i++)
-		g_ptr_array_add(hub->closed_services, g_strdup(services[i]));
-	hub->closed_at = bh_runtime_now();
+	g_ptr_array_set_size(hub->evacuated_services, 0);
+	for (size_t i = 0; i < MIN(n, EVACUATED_SERVICES_MAX); i++)
+		g_ptr_array_add(hub->evacuated_services, g_strdup(services[i]));
+	hub->services_told_at = bh_runtime_now();
 }
 
-static void note_closed_services(bh_hub_t *hub,
-				 const Bh__Sched__EvacuationState *state)
+static void note_evacuated_services(bh_hub_t *hub,
+				    const Bh__Sched__EvacuationState *state)
 {
 	if (has_evacuations(hub) && state)
-		set_closed_services(hub, state->closed_services,
-				    state->n_closed_services);
+		set_evacuated_services(hub, state->evacuated_services,
+				       state->n_evacuated_services);
 }
 
 /* The leader has not read the evacuations for some time: what this entry reads
@@ -566,7 +568,7 @@
 			hub->term,
 			(int64_t)MIN(ping->renewed_ago_ms, INT64_MAX));
 	bh_term_observe(hub->term, ping->term);
-	note_closed_services(hub, ping->evacuation);
+	note_evacuated_services(hub, ping->evacuation);
 	/* What this entry tells the leader must not be what it heard from it:
 	 * each way would make it look newer by the delay of a ping. */
 	adopt_evacuation(hub, ping->evacuation, false, "leader");
@@ -840,16 +842,16 @@
 	}
 }
 
-static void note_own_closed_services(bh_hub_t *hub)
+static void note_own_evacuated_services(bh_hub_t *hub)
 {
-	const char *closed[CLOSED_MAX];
+	const char *closed[EVACUATED_SERVICES_MAX];
 	uint32_t n;
 
 	if (!has_evacuations(hub))
 		return;
-	n = bh_sched_leader_closed_services(hub->sched_leader, closed,
-					    CLOSED_MAX);
-	set_closed_services(hub, (char **)closed, n);
+	n = bh_sched_leader_evacuated_services(hub->sched_leader, closed,
+					       EVACUATED_SERVICES_MAX);
+	set_evacuated_services(hub, (char **)closed, n);
 }
 
 static void ping_all(bh_hub_t *hub, bh_usec_t now)
@@ -864,7 +866,7 @@
 		hub->n_loads = bh_sched_leader_load(hub->sched_leader,
 						    hub->loads, LOADS_MAX);
 		hub->loads_updated_at = now;
-		note_own_closed_services(hub);
+		note_own_evacuated_services(hub);
 	}
 	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next) {
 		if (now - bh_link_heard_at(peer->link) > LINK_TIMEOUT_US) {
@@ -898,6 +900,7 @@
 	if (hub->sched_leader &&
 	    bh_sched_leader_wants_evacuation(hub->sched_leader))
 		bh_follow_refresh(hub->operator_rows);
+	/* Changes from other sources are logged where they are received. */
 	note_evacuation(hub, "agent");
 	maintain_leader_link(hub, now);
 	bh_lookup_tick(hub->lookup, must_look_up(hub), now);
@@ -952,7 +955,7 @@
 	}
 	hub->configs = bh_configs_new(rt, on_config_applied, hub);
 	hub->evacuation = bh_evacuation_new();
-	hub->closed_services = g_ptr_array_new_with_free_func(g_free);
+	hub->evacuated_services = g_ptr_array_new_with_free_func(g_free);
 	hub->lookup = bh_lookup_new(rt, &lookup_ops, hub);
 	hub->operator_rows =
 		bh_follow_new(rt, store, BH_TABLE_OPERATOR, CONFIG_POLL_WAIT_MS,
@@ -979,7 +982,7 @@
 	g_hash_table_destroy(hub->pending_queries);
 	bh_configs_free(hub->configs);
 	bh_evacuation_free(hub->evacuation);
-	g_ptr_array_free(hub->closed_services, TRUE);
+	g_ptr_array_free(hub->evacuated_services, TRUE);
 	g_free(hub->link_address);
 	g_free(hub);
 }
@@ -1000,9 +1003,10 @@
 bool bh_hub_is_service_closed(const bh_hub_t *hub, const char *service)
 {
 	return service &&
-	       bh_runtime_now() - hub->closed_at < CLOSED_MAX_AGE_US &&
-	       g_ptr_array_find_with_equal_func(hub->closed_services, service,
-						g_str_equal, NULL);
+	       bh_runtime_now() - hub->services_told_at <
+		       EVACUATED_SERVICES_MAX_AGE_US &&
+	       g_ptr_array_find_with_equal_func(hub->evacuated_services,
+						service, g_str_equal, NULL);
 }
 
 void bh_hub_query_state(bh_hub_t *hub, const char *id, bh_hub_query_cb_t cb,
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -192,21 +192,21 @@
  * this process has not heard of. */
 static void update_hold(bh_sched_leader_t *l)
 {
-	bh_evacuation_view_t view = {
+	bh_evacuation_evidence_t known = {
 		.evacuate_ms = (int64_t)l->rt->settings->evacuate_ms,
 		.read_ago_ms = ms_since(bh_evacuation_read_at(l->evacuation)),
 		.has_resumed = has_resumed(l),
 		.others_answered_ago_ms = ms_since(l->others_answered_at),
 		.is_other_lost = g_hash_table_size(l->lost_entries) > 0,
 	};
-	bool is_held = !bh_evacuation_may_start(&view);
+	bool is_held = !bh_evacuation_may_start(&known);
 	g_autofree char *age = NULL;
 
 	bh_sched_hold_starts(l->sched, is_held);
 	if (is_held == l->are_starts_held)
 		return;
 	l->are_starts_held = is_held;
-	age = g_strdup_printf("%" G_GINT64_FORMAT, view.read_ago_ms);
+	age = g_strdup_printf("%" G_GINT64_FORMAT, known.read_ago_ms);
 	bh_log_event(&l->rt->log, is_held ? BH_LOG_WARN : BH_LOG_INFO,
 		     is_held ? "starts held" : "starts resumed", "read_ms_ago",
 		     age, NULL);
@@ -1053,10 +1053,10 @@
 			bh_evacuation_refresh_ms(evacuate_ms));
 }
 
-uint32_t bh_sched_leader_closed_services(bh_sched_leader_t *l, const char **out,
-					 uint32_t max)
+uint32_t bh_sched_leader_evacuated_services(bh_sched_leader_t *l,
+					    const char **out, uint32_t max)
 {
-	return bh_sched_closed_services(l->sched, out, max);
+	return bh_sched_evacuated_services(l->sched, out, max);
 }
 
 void bh_sched_leader_add_job(bh_sched_leader_t *l, const void *data, size_t len)
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -53,14 +53,14 @@
 bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l);
 
 /**
- * bh_sched_leader_closed_services() - services all of whose workers are in
+ * bh_sched_leader_evacuated_services() - services all of whose workers are in
  * evacuated zones
  * @out: set to their names, valid until the next event
  *
  * Return: how many of @out were set.
  */
-uint32_t bh_sched_leader_closed_services(bh_sched_leader_t *l, const char **out,
-					 uint32_t max);
+uint32_t bh_sched_leader_evacuated_services(bh_sched_leader_t *l,
+					    const char **out, uint32_t max);
 
 /**
  * bh_sched_leader_add_job() - an entry has stored a job, or its cancellation
--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -15,7 +15,7 @@
  * have 2.2 s, and a copy may be 1.8 s old: a poll of the store takes 1.3 s. The
  * rest covers two pauses of less than 500 ms, which processes do not notice. */
 #define ORDER_PERCENT 44
-#define VIEW_PERCENT  36
+#define COPY_PERCENT  36
 
 /* An entry whose connection was lost may reach the store. A leader that is cut
  * off grants no leases 4 s after its last renewal, and its last leases of 5 s
@@ -31,6 +31,9 @@
  * @zones: the set in force, by zone the time since when (bh_usec_t)
  * @version: version of the store at which it was read, here or elsewhere
  * @changes: number of changes of the set
+ * @read_at: rows acknowledged by then are in the set, by reads here or of
+ *	another entry; 0: never read
+ * @own_read_at: the same, by reads here alone
  */
 struct bh_evacuation {
 	GHashTable *rows;
@@ -240,29 +243,29 @@
 	return evacuate_ms * ORDER_PERCENT / 100;
 }
 
-int64_t bh_evacuation_view_max_ms(int64_t evacuate_ms)
+int64_t bh_evacuation_copy_max_ms(int64_t evacuate_ms)
 {
-	return evacuate_ms * VIEW_PERCENT / 100;
+	return evacuate_ms * COPY_PERCENT / 100;
 }
 
 int64_t bh_evacuation_refresh_ms(int64_t evacuate_ms)
 {
 	/* With a store that answers after 900 ms the copy is not yet too old
 	 * when the next answer comes. */
-	return bh_evacuation_view_max_ms(evacuate_ms) / 4;
+	return bh_evacuation_copy_max_ms(evacuate_ms) / 4;
 }
 
-bool bh_evacuation_may_start(const bh_evacuation_view_t *view)
+bool bh_evacuation_may_start(const bh_evacuation_evidence_t *known)
 {
-	int64_t max = bh_evacuation_view_max_ms(view->evacuate_ms);
+	int64_t max = bh_evacuation_copy_max_ms(known->evacuate_ms);
 
-	if (!view->evacuate_ms)
+	if (!known->evacuate_ms)
 		return true;
-	if (view->has_resumed)
+	if (known->has_resumed)
 		return false;
-	if (view->read_ago_ms <= max)
+	if (known->read_ago_ms <= max)
 		return true;
-	if (view->is_other_lost && view->read_ago_ms <= LOST_READ_AGE_MS)
+	if (known->is_other_lost && known->read_ago_ms <= LOST_READ_AGE_MS)
 		return false;
-	return view->others_answered_ago_ms > max;
+	return known->others_answered_ago_ms > max;
 }
--- a/sched/evacuation.h
+++ b/sched/evacuation.h
@@ -120,10 +120,10 @@
 int64_t bh_evacuation_order_max_ms(int64_t evacuate_ms);
 
 /**
- * bh_evacuation_view_max_ms() - age up to which a leader's copy of the set may
+ * bh_evacuation_copy_max_ms() - age up to which a leader's copy of the set may
  * be used without further evidence
  */
-int64_t bh_evacuation_view_max_ms(int64_t evacuate_ms);
+int64_t bh_evacuation_copy_max_ms(int64_t evacuate_ms);
 
 /**
  * bh_evacuation_refresh_ms() - age of its copy from which a leader reads the
@@ -132,7 +132,7 @@
 int64_t bh_evacuation_refresh_ms(int64_t evacuate_ms);
 
 /**
- * struct bh_evacuation_view - what a leader knows of the set and the store
+ * struct bh_evacuation_evidence - what a leader knows of the set and the store
  * @evacuate_ms: the bound; 0: there are no evacuations
  * @read_ago_ms: age of its copy of the set
  * @has_resumed: the process was paused, and has not read the table since
@@ -141,13 +141,13 @@
  * @is_other_lost: the connection to another entry was lost; it may reach the
  *	store
  */
-typedef struct bh_evacuation_view {
+typedef struct bh_evacuation_evidence {
 	int64_t evacuate_ms;
 	int64_t read_ago_ms;
 	bool has_resumed;
 	int64_t others_answered_ago_ms;
 	bool is_other_lost;
-} bh_evacuation_view_t;
+} bh_evacuation_evidence_t;
 
 /**
  * bh_evacuation_may_start() - whether a leader may start tasks
@@ -155,6 +155,6 @@
  * While the store answers no entry it cannot have acknowledged an evacuation,
  * so that starts continue.
  */
-bool bh_evacuation_may_start(const bh_evacuation_view_t *view);
+bool bh_evacuation_may_start(const bh_evacuation_evidence_t *known);
 
 #endif
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -540,7 +540,7 @@
 
 /* Stops the runs that a draining worker would end by its exit, so that they are
  * started elsewhere. */
-static void evacuate(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+static void stop_runs_before_exit(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
 	bh_run_t *run;
 	bh_run_t *next;
@@ -877,7 +877,7 @@
 		s->must_place = true;
 	}
 	if (info->state == BH_WORKER_DRAINING)
-		evacuate(s, host, now);
+		stop_runs_before_exit(s, host, now);
 }
 
 void bh_sched_start_result(bh_sched_t *s, const char *key, const char *name,
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -113,14 +113,14 @@
 void bh_sched_hold_starts(bh_sched_t *s, bool is_held);
 
 /**
- * bh_sched_closed_services() - services all of whose workers are in evacuated
- * zones
+ * bh_sched_evacuated_services() - services all of whose workers are in
+ * evacuated zones
  * @out: set to their names, valid until the next event
  *
  * Return: how many of @out were set.
  */
-uint32_t bh_sched_closed_services(const bh_sched_t *s, const char **out,
-				  uint32_t max);
+uint32_t bh_sched_evacuated_services(const bh_sched_t *s, const char **out,
+				     uint32_t max);
 
 /**
  * struct bh_task_progress - stored progress of a task that is not done
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -63,9 +63,9 @@
  * @bias: of a serving task, the recent average of how far its headroom was from
  *	the prediction
  * @serving_since: when a report first showed that it serves requests; 0: it
- *does not
+ *	does not
  * @over_objective_since: when its tail latency rose above its objective; 0: it
- *is below
+ *	is below
  * @peak_cpu: most processor time that a filler used at full pace; 0: not known
  * @reports_missed: consecutive reports that did not list it
  * @missed_at: when a report last did not list it; 0: never
@@ -158,15 +158,15 @@
  * @rate_count: number of rates in @rate_sum
  * @rank: order of placement, lowest first
  * @runs_on: by host, the number of its runs there; NULL without a limit for
- *each host
+ *	each host
  * @advice: the adviser's answers by worker id, see tickets.c, or NULL; used
- *only if the queue needs advice
+ *	only if the queue needs advice
  * @advised_on: ids of the workers that the adviser was last asked about, or
- *NULL
+ *	NULL
  * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
  * @vacated_at: when one of its tasks was last stopped to leave an evacuated
- *zone
+ *	zone
  * @stayed_at: when a run in an evacuated zone last had to stay, for lack of a
  *	host or as too many of its tasks are unavailable; 0: never
  * @explained_at: when the reason why one of its tasks waits was last logged
@@ -325,7 +325,7 @@
  *	of; its agent may not know it after a restart; 0: none was reported
  * @is_linked: the agent is connected
  * @is_synced: all that the worker runs, and all ends, were seen in this term,
- *or its lease expired
+ *	or its lease expired
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
  * @silent_until: when lists came that ended a silence of more than
@@ -355,7 +355,7 @@
  * @is_degraded: tail latencies are high for reasons other than fillers
  * @gauges_read_at: time of the last report whose gauges were processed
  * @filler_loads: processor use of its fillers by image, low-pass filtered to
- *match the lag of the long-running tasks' gauges
+ *	match the lag of the long-running tasks' gauges
  * @speed: estimated speed relative to other hosts, 1 being average
  * @failure_streak: consecutive failed attempts that may be the host's fault
  * @streak_job: job of the last of these, or NULL
--- a/sched/vacate.c
+++ b/sched/vacate.c
@@ -302,7 +302,7 @@
 	return false;
 }
 
-static bool has_open_host(const bh_sched_t *s, const char *service)
+static bool has_usable_host(const bh_sched_t *s, const char *service)
 {
 	const bh_host_t *host;
 
@@ -314,8 +314,8 @@
 	return false;
 }
 
-uint32_t bh_sched_closed_services(const bh_sched_t *s, const char **out,
-				  uint32_t max)
+uint32_t bh_sched_evacuated_services(const bh_sched_t *s, const char **out,
+				     uint32_t max)
 {
 	const bh_host_t *host;
 	uint32_t n = 0;
@@ -327,7 +327,7 @@
 		const char *service = host->info.service;
 
 		if (n < max && host->is_evacuated && service &&
-		    !is_listed(out, n, service) && !has_open_host(s, service))
+		    !is_listed(out, n, service) && !has_usable_host(s, service))
 			out[n++] = service;
 	}
 	return n;
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -196,32 +196,32 @@
  * paused. While the store answers nobody, tasks start. */
 static void test_leader_with_old_copy_holds_starts(void **state)
 {
-	bh_evacuation_view_t view = {
+	bh_evacuation_evidence_t known = {
 		.evacuate_ms = EVACUATE_MS,
 		.read_ago_ms = 1400,
 		.others_answered_ago_ms = 100,
 	};
 
 	(void)state;
-	assert_true(bh_evacuation_may_start(&view));
-	view.read_ago_ms = 1900;
-	assert_false(bh_evacuation_may_start(&view));
-	view.others_answered_ago_ms = 1900;
-	assert_true(bh_evacuation_may_start(&view));
+	assert_true(bh_evacuation_may_start(&known));
+	known.read_ago_ms = 1900;
+	assert_false(bh_evacuation_may_start(&known));
+	known.others_answered_ago_ms = 1900;
+	assert_true(bh_evacuation_may_start(&known));
 	/* An entry that was lost before the leader was cut off, however long
 	 * ago: the store may answer it. */
-	view.is_other_lost = true;
-	assert_false(bh_evacuation_may_start(&view));
-	view.read_ago_ms = 10000;
-	assert_false(bh_evacuation_may_start(&view));
-	view.read_ago_ms = 10001;
-	assert_true(bh_evacuation_may_start(&view));
-	view.read_ago_ms = 0;
-	assert_true(bh_evacuation_may_start(&view));
-	view.has_resumed = true;
-	assert_false(bh_evacuation_may_start(&view));
-	view.evacuate_ms = 0;
-	assert_true(bh_evacuation_may_start(&view));
+	known.is_other_lost = true;
+	assert_false(bh_evacuation_may_start(&known));
+	known.read_ago_ms = 10000;
+	assert_false(bh_evacuation_may_start(&known));
+	known.read_ago_ms = 10001;
+	assert_true(bh_evacuation_may_start(&known));
+	known.read_ago_ms = 0;
+	assert_true(bh_evacuation_may_start(&known));
+	known.has_resumed = true;
+	assert_false(bh_evacuation_may_start(&known));
+	known.evacuate_ms = 0;
+	assert_true(bh_evacuation_may_start(&known));
 }
 
 /* Guards against a leader that is cut off from the store and takes its own
@@ -259,7 +259,7 @@
 {
 	(void)state;
 	for (int64_t ms = 1; ms <= 60000; ms += 7)
-		assert_true(bh_evacuation_view_max_ms(ms) +
+		assert_true(bh_evacuation_copy_max_ms(ms) +
 				    bh_evacuation_order_max_ms(ms) <=
 			    ms);
 	/* The last try of a start is sent 1,050 ms after the first. */
@@ -552,13 +552,13 @@
 
 	(void)state;
 	world_init(&w, 4000);
-	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 0);
+	assert_int_equal(bh_sched_evacuated_services(w.s, closed, 4), 0);
 	evacuate(&w, zone_a, 1);
 	advance(&w, REPORT_MS);
-	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 0);
+	assert_int_equal(bh_sched_evacuated_services(w.s, closed, 4), 0);
 	evacuate(&w, zones_ab, 2);
 	advance(&w, REPORT_MS);
-	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 1);
+	assert_int_equal(bh_sched_evacuated_services(w.s, closed, 4), 1);
 	assert_string_equal(closed[0], "svc");
 	submit(&w, 4, 1000);
 	advance(&w, 2000);
@@ -582,11 +582,11 @@
 	bh_sched_host_linked(w.s, "2", false, w.now);
 	bh_sched_host_linked(w.s, "3", false, w.now);
 	advance(&w, 1200);
-	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 0);
+	assert_int_equal(bh_sched_evacuated_services(w.s, closed, 4), 0);
 	advance(&w, 600);
-	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 1);
+	assert_int_equal(bh_sched_evacuated_services(w.s, closed, 4), 1);
 	bh_sched_add_host(w.s, "4", false, w.now);
-	assert_int_equal(bh_sched_closed_services(w.s, closed, 4), 0);
+	assert_int_equal(bh_sched_evacuated_services(w.s, closed, 4), 0);
 	world_clear(&w);
 }
 
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -3199,12 +3199,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "closed_services",
+    "evacuated_services",
     4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Bh__Sched__EvacuationState, n_closed_services),
-    offsetof(Bh__Sched__EvacuationState, closed_services),
+    offsetof(Bh__Sched__EvacuationState, n_evacuated_services),
+    offsetof(Bh__Sched__EvacuationState, evacuated_services),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -3225,7 +3225,7 @@
 };
 static const unsigned bh__sched__evacuation_state__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
-  3,   /* field[3] = closed_services */
+  3,   /* field[3] = evacuated_services */
   4,   /* field[4] = never_answered */
   0,   /* field[0] = version */
   1,   /* field[1] = zones */
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -387,8 +387,8 @@
   /*
    * Of a leader: services all of whose workers are in evacuated zones.
    */
-  size_t n_closed_services;
-  char **closed_services;
+  size_t n_evacuated_services;
+  char **evacuated_services;
   /*
    * The store has not answered the sender since its start.
    */
