The test of an early checkpoint has one that counts as new

Cause: since a leader's first checkpoint of a run is not taken for new, the early one in test_run_moves_after_checkpoint was ignored for that reason, and the mutant evacuated-checkpoint-at-once survived. Change: another checkpoint comes before it.

--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -747,8 +747,11 @@
 		assert_int_equal(runs_in_a(&w), 2);
 		w.runs[0][0].percent = w.runs[1][0].percent = 50;
 		evacuate(&w, zone_a, 1);
+		w.runs[0][0].checkpoint = g_strdup("first");
+		advance_with_progress(&w, REPORT_MS);
+		g_free(w.runs[0][0].checkpoint);
 		w.runs[0][0].checkpoint = g_strdup("early");
-		advance_with_progress(&w, 2400);
+		advance_with_progress(&w, 2200);
 		assert_int_equal(w.stops, 0);
 		if (is_checkpointing) {
 			g_free(w.runs[0][0].checkpoint);
