--- a/sched/evacuation.h
+++ b/sched/evacuation.h
@@ -35,15 +35,27 @@
  */
 void bh_evacuation_begin_listing(bh_evacuation_t *e);
 
+/**
+ * enum bh_evacuation_row_kind - what a row says
+ * @BH_EVACUATION_ROW_VALID: its value is a JSON object: the zone is evacuated
+ * @BH_EVACUATION_ROW_MALFORMED: its value is another: a zone that is evacuated
+ *	stays so, as only the removal of the row ends that; others are not
+ * @BH_EVACUATION_ROW_REMOVED: there is no such row any more
+ */
+typedef enum bh_evacuation_row_kind {
+	BH_EVACUATION_ROW_VALID,
+	BH_EVACUATION_ROW_MALFORMED,
+	BH_EVACUATION_ROW_REMOVED,
+} bh_evacuation_row_kind_t;
+
 /**
  * bh_evacuation_row() - a row of a listing or of the feed
- * @is_valid: its value is a JSON object; other rows count as removed
  * @version: version of the store at the row's last change
  *
  * Takes effect with the next bh_evacuation_read().
  */
-void bh_evacuation_row(bh_evacuation_t *e, const char *key, bool is_valid,
-		       uint64_t version);
+void bh_evacuation_row(bh_evacuation_t *e, const char *key,
+		       bh_evacuation_row_kind_t kind, uint64_t version);
 
 /**
  * bh_evacuation_read() - all rows up to a version of the store have been passed
@@ -108,10 +120,10 @@
 int64_t bh_evacuation_order_max_ms(int64_t evacuate_ms);
 
 /**
- * bh_evacuation_view_max_ms() - age up to which a leader's copy of the set may
+ * bh_evacuation_copy_max_ms() - age up to which a leader's copy of the set may
  * be used without further evidence
  */
-int64_t bh_evacuation_view_max_ms(int64_t evacuate_ms);
+int64_t bh_evacuation_copy_max_ms(int64_t evacuate_ms);
 
 /**
  * bh_evacuation_refresh_ms() - age of its copy from which a leader reads the
@@ -120,21 +132,22 @@
 int64_t bh_evacuation_refresh_ms(int64_t evacuate_ms);
 
 /**
- * struct bh_evacuation_view - what a leader knows of the set and the store
+ * struct bh_evacuation_evidence - what a leader knows of the set and the store
  * @evacuate_ms: the bound; 0: there are no evacuations
  * @read_ago_ms: age of its copy of the set
  * @has_resumed: the process was paused, and has not read the table since
  * @others_answered_ago_ms: time since the store last answered another entry, as
  *	far as that is known
- * @others_lost_ago_ms: time since the connection to another entry was lost
+ * @is_other_lost: the connection to another entry was lost; it may reach the
+ *	store
  */
-typedef struct bh_evacuation_view {
+typedef struct bh_evacuation_evidence {
 	int64_t evacuate_ms;
 	int64_t read_ago_ms;
 	bool has_resumed;
 	int64_t others_answered_ago_ms;
-	int64_t others_lost_ago_ms;
-} bh_evacuation_view_t;
+	bool is_other_lost;
+} bh_evacuation_evidence_t;
 
 /**
  * bh_evacuation_may_start() - whether a leader may start tasks
@@ -142,6 +155,6 @@
  * While the store answers no entry it cannot have acknowledged an evacuation,
  * so that starts continue.
  */
-bool bh_evacuation_may_start(const bh_evacuation_view_t *view);
+bool bh_evacuation_may_start(const bh_evacuation_evidence_t *known);
 
 #endif
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -504,6 +504,10 @@
 	handle_ends(s, host, lists, now);
 	for (uint32_t i = 0; i < lists->n_active; i++)
 		handle_active(s, host, &lists->active[i], now);
+	TAILQ_FOREACH(run, &host->runs, link) {
+		if (run->reports_missed)
+			run->missed_at = now;
+	}
 	remove_orphan_runs(host, false);
 	repeat_stops(s, host, now);
 	if (!lists->has_more_ended) {
@@ -540,7 +544,7 @@
 
 /* Stops the runs that a draining worker would end by its exit, so that they are
  * started elsewhere. */
-static void evacuate(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
+static void stop_runs_before_exit(bh_sched_t *s, bh_host_t *host, bh_usec_t now)
 {
 	bh_run_t *run;
 	bh_run_t *next;
@@ -827,6 +831,8 @@
 	if (info->state == BH_WORKER_DOWN)
 		host->down_at = now;
 	if (lists) {
+		if (now - host->heard_at >= BH_REPORT_AGE_MAX_US)
+			host->silent_until = now;
 		host->heard_at = now;
 		host->clock_ms = lists->clock_ms;
 		host->is_lease_in_doubt = false;
@@ -875,7 +881,7 @@
 		s->must_place = true;
 	}
 	if (info->state == BH_WORKER_DRAINING)
-		evacuate(s, host, now);
+		stop_runs_before_exit(s, host, now);
 }
 
 void bh_sched_start_result(bh_sched_t *s, const char *key, const char *name,
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -21,6 +21,10 @@
  * is higher than any of an earlier one. */
 #define BH_ATTEMPTS_PER_TERM 4096u
 
+/* Reports come every 200 ms. A host whose last report is older gets no new
+ * work, since too little is known about it. */
+#define BH_REPORT_AGE_MAX_US (1500 * BH_USEC_PER_MS)
+
 /* Start orders to a host that are not confirmed yet: more wait. A connection
  * buffers 4 MiB. */
 #define BH_HOST_ORDER_BYTES_MAX (1u << 20)
@@ -61,11 +65,12 @@
  * @bias: of a serving task, the recent average of how far its headroom was from
  *	the prediction
  * @serving_since: when a report first showed that it serves requests; 0: it
- *does not
+ *	does not
  * @over_objective_since: when its tail latency rose above its objective; 0: it
- *is below
+ *	is below
  * @peak_cpu: most processor time that a filler used at full pace; 0: not known
  * @reports_missed: consecutive reports that did not list it
+ * @missed_at: when a report last did not list it; 0: never
  * @pace: limit on a filler's speed, in percent of full speed
  * @stop_ordered_at: when its stop was last ordered
  * @order_bytes: size of its start order, 0 if there was none
@@ -76,7 +81,7 @@
  * @is_kept: it is over or its process has ended, and it is kept only because it
  *	may start late
  * @checkpoint: the last one reported; the task takes it over if the run is lost
- * @checkpoint_at: when a report first had it; 0: there is none
+ * @checkpoint_at: when a report first had it in place of another; 0: not known
  */
 struct bh_run {
 	TAILQ_ENTRY(bh_run) link;
@@ -97,6 +102,7 @@
 	uint32_t peak_cpu;
 	bh_usec_t paced_at;
 	uint32_t reports_missed;
+	bh_usec_t missed_at;
 	uint32_t pace;
 	bh_usec_t stop_ordered_at;
 	uint32_t order_bytes;
@@ -116,6 +122,7 @@
  * @failed: numbers of the attempts that failed; those of a gang are all kept in
  *	its first task
  * @is_waiting: counted in the phase's @waiting
+ * @is_vacated: one of its runs was stopped to leave an evacuated zone
  * @checkpoint: where the next attempt resumes, or NULL
  * @blame: what is known of it from crashes of its workers
  * @held_since: when it was first kept from all hosts that it fits on, since a
@@ -138,6 +145,7 @@
 	uint32_t *failed;
 	bool is_done;
 	bool is_waiting;
+	bool is_vacated;
 	char *checkpoint;
 	bh_blame_t blame;
 	bh_usec_t held_since;
@@ -162,15 +170,17 @@
  * @rate_count: number of rates in @rate_sum
  * @rank: order of placement, lowest first
  * @runs_on: by host, the number of its runs there; NULL without a limit for
- *each host
+ *	each host
  * @advice: the adviser's answers by worker id, see tickets.c, or NULL; used
- *only if the queue needs advice
+ *	only if the queue needs advice
  * @advised_on: ids of the workers that the adviser was last asked about, or
- *NULL
+ *	NULL
  * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
  * @vacated_at: when one of its tasks was last stopped to leave an evacuated
- *zone
+ *	zone
+ * @stayed_at: when a run in an evacuated zone last had to stay, for lack of a
+ *	host or as too many of its tasks are unavailable; 0: never
  * @explained_at: when the reason why one of its tasks waits was last logged
  * @rack_waits: its tasks that wait for their rack
  * @rack_placed: since none waited, those that were started there
@@ -202,6 +212,7 @@
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
 	bh_usec_t vacated_at;
+	bh_usec_t stayed_at;
 	bh_usec_t explained_at;
 	uint32_t rack_waits;
 	uint32_t rack_placed;
@@ -340,9 +351,11 @@
  *	of; its agent may not know it after a restart; 0: none was reported
  * @is_linked: the agent is connected
  * @is_synced: all that the worker runs, and all ends, were seen in this term,
- *or its lease expired
+ *	or its lease expired
  * @linked_at: when @is_linked last changed
  * @heard_at: when the worker's lists last came
+ * @silent_until: when lists came that ended a silence of more than
+ *	BH_REPORT_AGE_MAX_US; 0: never
  * @lease_ends_at: time on the leader's clock by which the worker's lease has
  *	expired, and with it all its tasks have ended, unless it is extended
  * @is_lease_in_doubt: calls that got no answer may have prolonged its lease
@@ -368,7 +381,7 @@
  * @is_degraded: tail latencies are high for reasons other than fillers
  * @gauges_read_at: time of the last report whose gauges were processed
  * @filler_loads: processor use of its fillers by image, low-pass filtered to
- *match the lag of the long-running tasks' gauges
+ *	match the lag of the long-running tasks' gauges
  * @in_rack: its rack in the present placement pass, see racks.c; NULL: no task
  *	has asked for it
  * @number_in_rack: its number there
@@ -411,6 +424,7 @@
 	bool is_synced;
 	bh_usec_t linked_at;
 	bh_usec_t heard_at;
+	bh_usec_t silent_until;
 	bh_usec_t lease_ends_at;
 	bool is_lease_in_doubt;
 	bool is_lease_unconfirmed;
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -387,12 +387,16 @@
   /*
    * Of a leader: services all of whose workers are in evacuated zones.
    */
-  size_t n_closed_services;
-  char **closed_services;
+  size_t n_evacuated_services;
+  char **evacuated_services;
+  /*
+   * The store has not answered the sender since its start.
+   */
+  protobuf_c_boolean never_answered;
 };
 #define BH__SCHED__EVACUATION_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__evacuation_state__descriptor) \
-    , 0, 0,NULL, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
