An entry that is lost for 30 s holds no starts

Cause: entries that were removed for good stayed among the lost ones as long as their leader led, so that each later outage of the store would hold all starts for 8 s. Change: a lost entry counts for 30 s.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -12,6 +12,10 @@
 #define JOBS_WAIT_MS   1000
 #define AGENTS_WAIT_MS 2500
 
+/* An entry that has not come back by then was removed. Otherwise each outage of
+ * the store would hold starts for 8 s on account of a host that is gone. */
+#define ENTRY_LOST_KEEP_US (30 * BH_USEC_PER_SEC)
+
 /* Minimum time between two commits, in which changes are batched. */
 #define COMMIT_INTERVAL_US (15 * BH_USEC_PER_MS)
 
@@ -92,7 +96,8 @@
  * @evacuation: the evacuated zones, shared with the hub
  * @evacuation_sent: changes of that set which the agents have been sent
  * @others_answered_at: when the store last answered another entry
- * @lost_entries: addresses of entries whose connection has closed
+ * @lost_entries: entries whose connection has closed, by address the time
+ *	(bh_usec_t)
  * @are_starts_held: its copy of the set is too old to start tasks
  * @early_jobs: jobs that arrived before all tables were loaded
  * @removal: in flight, or NULL
@@ -188,6 +193,12 @@
 	return (bh_runtime_now() - at) / BH_USEC_PER_MS;
 }
 
+static gboolean is_lost_for_good(gpointer address, gpointer at, gpointer now)
+{
+	(void)address;
+	return *(bh_usec_t *)now - *(bh_usec_t *)at > ENTRY_LOST_KEEP_US;
+}
+
 /* Holds starts in all zones while an evacuation may have been acknowledged that
  * this process has not heard of. */
 static void update_hold(bh_sched_leader_t *l)
@@ -200,8 +211,10 @@
 		.is_other_lost = g_hash_table_size(l->lost_entries) > 0,
 	};
 	bool is_held = !bh_evacuation_may_start(&known);
+	bh_usec_t now = bh_runtime_now();
 	g_autofree char *age = NULL;
 
+	g_hash_table_foreach_remove(l->lost_entries, is_lost_for_good, &now);
 	bh_sched_hold_starts(l->sched, is_held);
 	if (is_held == l->are_starts_held)
 		return;
@@ -977,7 +990,7 @@
 	l->stored_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, free_progress);
 	l->lost_entries =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->early_jobs = g_ptr_array_new();
 	l->removed_jobs = g_ptr_array_new_with_free_func(g_free);
 	l->run = event_new(rt->base, -1, 0, on_run, l);
@@ -1043,7 +1056,10 @@
 
 void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l, const char *address)
 {
-	g_hash_table_add(l->lost_entries, g_strdup(address));
+	bh_usec_t now = bh_runtime_now();
+
+	g_hash_table_replace(l->lost_entries, g_strdup(address),
+			     g_memdup2(&now, sizeof(now)));
 }
 
 bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l)
