The guard's reference to a connection keeps its descriptor open

Cause: libevent closed the socket of a connection that it freed while the guard's reference still held the bufferevent for up to 100 ms. A connection accepted meanwhile with the same descriptor could receive nothing: an ordinary job got 408 after 10 s (tests/jobs store_down, f4), and store_slow did not end. That a stale event on the descriptor is the mechanism is concluded from this, not traced.

Change: the bufferevent closes the socket, when the guard releases it: in the same round of the event loop after a response, within 100 ms otherwise.

--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -322,10 +322,9 @@
 	bh_http_scan_reset(&conn->scan);
 	conn->scanned = 0;
 	bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
-	if (evbuffer_get_length(conn->rest)) {
-		conn->is_due = true;
-		schedule(conn->server->guard);
-	}
+	conn->is_due = evbuffer_get_length(conn->rest) > 0;
+	/* Also releases the connection if libevent is about to free it. */
+	schedule(conn->server->guard);
 }
 
 static void on_output(struct evbuffer *out, const struct evbuffer_cb_info *info,
@@ -513,7 +512,11 @@
 {
 	server_t *server = arg;
 	guard_t *g = server->guard;
-	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+	/* Otherwise libevent would close the socket while our reference keeps
+	 * its events: the next connection with the same descriptor would miss
+	 * some of its own. */
+	struct bufferevent *bev =
+		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 	conn_t *conn = g_new0(conn_t, 1);
 
 	conn->server = server;
