The guard ignores connections that libevent has freed

Cause: while libevent closed the descriptor of a connection that the guard still referred to, the read event of its bufferevent stayed registered. A trace of epoll_ctl() and close() with the build before shows close() without EPOLL_CTL_DEL and the failing EPOLL_CTL_MOD of the next connection. Until then the guard's callbacks could still scan the input of such a connection, and send a refusal to it.

Change: on_input() and on_output() return if libevent has freed the connection.

--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -310,7 +310,7 @@
 	conn_t *conn = arg;
 
 	(void)in;
-	if (conn->is_feeding || info->n_added == 0)
+	if (conn->is_feeding || info->n_added == 0 || is_gone(conn))
 		return;
 	take_input(conn, info->n_added);
 }
@@ -333,6 +333,8 @@
 	conn_t *conn = arg;
 	bh_usec_t now = bh_runtime_now();
 
+	if (is_gone(conn))
+		return;
 	if (conn->base.state == BH_CONN_PASSED && info->n_added)
 		bh_intake_set_state(&conn->base, BH_CONN_WRITING, now);
 	if (conn->base.state == BH_CONN_WRITING && info->n_deleted) {
