Input that arrives during a response is bounded and scanned

Cause: libevent enables reading while it writes a response. What arrived then was neither counted nor bounded, and after the response libevent parsed it regardless of the watermark, past the guard's scan. A client that pipelined a request whose parts arrived during a response got 400 for its rest, and requests could be handled while the guard took the connection for idle.

Change: at the end of a response the input moves to the bytes that wait for the scan; input that arrives before these have been scanned is appended to them. A high watermark keeps them to 16 KiB. The input counts while a response is written.

--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -28,6 +28,10 @@
  * it is bounded as it is held like the rest. */
 #define FRAMING_SHARE 1
 
+/* Input of a connection beyond the request that is being handled; reading stops
+ * there until the response has been sent. */
+#define REST_MAX 16384
+
 /* Passed to libevent as the least number of bytes that it is told of, so that
  * it sees none of an incomplete request. */
 #define NEVER_READ SIZE_MAX
@@ -121,7 +125,7 @@
 	if (conn->base.state == BH_CONN_PASSED ||
 	    conn->base.state == BH_CONN_WRITING)
 		bytes += conn->scanned;
-	else
+	if (conn->base.state != BH_CONN_PASSED)
 		bytes += evbuffer_get_length(bufferevent_get_input(conn->bev));
 	if (conn->base.state != BH_CONN_CLOSING)
 		bh_intake_set_bytes(&g->in, &conn->base, bytes);
@@ -214,6 +218,17 @@
 	return false;
 }
 
+/* Bounds what is read until @rest is scanned. libevent reads while it writes a
+ * response. At the bound one more byte is read for each response, which is less
+ * than the request that it answers, so that @rest does not grow further. */
+static void limit_rest(conn_t *conn, size_t low)
+{
+	size_t n = evbuffer_get_length(conn->rest);
+
+	bufferevent_setwatermark(conn->bev, EV_READ, low,
+				 n < REST_MAX ? REST_MAX - n : 1);
+}
+
 /* Leaves the complete request in the input for libevent and takes off what
  * follows. */
 static void pass_on(conn_t *conn, bh_usec_t now)
@@ -231,7 +246,7 @@
 	}
 	g->passed += conn->scanned;
 	bh_intake_set_state(&conn->base, BH_CONN_PASSED, now);
-	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
+	limit_rest(conn, 0);
 }
 
 /* Scans the bytes of the input after the first @scanned ones. */
@@ -292,10 +307,15 @@
 		break;
 	case BH_CONN_PASSED:
 	case BH_CONN_WRITING:
-		/* libevent stops reading meanwhile, except for what arrives
-		 * before it has parsed the request. */
+		/* Left in the input until end_response(). */
 		break;
 	default:
+		if (conn->is_due) {
+			/* It follows what is to be scanned first. */
+			evbuffer_add_buffer(conn->rest, in);
+			limit_rest(conn, NEVER_READ);
+			break;
+		}
 		scan_input(conn, now);
 		bh_intake_progress(&conn->base, added, now);
 		break;
@@ -315,14 +335,21 @@
 	take_input(conn, info->n_added);
 }
 
-/* The response is sent: libevent reads the next request from now on. */
+/* The response is sent: libevent reads the next request from now on, and parses
+ * what is in the input regardless of the watermark. */
 static void end_response(conn_t *conn, bh_usec_t now)
 {
+	conn->is_feeding = true;
+	evbuffer_add_buffer(conn->rest, bufferevent_get_input(conn->bev));
+	conn->is_feeding = false;
 	bh_intake_set_state(&conn->base, BH_CONN_IDLE, now);
 	bh_http_scan_reset(&conn->scan);
 	conn->scanned = 0;
-	bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
 	conn->is_due = evbuffer_get_length(conn->rest) > 0;
+	if (conn->is_due)
+		limit_rest(conn, NEVER_READ);
+	else
+		bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
 	/* Also releases the connection if libevent is about to free it. */
 	schedule(conn->server->guard);
 }
@@ -355,6 +382,7 @@
 	if (conn->base.state != BH_CONN_IDLE)
 		return;
 	conn->is_feeding = true;
+	bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
 	evbuffer_unfreeze(in, 0);
 	evbuffer_add_buffer(in, conn->rest);
 	take_input(conn, n);
--- a/tests/test_http_guard.c
+++ b/tests/test_http_guard.c
@@ -15,6 +15,9 @@
 
 #define DEADLINE_US (10 * BH_USEC_PER_SEC)
 
+/* More than the buffers of both sockets take, so that it is sent in parts. */
+#define LONG_RESPONSE ((size_t)16 << 20)
+
 /**
  * struct server - a guarded server
  * @requests: paths that the handler was called with, each after a space
@@ -44,6 +47,15 @@
 	const char *path = evhttp_request_get_uri(req);
 
 	g_string_append_printf(s->requests, " %s", path);
+	if (strcmp(path, "/long") == 0) {
+		struct evbuffer *body = evbuffer_new();
+		g_autofree char *text = g_strnfill(LONG_RESPONSE, 'x');
+
+		evbuffer_add(body, text, LONG_RESPONSE);
+		evhttp_send_reply(req, 200, "OK", body);
+		evbuffer_free(body);
+		return;
+	}
 	evhttp_send_reply(req, 200, "OK", NULL);
 }
 
@@ -145,6 +157,24 @@
 	return found;
 }
 
+/* Reads until the long response has arrived. */
+static void client_read_long(server_t *s, int fd)
+{
+	g_autofree char *piece = g_malloc(1 << 16);
+	bh_usec_t until = bh_runtime_now() + DEADLINE_US;
+	size_t read = 0;
+
+	while (read < LONG_RESPONSE && bh_runtime_now() < until) {
+		ssize_t got;
+
+		event_base_loop(s->rt.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+		got = recv(fd, piece, 1 << 16, 0);
+		assert_int_not_equal(got, 0);
+		read += got > 0 ? (size_t)got : 0;
+	}
+	assert_true(read >= LONG_RESPONSE);
+}
+
 static void run_for(server_t *s, bh_usec_t time)
 {
 	bh_usec_t until = bh_runtime_now() + time;
@@ -208,11 +238,63 @@
 	server_close(&s);
 }
 
+/* libevent reads while it writes a response, and got what had arrived until
+ * then past the guard: the rest of the request was refused as malformed. */
+static void test_request_in_parts_during_a_response(void **state)
+{
+	server_t s;
+	int fd;
+
+	(void)state;
+	server_open(&s);
+	fd = client_open(&s);
+	client_send(&s, fd, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_for(&s, MS(50));
+	client_send(&s, fd, "POST /b HTTP/1.1\r\nHost: h\r\nContent-Le");
+	run_for(&s, MS(50));
+	client_read_long(&s, fd);
+	run_for(&s, MS(50));
+	client_send(&s, fd, "ngth: 3\r\n\r\nab");
+	run_for(&s, MS(50));
+	client_send(&s, fd, "cGET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+	assert_int_equal(client_read(&s, fd, 2), 2);
+	assert_string_equal(s.requests->str, " /long /b /c");
+	close(fd);
+	server_close(&s);
+}
+
+/* Requests beyond what is read ahead are handled in order, each once. */
+static void test_pipelined_requests_keep_their_order(void **state)
+{
+	g_autoptr(GString) text =
+		g_string_new("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+	g_autoptr(GString) expected = g_string_new(" /long");
+	server_t s;
+	int fd;
+
+	(void)state;
+	server_open(&s);
+	fd = client_open(&s);
+	for (int i = 0; i < 2000; i++) {
+		g_string_append_printf(
+			text, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i);
+		g_string_append_printf(expected, " /%d", i);
+	}
+	client_send(&s, fd, text->str);
+	run_for(&s, MS(50));
+	assert_int_equal(client_read(&s, fd, 2001), 2001);
+	assert_string_equal(s.requests->str, expected->str);
+	close(fd);
+	server_close(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_descriptor_is_reused_after_close),
 		cmocka_unit_test(test_descriptor_is_closed_once),
+		cmocka_unit_test(test_request_in_parts_during_a_response),
+		cmocka_unit_test(test_pipelined_requests_keep_their_order),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
