The share of an address is enforced on that address

Cause: where the budget or the share of an address was exceeded, the heaviest request of all was closed. If many small requests of one address filled it, that was the larger request of another address. test_address_keeps_to_its_share did not look at the other address.

Change: the address with the largest sum of incomplete requests is found first. If it exceeds its share, its heaviest request is closed, also when the budget is exhausted; otherwise the heaviest of all, as before. The test asserts that the other request stays.

--- a/sched/intake.c
+++ b/sched/intake.c
@@ -115,18 +115,6 @@
 	return conn->state == BH_CONN_HEAD || conn->state == BH_CONN_BODY;
 }
 
-static uint64_t address_bytes(const bh_intake_t *in, uint32_t address)
-{
-	const bh_intake_conn_t *conn;
-	uint64_t sum = 0;
-
-	TAILQ_FOREACH(conn, &in->conns, link) {
-		if (is_incomplete(conn) && conn->address == address)
-			sum += conn->bytes;
-	}
-	return sum;
-}
-
 static uint32_t group_max(const bh_intake_t *in, uint32_t group)
 {
 	return group ? in->limits.small_connections : in->limits.connections;
@@ -227,19 +215,46 @@
 	return found;
 }
 
-/* A single address may fill half of the budget. With several, the one that the
- * heaviest request comes from is looked at. */
+/* Finds the address with the largest sum of incomplete requests.
+ * Return: that sum; @address is set unless it is 0. */
+static uint64_t largest_address(const bh_intake_t *in, uint32_t *address)
+{
+	g_autoptr(GHashTable) sums = g_hash_table_new_full(
+		g_direct_hash, g_direct_equal, NULL, g_free);
+	const bh_intake_conn_t *conn;
+	uint64_t largest = 0;
+
+	TAILQ_FOREACH(conn, &in->conns, link) {
+		gpointer key = GUINT_TO_POINTER(conn->address);
+		uint64_t *sum;
+
+		if (!is_incomplete(conn))
+			continue;
+		sum = g_hash_table_lookup(sums, key);
+		if (!sum) {
+			sum = g_new0(uint64_t, 1);
+			g_hash_table_insert(sums, key, sum);
+		}
+		*sum += conn->bytes;
+		if (*sum > largest) {
+			largest = *sum;
+			*address = conn->address;
+		}
+	}
+	return largest;
+}
+
+/* A single address may fill half of the budget. The one with most bytes loses
+ * its own requests, so that those of others stay. */
 static bh_intake_conn_t *over_share(bh_intake_t *in, bh_usec_t now)
 {
-	bh_intake_conn_t *conn;
+	uint32_t address = 0;
 
 	if (in->bytes <= in->limits.address_bytes)
 		return NULL;
-	conn = heaviest(in, now, false, NULL);
-	if (!conn ||
-	    address_bytes(in, conn->address) <= in->limits.address_bytes)
+	if (largest_address(in, &address) <= in->limits.address_bytes)
 		return NULL;
-	return conn;
+	return heaviest(in, now, false, &address);
 }
 
 static bh_intake_conn_t *choose(bh_intake_t *in, bh_usec_t now,
@@ -253,13 +268,15 @@
 		conn = oldest(in, (uint32_t)group);
 	if (conn)
 		return conn;
-	*cause = BH_INTAKE_MEMORY;
+	*cause = BH_INTAKE_SHARE;
+	conn = over_share(in, now);
 	if (in->bytes > in->limits.budget_bytes) {
-		conn = heaviest(in, now, false, NULL);
+		*cause = BH_INTAKE_MEMORY;
+		if (!conn)
+			conn = heaviest(in, now, false, NULL);
 		return conn ? conn : heaviest(in, now, true, NULL);
 	}
-	*cause = BH_INTAKE_SHARE;
-	return over_share(in, now);
+	return conn;
 }
 
 bh_intake_conn_t *bh_intake_next_victim(bh_intake_t *in, bh_usec_t now,
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -107,9 +107,9 @@
 		receive(&in, &conns[i], BODY / 16, MS(1001));
 	assert_true(close_victims(&in, MS(1001)) > 0);
 	assert_true(in.bytes <= in.limits.address_bytes + BODY);
-	/* The one that is chosen is the heaviest by size and stall. */
-	receive(&in, &conns[CLIENTS - 1], 0, MS(1001));
 	assert_true(in.causes[BH_INTAKE_SHARE] > 0);
+	/* It is the heaviest of all. */
+	assert_int_equal(other.state, BH_CONN_BODY);
 }
 
 /* Of equal ones the longest without progress is closed; requests that have been
