A NUL in the head or trailer of a request is refused

Cause: the scan copied a NUL into the line, and what followed was invisible to its comparisons of fields and sizes. Another parser can read such a line in another way.

Change: 400 for a NUL in the start line, a field, the size of a chunk or the trailer. Bodies may contain it.

Result: test_nul_is_refused, in pieces of any length, passes and fails before.

--- a/sched/http_scan.c
+++ b/sched/http_scan.c
@@ -244,6 +244,11 @@
 
 	if (is_over_limit(scan, limits, n + (end != NULL)))
 		return n;
+	/* What follows it would be invisible to all comparisons of the line. */
+	if (memchr(data, 0, n)) {
+		refuse(scan, 400);
+		return n;
+	}
 	memcpy(scan->line + scan->line_len, data, MIN(n, room));
 	scan->line_len += (uint16_t)MIN(n, room);
 	if (!end)
--- a/tests/test_http_scan.c
+++ b/tests/test_http_scan.c
@@ -14,9 +14,9 @@
 };
 
 /* Return: bytes up to the end of the request or its refusal. */
-static size_t feed(bh_http_scan_t *scan, const char *text, size_t piece)
+static size_t feed_bytes(bh_http_scan_t *scan, const char *text, size_t len,
+			 size_t piece)
 {
-	size_t len = strlen(text);
 	size_t done = 0;
 
 	bh_http_scan_reset(scan);
@@ -26,6 +26,11 @@
 	return done;
 }
 
+static size_t feed(bh_http_scan_t *scan, const char *text, size_t piece)
+{
+	return feed_bytes(scan, text, strlen(text), piece);
+}
+
 /* A request ends at the same byte however it is split; libevent got part of the
  * next one otherwise. */
 static void test_end_is_found_in_any_pieces(void **state)
@@ -124,12 +129,52 @@
 	}
 }
 
+/* What follows a NUL in a line was invisible to the scan, while another parser
+ * may read it. */
+static void test_nul_is_refused(void **state)
+{
+	static const char head[] = "POST /a\0b HTTP/1.1\r\nHost: h\r\n\r\n";
+	static const char field[] =
+		"POST /a HTTP/1.1\r\nA: b\0c\r\nContent-Length: 3\r\n\r\n";
+	static const char size[] =
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"1\0;\r\na\r\n";
+	static const char trailer[] =
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"0\r\nA: b\0c\r\n\r\n";
+	static const char body[] =
+		"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\na\0b";
+	static const struct {
+		const char *text;
+		size_t len;
+		bh_http_part_t part;
+	} cases[] = {
+		{head, sizeof(head) - 1, BH_HTTP_REFUSED},
+		{field, sizeof(field) - 1, BH_HTTP_REFUSED},
+		{size, sizeof(size) - 1, BH_HTTP_REFUSED},
+		{trailer, sizeof(trailer) - 1, BH_HTTP_REFUSED},
+		{body, sizeof(body) - 1, BH_HTTP_DONE},
+	};
+	bh_http_scan_t scan;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (size_t piece = 1; piece <= cases[i].len; piece++) {
+			feed_bytes(&scan, cases[i].text, cases[i].len, piece);
+			assert_int_equal(scan.part, cases[i].part);
+			if (scan.part == BH_HTTP_REFUSED)
+				assert_int_equal(scan.status, 400);
+		}
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_end_is_found_in_any_pieces),
 		cmocka_unit_test(test_limits_refuse_at_once),
 		cmocka_unit_test(test_ambiguous_framing_is_refused),
+		cmocka_unit_test(test_nul_is_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
