A single client address may use the whole memory budget

Cause: callers behind one load balancer have one address, so that they got half of the budget although nobody else needed the other half.

Change: the share applies only while another address has incomplete requests.

--- a/sched/intake.c
+++ b/sched/intake.c
@@ -14,7 +14,8 @@
 /* Room for a few bodies of legal size, however little memory the host has. */
 #define BUDGET_BODIES_MIN 4
 
-/* Callers of a zone may share an address, so that one gets half of all. */
+/* Callers of a zone may share an address, so that one gets half of all even
+ * while others have incomplete requests. */
 #define ADDRESS_DIVISOR 2
 
 /* Descriptors kept for the store, agents, other entries and the small
@@ -217,7 +218,8 @@
 
 /* Finds the address with the largest sum of incomplete requests.
  * Return: that sum; @address is set unless it is 0. */
-static uint64_t largest_address(const bh_intake_t *in, uint32_t *address)
+static uint64_t largest_address(const bh_intake_t *in, uint32_t *address,
+				uint32_t *n_addresses)
 {
 	g_autoptr(GHashTable) sums = g_hash_table_new_full(
 		g_direct_hash, g_direct_equal, NULL, g_free);
@@ -241,18 +243,23 @@
 			*address = conn->address;
 		}
 	}
+	*n_addresses = g_hash_table_size(sums);
 	return largest;
 }
 
-/* A single address may fill half of the budget. The one with most bytes loses
- * its own requests, so that those of others stay. */
+/* While several addresses have incomplete requests, each may fill half of the
+ * budget. The one with most bytes loses its own requests, so that those of
+ * others stay. A single one, as of all callers behind a load balancer, may fill
+ * the budget. */
 static bh_intake_conn_t *over_share(bh_intake_t *in, bh_usec_t now)
 {
 	uint32_t address = 0;
+	uint32_t n = 0;
 
 	if (in->bytes <= in->limits.address_bytes)
 		return NULL;
-	if (largest_address(in, &address) <= in->limits.address_bytes)
+	if (largest_address(in, &address, &n) <= in->limits.address_bytes ||
+	    n < 2)
 		return NULL;
 	return heaviest(in, now, false, &address);
 }
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -112,6 +112,33 @@
 	assert_int_equal(other.state, BH_CONN_BODY);
 }
 
+/* All callers may share the address of a load balancer: half of the concurrent
+ * uploads that the budget has room for were refused. */
+static void test_single_address_may_fill_the_budget(void **state)
+{
+	g_autofree bh_intake_conn_t *conns = g_new0(bh_intake_conn_t, CLIENTS);
+	bh_intake_conn_t other = {.address = 2};
+	bh_intake_t in;
+	int n;
+
+	(void)state;
+	setup(&in, 4100);
+	connect_all(&in, conns, CLIENTS, BH_CONN_BODY);
+	/* Neither an idle connection nor a complete request is an upload. */
+	bh_intake_add(&in, &other, 0, MS(1000));
+	n = (int)(in.limits.budget_bytes / BODY);
+	for (int i = 0; i < n; i++)
+		receive(&in, &conns[i], BODY, MS(1000));
+	assert_int_equal(close_victims(&in, MS(1000)), 0);
+	receive(&in, &conns[n], BODY, MS(1000));
+	assert_int_equal(close_victims(&in, MS(1000)), 1);
+	bh_intake_set_state(&other, BH_CONN_HEAD, MS(1000));
+	receive(&in, &other, 1, MS(1000));
+	assert_true(close_victims(&in, MS(1000)) > 0);
+	assert_true(in.bytes <= in.limits.address_bytes + 1);
+	assert_int_equal(other.state, BH_CONN_HEAD);
+}
+
 /* Of equal ones the longest without progress is closed; requests that have been
  * passed on never are, even where nothing else is left. */
 static void test_victim_is_the_one_that_stalls(void **state)
@@ -233,6 +260,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_bodies_that_stop_short),
 		cmocka_unit_test(test_address_keeps_to_its_share),
+		cmocka_unit_test(test_single_address_may_fill_the_budget),
 		cmocka_unit_test(test_victim_is_the_one_that_stalls),
 		cmocka_unit_test(test_connections_stay_below_descriptors),
 		cmocka_unit_test(test_time_limits),
