Entries enforce the configuration's limit of bodies

Cause: limits.max-body-bytes was decoded and never read; an entry took bodies up to its own max_body_bytes.

Change: a body whose declared length exceeds the limit of the configuration, if that is set, is refused with 413 before it is read. Chunked bodies declare none; for them max_body_bytes holds.

Result, release build: tests/jobs body_limit_of_configuration passes and fails before (400 instead of 413); calm, bad_input and config_copies_flood_links pass.

--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -669,7 +669,8 @@
 	route(e, req, queue, id);
 }
 
-/* A body to a path without a route is refused before it is read. */
+/* A body to a path without a route, or over the limit of the configuration, is
+ * refused before it is read. */
 static int check_front(void *arg, const bh_http_scan_t *head)
 {
 	bh_sched_entry_t *e = arg;
@@ -677,7 +678,11 @@
 
 	if (!config)
 		return 503;
-	return bh_config_match(config, head->host, head->path) ? 0 : 404;
+	if (!bh_config_match(config, head->host, head->path))
+		return 404;
+	return config->max_body_bytes && head->left > config->max_body_bytes
+		       ? 413
+		       : 0;
 }
 
 static void on_ready(struct evhttp_request *req, void *arg)
