Limits of connections and memory cost less per event

Cause: each accepted connection counted all connections of its listener, and each event above half of the memory budget led to a check that looks at every connection.

Change: a counter for each group of listeners. Above half of the budget a check is due once 1/64 of an address's share has been added, and every 100 ms. Processor time was not measured.

--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -28,6 +28,11 @@
  * it is bounded as it is held like the rest. */
 #define FRAMING_SHARE 1
 
+/* A check of the limits on memory looks at every connection. Above half of the
+ * budget, one is due after this part of an address's share has been added, and
+ * with each sweep. */
+#define CHECK_DIVISOR 64
+
 /* Input of a connection beyond the request that is being handled; reading stops
  * there until the response has been sent. */
 #define REST_MAX 16384
@@ -80,6 +85,7 @@
  * event loop: connections are closed there only
  * @swept_at: later by PAUSE_MIN_US: the process was paused, and what clients
  *            have sent meanwhile may be unread yet
+ * @checked: bytes held when the limits on memory were last checked, or fewer
  * @peak: most bytes held since memory was last returned
  * @passed: bytes passed on since then
  * @logged: refusals by cause that have been logged
@@ -93,6 +99,7 @@
 	struct event *work;
 	struct event *sweep;
 	bh_usec_t swept_at;
+	uint64_t checked;
 	uint64_t peak;
 	uint64_t passed;
 	bh_usec_t trimmed_at;
@@ -130,7 +137,10 @@
 	if (conn->base.state != BH_CONN_CLOSING)
 		bh_intake_set_bytes(&g->in, &conn->base, bytes);
 	g->peak = MAX(g->peak, g->in.bytes);
-	if (bh_intake_is_over(&g->in))
+	g->checked = MIN(g->checked, g->in.bytes);
+	if (bh_intake_is_over(&g->in) &&
+	    g->in.bytes - g->checked >
+		    g->in.limits.address_bytes / CHECK_DIVISOR)
 		schedule(g);
 }
 
@@ -460,6 +470,7 @@
 			feed_rest(conn);
 	}
 	close_victims(g, bh_runtime_now());
+	g->checked = g->in.bytes;
 	resume_servers(g);
 }
 
@@ -534,6 +545,8 @@
 		bh_intake_skip_pause(&g->in, now - g->swept_at);
 	g->swept_at = now;
 	close_overdue(g, now);
+	if (bh_intake_is_over(&g->in))
+		schedule(g);
 	log_refusals(g, now);
 	return_memory(g, now);
 }
--- a/sched/intake.c
+++ b/sched/intake.c
@@ -69,20 +69,21 @@
 		   bh_usec_t now)
 {
 	conn->state = BH_CONN_IDLE;
-	conn->group = group;
+	conn->group = MIN(group, BH_INTAKE_GROUPS - 1);
 	conn->bytes = 0;
 	conn->received = 0;
 	conn->began_at = now;
 	conn->moved_at = now;
 	TAILQ_INSERT_TAIL(&in->conns, conn, link);
-	in->n++;
+	in->n_by_group[conn->group]++;
 }
 
 void bh_intake_remove(bh_intake_t *in, bh_intake_conn_t *conn)
 {
 	bh_intake_set_bytes(in, conn, 0);
 	TAILQ_REMOVE(&in->conns, conn, link);
-	in->n--;
+	if (conn->state != BH_CONN_CLOSING)
+		in->n_by_group[conn->group]--;
 }
 
 void bh_intake_set_state(bh_intake_conn_t *conn, bh_conn_state_t state,
@@ -121,26 +122,14 @@
 	return group ? in->limits.small_connections : in->limits.connections;
 }
 
-static uint32_t count_group(const bh_intake_t *in, uint32_t group)
-{
-	const bh_intake_conn_t *conn;
-	uint32_t n = 0;
-
-	TAILQ_FOREACH(conn, &in->conns, link)
-		n += conn->group == group && conn->state != BH_CONN_CLOSING;
-	return n;
-}
-
 /* Return: a listener with too many connections, or -1. */
 static int64_t crowded_group(const bh_intake_t *in)
 {
 	const bh_intake_conn_t *conn;
 
-	if (in->n <= MIN(in->limits.small_connections, in->limits.connections))
-		return -1;
 	/* The listener of the newest connection is the one that grew. */
 	conn = TAILQ_LAST(&in->conns, bh_intake_conns);
-	if (count_group(in, conn->group) > group_max(in, conn->group))
+	if (conn && in->n_by_group[conn->group] > group_max(in, conn->group))
 		return conn->group;
 	return -1;
 }
@@ -296,6 +285,7 @@
 	in->causes[*cause]++;
 	bh_intake_set_bytes(in, conn, 0);
 	bh_intake_set_state(conn, BH_CONN_CLOSING, now);
+	in->n_by_group[conn->group]--;
 	return conn;
 }
 
--- a/sched/intake.h
+++ b/sched/intake.h
@@ -63,6 +63,10 @@
 	BH_INTAKE_CAUSES,
 } bh_intake_cause_t;
 
+/* Main listeners, and one for each of readiness and metrics; more small ones
+ * share the last. */
+#define BH_INTAKE_GROUPS 4
+
 /**
  * struct bh_intake_limits - limits of a process; bh_intake_limits_init()
  * @budget_bytes: incomplete and complete requests and unsent responses
@@ -109,12 +113,13 @@
 /**
  * struct bh_intake - all connections of a process
  * @bytes: sum over all connections
+ * @n_by_group: connections of each group, without those being closed
  */
 typedef struct bh_intake {
 	bh_intake_limits_t limits;
 	struct bh_intake_conns conns;
 	uint64_t bytes;
-	uint32_t n;
+	uint32_t n_by_group[BH_INTAKE_GROUPS];
 	uint64_t causes[BH_INTAKE_CAUSES];
 } bh_intake_t;
 
