The memory budget counts what is held for a request, not its former body

Cause: the bytes of a request counted until its response had been sent. An entry holds only the row of a submission, at most 64 KB, while it waits for the store, so that other requests were refused for memory that was free again.

Change: bh_http_guard_set_held() replaces the size of the request by that of its head and of what the handler holds; the entry calls it for submissions.

--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -63,7 +63,8 @@
  * @base: must be the first member
  * @bev: a reference of our own; libevent may have freed it, see is_gone()
  * @rest: what arrived after the request that is being handled
- * @scanned: bytes of the input that belong to the current request
+ * @scanned: bytes of the input that belong to the current request; once it has
+ *           been passed on, bytes held for it
  * @is_feeding: our own change of the input
  * @is_due: @rest is to be scanned
  */
@@ -85,6 +86,7 @@
  * event loop: connections are closed there only
  * @swept_at: later by PAUSE_MIN_US: the process was paused, and what clients
  *            have sent meanwhile may be unread yet
+ * @by_bev: connections by bufferevent
  * @checked: bytes held when the limits on memory were last checked, or fewer
  * @peak: most bytes held since memory was last returned
  * @passed: bytes passed on since then
@@ -95,6 +97,7 @@
 	bh_intake_t in;
 	bh_http_limits_t limits;
 	SLIST_HEAD(, server) servers;
+	GHashTable *by_bev;
 	uint32_t n_groups;
 	struct event *work;
 	struct event *sweep;
@@ -406,6 +409,7 @@
 	bh_intake_remove(&conn->server->guard->in, &conn->base);
 	evbuffer_remove_cb(bufferevent_get_input(conn->bev), on_input, conn);
 	evbuffer_remove_cb(bufferevent_get_output(conn->bev), on_output, conn);
+	g_hash_table_remove(conn->server->guard->by_bev, conn->bev);
 	bufferevent_decref(conn->bev);
 	evbuffer_free(conn->rest);
 	g_free(conn);
@@ -567,6 +571,7 @@
 	conn->rest = evbuffer_new();
 	bh_http_scan_reset(&conn->scan);
 	bufferevent_incref(bev);
+	g_hash_table_insert(g->by_bev, bev, conn);
 	bufferevent_setwatermark(bev, EV_READ, NEVER_READ, 0);
 	evbuffer_add_cb(bufferevent_get_input(bev), on_input, conn);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
@@ -611,6 +616,7 @@
 			      fd_limit(set), g->limits.body_bytes);
 	bh_intake_init(&g->in, &limits);
 	SLIST_INIT(&g->servers);
+	g->by_bev = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->swept_at = bh_runtime_now();
 	g->work = event_new(rt->base, -1, 0, on_work, g);
 	g->sweep = bh_runtime_every(rt, SWEEP_MS, on_sweep, g);
@@ -646,6 +652,21 @@
 	}
 }
 
+void bh_http_guard_set_held(bh_runtime_t *rt, struct evhttp_request *req,
+			    size_t bytes)
+{
+	struct evhttp_connection *from = evhttp_request_get_connection(req);
+	conn_t *conn = from ? g_hash_table_lookup(
+				      rt->guard->by_bev,
+				      evhttp_connection_get_bufferevent(from))
+			    : NULL;
+
+	if (!conn || conn->base.state != BH_CONN_PASSED)
+		return;
+	conn->scanned = conn->scan.head + bytes;
+	account(conn);
+}
+
 void bh_http_guard_metrics(const bh_runtime_t *rt, GString *out)
 {
 	const guard_t *g = rt->guard;
@@ -691,6 +712,7 @@
 		SLIST_REMOVE_HEAD(&g->servers, link);
 		g_free(server);
 	}
+	g_hash_table_unref(g->by_bev);
 	event_free(g->work);
 	event_free(g->sweep);
 	g_free(g);
--- a/daemon/http_guard.h
+++ b/daemon/http_guard.h
@@ -34,6 +34,13 @@
  */
 void bh_http_guard_detach(bh_runtime_t *rt, struct evhttp_bound_socket *socket);
 
+/**
+ * bh_http_guard_set_held() - the handler has taken the body of a request and
+ * holds @bytes for it until the response
+ */
+void bh_http_guard_set_held(bh_runtime_t *rt, struct evhttp_request *req,
+			    size_t bytes);
+
 /**
  * bh_http_guard_metrics() - append the metrics of the guard of @rt, if any
  */
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -469,6 +469,7 @@
 		bh_job_free(job);
 		return;
 	}
+	bh_http_guard_set_held(e->rt, req, g_bytes_get_size(row));
 	p = pending_new(e, req, id, queue->name);
 	p->is_submission = true;
 	p->row = row;
--- a/tests/test_http_guard.c
+++ b/tests/test_http_guard.c
@@ -2,6 +2,7 @@
  * The guard of HTTP servers, with real sockets in one process.
  */
 #include "daemon/http_guard.h"
+#include "platform/http_client.h"
 #include "tests/test.h"
 
 #include <arpa/inet.h>
@@ -20,12 +21,14 @@
 
 /**
  * struct server - a guarded server
+ * @held: a request that has no response yet
  * @requests: paths that the handler was called with, each after a space
  */
 typedef struct server {
 	bh_runtime_t rt;
 	struct evhttp *http;
 	struct sockaddr_in at;
+	struct evhttp_request *held;
 	GString *requests;
 } server_t;
 
@@ -56,6 +59,12 @@
 		evbuffer_free(body);
 		return;
 	}
+	if (strcmp(path, "/held") == 0) {
+		g_bytes_unref(bh_http_take_body(req));
+		bh_http_guard_set_held(&s->rt, req, 1000);
+		s->held = req;
+		return;
+	}
 	evhttp_send_reply(req, 200, "OK", NULL);
 }
 
@@ -288,6 +297,43 @@
 	server_close(&s);
 }
 
+static double bytes_held(const server_t *s)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	const char *line;
+
+	bh_http_guard_metrics(&s->rt, text);
+	line = strstr(text->str, "boragehold_http_bytes_held ");
+	assert_non_null(line);
+	return g_ascii_strtod(strchr(line, ' '), NULL);
+}
+
+/* A body counted until the response, also where the handler waits for the store
+ * and holds less, so that other requests were refused for it. */
+static void test_body_that_was_taken_does_not_count(void **state)
+{
+	g_autofree char *body = g_strnfill(500000, 'x');
+	g_autofree char *text = g_strconcat("POST /held HTTP/1.1\r\nHost: h\r\n"
+					    "Content-Length: 500000\r\n\r\n",
+					    body, NULL);
+	server_t s;
+	int fd;
+
+	(void)state;
+	server_open(&s);
+	fd = client_open(&s);
+	client_send(&s, fd, text);
+	run_for(&s, MS(100));
+	assert_non_null(s.held);
+	assert_true(bytes_held(&s) > 1000);
+	assert_true(bytes_held(&s) < 2000);
+	evhttp_send_reply(s.held, 200, "OK", NULL);
+	assert_int_equal(client_read(&s, fd, 1), 1);
+	assert_true(bytes_held(&s) == 0);
+	close(fd);
+	server_close(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -295,6 +341,7 @@
 		cmocka_unit_test(test_descriptor_is_closed_once),
 		cmocka_unit_test(test_request_in_parts_during_a_response),
 		cmocka_unit_test(test_pipelined_requests_keep_their_order),
+		cmocka_unit_test(test_body_that_was_taken_does_not_count),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
