--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -24,8 +24,9 @@
 #define TRIM_HELD_BYTES (8 * MEGABYTE)
 #define TRIM_LEFT_BYTES (4 * MEGABYTE)
 
-/* Chunks of one byte take five more, which is far more than real clients add;
- * it is bounded as it is held like the rest. */
+/* Largest sum of the size lines and line ends of a body's chunks, in multiples
+ * of the largest body. They are held in memory with the body; chunks of 6 bytes
+ * or more without extensions stay within it. */
 #define FRAMING_SHARE 1
 
 /* A check of the limits on memory looks at every connection. Above half of the
--- a/daemon/http_guard.h
+++ b/daemon/http_guard.h
@@ -1,5 +1,5 @@
 /*
- * Stands between the sockets of a process's HTTP servers and libevent's parser:
+ * Checks what the HTTP servers of a process receive before libevent parses it:
  * libevent gets a request once it is complete and within all limits. What is
  * refused before that has not run. Limits are those of sched/intake.h and
  * sched/http_scan.h.
