--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -24,10 +24,20 @@
 #define TRIM_HELD_BYTES (8 * MEGABYTE)
 #define TRIM_LEFT_BYTES (4 * MEGABYTE)
 
-/* Chunks of one byte take five more, which is far more than real clients add;
- * it is bounded as it is held like the rest. */
+/* Largest sum of the size lines and line ends of a body's chunks, in multiples
+ * of the largest body. They are held in memory with the body; chunks of 6 bytes
+ * or more without extensions stay within it. */
 #define FRAMING_SHARE 1
 
+/* A check of the limits on memory looks at every connection. Above half of the
+ * budget, one is due after this part of an address's share has been added, and
+ * with each sweep. */
+#define CHECK_DIVISOR 64
+
+/* Input of a connection beyond the request that is being handled; reading stops
+ * there until the response has been sent. */
+#define REST_MAX 16384
+
 /* Passed to libevent as the least number of bytes that it is told of, so that
  * it sees none of an incomplete request. */
 #define NEVER_READ SIZE_MAX
@@ -54,7 +64,8 @@
  * @base: must be the first member
  * @bev: a reference of our own; libevent may have freed it, see is_gone()
  * @rest: what arrived after the request that is being handled
- * @scanned: bytes of the input that belong to the current request
+ * @scanned: bytes of the input that belong to the current request; once it has
+ *           been passed on, bytes held for it
  * @is_feeding: our own change of the input
  * @is_due: @rest is to be scanned
  */
@@ -76,6 +87,8 @@
  * event loop: connections are closed there only
  * @swept_at: later by PAUSE_MIN_US: the process was paused, and what clients
  *            have sent meanwhile may be unread yet
+ * @by_bev: connections by bufferevent
+ * @checked: bytes held when the limits on memory were last checked, or fewer
  * @peak: most bytes held since memory was last returned
  * @passed: bytes passed on since then
  * @logged: refusals by cause that have been logged
@@ -85,10 +98,12 @@
 	bh_intake_t in;
 	bh_http_limits_t limits;
 	SLIST_HEAD(, server) servers;
+	GHashTable *by_bev;
 	uint32_t n_groups;
 	struct event *work;
 	struct event *sweep;
 	bh_usec_t swept_at;
+	uint64_t checked;
 	uint64_t peak;
 	uint64_t passed;
 	bh_usec_t trimmed_at;
@@ -121,12 +136,15 @@
 	if (conn->base.state == BH_CONN_PASSED ||
 	    conn->base.state == BH_CONN_WRITING)
 		bytes += conn->scanned;
-	else
+	if (conn->base.state != BH_CONN_PASSED)
 		bytes += evbuffer_get_length(bufferevent_get_input(conn->bev));
 	if (conn->base.state != BH_CONN_CLOSING)
 		bh_intake_set_bytes(&g->in, &conn->base, bytes);
 	g->peak = MAX(g->peak, g->in.bytes);
-	if (bh_intake_is_over(&g->in))
+	g->checked = MIN(g->checked, g->in.bytes);
+	if (bh_intake_is_over(&g->in) &&
+	    g->in.bytes - g->checked >
+		    g->in.limits.address_bytes / CHECK_DIVISOR)
 		schedule(g);
 }
 
@@ -214,6 +232,17 @@
 	return false;
 }
 
+/* Bounds what is read until @rest is scanned. libevent reads while it writes a
+ * response. At the bound one more byte is read for each response, which is less
+ * than the request that it answers, so that @rest does not grow further. */
+static void limit_rest(conn_t *conn, size_t low)
+{
+	size_t n = evbuffer_get_length(conn->rest);
+
+	bufferevent_setwatermark(conn->bev, EV_READ, low,
+				 n < REST_MAX ? REST_MAX - n : 1);
+}
+
 /* Leaves the complete request in the input for libevent and takes off what
  * follows. */
 static void pass_on(conn_t *conn, bh_usec_t now)
@@ -231,7 +260,7 @@
 	}
 	g->passed += conn->scanned;
 	bh_intake_set_state(&conn->base, BH_CONN_PASSED, now);
-	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
+	limit_rest(conn, 0);
 }
 
 /* Scans the bytes of the input after the first @scanned ones. */
@@ -292,10 +321,15 @@
 		break;
 	case BH_CONN_PASSED:
 	case BH_CONN_WRITING:
-		/* libevent stops reading meanwhile, except for what arrives
-		 * before it has parsed the request. */
+		/* Left in the input until end_response(). */
 		break;
 	default:
+		if (conn->is_due) {
+			/* It follows what is to be scanned first. */
+			evbuffer_add_buffer(conn->rest, in);
+			limit_rest(conn, NEVER_READ);
+			break;
+		}
 		scan_input(conn, now);
 		bh_intake_progress(&conn->base, added, now);
 		break;
@@ -310,22 +344,28 @@
 	conn_t *conn = arg;
 
 	(void)in;
-	if (conn->is_feeding || info->n_added == 0)
+	if (conn->is_feeding || info->n_added == 0 || is_gone(conn))
 		return;
 	take_input(conn, info->n_added);
 }
 
-/* The response is sent: libevent reads the next request from now on. */
+/* The response is sent: libevent reads the next request from now on, and parses
+ * what is in the input regardless of the watermark. */
 static void end_response(conn_t *conn, bh_usec_t now)
 {
+	conn->is_feeding = true;
+	evbuffer_add_buffer(conn->rest, bufferevent_get_input(conn->bev));
+	conn->is_feeding = false;
 	bh_intake_set_state(&conn->base, BH_CONN_IDLE, now);
 	bh_http_scan_reset(&conn->scan);
 	conn->scanned = 0;
-	bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
-	if (evbuffer_get_length(conn->rest)) {
-		conn->is_due = true;
-		schedule(conn->server->guard);
-	}
+	conn->is_due = evbuffer_get_length(conn->rest) > 0;
+	if (conn->is_due)
+		limit_rest(conn, NEVER_READ);
+	else
+		bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
+	/* Also releases the connection if libevent is about to free it. */
+	schedule(conn->server->guard);
 }
 
 static void on_output(struct evbuffer *out, const struct evbuffer_cb_info *info,
@@ -334,6 +374,8 @@
 	conn_t *conn = arg;
 	bh_usec_t now = bh_runtime_now();
 
+	if (is_gone(conn))
+		return;
 	if (conn->base.state == BH_CONN_PASSED && info->n_added)
 		bh_intake_set_state(&conn->base, BH_CONN_WRITING, now);
 	if (conn->base.state == BH_CONN_WRITING && info->n_deleted) {
@@ -354,6 +396,7 @@
 	if (conn->base.state != BH_CONN_IDLE)
 		return;
 	conn->is_feeding = true;
+	bufferevent_setwatermark(conn->bev, EV_READ, NEVER_READ, 0);
 	evbuffer_unfreeze(in, 0);
 	evbuffer_add_buffer(in, conn->rest);
 	take_input(conn, n);
@@ -367,6 +410,7 @@
 	bh_intake_remove(&conn->server->guard->in, &conn->base);
 	evbuffer_remove_cb(bufferevent_get_input(conn->bev), on_input, conn);
 	evbuffer_remove_cb(bufferevent_get_output(conn->bev), on_output, conn);
+	g_hash_table_remove(conn->server->guard->by_bev, conn->bev);
 	bufferevent_decref(conn->bev);
 	evbuffer_free(conn->rest);
 	g_free(conn);
@@ -431,6 +475,7 @@
 			feed_rest(conn);
 	}
 	close_victims(g, bh_runtime_now());
+	g->checked = g->in.bytes;
 	resume_servers(g);
 }
 
@@ -505,6 +550,8 @@
 		bh_intake_skip_pause(&g->in, now - g->swept_at);
 	g->swept_at = now;
 	close_overdue(g, now);
+	if (bh_intake_is_over(&g->in))
+		schedule(g);
 	log_refusals(g, now);
 	return_memory(g, now);
 }
@@ -513,7 +560,11 @@
 {
 	server_t *server = arg;
 	guard_t *g = server->guard;
-	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+	/* Otherwise libevent would close the socket while our reference keeps
+	 * its events: the next connection with the same descriptor would miss
+	 * some of its own. */
+	struct bufferevent *bev =
+		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 	conn_t *conn = g_new0(conn_t, 1);
 
 	conn->server = server;
@@ -521,6 +572,7 @@
 	conn->rest = evbuffer_new();
 	bh_http_scan_reset(&conn->scan);
 	bufferevent_incref(bev);
+	g_hash_table_insert(g->by_bev, bev, conn);
 	bufferevent_setwatermark(bev, EV_READ, NEVER_READ, 0);
 	evbuffer_add_cb(bufferevent_get_input(bev), on_input, conn);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
@@ -565,6 +617,7 @@
 			      fd_limit(set), g->limits.body_bytes);
 	bh_intake_init(&g->in, &limits);
 	SLIST_INIT(&g->servers);
+	g->by_bev = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->swept_at = bh_runtime_now();
 	g->work = event_new(rt->base, -1, 0, on_work, g);
 	g->sweep = bh_runtime_every(rt, SWEEP_MS, on_sweep, g);
@@ -600,6 +653,21 @@
 	}
 }
 
+void bh_http_guard_set_held(bh_runtime_t *rt, struct evhttp_request *req,
+			    size_t bytes)
+{
+	struct evhttp_connection *from = evhttp_request_get_connection(req);
+	conn_t *conn = from ? g_hash_table_lookup(
+				      rt->guard->by_bev,
+				      evhttp_connection_get_bufferevent(from))
+			    : NULL;
+
+	if (!conn || conn->base.state != BH_CONN_PASSED)
+		return;
+	conn->scanned = conn->scan.head + bytes;
+	account(conn);
+}
+
 void bh_http_guard_metrics(const bh_runtime_t *rt, GString *out)
 {
 	const guard_t *g = rt->guard;
@@ -645,6 +713,7 @@
 		SLIST_REMOVE_HEAD(&g->servers, link);
 		g_free(server);
 	}
+	g_hash_table_unref(g->by_bev);
 	event_free(g->work);
 	event_free(g->sweep);
 	g_free(g);
--- a/daemon/http_guard.h
+++ b/daemon/http_guard.h
@@ -1,5 +1,5 @@
 /*
- * Stands between the sockets of a process's HTTP servers and libevent's parser:
+ * Checks what the HTTP servers of a process receive before libevent parses it:
  * libevent gets a request once it is complete and within all limits. What is
  * refused before that has not run. Limits are those of sched/intake.h and
  * sched/http_scan.h.
@@ -34,6 +34,13 @@
  */
 void bh_http_guard_detach(bh_runtime_t *rt, struct evhttp_bound_socket *socket);
 
+/**
+ * bh_http_guard_set_held() - the handler has taken the body of a request and
+ * holds @bytes for it until the response
+ */
+void bh_http_guard_set_held(bh_runtime_t *rt, struct evhttp_request *req,
+			    size_t bytes);
+
 /**
  * bh_http_guard_metrics() - append the metrics of the guard of @rt, if any
  */
--- a/sched/intake.c
+++ b/sched/intake.c
@@ -14,7 +14,8 @@
 /* Room for a few bodies of legal size, however little memory the host has. */
 #define BUDGET_BODIES_MIN 4
 
-/* Callers of a zone may share an address, so that one gets half of all. */
+/* Callers of a zone may share an address, so that one gets half of all even
+ * while others have incomplete requests. */
 #define ADDRESS_DIVISOR 2
 
 /* Descriptors kept for the store, agents, other entries and the small
@@ -68,20 +69,21 @@
 		   bh_usec_t now)
 {
 	conn->state = BH_CONN_IDLE;
-	conn->group = group;
+	conn->group = MIN(group, BH_INTAKE_GROUPS - 1);
 	conn->bytes = 0;
 	conn->received = 0;
 	conn->began_at = now;
 	conn->moved_at = now;
 	TAILQ_INSERT_TAIL(&in->conns, conn, link);
-	in->n++;
+	in->n_by_group[conn->group]++;
 }
 
 void bh_intake_remove(bh_intake_t *in, bh_intake_conn_t *conn)
 {
 	bh_intake_set_bytes(in, conn, 0);
 	TAILQ_REMOVE(&in->conns, conn, link);
-	in->n--;
+	if (conn->state != BH_CONN_CLOSING)
+		in->n_by_group[conn->group]--;
 }
 
 void bh_intake_set_state(bh_intake_conn_t *conn, bh_conn_state_t state,
@@ -115,43 +117,19 @@
 	return conn->state == BH_CONN_HEAD || conn->state == BH_CONN_BODY;
 }
 
-static uint64_t address_bytes(const bh_intake_t *in, uint32_t address)
-{
-	const bh_intake_conn_t *conn;
-	uint64_t sum = 0;
-
-	TAILQ_FOREACH(conn, &in->conns, link) {
-		if (is_incomplete(conn) && conn->address == address)
-			sum += conn->bytes;
-	}
-	return sum;
-}
-
 static uint32_t group_max(const bh_intake_t *in, uint32_t group)
 {
 	return group ? in->limits.small_connections : in->limits.connections;
 }
 
-static uint32_t count_group(const bh_intake_t *in, uint32_t group)
-{
-	const bh_intake_conn_t *conn;
-	uint32_t n = 0;
-
-	TAILQ_FOREACH(conn, &in->conns, link)
-		n += conn->group == group && conn->state != BH_CONN_CLOSING;
-	return n;
-}
-
 /* Return: a listener with too many connections, or -1. */
 static int64_t crowded_group(const bh_intake_t *in)
 {
 	const bh_intake_conn_t *conn;
 
-	if (in->n <= MIN(in->limits.small_connections, in->limits.connections))
-		return -1;
 	/* The listener of the newest connection is the one that grew. */
 	conn = TAILQ_LAST(&in->conns, bh_intake_conns);
-	if (count_group(in, conn->group) > group_max(in, conn->group))
+	if (conn && in->n_by_group[conn->group] > group_max(in, conn->group))
 		return conn->group;
 	return -1;
 }
@@ -227,19 +205,52 @@
 	return found;
 }
 
-/* A single address may fill half of the budget. With several, the one that the
- * heaviest request comes from is looked at. */
+/* Finds the address with the largest sum of incomplete requests.
+ * Return: that sum; @address is set unless it is 0. */
+static uint64_t largest_address(const bh_intake_t *in, uint32_t *address,
+				uint32_t *n_addresses)
+{
+	g_autoptr(GHashTable) sums = g_hash_table_new_full(
+		g_direct_hash, g_direct_equal, NULL, g_free);
+	const bh_intake_conn_t *conn;
+	uint64_t largest = 0;
+
+	TAILQ_FOREACH(conn, &in->conns, link) {
+		gpointer key = GUINT_TO_POINTER(conn->address);
+		uint64_t *sum;
+
+		if (!is_incomplete(conn))
+			continue;
+		sum = g_hash_table_lookup(sums, key);
+		if (!sum) {
+			sum = g_new0(uint64_t, 1);
+			g_hash_table_insert(sums, key, sum);
+		}
+		*sum += conn->bytes;
+		if (*sum > largest) {
+			largest = *sum;
+			*address = conn->address;
+		}
+	}
+	*n_addresses = g_hash_table_size(sums);
+	return largest;
+}
+
+/* While several addresses have incomplete requests, each may fill half of the
+ * budget. The one with most bytes loses its own requests, so that those of
+ * others stay. A single one, as of all callers behind a load balancer, may fill
+ * the budget. */
 static bh_intake_conn_t *over_share(bh_intake_t *in, bh_usec_t now)
 {
-	bh_intake_conn_t *conn;
+	uint32_t address = 0;
+	uint32_t n = 0;
 
 	if (in->bytes <= in->limits.address_bytes)
 		return NULL;
-	conn = heaviest(in, now, false, NULL);
-	if (!conn ||
-	    address_bytes(in, conn->address) <= in->limits.address_bytes)
+	if (largest_address(in, &address, &n) <= in->limits.address_bytes ||
+	    n < 2)
 		return NULL;
-	return conn;
+	return heaviest(in, now, false, &address);
 }
 
 static bh_intake_conn_t *choose(bh_intake_t *in, bh_usec_t now,
@@ -253,13 +264,15 @@
 		conn = oldest(in, (uint32_t)group);
 	if (conn)
 		return conn;
-	*cause = BH_INTAKE_MEMORY;
+	*cause = BH_INTAKE_SHARE;
+	conn = over_share(in, now);
 	if (in->bytes > in->limits.budget_bytes) {
-		conn = heaviest(in, now, false, NULL);
+		*cause = BH_INTAKE_MEMORY;
+		if (!conn)
+			conn = heaviest(in, now, false, NULL);
 		return conn ? conn : heaviest(in, now, true, NULL);
 	}
-	*cause = BH_INTAKE_SHARE;
-	return over_share(in, now);
+	return conn;
 }
 
 bh_intake_conn_t *bh_intake_next_victim(bh_intake_t *in, bh_usec_t now,
@@ -272,6 +285,7 @@
 	in->causes[*cause]++;
 	bh_intake_set_bytes(in, conn, 0);
 	bh_intake_set_state(conn, BH_CONN_CLOSING, now);
+	in->n_by_group[conn->group]--;
 	return conn;
 }
 
