--- a/daemon/http_guard.c
+++ b/daemon/http_guard.c
@@ -443,14 +443,14 @@
 
 	while ((victim = bh_intake_next_victim(&g->in, now, &cause))) {
 		conn_t *conn = (conn_t *)victim;
-		bool is_mute =
+		bool has_output =
 			evbuffer_get_length(bufferevent_get_output(conn->bev));
 
 		if (is_gone(conn)) {
 			conn_free(conn);
 			continue;
 		}
-		if (bh_intake_status(cause) && !is_mute)
+		if (bh_intake_status(cause) && !has_output)
 			send_refusal(conn, bh_intake_status(cause));
 		close_conn(conn);
 		conn_free(conn);
