--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -75,6 +75,7 @@
  * @link: link to the leader, or NULL
  * @refusals: consecutive refused connections to the leader
  * @pending_queries: queries that the leader has not answered, by number
+ * @forecast_at: when @forecast was computed or received; 0: there is none
  */
 struct bh_hub {
 	bh_runtime_t *rt;
@@ -99,6 +100,8 @@
 	bh_backlog_t loads[LOADS_MAX];
 	uint32_t n_loads;
 	bh_usec_t loads_updated_at;
+	bh_forecast_t forecast;
+	bh_usec_t forecast_at;
 	bh_usec_t pinged_at;
 	uint64_t terms_won;
 	struct event *tick;
@@ -146,6 +149,7 @@
 	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
 	Bh__Sched__QueueLoad rows[LOADS_MAX];
 	Bh__Sched__QueueLoad *refs[LOADS_MAX];
+	bh_forecast_frame_t forecast;
 
 	ping.term = bh_term_number(hub->term);
 	if (address)
@@ -163,6 +167,10 @@
 		}
 		ping.n_load = hub->n_loads;
 		ping.load = refs;
+		if (hub->forecast_at) {
+			bh_forecast_encode(&hub->forecast, &forecast);
+			ping.forecast = &forecast.message;
+		}
 	} else {
 		ping.renewed_ago_ms =
 			(uint64_t)bh_follow_answered_ago_ms(hub->operator_rows);
@@ -417,6 +425,9 @@
 		hub->loads[i].wait_ms = ping->load[i]->wait_ms;
 		hub->loads[i].wait_filler_ms = ping->load[i]->wait_filler_ms;
 	}
+	hub->forecast_at = ping->forecast ? hub->loads_updated_at : 0;
+	if (ping->forecast)
+		bh_forecast_decode(ping->forecast, &hub->forecast);
 }
 
 static void on_reply(bh_hub_t *hub, const Bh__Sched__QueryReply *reply)
@@ -685,6 +696,10 @@
 		hub->n_loads = bh_sched_leader_load(hub->sched_leader,
 						    hub->loads, LOADS_MAX);
 		hub->loads_updated_at = now;
+		hub->forecast_at = bh_sched_leader_forecast(hub->sched_leader,
+							    &hub->forecast)
+					   ? now
+					   : 0;
 	}
 	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next) {
 		if (now - bh_link_heard_at(peer->link) > LINK_TIMEOUT_US) {
@@ -808,6 +823,12 @@
 	return hub->n_loads;
 }
 
+bh_forecast_t *bh_hub_forecast(bh_hub_t *hub, int64_t *age_ms)
+{
+	*age_ms = (bh_runtime_now() - hub->forecast_at) / 1000;
+	return hub->forecast_at ? &hub->forecast : NULL;
+}
+
 void bh_hub_query_state(bh_hub_t *hub, const char *id, bh_hub_query_cb_t cb,
 			void *user)
 {
@@ -859,6 +880,29 @@
 	bh_term_resign(hub->term);
 }
 
+static void forecast_metrics(const bh_forecast_t *f, GString *out)
+{
+	static const char *const kinds[] = {"plain", "filler"};
+
+	for (int k = 0; k < BH_WORK_KINDS; k++) {
+		g_autofree char *label =
+			g_strdup_printf("kind=\"%s\"", kinds[k]);
+		uint64_t work = 0;
+
+		for (uint32_t i = 0; i < f->n_demands; i++)
+			work += f->demands[i].work_ms[k] +
+				f->demands[i].late_ms[k];
+		bh_metrics_value(out, "boragehold_forecast_free_cores", label,
+				 (double)f->free_milli[k][0] / 1000);
+		bh_metrics_value(out,
+				 "boragehold_forecast_waiting_core_seconds",
+				 label, (double)work / 1000);
+		bh_metrics_value(out, "boragehold_forecast_wait_seconds", label,
+				 (double)bh_forecast_time_ms(f, k, work) /
+					 1000);
+	}
+}
+
 void bh_hub_metrics(bh_hub_t *hub, GString *out)
 {
 	bh_configs_metrics(hub->configs, out);
@@ -866,6 +910,8 @@
 			 hub->sched_leader ? 1 : 0);
 	bh_metrics_value(out, "boragehold_terms_won_total", NULL,
 			 (double)hub->terms_won);
+	if (hub->forecast_at)
+		forecast_metrics(&hub->forecast, out);
 	if (hub->sched_leader)
 		bh_sched_leader_metrics(hub->sched_leader, out);
 }
--- a/daemon/hub.h
+++ b/daemon/hub.h
@@ -31,6 +31,15 @@
 uint32_t bh_hub_loads(const bh_hub_t *hub, const bh_backlog_t **out,
 		      int64_t *age_ms);
 
+/**
+ * bh_hub_forecast() - the leader's forecast of capacity, which the caller may
+ * charge with what it accepts
+ * @age_ms: set to its age
+ *
+ * Return: NULL if the leader has sent none.
+ */
+bh_forecast_t *bh_hub_forecast(bh_hub_t *hub, int64_t *age_ms);
+
 /**
  * bh_hub_query_state() - ask the leader for a job's state
  *
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -93,6 +93,8 @@
  * @submissions: submissions in flight
  * @unclear: ids of jobs whose write has an unknown outcome, with the time
  * @answers: number of replies by status / 100
+ * @has_shares: setting room_shares; without a forecast all jobs are accepted
+ * @hopeless: refused jobs whose result would have had no value
  * @latency: histograms by queue
  */
 struct bh_sched_entry {
@@ -107,11 +109,13 @@
 	struct evhttp *ready;
 	struct evhttp *metrics;
 	struct event *tick;
+	bool has_shares;
 	bool is_draining;
 	bh_drain_t drain;
 	uint64_t answers[6];
 	uint64_t accepted;
 	uint64_t refused;
+	uint64_t hopeless;
 	uint64_t cancelled;
 	GHashTable *latency;
 };
@@ -420,22 +424,65 @@
 	job->terms.target_ms = queue->target_ms;
 }
 
+static void refuse(pending_t *p, const char *why, uint64_t retry_ms)
+{
+	p->entry->refused++;
+	log_answer(p, 429, why);
+	finish_error(p, 429, why, retry_ms);
+}
+
+static void log_refusal(const pending_t *p, const bh_admission_t *a,
+			int64_t age_ms)
+{
+	char detail[256];
+
+	g_snprintf(detail, sizeof(detail),
+		   "queue=%s ahead_core_ms=%" G_GUINT64_FORMAT
+		   " end_ms=%" G_GUINT64_FORMAT " limit_ms=%" G_GUINT64_FORMAT
+		   " hopeless=%d retry_ms=%" G_GUINT64_FORMAT
+		   " forecast_age_ms=%" G_GINT64_FORMAT,
+		   p->queue, a->ahead_ms, a->end_ms, a->limit_ms,
+		   a->is_hopeless, a->retry_after_ms, age_ms);
+	bh_log_pairs(&p->entry->rt->log, BH_LOG_INFO, "job refused", p->id,
+		     detail);
+}
+
+/* Return: true if the job was refused and the request answered. */
+static bool refuse_by_forecast(pending_t *p, const bh_job_t *job,
+			       bh_forecast_t *forecast, int64_t age_ms)
+{
+	bh_admission_t a;
+
+	if (bh_admit_by_forecast(job, forecast, age_ms, g_random_int(), &a)) {
+		bh_forecast_charge(forecast, job);
+		return false;
+	}
+	p->entry->hopeless += a.is_hopeless;
+	log_refusal(p, &a, age_ms);
+	refuse(p, "it would end too late to count", a.retry_after_ms);
+	return true;
+}
+
 /* Return: true if the job was refused and the request answered. */
 static bool refuse_if_late(pending_t *p, const bh_job_t *job)
 {
+	bh_hub_t *hub = p->entry->hub;
 	const bh_backlog_t *loads;
 	int64_t age;
-	uint32_t n = bh_hub_loads(p->entry->hub, &loads, &age);
+	bh_forecast_t *forecast = bh_hub_forecast(hub, &age);
 	uint64_t retry_ms;
+	uint32_t n;
 
 	/* A job that may be stored already must not be refused. */
-	if (g_hash_table_contains(p->entry->unclear, p->id) ||
-	    bh_admit(job, loads, n, age, &retry_ms))
+	if (g_hash_table_contains(p->entry->unclear, p->id))
 		return false;
-	p->entry->refused++;
-	log_answer(p, 429, "it would end too late to count");
-	finish_error(p, 429, "it would end too late to count",
-		     retry_ms + (uint64_t)g_random_int_range(0, 1000));
+	if (p->entry->has_shares)
+		return forecast && refuse_by_forecast(p, job, forecast, age);
+	n = bh_hub_loads(hub, &loads, &age);
+	if (bh_admit(job, loads, n, age, &retry_ms))
+		return false;
+	refuse(p, "it would end too late to count",
+	       retry_ms + (uint64_t)g_random_int_range(0, 1000));
 	return true;
 }
 
@@ -694,6 +741,8 @@
 			 (double)e->accepted);
 	bh_metrics_value(out, "boragehold_jobs_refused_total", NULL,
 			 (double)e->refused);
+	bh_metrics_value(out, "boragehold_jobs_refused_hopeless_total", NULL,
+			 (double)e->hopeless);
 	bh_metrics_value(out, "boragehold_cancellations_total", NULL,
 			 (double)e->cancelled);
 	for (int i = 2; i <= 5; i++) {
@@ -778,6 +827,7 @@
 	bh_sched_entry_t *e = g_new0(bh_sched_entry_t, 1);
 
 	e->rt = rt;
+	e->has_shares = strcmp(set->room_shares, "on") == 0;
 	TAILQ_INIT(&e->submissions);
 	e->unclear =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -976,6 +976,14 @@
 		       : bh_sched_load(l->sched, out, max, bh_runtime_now());
 }
 
+bool bh_sched_leader_forecast(bh_sched_leader_t *l, bh_forecast_t *out)
+{
+	if (g_strcmp0(l->rt->settings->room_shares, "on") != 0 ||
+	    l->n_tables_loading)
+		return false;
+	return bh_sched_forecast(l->sched, out, bh_runtime_now());
+}
+
 void bh_sched_leader_tick(bh_sched_leader_t *l)
 {
 	bh_usec_t now = bh_runtime_now();
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -54,6 +54,13 @@
 uint32_t bh_sched_leader_load(bh_sched_leader_t *l, bh_backlog_t *out,
 			      uint32_t max);
 
+/**
+ * bh_sched_leader_forecast() - the forecast of capacity
+ *
+ * Return: false if there is none, as room_shares is off or not all is known.
+ */
+bool bh_sched_leader_forecast(bh_sched_leader_t *l, bh_forecast_t *out);
+
 /**
  * bh_sched_leader_tick() - call every 100 ms
  */
--- a/sched/order.c
+++ b/sched/order.c
@@ -57,6 +57,12 @@
 	return due + retries_ms(phase) * job->terms.slack_percent / 100;
 }
 
+bool bh_phase_is_late(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	return (int64_t)due_ms(phase) - remaining_chain_ms(phase) <
+	       (int64_t)s->unix_ms;
+}
+
 /* Time for which the task of a phase that has waited longest has waited. */
 static int64_t longest_wait_ms(const bh_phase_t *phase, bh_usec_t now)
 {
--- a/sched/place.c
+++ b/sched/place.c
@@ -75,6 +75,11 @@
 	       !host->has_unknown_run;
 }
 
+bool bh_host_accepts_work(const bh_host_t *host, bh_usec_t now)
+{
+	return accepts_work(host, now);
+}
+
 static int by_rank(const void *a, const void *b)
 {
 	const bh_phase_t *x = *(bh_phase_t *const *)a;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -1,4 +1,5 @@
 #include "sched/sched_impl.h"
+#include "sched/shares.h"
 
 /* Interval of the checks for timeouts and due times, which go over all hosts,
  * runs and jobs. Changes by reports are handled with the report. */
@@ -8,6 +9,14 @@
  * waits stay finite while no worker is known. */
 #define CAPACITY_MIN_MILLI 1000
 
+/* A filler that is paused is forecast to end as if it ran at this pace. */
+#define PACE_MIN_PERCENT 10u
+
+/* From the start of a term capacity is forecast once this part of the hosts has
+ * reported, or after this time: the rest is down. */
+#define HOSTS_KNOWN_PERCENT    75
+#define HOSTS_REPORT_WITHIN_US (3 * BH_USEC_PER_SEC)
+
 static void open_due_phases(bh_sched_t *s, bh_usec_t now)
 {
 	bh_rec_t *rec;
@@ -72,6 +81,116 @@
 	}
 }
 
+/* Fillers of the present leave the processor time that others use to them, so
+ * that only their own ends free capacity for more of them. */
+static void forecast_run(bh_forecast_t *f, const bh_run_t *run)
+{
+	const bh_step_t *step = run->task->phase->step;
+	int64_t left = bh_run_remaining_ms(run) * 100 /
+		       MAX(run->pace, PACE_MIN_PERCENT);
+
+	if (run->is_kept)
+		return;
+	if (run->state == BH_RUN_STOPPING)
+		left = 0;
+	if (step->is_filler)
+		bh_forecast_add_capacity(f, BH_WORK_FILLER, step->cpu_milli,
+					 left + 1);
+	else if (!step->is_long_running || run->state == BH_RUN_STOPPING)
+		bh_forecast_add_capacity(f, BH_WORK_PLAIN, step->cpu_milli,
+					 left + 1);
+}
+
+static void forecast_host(bh_forecast_t *f, const bh_host_t *host,
+			  bh_usec_t now)
+{
+	uint64_t used = MIN(host->used_cpu, host->info.cpu_milli);
+	uint64_t plain = host->info.cpu_milli - used;
+	uint64_t filler = (uint64_t)MAX(bh_host_free_filler_cpu(host), 0);
+	int64_t returns_ms =
+		MAX((host->quarantined_until - now) / BH_USEC_PER_MS,
+		    (int64_t)host->info.cold_ms);
+	const bh_run_t *run;
+
+	bh_forecast_add_capacity(f, BH_WORK_PLAIN, plain, MAX(returns_ms, 0));
+	bh_forecast_add_capacity(f, BH_WORK_FILLER, filler, MAX(returns_ms, 0));
+	if (returns_ms <= 0) {
+		f->largest_milli[BH_WORK_PLAIN] =
+			MAX(f->largest_milli[BH_WORK_PLAIN], plain);
+		f->largest_milli[BH_WORK_FILLER] =
+			MAX(f->largest_milli[BH_WORK_FILLER], filler);
+	}
+	TAILQ_FOREACH(run, &host->runs, link)
+		forecast_run(f, run);
+}
+
+/* Serving tasks that wait take capacity once they no longer rank after others.
+ */
+static void forecast_phase(const bh_sched_t *s, bh_forecast_t *f,
+			   bh_demand_t *d, const bh_phase_t *phase)
+{
+	const bh_step_t *step = phase->step;
+	bh_work_kind_t kind = step->is_filler ? BH_WORK_FILLER : BH_WORK_PLAIN;
+	uint32_t waiting =
+		phase->is_open ? phase->waiting : step->count - phase->n_done;
+	uint64_t work;
+
+	if (!waiting || (!phase->is_open && phase->rec->job->first_due_ms))
+		return;
+	if (step->is_long_running) {
+		bh_forecast_take_capacity(f, BH_WORK_PLAIN,
+					  (uint64_t)waiting * step->cpu_milli,
+					  BH_SERVING_DEFERRED_MS);
+		return;
+	}
+	work = bh_step_work_ms(step, waiting);
+	if (bh_phase_is_late(s, phase))
+		d->late_ms[kind] += work;
+	else
+		d->work_ms[kind] += work;
+	if (phase->is_open)
+		d->waiting[kind] += waiting;
+}
+
+/* A new leader hears most hosts within a few hundred milliseconds. Before, it
+ * would forecast that there is no capacity, and refuse all callers that return
+ * after a total loss. */
+static bool are_hosts_known(const bh_sched_t *s, bh_usec_t now)
+{
+	uint32_t heard = 0;
+	const bh_host_t *host;
+
+	if (now - s->started_at > HOSTS_REPORT_WITHIN_US)
+		return true;
+	TAILQ_FOREACH(host, &s->hosts, link)
+		heard += host->info.id != NULL;
+	return heard && heard * 100 >= s->n_hosts * HOSTS_KNOWN_PERCENT;
+}
+
+bool bh_sched_forecast(const bh_sched_t *s, bh_forecast_t *out, bh_usec_t now)
+{
+	const bh_host_t *host;
+	const bh_rec_t *rec;
+
+	*out = (bh_forecast_t){0};
+	if (!are_hosts_known(s, now))
+		return false;
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (bh_host_accepts_work(host, now))
+			forecast_host(out, host, now);
+	}
+	TAILQ_FOREACH(rec, &s->recs, link) {
+		bh_demand_t *d;
+
+		if (bh_rec_is_over(rec))
+			continue;
+		d = bh_forecast_demand(out, rec->job->terms.priority);
+		for (uint32_t i = 0; d && i < rec->n_phases; i++)
+			forecast_phase(s, out, d, &rec->phases[i]);
+	}
+	return true;
+}
+
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
 			 const bh_sched_ops_t *ops, void *ctx, bh_usec_t now,
 			 uint64_t unix_ms)
@@ -90,6 +209,7 @@
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->committing);
 	s->steered_at = now;
+	s->started_at = now;
 	s->unix_ms = unix_ms;
 	s->predecessor_over_at = now + bh_sched_lease_bound(s) +
 				 bounds->predecessor_grant_ms * BH_USEC_PER_MS;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -9,6 +9,7 @@
 
 #include "core/hist.h"
 #include "sched/blame.h"
+#include "sched/forecast.h"
 #include "sched/job.h"
 #include "sched/queues.h"
 #include "sched/worker.h"
@@ -367,6 +368,14 @@
 uint32_t bh_sched_load(const bh_sched_t *s, bh_backlog_t *out, uint32_t max,
 		       bh_usec_t now);
 
+/**
+ * bh_sched_forecast() - forecast capacity, and the demand for it
+ *
+ * Return: false if it is not known, while too few hosts have reported since the
+ * start of the term.
+ */
+bool bh_sched_forecast(const bh_sched_t *s, bh_forecast_t *out, bh_usec_t now);
+
 /**
  * struct bh_sched_stats - counters since the start of the term, and gauges
  * @starts: start orders
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -436,6 +436,7 @@
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
  * @jobs_read_at: all jobs that were in the store then are known
+ * @started_at: when this leader's term began for it
  * @checked_at: when hosts and runs were last checked for timeouts
  */
 struct bh_sched {
@@ -462,6 +463,7 @@
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
 	bh_usec_t jobs_read_at;
+	bh_usec_t started_at;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
@@ -727,6 +729,12 @@
 uint64_t bh_phase_rank(const bh_sched_t *s, const bh_phase_t *phase,
 		       bh_usec_t now);
 
+/**
+ * bh_phase_is_late() - whether a phase's occurrence can no longer end within
+ * its objective
+ */
+bool bh_phase_is_late(const bh_sched_t *s, const bh_phase_t *phase);
+
 /* tickets.c */
 
 /**
@@ -758,6 +766,11 @@
  */
 bool bh_host_is_usable(const bh_host_t *host, bh_usec_t now);
 
+/**
+ * bh_host_accepts_work() - the same, its quarantine left aside
+ */
+bool bh_host_accepts_work(const bh_host_t *host, bh_usec_t now);
+
 /**
  * bh_host_is_suitable() - whether a host may run a task, free resources aside
  */
--- a/sched/shares.h
+++ b/sched/shares.h
@@ -10,6 +10,11 @@
 
 #include "core/types.h"
 
+/* A serving task has to run within 6 s if twice the capacity that it needs is
+ * free. The rest of this time is for its start, which takes up to 2 s, and for
+ * one start that is refused or gets no answer. */
+#define BH_SERVING_DEFERRED_MS 2000
+
 /**
  * bh_shares_defers_serving() - whether the serving tasks of a step rank after
  * other tasks of the same priority
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -22,6 +22,9 @@
 /* Part of the requested processor time that a long-running task uses. */
 #define SERVING_CPU_SHARE 0.45
 
+/* Value of a result after its objective, up to three times of it. */
+#define LATE_VALUE 0.15
+
 /* Tail latency objective of a long-running task. */
 #define TAIL_TARGET_MS 50
 
@@ -80,6 +83,9 @@
 	bh_backlog_t loads[16];
 	uint32_t n_loads;
 	int64_t loads_ms;
+	bh_forecast_t forecast;
+	bool has_forecast;
+	int64_t forecast_ms;
 	int64_t commit_ms;
 	GHashTable *saved;
 } lw_world_t;
@@ -373,16 +379,60 @@
 	return job;
 }
 
+/* Callers' objectives go by the run time of the longest task of each step. */
+static int64_t objective_ms(const lw_world_t *w, const bh_job_t *job,
+			    const lw_kind_t *kind)
+{
+	double path = 0;
+
+	for (uint32_t i = 0; i < kind->steps; i++) {
+		double longest = 0;
+
+		for (uint32_t k = 0; k < kind->count; k++) {
+			bh_task_name_t task = {.step = i, .index = k};
+			char name[BH_TASK_NAME_BYTES];
+
+			g_strlcpy(task.job, job->id, sizeof(task.job));
+			bh_task_name_format(&task, name);
+			longest = MAX(longest, run_ms(w, kind, name));
+		}
+		path += longest;
+	}
+	return (int64_t)bh_job_objective_ms(job, (uint64_t)path);
+}
+
+static bool admit(lw_world_t *w, const lw_job_t *j, const bh_job_t *job,
+		  uint64_t *retry_ms)
+{
+	bh_admission_t a;
+
+	if (!w->pattern->has_shares)
+		return bh_admit(job, w->loads, w->n_loads, w->ms - w->loads_ms,
+				retry_ms);
+	if (bh_admit_by_forecast(job, w->has_forecast ? &w->forecast : NULL,
+				 w->ms - w->forecast_ms,
+				 g_str_hash(j->id) * 2654435761u >> 8, &a) &&
+	    w->has_forecast)
+		bh_forecast_charge(&w->forecast, job);
+	if (getenv("BH_TRACE"))
+		printf("%7.3f admit %s accepted=%d ahead_ms=%" G_GUINT64_FORMAT
+		       " end_ms=%" G_GUINT64_FORMAT
+		       " limit_ms=%" G_GUINT64_FORMAT
+		       " retry_ms=%" G_GUINT64_FORMAT "\n",
+		       (double)w->ms / 1000, j->id, a.is_accepted, a.ahead_ms,
+		       a.end_ms, a.limit_ms, a.retry_after_ms);
+	*retry_ms = a.retry_after_ms;
+	return a.is_accepted;
+}
+
 static void try_job(lw_world_t *w, lw_job_t *j)
 {
 	bh_job_t *job = make_job(w, j);
 	uint64_t retry_ms;
 
 	j->tries++;
-	j->objective_ms =
-		(int64_t)bh_job_objective_ms(job, bh_job_critical_path_ms(job));
-	if (bh_admit(job, w->loads, w->n_loads, w->ms - w->loads_ms,
-		     &retry_ms)) {
+	j->objective_ms = objective_ms(w, job, j->kind);
+	if (admit(w, j, job, &retry_ms)) {
 		j->is_accepted = true;
 		bh_sched_add_job(w->sched, job, NULL, now_us(w));
 		return;
@@ -448,6 +498,11 @@
 		w->n_loads = bh_sched_load(w->sched, w->loads,
 					   G_N_ELEMENTS(w->loads), now_us(w));
 	}
+	if (w->ms - w->forecast_ms >= PREDICTION_INTERVAL_MS) {
+		w->forecast_ms = w->ms;
+		w->has_forecast =
+			bh_sched_forecast(w->sched, &w->forecast, now_us(w));
+	}
 	submit_jobs(w);
 	bh_sched_note_leading(w->sched, now_us(w));
 	bh_sched_run(w->sched, now_us(w), UNIX_MS + (uint64_t)w->ms);
@@ -483,7 +538,11 @@
 			out->in_time++;
 		else
 			out->late++;
+		if (!j->ended_ms || ms > 3 * j->objective_ms)
+			continue;
+		out->value += ms <= j->objective_ms ? 1 : LATE_VALUE;
 	}
+	out->value /= MAX(out->jobs, 1);
 	if (!took->len)
 		return;
 	g_array_sort(took, by_time);
@@ -582,13 +641,14 @@
 void lw_print(const lw_pattern_t *pattern, const lw_report_t *report)
 {
 	printf("kind         jobs in time   late   open refused   p50 ms   "
-	       "p99 ms serving\n");
+	       "p99 ms serving value\n");
 	for (uint32_t k = 0; k < pattern->n_kinds; k++) {
 		const lw_result_t *r = &report->kinds[k];
 
-		printf("%-10s %6u %7u %6u %6u %7u %8u %8u %7.3f\n",
+		printf("%-10s %6u %7u %6u %6u %7u %8u %8u %7.3f %5.2f\n",
 		       pattern->kinds[k].name, r->jobs, r->in_time, r->late,
-		       r->open, r->refused, r->p50_ms, r->p99_ms, r->serving);
+		       r->open, r->refused, r->p50_ms, r->p99_ms, r->serving,
+		       r->value);
 	}
 	printf("starts %u stops %u worked %.1f wasted %.1f core s, "
 	       "over the objective %.1f task s\n",
--- a/tests/loadworld.h
+++ b/tests/loadworld.h
@@ -74,6 +74,8 @@
  * @p50_ms: median time from the first try to the end, or to the end of the
  *	replay if the job had not ended
  * @p99_ms: 99th percentile of the same
+ * @value: mean value of a job for its caller, 1 if it ended within its
+ *objective
  * @serving: part of the time for which long-running tasks served requests
  */
 typedef struct lw_result {
@@ -84,6 +86,7 @@
 	uint32_t open;
 	uint32_t p50_ms;
 	uint32_t p99_ms;
+	double value;
 	double serving;
 } lw_result_t;
 
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -5,6 +5,16 @@
 #include "tests/loadworld.h"
 #include "tests/test.h"
 
+/* A quick and a large job, as far as patterns share them. */
+#define QUICK                                                                  \
+	.steps = 2, .count = 10, .cpu_milli = 900, .memory_mb = 100,           \
+	.ms = 650, .estimate_percent = 190, .spread_percent = 30,              \
+	.slack_percent = 150, .target_ms = 300, .flags = ""
+#define LARGE                                                                  \
+	.priority = 2, .steps = 2, .count = 20, .cpu_milli = 5250,             \
+	.memory_mb = 500, .ms = 2500, .estimate_percent = 100,                 \
+	.spread_percent = 20, .target_ms = 1000, .flags = "fc"
+
 /* Short tasks of many lengths fill hosts as resources become free; a
  * long-running task needs more than half of a host. */
 static const lw_pattern_t wide_among_narrow = {
@@ -237,6 +247,86 @@
 		},
 };
 
+/* A burst of large jobs at 2.6 times the usual rate and one of quick jobs
+ * at 1.7 times after it, beside serving tasks that request four fifths of the
+ * processor time. Quick jobs take half as long as their callers estimate. */
+static const lw_pattern_t large_then_quick = {
+	.hosts = 33,
+	.cpu_milli = 32000,
+	.memory_mb = 125000,
+	.seconds = 60,
+	.has_shares = true,
+	.n_kinds = 5,
+	.kinds =
+		{
+			{.name = "large",
+			 .interval_ms = 1500,
+			 .until_ms = 40000,
+			 LARGE},
+			{.name = "burst",
+			 .interval_ms = 940,
+			 .from_ms = 10000,
+			 .until_ms = 16000,
+			 LARGE},
+			{.name = "quick",
+			 .interval_ms = 75,
+			 .from_ms = 2000,
+			 .until_ms = 40000,
+			 QUICK},
+			{.name = "q-burst",
+			 .interval_ms = 105,
+			 .from_ms = 16000,
+			 .until_ms = 21000,
+			 QUICK},
+			{.name = "serving",
+			 .interval_ms = 100,
+			 .until_ms = 600,
+			 .steps = 1,
+			 .count = 14,
+			 .cpu_milli = 9700,
+			 .memory_mb = 1000,
+			 .ms = 500,
+			 .estimate_percent = 100,
+			 .flags = "l",
+			 .headroom = 3},
+		},
+};
+
+/* A burst of quick jobs at 2.5 times the usual rate, beside serving tasks that
+ * request four fifths of the processor time. */
+static const lw_pattern_t burst_of_quick = {
+	.hosts = 11,
+	.cpu_milli = 32000,
+	.memory_mb = 125000,
+	.seconds = 40,
+	.has_shares = true,
+	.n_kinds = 3,
+	.kinds =
+		{
+			{.name = "quick",
+			 .interval_ms = 250,
+			 .from_ms = 2000,
+			 .until_ms = 30000,
+			 QUICK},
+			{.name = "q-burst",
+			 .interval_ms = 165,
+			 .from_ms = 10000,
+			 .until_ms = 15000,
+			 QUICK},
+			{.name = "serving",
+			 .interval_ms = 100,
+			 .until_ms = 300,
+			 .steps = 1,
+			 .count = 14,
+			 .cpu_milli = 9700,
+			 .memory_mb = 1000,
+			 .ms = 500,
+			 .estimate_percent = 100,
+			 .flags = "l",
+			 .headroom = 3},
+		},
+};
+
 static const struct {
 	const char *name;
 	const lw_pattern_t *pattern;
@@ -246,6 +336,8 @@
 	{"swing-under-fillers", &swing_under_fillers},
 	{"filler-without-room", &filler_without_room},
 	{"total-loss", &total_loss},
+	{"large-then-quick", &large_then_quick},
+	{"burst-of-quick", &burst_of_quick},
 };
 
 /* Without reservations a wide long-running task waits until the last narrow
@@ -350,6 +442,61 @@
 	assert_true(r.kinds[1].serving > 0.88);
 }
 
+/* Mean value of the jobs of the first @n kinds for their callers, in five
+ * replays. */
+static double mean_value(const lw_pattern_t *pattern, uint32_t n)
+{
+	double value = 0;
+	double jobs = 0;
+
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		lw_report_t r;
+
+		lw_replay(pattern, seed, &r);
+		for (uint32_t k = 0; k < n; k++) {
+			value += r.kinds[k].value * r.kinds[k].jobs;
+			jobs += r.kinds[k].jobs;
+		}
+	}
+	return value / jobs;
+}
+
+/* With all jobs accepted that end within three times their objective, most of
+ * the quick ones of a burst are late, and so are those after it. */
+static void test_burst_of_quick_is_refused_in_time(void **state)
+{
+	lw_pattern_t off = burst_of_quick;
+
+	(void)state;
+	off.has_shares = false;
+	assert_true(mean_value(&burst_of_quick, 2) > 0.8);
+	assert_true(mean_value(&off, 2) < 0.72);
+}
+
+/* The same for large jobs, whose run times their callers under- or overestimate
+ * by half. Underestimated ones are not refused, but not served worse either.
+ * Quick jobs do not use their capacity and are not affected. */
+static void test_burst_of_large_is_refused_in_time(void **state)
+{
+	static const uint32_t percents[] = {60, 100, 170};
+	static const double min_gain[] = {0, 0.03, 0.1};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+		lw_pattern_t on = large_then_quick;
+		lw_pattern_t off;
+
+		on.kinds[0].estimate_percent = percents[i];
+		on.kinds[1].estimate_percent = percents[i];
+		off = on;
+		off.has_shares = false;
+		assert_true(mean_value(&on, 2) >=
+			    mean_value(&off, 2) + min_gain[i]);
+		assert_true(part_in_time(&on, 2) > 0.98);
+		assert_true(part_in_time(&on, 3) > 0.98);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -358,6 +505,8 @@
 		cmocka_unit_test(test_objective_holds_while_load_rises),
 		cmocka_unit_test(test_starved_filler_is_not_started_to_pause),
 		cmocka_unit_test(test_returning_callers_before_serving),
+		cmocka_unit_test(test_burst_of_quick_is_refused_in_time),
+		cmocka_unit_test(test_burst_of_large_is_refused_in_time),
 	};
 
 	for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS(patterns); i++) {
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -168,6 +168,60 @@
 	g_byte_array_free(out, TRUE);
 }
 
+/* An entry admits by what the leader has sent, and must not read beyond it. */
+static void test_forecast_round_trip(void **state)
+{
+	bh_forecast_t f = {.largest_milli = {5, 6}};
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	bh_forecast_frame_t message;
+	bh_forecast_t back;
+	bh_frame_t *got;
+
+	(void)state;
+	bh_forecast_add_capacity(&f, BH_WORK_PLAIN, 4000, 1000);
+	bh_forecast_add_capacity(&f, BH_WORK_FILLER, 7000, 0);
+	*bh_forecast_demand(&f, 2) = (bh_demand_t){2, {1, 2}, {3, 4}, {5, 6}};
+	*bh_forecast_demand(&f, 0) = (bh_demand_t){0, {9, 8}, {7, 6}, {5, 4}};
+	bh_forecast_encode(&f, &message);
+	ping.forecast = &message.message;
+	frame.body_case = BH__SCHED__FRAME__BODY_PING;
+	frame.ping = &ping;
+	bh_frame_append(&frame, out);
+	got = bh__sched__frame__unpack(NULL,
+				       out->len - BH_SCHED_FRAME_HEADER_BYTES,
+				       out->data + BH_SCHED_FRAME_HEADER_BYTES);
+	assert_non_null(got);
+	bh_forecast_decode(got->ping->forecast, &back);
+	assert_memory_equal(&back, &f, sizeof(f));
+	bh__sched__frame__free_unpacked(got, NULL);
+
+	/* Of another build: more points, fewer kinds, more priorities. */
+	uint64_t many[BH_FORECAST_POINTS + 3];
+	Bh__Sched__Demand demands[BH_FORECAST_PRIORITIES + 4];
+	Bh__Sched__Demand *refs[BH_FORECAST_PRIORITIES + 4];
+	Bh__Sched__Forecast odd = BH__SCHED__FORECAST__INIT;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(many); i++)
+		many[i] = UINT64_MAX;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(demands); i++) {
+		bh__sched__demand__init(&demands[i]);
+		demands[i].priority = i;
+		demands[i].n_work_ms = 1;
+		demands[i].work_ms = many;
+		refs[i] = &demands[i];
+	}
+	odd.n_free_plain = G_N_ELEMENTS(many);
+	odd.free_plain = many;
+	odd.n_demands = G_N_ELEMENTS(demands);
+	odd.demands = refs;
+	bh_forecast_decode(&odd, &back);
+	assert_int_equal(back.n_demands, BH_FORECAST_PRIORITIES);
+	assert_int_equal(back.demands[3].work_ms[0], BH_JOB_WORK_MAX_MS);
+	assert_int_equal(back.demands[3].work_ms[1], 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -175,6 +229,7 @@
 		cmocka_unit_test(test_progress_round_trip),
 		cmocka_unit_test(test_report_round_trip),
 		cmocka_unit_test(test_crash_round_trip),
+		cmocka_unit_test(test_forecast_round_trip),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1132,6 +1132,96 @@
   assert(message->base.descriptor == &bh__sched__queue_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__demand__init
+                     (Bh__Sched__Demand         *message)
+{
+  static const Bh__Sched__Demand init_value = BH__SCHED__DEMAND__INIT;
+  *message = init_value;
+}
+size_t bh__sched__demand__get_packed_size
+                     (const Bh__Sched__Demand *message)
+{
+  assert(message->base.descriptor == &bh__sched__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__demand__pack
+                     (const Bh__Sched__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__demand__pack_to_buffer
+                     (const Bh__Sched__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Demand *
+       bh__sched__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Demand *)
+     protobuf_c_message_unpack (&bh__sched__demand__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__demand__free_unpacked
+                     (Bh__Sched__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bh__sched__forecast__init
+                     (Bh__Sched__Forecast         *message)
+{
+  static const Bh__Sched__Forecast init_value = BH__SCHED__FORECAST__INIT;
+  *message = init_value;
+}
+size_t bh__sched__forecast__get_packed_size
+                     (const Bh__Sched__Forecast *message)
+{
+  assert(message->base.descriptor == &bh__sched__forecast__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__forecast__pack
+                     (const Bh__Sched__Forecast *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__forecast__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__forecast__pack_to_buffer
+                     (const Bh__Sched__Forecast *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__forecast__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Forecast *
+       bh__sched__forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Forecast *)
+     protobuf_c_message_unpack (&bh__sched__forecast__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__forecast__free_unpacked
+                     (Bh__Sched__Forecast *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__forecast__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__ping__init
                      (Bh__Sched__Ping         *message)
 {
@@ -3846,7 +3936,174 @@
   (ProtobufCMessageInit) bh__sched__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bh__sched__demand__field_descriptors[4] =
+{
+  {
+    "priority",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Demand, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bh__Sched__Demand, n_work_ms),
+    offsetof(Bh__Sched__Demand, work_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late_ms",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bh__Sched__Demand, n_late_ms),
+    offsetof(Bh__Sched__Demand, late_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bh__Sched__Demand, n_waiting),
+    offsetof(Bh__Sched__Demand, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__demand__field_indices_by_name[] = {
+  2,   /* field[2] = late_ms */
+  0,   /* field[0] = priority */
+  3,   /* field[3] = waiting */
+  1,   /* field[1] = work_ms */
+};
+static const ProtobufCIntRange bh__sched__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bh__sched__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Demand",
+  "Demand",
+  "Bh__Sched__Demand",
+  "bh.sched",
+  sizeof(Bh__Sched__Demand),
+  4,
+  bh__sched__demand__field_descriptors,
+  bh__sched__demand__field_indices_by_name,
+  1,  bh__sched__demand__number_ranges,
+  (ProtobufCMessageInit) bh__sched__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__forecast__field_descriptors[5] =
+{
+  {
+    "free_plain",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bh__Sched__Forecast, n_free_plain),
+    offsetof(Bh__Sched__Forecast, free_plain),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_filler",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bh__Sched__Forecast, n_free_filler),
+    offsetof(Bh__Sched__Forecast, free_filler),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "largest_plain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Forecast, largest_plain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "largest_filler",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Forecast, largest_filler),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Forecast, n_demands),
+    offsetof(Bh__Sched__Forecast, demands),
+    &bh__sched__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__forecast__field_indices_by_name[] = {
+  4,   /* field[4] = demands */
+  1,   /* field[1] = free_filler */
+  0,   /* field[0] = free_plain */
+  3,   /* field[3] = largest_filler */
+  2,   /* field[2] = largest_plain */
+};
+static const ProtobufCIntRange bh__sched__forecast__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bh__sched__forecast__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Forecast",
+  "Forecast",
+  "Bh__Sched__Forecast",
+  "bh.sched",
+  sizeof(Bh__Sched__Forecast),
+  5,
+  bh__sched__forecast__field_descriptors,
+  bh__sched__forecast__field_indices_by_name,
+  1,  bh__sched__forecast__number_ranges,
+  (ProtobufCMessageInit) bh__sched__forecast__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[6] =
 {
   {
     "term",
@@ -3908,18 +4165,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forecast",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Ping, forecast),
+    &bh__sched__forecast__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__ping__field_indices_by_name[] = {
   4,   /* field[4] = address */
   1,   /* field[1] = config_version */
+  5,   /* field[5] = forecast */
   3,   /* field[3] = load */
   2,   /* field[2] = renewed_ago_ms */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange bh__sched__ping__number_ranges[1 + 1] =
+static const ProtobufCIntRange bh__sched__ping__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 7, 5 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bh__sched__ping__descriptor =
 {
@@ -3929,10 +4200,10 @@
   "Bh__Sched__Ping",
   "bh.sched",
   sizeof(Bh__Sched__Ping),
-  5,
+  6,
   bh__sched__ping__field_descriptors,
   bh__sched__ping__field_indices_by_name,
-  1,  bh__sched__ping__number_ranges,
+  2,  bh__sched__ping__number_ranges,
   (ProtobufCMessageInit) bh__sched__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -40,6 +40,8 @@
 typedef struct Bh__Sched__Query Bh__Sched__Query;
 typedef struct Bh__Sched__QueryReply Bh__Sched__QueryReply;
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
+typedef struct Bh__Sched__Demand Bh__Sched__Demand;
+typedef struct Bh__Sched__Forecast Bh__Sched__Forecast;
 typedef struct Bh__Sched__Ping Bh__Sched__Ping;
 typedef struct Bh__Sched__Entries Bh__Sched__Entries;
 typedef struct Bh__Sched__LeaderQuery Bh__Sched__LeaderQuery;
@@ -508,6 +510,46 @@
     , 0, 0, 0 }
 
 
+/*
+ * Accepted work of a priority that has not been started, as in struct
+ * bh_demand; arrays by enum bh_work_kind.
+ */
+struct  Bh__Sched__Demand
+{
+  ProtobufCMessage base;
+  uint32_t priority;
+  size_t n_work_ms;
+  uint64_t *work_ms;
+  size_t n_late_ms;
+  uint64_t *late_ms;
+  size_t n_waiting;
+  uint32_t *waiting;
+};
+#define BH__SCHED__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__demand__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * The leader's forecast, as in struct bh_forecast.
+ */
+struct  Bh__Sched__Forecast
+{
+  ProtobufCMessage base;
+  size_t n_free_plain;
+  uint64_t *free_plain;
+  size_t n_free_filler;
+  uint64_t *free_filler;
+  uint64_t largest_plain;
+  uint64_t largest_filler;
+  size_t n_demands;
+  Bh__Sched__Demand **demands;
+};
+#define BH__SCHED__FORECAST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__forecast__descriptor) \
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL }
+
+
 /*
  * in both directions on every connection
  */
@@ -523,10 +565,14 @@
    * Of an entry, in its first ping on a connection: its address for frames.
    */
   char *address;
+  /*
+   * Of a leader that allocates capacity by a forecast.
+   */
+  Bh__Sched__Forecast *forecast;
 };
 #define BH__SCHED__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__ping__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL }
 
 
 /*
@@ -1144,6 +1190,44 @@
 void   bh__sched__queue_load__free_unpacked
                      (Bh__Sched__QueueLoad *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__Demand methods */
+void   bh__sched__demand__init
+                     (Bh__Sched__Demand         *message);
+size_t bh__sched__demand__get_packed_size
+                     (const Bh__Sched__Demand   *message);
+size_t bh__sched__demand__pack
+                     (const Bh__Sched__Demand   *message,
+                      uint8_t             *out);
+size_t bh__sched__demand__pack_to_buffer
+                     (const Bh__Sched__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Demand *
+       bh__sched__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__demand__free_unpacked
+                     (Bh__Sched__Demand *message,
+                      ProtobufCAllocator *allocator);
+/* Bh__Sched__Forecast methods */
+void   bh__sched__forecast__init
+                     (Bh__Sched__Forecast         *message);
+size_t bh__sched__forecast__get_packed_size
+                     (const Bh__Sched__Forecast   *message);
+size_t bh__sched__forecast__pack
+                     (const Bh__Sched__Forecast   *message,
+                      uint8_t             *out);
+size_t bh__sched__forecast__pack_to_buffer
+                     (const Bh__Sched__Forecast   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Forecast *
+       bh__sched__forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__forecast__free_unpacked
+                     (Bh__Sched__Forecast *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Ping methods */
 void   bh__sched__ping__init
                      (Bh__Sched__Ping         *message);
@@ -1373,6 +1457,12 @@
 typedef void (*Bh__Sched__QueueLoad_Closure)
                  (const Bh__Sched__QueueLoad *message,
                   void *closure_data);
+typedef void (*Bh__Sched__Demand_Closure)
+                 (const Bh__Sched__Demand *message,
+                  void *closure_data);
+typedef void (*Bh__Sched__Forecast_Closure)
+                 (const Bh__Sched__Forecast *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Ping_Closure)
                  (const Bh__Sched__Ping *message,
                   void *closure_data);
@@ -1428,6 +1518,8 @@
 extern const ProtobufCMessageDescriptor bh__sched__query__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__query_reply__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__demand__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__forecast__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ping__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__entries__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__leader_query__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -407,6 +407,67 @@
 	bh__sched__learned__free_unpacked(m, NULL);
 }
 
+void bh_forecast_encode(const bh_forecast_t *f, bh_forecast_frame_t *out)
+{
+	Bh__Sched__Forecast *m = &out->message;
+
+	bh__sched__forecast__init(m);
+	out->forecast = *f;
+	m->free_plain = out->forecast.free_milli[BH_WORK_PLAIN];
+	m->free_filler = out->forecast.free_milli[BH_WORK_FILLER];
+	m->n_free_plain = BH_FORECAST_POINTS;
+	m->n_free_filler = BH_FORECAST_POINTS;
+	m->largest_plain = f->largest_milli[BH_WORK_PLAIN];
+	m->largest_filler = f->largest_milli[BH_WORK_FILLER];
+	m->n_demands = f->n_demands;
+	m->demands = out->refs;
+	for (uint32_t i = 0; i < f->n_demands; i++) {
+		bh_demand_t *d = &out->forecast.demands[i];
+		Bh__Sched__Demand *to = &out->demands[i];
+
+		bh__sched__demand__init(to);
+		out->refs[i] = to;
+		to->priority = d->priority;
+		to->work_ms = d->work_ms;
+		to->late_ms = d->late_ms;
+		to->waiting = d->waiting;
+		to->n_work_ms = BH_WORK_KINDS;
+		to->n_late_ms = BH_WORK_KINDS;
+		to->n_waiting = BH_WORK_KINDS;
+	}
+}
+
+static void copy_clipped(const uint64_t *from, size_t n, uint64_t *to,
+			 size_t n_to)
+{
+	for (size_t i = 0; i < MIN(n, n_to); i++)
+		to[i] = MIN(from[i], BH_JOB_WORK_MAX_MS);
+}
+
+void bh_forecast_decode(const Bh__Sched__Forecast *from, bh_forecast_t *out)
+{
+	*out = (bh_forecast_t){0};
+	copy_clipped(from->free_plain, from->n_free_plain,
+		     out->free_milli[BH_WORK_PLAIN], BH_FORECAST_POINTS);
+	copy_clipped(from->free_filler, from->n_free_filler,
+		     out->free_milli[BH_WORK_FILLER], BH_FORECAST_POINTS);
+	out->largest_milli[BH_WORK_PLAIN] = from->largest_plain;
+	out->largest_milli[BH_WORK_FILLER] = from->largest_filler;
+	for (size_t i = 0; i < from->n_demands; i++) {
+		const Bh__Sched__Demand *d = from->demands[i];
+		bh_demand_t *to = bh_forecast_demand(out, d->priority);
+
+		if (!to)
+			break;
+		copy_clipped(d->work_ms, d->n_work_ms, to->work_ms,
+			     BH_WORK_KINDS);
+		copy_clipped(d->late_ms, d->n_late_ms, to->late_ms,
+			     BH_WORK_KINDS);
+		for (size_t k = 0; k < MIN(d->n_waiting, BH_WORK_KINDS); k++)
+			to->waiting[k] = d->waiting[k];
+	}
+}
+
 GBytes *bh_leader_row_pack(const bh_leader_row_t *row)
 {
 	Bh__Sched__Leader m = BH__SCHED__LEADER__INIT;
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -47,6 +47,28 @@
 bool bh_leader_row_unpack(const void *data, size_t len, bh_leader_row_t *out);
 void bh_leader_row_clear(bh_leader_row_t *row);
 
+/**
+ * struct bh_forecast_frame - a forecast as part of a frame
+ */
+typedef struct bh_forecast_frame {
+	Bh__Sched__Forecast message;
+	bh_forecast_t forecast;
+	Bh__Sched__Demand demands[BH_FORECAST_PRIORITIES];
+	Bh__Sched__Demand *refs[BH_FORECAST_PRIORITIES];
+} bh_forecast_frame_t;
+
+/**
+ * bh_forecast_encode() - make a message that refers to @out, which must not be
+ * moved or freed before it
+ */
+void bh_forecast_encode(const bh_forecast_t *f, bh_forecast_frame_t *out);
+
+/**
+ * bh_forecast_decode() - decode a received forecast; larger amounts than a real
+ * one can have are clipped
+ */
+void bh_forecast_decode(const Bh__Sched__Forecast *from, bh_forecast_t *out);
+
 /**
  * bh_frame_append() - append a frame with its header
  */
