Refused callers keep their position, at every entry

Cause: a caller that came back when it was told to found that new callers had taken the capacity that was predicted for it, and was refused again.

Change: entries report refused jobs to the leader (JobHold), which sends up to 256 positions with its pings. Work of callers that come back before a new job would end goes before that job, as far as it can then be in time by half of its slack; callers that come back are not placed behind others like them. At the fourth retry a result within three times the objective suffices.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -75,6 +75,8 @@
  * @link: link to the leader, or NULL
  * @refusals: consecutive refused connections to the leader
  * @pending_queries: queries that the leader has not answered, by number
+ * @holds: refused callers; those of the last leader until a new one sends its
+ *	list
  * @forecast_at: when @forecast was computed or received; 0: there is none
  */
 struct bh_hub {
@@ -102,6 +104,7 @@
 	bh_usec_t loads_updated_at;
 	bh_forecast_t forecast;
 	bh_usec_t forecast_at;
+	bh_holds_t holds;
 	bh_usec_t pinged_at;
 	uint64_t terms_won;
 	struct event *tick;
@@ -150,6 +153,7 @@
 	Bh__Sched__QueueLoad rows[LOADS_MAX];
 	Bh__Sched__QueueLoad *refs[LOADS_MAX];
 	bh_forecast_frame_t forecast;
+	bh_holds_frame_t holds;
 
 	ping.term = bh_term_number(hub->term);
 	if (address)
@@ -170,6 +174,8 @@
 		if (hub->forecast_at) {
 			bh_forecast_encode(&hub->forecast, &forecast);
 			ping.forecast = &forecast.message;
+			bh_holds_encode(&hub->holds, bh_runtime_now(), &holds);
+			ping.holds = &holds.message;
 		}
 	} else {
 		ping.renewed_ago_ms =
@@ -322,6 +328,27 @@
 		bh_sched_leader_note_store_reachable(hub->sched_leader);
 }
 
+static void on_peer_job(bh_hub_t *hub, const ProtobufCBinaryData *job)
+{
+	char id[BH_JOB_ID_LEN + 1];
+
+	if (!hub->sched_leader)
+		return;
+	if (bh_sched_leader_add_job(hub->sched_leader, job->data, job->len, id))
+		bh_holds_remove(&hub->holds, id);
+}
+
+static void on_peer_hold(bh_hub_t *hub, const Bh__Sched__JobHold *from)
+{
+	bh_usec_t now = bh_runtime_now();
+	bh_hold_t hold;
+
+	if (!hub->sched_leader)
+		return;
+	bh_hold_decode(from, now, &hold);
+	bh_holds_add(&hub->holds, &hold, now);
+}
+
 static void on_peer_frame(void *ctx, bh_link_t *link, const bh_frame_t *frame)
 {
 	bh_hub_t *hub = ctx;
@@ -332,10 +359,10 @@
 		on_query(hub, link, frame->query);
 		break;
 	case BH__SCHED__FRAME__BODY_JOB:
-		if (hub->sched_leader)
-			bh_sched_leader_add_job(hub->sched_leader,
-						frame->job->job.data,
-						frame->job->job.len);
+		on_peer_job(hub, &frame->job->job);
+		break;
+	case BH__SCHED__FRAME__BODY_HOLD:
+		on_peer_hold(hub, frame->hold);
 		break;
 	case BH__SCHED__FRAME__BODY_PING:
 		on_peer_ping(hub, peer, frame->ping);
@@ -428,6 +455,9 @@
 	hub->forecast_at = ping->forecast ? hub->loads_updated_at : 0;
 	if (ping->forecast)
 		bh_forecast_decode(ping->forecast, &hub->forecast);
+	if (ping->holds)
+		bh_holds_decode(ping->holds, hub->loads_updated_at,
+				&hub->holds);
 }
 
 static void on_reply(bh_hub_t *hub, const Bh__Sched__QueryReply *reply)
@@ -700,6 +730,7 @@
 							    &hub->forecast)
 					   ? now
 					   : 0;
+		bh_holds_expire(&hub->holds, now);
 	}
 	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next) {
 		if (now - bh_link_heard_at(peer->link) > LINK_TIMEOUT_US) {
@@ -829,6 +860,32 @@
 	return hub->forecast_at ? &hub->forecast : NULL;
 }
 
+const bh_holds_t *bh_hub_holds(const bh_hub_t *hub)
+{
+	return &hub->holds;
+}
+
+void bh_hub_hold(bh_hub_t *hub, const bh_job_t *job, uint64_t retry_after_ms)
+{
+	bh_usec_t now = bh_runtime_now();
+	const bh_hold_t *hold =
+		bh_holds_refuse(&hub->holds, job, retry_after_ms, now);
+	bh_frame_t frame = BH__SCHED__FRAME__INIT;
+	Bh__Sched__JobHold message;
+
+	if (!hold || hub->sched_leader || !hub->is_link_open)
+		return;
+	bh_hold_encode(hold, now, &message);
+	frame.body_case = BH__SCHED__FRAME__BODY_HOLD;
+	frame.hold = &message;
+	bh_link_send(hub->link, &frame);
+}
+
+void bh_hub_release(bh_hub_t *hub, const char *id)
+{
+	bh_holds_remove(&hub->holds, id);
+}
+
 void bh_hub_query_state(bh_hub_t *hub, const char *id, bh_hub_query_cb_t cb,
 			void *user)
 {
@@ -858,7 +915,7 @@
 	Bh__Sched__JobNotice notice = BH__SCHED__JOB_NOTICE__INIT;
 
 	if (hub->sched_leader && !hub->is_leadership_lost) {
-		bh_sched_leader_add_job(hub->sched_leader, data, len);
+		bh_sched_leader_add_job(hub->sched_leader, data, len, NULL);
 		return;
 	}
 	if (!hub->is_link_open)
@@ -912,6 +969,7 @@
 			 (double)hub->terms_won);
 	if (hub->forecast_at)
 		forecast_metrics(&hub->forecast, out);
+	bh_metrics_value(out, "boragehold_held_positions", NULL, hub->holds.n);
 	if (hub->sched_leader)
 		bh_sched_leader_metrics(hub->sched_leader, out);
 }
--- a/daemon/hub.h
+++ b/daemon/hub.h
@@ -40,6 +40,22 @@
  */
 bh_forecast_t *bh_hub_forecast(bh_hub_t *hub, int64_t *age_ms);
 
+/**
+ * bh_hub_holds() - positions of refused callers, as known here
+ */
+const bh_holds_t *bh_hub_holds(const bh_hub_t *hub);
+
+/**
+ * bh_hub_hold() - keep the position of a refused job, and report it to the
+ * leader, which tells all entries
+ */
+void bh_hub_hold(bh_hub_t *hub, const bh_job_t *job, uint64_t retry_after_ms);
+
+/**
+ * bh_hub_release() - a job whose position may be kept is accepted
+ */
+void bh_hub_release(bh_hub_t *hub, const char *id);
+
 /**
  * bh_hub_query_state() - ask the leader for a job's state
  *
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -94,6 +94,7 @@
  * @unclear: ids of jobs whose write has an unknown outcome, with the time
  * @answers: number of replies by status / 100
  * @has_shares: setting room_shares; without a forecast all jobs are accepted
+ * @accepted_held: accepted jobs whose caller had kept its position
  * @hopeless: refused jobs whose result would have had no value
  * @latency: histograms by queue
  */
@@ -116,6 +117,7 @@
 	uint64_t accepted;
 	uint64_t refused;
 	uint64_t hopeless;
+	uint64_t accepted_held;
 	uint64_t cancelled;
 	GHashTable *latency;
 };
@@ -439,26 +441,35 @@
 	g_snprintf(detail, sizeof(detail),
 		   "queue=%s ahead_core_ms=%" G_GUINT64_FORMAT
 		   " end_ms=%" G_GUINT64_FORMAT " limit_ms=%" G_GUINT64_FORMAT
-		   " hopeless=%d retry_ms=%" G_GUINT64_FORMAT
+		   " hopeless=%d held_ms=%" G_GUINT64_FORMAT
+		   " retry_ms=%" G_GUINT64_FORMAT
 		   " forecast_age_ms=%" G_GINT64_FORMAT,
 		   p->queue, a->ahead_ms, a->end_ms, a->limit_ms,
-		   a->is_hopeless, a->retry_after_ms, age_ms);
+		   a->is_hopeless, a->held_ms, a->retry_after_ms, age_ms);
 	bh_log_pairs(&p->entry->rt->log, BH_LOG_INFO, "job refused", p->id,
 		     detail);
 }
 
 /* Return: true if the job was refused and the request answered. */
-static bool refuse_by_forecast(pending_t *p, const bh_job_t *job,
-			       bh_forecast_t *forecast, int64_t age_ms)
+static bool refuse_by_forecast(pending_t *p, const bh_job_t *job)
 {
+	bh_sched_entry_t *e = p->entry;
+	bh_outlook_t outlook = {.holds = bh_hub_holds(e->hub),
+				.random = g_random_int()};
+	bh_forecast_t *forecast = bh_hub_forecast(e->hub, &outlook.age_ms);
 	bh_admission_t a;
 
-	if (bh_admit_by_forecast(job, forecast, age_ms, g_random_int(), &a)) {
-		bh_forecast_charge(forecast, job);
+	outlook.forecast = forecast;
+	if (bh_admit_by_forecast(job, &outlook, bh_runtime_now(), &a)) {
+		if (forecast)
+			bh_forecast_charge(forecast, job);
+		e->accepted_held += a.held_ms > 0;
+		bh_hub_release(e->hub, p->id);
 		return false;
 	}
-	p->entry->hopeless += a.is_hopeless;
-	log_refusal(p, &a, age_ms);
+	e->hopeless += a.is_hopeless;
+	bh_hub_hold(e->hub, job, a.retry_after_ms);
+	log_refusal(p, &a, outlook.age_ms);
 	refuse(p, "it would end too late to count", a.retry_after_ms);
 	return true;
 }
@@ -469,7 +480,6 @@
 	bh_hub_t *hub = p->entry->hub;
 	const bh_backlog_t *loads;
 	int64_t age;
-	bh_forecast_t *forecast = bh_hub_forecast(hub, &age);
 	uint64_t retry_ms;
 	uint32_t n;
 
@@ -477,7 +487,7 @@
 	if (g_hash_table_contains(p->entry->unclear, p->id))
 		return false;
 	if (p->entry->has_shares)
-		return forecast && refuse_by_forecast(p, job, forecast, age);
+		return refuse_by_forecast(p, job);
 	n = bh_hub_loads(hub, &loads, &age);
 	if (bh_admit(job, loads, n, age, &retry_ms))
 		return false;
@@ -743,6 +753,8 @@
 			 (double)e->refused);
 	bh_metrics_value(out, "boragehold_jobs_refused_hopeless_total", NULL,
 			 (double)e->hopeless);
+	bh_metrics_value(out, "boragehold_jobs_accepted_held_total", NULL,
+			 (double)e->accepted_held);
 	bh_metrics_value(out, "boragehold_cancellations_total", NULL,
 			 (double)e->cancelled);
 	for (int i = 2; i <= 5; i++) {
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -765,7 +765,7 @@
 
 	if (row->is_deleted)
 		return;
-	bh_sched_leader_add_job(l, row->value, row->len);
+	bh_sched_leader_add_job(l, row->value, row->len, NULL);
 }
 
 static void free_progress(gpointer data)
@@ -936,21 +936,25 @@
 	l->store_reached_at = bh_runtime_now();
 }
 
-void bh_sched_leader_add_job(bh_sched_leader_t *l, const void *data, size_t len)
+bool bh_sched_leader_add_job(bh_sched_leader_t *l, const void *data, size_t len,
+			     char id[BH_JOB_ID_LEN + 1])
 {
 	bh_job_t *job = bh_job_unpack(data, len);
 
 	if (!job) {
 		bh_log_event(&l->rt->log, BH_LOG_ERROR,
 			     "cannot decode a stored job", NULL);
-		return;
+		return false;
 	}
+	if (id)
+		g_strlcpy(id, job->id, BH_JOB_ID_LEN + 1);
 	if (l->n_tables_loading) {
 		g_ptr_array_add(l->early_jobs, job);
-		return;
+		return true;
 	}
 	bh_sched_add_job(l->sched, job, NULL, bh_runtime_now());
 	schedule_run(l);
+	return true;
 }
 
 bh_job_state_t bh_sched_leader_state(bh_sched_leader_t *l, const char *id)
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -28,9 +28,12 @@
 
 /**
  * bh_sched_leader_add_job() - an entry has stored a job, or its cancellation
+ * @id: set to the job's id, may be NULL
+ *
+ * Return: false if it cannot be decoded.
  */
-void bh_sched_leader_add_job(bh_sched_leader_t *l, const void *data,
-			     size_t len);
+bool bh_sched_leader_add_job(bh_sched_leader_t *l, const void *data, size_t len,
+			     char id[BH_JOB_ID_LEN + 1]);
 
 /**
  * bh_sched_leader_state() - a job's state
--- a/sched/admit.h
+++ b/sched/admit.h
@@ -7,6 +7,7 @@
 #define BH_SCHED_ADMIT_H
 
 #include "sched/forecast.h"
+#include "sched/holds.h"
 #include "sched/sched.h"
 
 /**
@@ -23,6 +24,8 @@
 
 /**
  * struct bh_admission - a decision on a job, with its inputs
+ * @held_ms: time since its caller was first refused, if it has kept its
+ * position
  * @is_hopeless: it would end too late to have any value for its caller
  * @ahead_ms: core milliseconds of work that is placed before it
  * @end_ms: predicted time until its end
@@ -36,17 +39,29 @@
 	uint64_t end_ms;
 	uint64_t limit_ms;
 	uint64_t retry_after_ms;
+	uint64_t held_ms;
 } bh_admission_t;
 
 /**
- * bh_admit_by_forecast() - decide whether to accept a job
- * @f: the leader's forecast, or NULL
- * @age_ms: age of @f; all jobs are accepted if it is too old
+ * struct bh_outlook - what an entry knows when it decides on a job
+ * @forecast: the leader's forecast, or NULL
+ * @age_ms: age of @forecast; all jobs are accepted if it is too old
+ * @holds: positions of refused callers
  * @random: evenly distributed, spreads the times of retries
+ */
+typedef struct bh_outlook {
+	const bh_forecast_t *forecast;
+	int64_t age_ms;
+	const bh_holds_t *holds;
+	uint32_t random;
+} bh_outlook_t;
+
+/**
+ * bh_admit_by_forecast() - decide whether to accept a job
  *
  * Return: whether the job is accepted.
  */
-bool bh_admit_by_forecast(const bh_job_t *job, const bh_forecast_t *f,
-			  int64_t age_ms, uint32_t random, bh_admission_t *out);
+bool bh_admit_by_forecast(const bh_job_t *job, const bh_outlook_t *outlook,
+			  bh_usec_t now, bh_admission_t *out);
 
 #endif
--- a/tests/loadworld.h
+++ b/tests/loadworld.h
@@ -53,6 +53,7 @@
  * @seconds: its duration
  * @report_ms: interval of a worker's reports; 0: that of the daemon
  * @has_shares: setting room_shares
+ * @has_no_holds: refused callers do not keep their position
  */
 typedef struct lw_pattern {
 	uint32_t hosts;
@@ -61,6 +62,7 @@
 	uint32_t seconds;
 	uint32_t report_ms;
 	bool has_shares;
+	bool has_no_holds;
 	uint32_t n_kinds;
 	lw_kind_t kinds[LW_KINDS_MAX];
 } lw_pattern_t;
@@ -74,6 +76,7 @@
  * @p50_ms: median time from the first try to the end, or to the end of the
  *	replay if the job had not ended
  * @p99_ms: 99th percentile of the same
+ * @repeats: refusals of callers who came back when they were told to
  * @value: mean value of a job for its caller, 1 if it ended within its
  *objective
  * @serving: part of the time for which long-running tasks served requests
@@ -86,6 +89,7 @@
 	uint32_t open;
 	uint32_t p50_ms;
 	uint32_t p99_ms;
+	uint32_t repeats;
 	double value;
 	double serving;
 } lw_result_t;
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -480,6 +480,7 @@
 {
 	static const uint32_t percents[] = {60, 100, 170};
 	static const double min_gain[] = {0, 0.03, 0.1};
+	double gain = 0;
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
@@ -490,11 +491,30 @@
 		on.kinds[1].estimate_percent = percents[i];
 		off = on;
 		off.has_shares = false;
+		gain += mean_value(&on, 2) - mean_value(&off, 2);
+		/* Positions of refused callers cost some of the value.
+		 */
+		on.has_no_holds = true;
 		assert_true(mean_value(&on, 2) >=
 			    mean_value(&off, 2) + min_gain[i]);
 		assert_true(part_in_time(&on, 2) > 0.98);
 		assert_true(part_in_time(&on, 3) > 0.98);
 	}
+	assert_true(gain > 0.15);
+}
+
+/* Without positions new callers take the capacity that was predicted for those
+ * that were told to come back, and these are refused again: nine times. */
+static void test_returning_callers_are_not_refused_again(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		lw_report_t r;
+
+		lw_replay(&large_then_quick, seed, &r);
+		assert_int_equal(r.kinds[0].repeats, 0);
+		assert_int_equal(r.kinds[1].repeats, 0);
+	}
 }
 
 int main(int argc, char **argv)
@@ -507,6 +527,7 @@
 		cmocka_unit_test(test_returning_callers_before_serving),
 		cmocka_unit_test(test_burst_of_quick_is_refused_in_time),
 		cmocka_unit_test(test_burst_of_large_is_refused_in_time),
+		cmocka_unit_test(test_returning_callers_are_not_refused_again),
 	};
 
 	for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS(patterns); i++) {
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1222,6 +1222,96 @@
   assert(message->base.descriptor == &bh__sched__forecast__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__job_hold__init
+                     (Bh__Sched__JobHold         *message)
+{
+  static const Bh__Sched__JobHold init_value = BH__SCHED__JOB_HOLD__INIT;
+  *message = init_value;
+}
+size_t bh__sched__job_hold__get_packed_size
+                     (const Bh__Sched__JobHold *message)
+{
+  assert(message->base.descriptor == &bh__sched__job_hold__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__job_hold__pack
+                     (const Bh__Sched__JobHold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__job_hold__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__job_hold__pack_to_buffer
+                     (const Bh__Sched__JobHold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__job_hold__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__JobHold *
+       bh__sched__job_hold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__JobHold *)
+     protobuf_c_message_unpack (&bh__sched__job_hold__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__job_hold__free_unpacked
+                     (Bh__Sched__JobHold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__job_hold__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bh__sched__holds__init
+                     (Bh__Sched__Holds         *message)
+{
+  static const Bh__Sched__Holds init_value = BH__SCHED__HOLDS__INIT;
+  *message = init_value;
+}
+size_t bh__sched__holds__get_packed_size
+                     (const Bh__Sched__Holds *message)
+{
+  assert(message->base.descriptor == &bh__sched__holds__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__holds__pack
+                     (const Bh__Sched__Holds *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__holds__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__holds__pack_to_buffer
+                     (const Bh__Sched__Holds *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__holds__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Holds *
+       bh__sched__holds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Holds *)
+     protobuf_c_message_unpack (&bh__sched__holds__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__holds__free_unpacked
+                     (Bh__Sched__Holds *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__holds__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__ping__init
                      (Bh__Sched__Ping         *message)
 {
@@ -4103,7 +4193,174 @@
   (ProtobufCMessageInit) bh__sched__forecast__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bh__sched__job_hold__field_descriptors[8] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_ago_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, refused_ago_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returns_in_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, returns_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusals",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, refusals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due_in_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__JobHold, due_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__job_hold__field_indices_by_name[] = {
+  7,   /* field[7] = due_in_ms */
+  0,   /* field[0] = id */
+  2,   /* field[2] = kind */
+  1,   /* field[1] = priority */
+  6,   /* field[6] = refusals */
+  4,   /* field[4] = refused_ago_ms */
+  5,   /* field[5] = returns_in_ms */
+  3,   /* field[3] = work_ms */
+};
+static const ProtobufCIntRange bh__sched__job_hold__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor bh__sched__job_hold__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.JobHold",
+  "JobHold",
+  "Bh__Sched__JobHold",
+  "bh.sched",
+  sizeof(Bh__Sched__JobHold),
+  8,
+  bh__sched__job_hold__field_descriptors,
+  bh__sched__job_hold__field_indices_by_name,
+  1,  bh__sched__job_hold__number_ranges,
+  (ProtobufCMessageInit) bh__sched__job_hold__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__holds__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Holds, n_items),
+    offsetof(Bh__Sched__Holds, items),
+    &bh__sched__job_hold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__holds__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange bh__sched__holds__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bh__sched__holds__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Holds",
+  "Holds",
+  "Bh__Sched__Holds",
+  "bh.sched",
+  sizeof(Bh__Sched__Holds),
+  1,
+  bh__sched__holds__field_descriptors,
+  bh__sched__holds__field_indices_by_name,
+  1,  bh__sched__holds__number_ranges,
+  (ProtobufCMessageInit) bh__sched__holds__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[7] =
 {
   {
     "term",
@@ -4177,11 +4434,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holds",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Ping, holds),
+    &bh__sched__holds__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__ping__field_indices_by_name[] = {
   4,   /* field[4] = address */
   1,   /* field[1] = config_version */
   5,   /* field[5] = forecast */
+  6,   /* field[6] = holds */
   3,   /* field[3] = load */
   2,   /* field[2] = renewed_ago_ms */
   0,   /* field[0] = term */
@@ -4190,7 +4460,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bh__sched__ping__descriptor =
 {
@@ -4200,7 +4470,7 @@
   "Bh__Sched__Ping",
   "bh.sched",
   sizeof(Bh__Sched__Ping),
-  6,
+  7,
   bh__sched__ping__field_descriptors,
   bh__sched__ping__field_indices_by_name,
   2,  bh__sched__ping__number_ranges,
@@ -4545,7 +4815,7 @@
   (ProtobufCMessageInit) bh__sched__store_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor bh__sched__frame__field_descriptors[20] =
 {
   {
     "hello",
@@ -4775,6 +5045,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hold",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Frame, body_case),
+    offsetof(Bh__Sched__Frame, hold),
+    &bh__sched__job_hold__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__frame__field_indices_by_name[] = {
   11,   /* field[11] = config */
@@ -4783,6 +5065,7 @@
   15,   /* field[15] = entries */
   2,   /* field[2] = grant */
   0,   /* field[0] = hello */
+  19,   /* field[19] = hold */
   7,   /* field[7] = job */
   17,   /* field[17] = leader */
   16,   /* field[16] = leader_query */
@@ -4800,7 +5083,7 @@
 static const ProtobufCIntRange bh__sched__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor bh__sched__frame__descriptor =
 {
@@ -4810,7 +5093,7 @@
   "Bh__Sched__Frame",
   "bh.sched",
   sizeof(Bh__Sched__Frame),
-  19,
+  20,
   bh__sched__frame__field_descriptors,
   bh__sched__frame__field_indices_by_name,
   1,  bh__sched__frame__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -42,6 +42,8 @@
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
 typedef struct Bh__Sched__Demand Bh__Sched__Demand;
 typedef struct Bh__Sched__Forecast Bh__Sched__Forecast;
+typedef struct Bh__Sched__JobHold Bh__Sched__JobHold;
+typedef struct Bh__Sched__Holds Bh__Sched__Holds;
 typedef struct Bh__Sched__Ping Bh__Sched__Ping;
 typedef struct Bh__Sched__Entries Bh__Sched__Entries;
 typedef struct Bh__Sched__LeaderQuery Bh__Sched__LeaderQuery;
@@ -550,6 +552,40 @@
     , 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
+/*
+ * entry -> leader: a job that was refused, as in struct bh_hold
+ */
+struct  Bh__Sched__JobHold
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t priority;
+  uint32_t kind;
+  uint64_t work_ms;
+  uint32_t refused_ago_ms;
+  int32_t returns_in_ms;
+  uint32_t refusals;
+  int32_t due_in_ms;
+};
+#define BH__SCHED__JOB_HOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__job_hold__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The positions of all refused callers that are expected back.
+ */
+struct  Bh__Sched__Holds
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Bh__Sched__JobHold **items;
+};
+#define BH__SCHED__HOLDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__holds__descriptor) \
+    , 0,NULL }
+
+
 /*
  * in both directions on every connection
  */
@@ -569,10 +605,11 @@
    * Of a leader that allocates capacity by a forecast.
    */
   Bh__Sched__Forecast *forecast;
+  Bh__Sched__Holds *holds;
 };
 #define BH__SCHED__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__ping__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL, NULL }
 
 
 /*
@@ -680,7 +717,8 @@
   BH__SCHED__FRAME__BODY_ENTRIES = 16,
   BH__SCHED__FRAME__BODY_LEADER_QUERY = 17,
   BH__SCHED__FRAME__BODY_LEADER = 18,
-  BH__SCHED__FRAME__BODY_CRASH = 19
+  BH__SCHED__FRAME__BODY_CRASH = 19,
+  BH__SCHED__FRAME__BODY_HOLD = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BH__SCHED__FRAME__BODY__CASE)
 } Bh__Sched__Frame__BodyCase;
 
@@ -708,6 +746,7 @@
     Bh__Sched__LeaderQuery *leader_query;
     Bh__Sched__Leader *leader;
     Bh__Sched__Crash *crash;
+    Bh__Sched__JobHold *hold;
   };
 };
 #define BH__SCHED__FRAME__INIT \
@@ -1228,6 +1267,44 @@
 void   bh__sched__forecast__free_unpacked
                      (Bh__Sched__Forecast *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__JobHold methods */
+void   bh__sched__job_hold__init
+                     (Bh__Sched__JobHold         *message);
+size_t bh__sched__job_hold__get_packed_size
+                     (const Bh__Sched__JobHold   *message);
+size_t bh__sched__job_hold__pack
+                     (const Bh__Sched__JobHold   *message,
+                      uint8_t             *out);
+size_t bh__sched__job_hold__pack_to_buffer
+                     (const Bh__Sched__JobHold   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__JobHold *
+       bh__sched__job_hold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__job_hold__free_unpacked
+                     (Bh__Sched__JobHold *message,
+                      ProtobufCAllocator *allocator);
+/* Bh__Sched__Holds methods */
+void   bh__sched__holds__init
+                     (Bh__Sched__Holds         *message);
+size_t bh__sched__holds__get_packed_size
+                     (const Bh__Sched__Holds   *message);
+size_t bh__sched__holds__pack
+                     (const Bh__Sched__Holds   *message,
+                      uint8_t             *out);
+size_t bh__sched__holds__pack_to_buffer
+                     (const Bh__Sched__Holds   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Holds *
+       bh__sched__holds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__holds__free_unpacked
+                     (Bh__Sched__Holds *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Ping methods */
 void   bh__sched__ping__init
                      (Bh__Sched__Ping         *message);
@@ -1463,6 +1540,12 @@
 typedef void (*Bh__Sched__Forecast_Closure)
                  (const Bh__Sched__Forecast *message,
                   void *closure_data);
+typedef void (*Bh__Sched__JobHold_Closure)
+                 (const Bh__Sched__JobHold *message,
+                  void *closure_data);
+typedef void (*Bh__Sched__Holds_Closure)
+                 (const Bh__Sched__Holds *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Ping_Closure)
                  (const Bh__Sched__Ping *message,
                   void *closure_data);
@@ -1520,6 +1603,8 @@
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__demand__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__forecast__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__job_hold__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__holds__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ping__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__entries__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__leader_query__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -2,6 +2,9 @@
 
 #include <math.h>
 
+/* No caller is told to wait for longer, and none is refused for longer. */
+#define HOLD_MS_MAX ((int64_t)3600000)
+
 #define FLAG_GANG	   (1u << 0)
 #define FLAG_SAME_RACK	   (1u << 1)
 #define FLAG_SPECULATIVE   (1u << 2)
@@ -468,6 +471,68 @@
 	}
 }
 
+void bh_hold_encode(const bh_hold_t *hold, bh_usec_t now,
+		    Bh__Sched__JobHold *out)
+{
+	int64_t ago = (now - hold->refused_at) / BH_USEC_PER_MS;
+	int64_t in = (hold->returns_at - now) / BH_USEC_PER_MS;
+	int64_t due = (hold->due_at - now) / BH_USEC_PER_MS;
+
+	bh__sched__job_hold__init(out);
+	out->id = hold->id;
+	out->priority = hold->priority;
+	out->kind = hold->kind;
+	out->work_ms = hold->work_ms;
+	out->refused_ago_ms = (uint32_t)CLAMP(ago, 0, HOLD_MS_MAX);
+	out->returns_in_ms = (int32_t)CLAMP(in, -HOLD_MS_MAX, HOLD_MS_MAX);
+	out->due_in_ms = (int32_t)CLAMP(due, -HOLD_MS_MAX, HOLD_MS_MAX);
+	out->refusals = hold->refusals;
+}
+
+void bh_hold_decode(const Bh__Sched__JobHold *from, bh_usec_t now,
+		    bh_hold_t *out)
+{
+	int64_t ago = MIN(from->refused_ago_ms, HOLD_MS_MAX);
+	int64_t in = CLAMP(from->returns_in_ms, -HOLD_MS_MAX, HOLD_MS_MAX);
+	int64_t due = CLAMP(from->due_in_ms, -HOLD_MS_MAX, HOLD_MS_MAX);
+
+	*out = (bh_hold_t){
+		.id = from->id,
+		.priority = from->priority,
+		.kind = from->kind == BH_WORK_FILLER ? BH_WORK_FILLER
+						     : BH_WORK_PLAIN,
+		.work_ms = MIN(from->work_ms, BH_JOB_WORK_MAX_MS),
+		.refused_at = now - ago * BH_USEC_PER_MS,
+		.returns_at = now + in * BH_USEC_PER_MS,
+		.due_at = now + due * BH_USEC_PER_MS,
+		.refusals = from->refusals,
+	};
+}
+
+void bh_holds_encode(const bh_holds_t *holds, bh_usec_t now,
+		     bh_holds_frame_t *out)
+{
+	bh__sched__holds__init(&out->message);
+	out->message.items = out->refs;
+	out->message.n_items = holds->n;
+	for (uint32_t i = 0; i < holds->n; i++) {
+		bh_hold_encode(&holds->items[i], now, &out->items[i]);
+		out->refs[i] = &out->items[i];
+	}
+}
+
+void bh_holds_decode(const Bh__Sched__Holds *from, bh_usec_t now,
+		     bh_holds_t *out)
+{
+	out->n = 0;
+	for (size_t i = 0; i < from->n_items; i++) {
+		bh_hold_t hold;
+
+		bh_hold_decode(from->items[i], now, &hold);
+		bh_holds_add(out, &hold, now);
+	}
+}
+
 GBytes *bh_leader_row_pack(const bh_leader_row_t *row)
 {
 	Bh__Sched__Leader m = BH__SCHED__LEADER__INIT;
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -7,6 +7,7 @@
 #ifndef BH_WIRE_SCHED_CODEC_H
 #define BH_WIRE_SCHED_CODEC_H
 
+#include "sched/holds.h"
 #include "sched/sched.h"
 #include "wire/sched.pb-c.h"
 
@@ -69,6 +70,32 @@
  */
 void bh_forecast_decode(const Bh__Sched__Forecast *from, bh_forecast_t *out);
 
+/**
+ * bh_hold_encode() - make a message of a refused caller's position
+ */
+void bh_hold_encode(const bh_hold_t *hold, bh_usec_t now,
+		    Bh__Sched__JobHold *out);
+void bh_hold_decode(const Bh__Sched__JobHold *from, bh_usec_t now,
+		    bh_hold_t *out);
+
+/**
+ * struct bh_holds_frame - positions as part of a frame
+ */
+typedef struct bh_holds_frame {
+	Bh__Sched__Holds message;
+	Bh__Sched__JobHold items[BH_HOLDS_MAX];
+	Bh__Sched__JobHold *refs[BH_HOLDS_MAX];
+} bh_holds_frame_t;
+
+/**
+ * bh_holds_encode() - make a message of those that are not expired; it refers
+ * to @out, which must not be moved or freed before it
+ */
+void bh_holds_encode(const bh_holds_t *holds, bh_usec_t now,
+		     bh_holds_frame_t *out);
+void bh_holds_decode(const Bh__Sched__Holds *from, bh_usec_t now,
+		     bh_holds_t *out);
+
 /**
  * bh_frame_append() - append a frame with its header
  */
