--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -235,6 +235,10 @@
 			 (double)st->quarantines);
 	bh_metrics_value(out, "boragehold_worker_crashes_total", NULL,
 			 (double)st->crashes);
+	bh_metrics_value(out, "boragehold_share_starts_total", NULL,
+			 (double)st->promoted);
+	bh_metrics_value(out, "boragehold_share_stops_total", NULL,
+			 (double)st->reclaimed);
 	bh_metrics_value(out, "boragehold_jobs_given_up_total", NULL,
 			 (double)st->given_up);
 	bh_metrics_value(out, "boragehold_paces_total", NULL,
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -514,6 +514,8 @@
 		return;
 	}
 	set_queue_terms(job, queue, id);
+	if (e->has_shares)
+		job->zone = g_strdup(e->rt->settings->zone);
 	row = bh_job_pack(job);
 	/* The store would refuse it each time, which is not for the load. */
 	if (g_bytes_get_size(row) > JOB_ROW_BYTES_MAX) {
--- a/sched/admit.c
+++ b/sched/admit.c
@@ -133,7 +133,8 @@
 	out->is_hopeless = out->end_ms > objective * ADMIT_LIMIT_PERCENT / 100;
 	if (out->end_ms <= out->limit_ms ||
 	    bh_forecast_is_idle(f, kind, job->terms.priority,
-				job->steps[0].cpu_milli))
+				job->steps[0].cpu_milli) ||
+	    bh_shares_has_room(&f->shares, job))
 		return true;
 	out->is_accepted = false;
 	out->retry_after_ms = spread(
--- a/sched/admit.h
+++ b/sched/admit.h
@@ -59,6 +59,8 @@
 /**
  * bh_admit_by_forecast() - decide whether to accept a job
  *
+ * One of a group with less than its minimum share is accepted in any case.
+ *
  * Return: whether the job is accepted.
  */
 bool bh_admit_by_forecast(const bh_job_t *job, const bh_outlook_t *outlook,
--- a/sched/forecast.c
+++ b/sched/forecast.c
@@ -112,7 +112,10 @@
 	const bh_step_t *step = &job->steps[0];
 	uint64_t wanted = (uint64_t)step->count * step->cpu_milli;
 
-	if (step->is_long_running || !d)
+	if (step->is_long_running)
+		return;
+	bh_shares_add(&f->shares, job, 0, wanted, -1);
+	if (!d)
 		return;
 	d->work_ms[kind] += work;
 	if (wanted > f->free_milli[kind][0])
--- a/sched/forecast.h
+++ b/sched/forecast.h
@@ -9,7 +9,7 @@
 #ifndef BH_SCHED_FORECAST_H
 #define BH_SCHED_FORECAST_H
 
-#include "sched/job.h"
+#include "sched/shares.h"
 
 /* Times for which capacity is forecast: now, and in 1, 2, 5 and 10 s. */
 #define BH_FORECAST_POINTS 5
@@ -49,12 +49,14 @@
  *	at each point in time
  * @largest_milli: the most that is free on one host now
  * @demands: ascending by priority
+ * @shares: use of capacity by groups of jobs
  */
 typedef struct bh_forecast {
 	uint64_t free_milli[BH_WORK_KINDS][BH_FORECAST_POINTS];
 	uint64_t largest_milli[BH_WORK_KINDS];
 	uint32_t n_demands;
 	bh_demand_t demands[BH_FORECAST_PRIORITIES];
+	bh_shares_t shares;
 } bh_forecast_t;
 
 /**
--- a/sched/job.c
+++ b/sched/job.c
@@ -174,6 +174,7 @@
 		step_clear(&job->steps[i]);
 	g_free(job->steps);
 	g_free(job->queue);
+	g_free(job->zone);
 	g_free(job->spec);
 	g_free(job->terms.service);
 	g_free(job);
--- a/sched/job.h
+++ b/sched/job.h
@@ -91,6 +91,7 @@
  * struct bh_job - a job as submitted
  * @id: 16 hexadecimal digits
  * @queue: name of the queue it was submitted to
+ * @zone: availability zone of its caller's entry, NULL if not known
  * @spec: opaque to the scheduler, passed on to the workers
  * @accepted_ms: unix time at which it was accepted
  * @first_due_ms: unix time of occurrence 0; 0: due at once
@@ -101,6 +102,7 @@
 typedef struct bh_job {
 	char id[BH_JOB_ID_LEN + 1];
 	char *queue;
+	char *zone;
 	char *spec;
 	uint32_t n_steps;
 	bh_step_t *steps;
--- a/sched/place.c
+++ b/sched/place.c
@@ -34,6 +34,18 @@
  * as long for them to stop before it preempts more. */
 #define PREEMPT_AFTER_US (300 * BH_USEC_PER_MS)
 
+/* Least time between two runs that are stopped for a minimum share: the room of
+ * the first is taken by then. */
+#define RECLAIM_INTERVAL_US (300 * BH_USEC_PER_MS)
+
+/* A checkpoint that was reported longer ago is worth less than the work since:
+ * two reports. */
+#define CHECKPOINT_FRESH_US (400 * BH_USEC_PER_MS)
+
+/* Least time between two updates of the use of capacity by groups, which goes
+ * over all jobs. */
+#define SHARES_INTERVAL_US (100 * BH_USEC_PER_MS)
+
 /* Reports come every 200 ms. A host whose last report is older gets no new
  * work, since too little is known about it. */
 #define REPORT_AGE_MAX_US (1500 * BH_USEC_PER_MS)
@@ -424,6 +436,41 @@
 	}
 }
 
+/* Capacity that is lent to fillers of other groups is reclaimed for one task at
+ * a time, and only from runs that lose next to nothing, as they have just
+ * reported a checkpoint, and whose groups keep their own share. */
+static void reclaim_for_task(bh_sched_t *s, bh_phase_t *phase,
+			     const bh_task_t *task, bh_usec_t now)
+{
+	bh_host_t *host;
+	bh_run_t *run;
+
+	if (!phase->is_short || !phase->step->is_filler ||
+	    now - s->reclaimed_at < RECLAIM_INTERVAL_US)
+		return;
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!bh_host_is_suitable(task, host, now))
+			continue;
+		TAILQ_FOREACH(run, &host->runs, link) {
+			const bh_phase_t *other = run->task->phase;
+
+			if (!other->step->is_filler || other->is_short ||
+			    run->state != BH_RUN_ACTIVE ||
+			    !run->checkpointed_at ||
+			    now - run->checkpointed_at > CHECKPOINT_FRESH_US ||
+			    other->step->cpu_milli < phase->step->cpu_milli ||
+			    !bh_shares_is_above(&s->shares, other->rec->job,
+						other->step->cpu_milli))
+				continue;
+			s->reclaimed_at = now;
+			s->stats.reclaimed++;
+			bh_run_stop(s, run, "reclaimed for a minimum share",
+				    now);
+			return;
+		}
+	}
+}
+
 /* Logs how many hosts are ruled out for each reason; a host counts for the
  * first reason that applies. */
 static void explain_wait(bh_sched_t *s, bh_phase_t *phase,
@@ -512,9 +559,11 @@
 		if (!host) {
 			explain_wait(s, phase, task, now);
 			preempt_for_task(s, phase, task, now);
+			reclaim_for_task(s, phase, task, now);
 			return false;
 		}
 		bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
+		s->stats.promoted += phase->is_short;
 		if (is_on_trial(task))
 			host->trial_until = now + TRIAL_US;
 	}
@@ -574,6 +623,34 @@
 	return s->is_recovering && phase->rec->is_inherited;
 }
 
+/* Puts phases of groups below their minimum share first, in their order, as far
+ * as one share goes. */
+static void promote_short(bh_sched_t *s, GPtrArray *phases, bh_usec_t now)
+{
+	uint64_t left;
+
+	if (!s->shares_at || now - s->shares_at >= SHARES_INTERVAL_US) {
+		s->shares_at = now;
+		bh_sched_count_shares(s, &s->shares, now);
+	}
+	left = s->shares.min_milli;
+	for (guint i = 0; i < phases->len; i++) {
+		bh_phase_t *phase = phases->pdata[i];
+		uint64_t wanted =
+			(uint64_t)phase->waiting * phase->step->cpu_milli;
+
+		phase->is_short =
+			left && !phase->step->is_long_running &&
+			bh_shares_is_short(&s->shares, phase->rec->job);
+		if (!phase->is_short)
+			continue;
+		left -= MIN(left, wanted);
+		phase->rank = i;
+	}
+	if (left < s->shares.min_milli)
+		qsort(phases->pdata, phases->len, sizeof(gpointer), by_rank);
+}
+
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
 {
 	GPtrArray *phases = g_ptr_array_new();
@@ -597,6 +674,8 @@
 	}
 	if (phases->len)
 		qsort(phases->pdata, phases->len, sizeof(gpointer), by_rank);
+	if (s->bounds.has_shares)
+		promote_short(s, phases, now);
 	for (guint i = 0; i < phases->len && unplaced < UNPLACED_PHASES_MAX;
 	     i++) {
 		bool is_placed;
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -100,6 +100,7 @@
 	task->runs[slot] = run;
 	task->attempt = MAX(task->attempt, attempt);
 	task->phase->rec->n_runs++;
+	task->phase->rec->running_milli += task->phase->step->cpu_milli;
 	TAILQ_INSERT_TAIL(&host->runs, run, link);
 	host_charge(host, task->phase->step, 1);
 	if (bh_task_is_suspect(task))
@@ -127,6 +128,7 @@
 			task->runs[i] = NULL;
 	}
 	task->phase->rec->n_runs--;
+	task->phase->rec->running_milli -= task->phase->step->cpu_milli;
 	TAILQ_REMOVE(&run->host->runs, run, link);
 	host_charge(run->host, task->phase->step, -1);
 	g_free(run->checkpoint);
@@ -214,6 +216,7 @@
 		return;
 	g_free(run->checkpoint);
 	run->checkpoint = g_strdup(checkpoint);
+	run->checkpointed_at = run->host->heard_at;
 }
 
 int64_t bh_run_remaining_ms(const bh_run_t *run)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -9,6 +9,10 @@
  * waits stay finite while no worker is known. */
 #define CAPACITY_MIN_MILLI 1000
 
+/* Waiting tasks are tried at least this often: a group begins to count as
+ * starving, and a checkpoint comes, without anything becoming free. */
+#define PLACE_INTERVAL_US (300 * BH_USEC_PER_MS)
+
 /* A filler that is paused is forecast to end as if it ran at this pace. */
 #define PACE_MIN_PERCENT 10u
 
@@ -81,6 +85,50 @@
 	}
 }
 
+/* Return: the time that a waiting task of a phase has waited. All tasks of a
+ * phase begin to wait together, retries aside. */
+static int64_t phase_waited_ms(const bh_phase_t *phase, bh_usec_t now)
+{
+	for (uint32_t i = 0; phase->waiting && i < phase->step->count; i++) {
+		const bh_task_t *task = &phase->tasks[i];
+
+		if (task->is_waiting)
+			return (now - task->waiting_since) / BH_USEC_PER_MS;
+	}
+	return -1;
+}
+
+static void count_job(bh_shares_t *out, const bh_rec_t *rec, bh_usec_t now)
+{
+	uint64_t waiting = 0;
+	int64_t longest = -1;
+
+	for (uint32_t i = 0; i < rec->n_phases; i++) {
+		const bh_phase_t *phase = &rec->phases[i];
+
+		waiting += (uint64_t)phase->waiting * phase->step->cpu_milli;
+		longest = MAX(longest, phase_waited_ms(phase, now));
+	}
+	bh_shares_add(out, rec->job, rec->running_milli, waiting, longest);
+}
+
+void bh_sched_count_shares(const bh_sched_t *s, bh_shares_t *out, bh_usec_t now)
+{
+	uint64_t capacity = 0;
+	const bh_host_t *host;
+	const bh_rec_t *rec;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (bh_host_is_usable(host, now))
+			capacity += host->info.cpu_milli;
+	}
+	bh_shares_init(out, capacity);
+	TAILQ_FOREACH(rec, &s->recs, link) {
+		if (!bh_rec_is_over(rec) && !rec->job->steps[0].is_long_running)
+			count_job(out, rec, now);
+	}
+}
+
 /* Fillers of the present leave the processor time that others use to them, so
  * that only their own ends free capacity for more of them. */
 static void forecast_run(bh_forecast_t *f, const bh_run_t *run)
@@ -188,6 +236,7 @@
 		for (uint32_t i = 0; d && i < rec->n_phases; i++)
 			forecast_phase(s, out, d, &rec->phases[i]);
 	}
+	bh_sched_count_shares(s, &out->shares, now);
 	return true;
 }
 
@@ -254,6 +303,9 @@
 	if (is_due)
 		bh_health_check_runs(s, now);
 	bh_steer_fillers(s, now);
+	if (s->bounds.has_shares && !TAILQ_EMPTY(&s->open) &&
+	    now - s->shares_at >= PLACE_INTERVAL_US)
+		s->must_place = true;
 	if (!s->must_place || !s->config)
 		return;
 	s->must_place = false;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -387,6 +387,8 @@
  * @quarantines: times that a host was quarantined
  * @crashes: crashes of workers on which tasks ran
  * @given_up: jobs given up because of a task that crashes its workers
+ * @promoted: starts of tasks before others for a minimum share
+ * @reclaimed: runs that were stopped for one
  * @paces: orders that changed a task's pace
  * @jobs: jobs that ended, by enum bh_job_state
  * @hosts_ready: hosts whose agent is connected and whose worker is ready
@@ -402,6 +404,8 @@
 	uint64_t quarantines;
 	uint64_t crashes;
 	uint64_t given_up;
+	uint64_t promoted;
+	uint64_t reclaimed;
 	uint64_t paces;
 	uint64_t jobs[BH_JOB_CANCELLED + 1];
 	uint32_t hosts_ready;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -7,6 +7,7 @@
 #include "sched/headroom.h"
 #include "sched/pairs.h"
 #include "sched/sched.h"
+#include "sched/shares.h"
 
 typedef struct bh_run bh_run_t;
 typedef struct bh_task bh_task_t;
@@ -71,6 +72,7 @@
  *	process of the worker until then; 0: not
  * @is_kept: it is over or its process has ended, and it is kept only because it
  *	may start late
+ * @checkpointed_at: when it was reported; 0: there is none
  * @checkpoint: the last one reported; the task takes it over if the run is lost
  */
 struct bh_run {
@@ -98,6 +100,7 @@
 	bh_usec_t confirmed_at;
 	bh_usec_t late_until;
 	bool is_kept;
+	bh_usec_t checkpointed_at;
 	char *checkpoint;
 };
 
@@ -152,6 +155,8 @@
  *NULL
  * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
+ * @is_short: it is placed before others, as its job's group has less than its
+ *	minimum share
  * @explained_at: when the reason why one of its tasks waits was last logged
  * @image: number of the step's image
  * @headroom: of its serving tasks if no fillers ran
@@ -177,6 +182,7 @@
 	GPtrArray *advised_on;
 	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
+	bool is_short;
 	bh_usec_t explained_at;
 	bh_image_id_t image;
 	bh_headroom_t headroom;
@@ -216,6 +222,7 @@
  *	BH_JOB_UNKNOWN
  * @committing: state that the commit in progress stores
  * @n_runs: attempts at its tasks that may be running
+ * @running_milli: processor time that they request
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
  * @is_inherited: an earlier leader may have started its tasks
@@ -232,6 +239,7 @@
 	bh_job_state_t stored_state;
 	bh_job_state_t committing;
 	uint32_t n_runs;
+	uint64_t running_milli;
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
 	bool is_inherited;
@@ -436,6 +444,8 @@
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
  * @jobs_read_at: all jobs that were in the store then are known
+ * @shares: use of capacity as of @shares_at
+ * @reclaimed_at: when a run was last stopped for a minimum share
  * @started_at: when this leader's term began for it
  * @checked_at: when hosts and runs were last checked for timeouts
  */
@@ -463,6 +473,9 @@
 	bh_pairs_t *pairs;
 	bh_usec_t steered_at;
 	bh_usec_t jobs_read_at;
+	bh_shares_t shares;
+	bh_usec_t shares_at;
+	bh_usec_t reclaimed_at;
 	bh_usec_t started_at;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
@@ -759,6 +772,14 @@
 void bh_phase_drop_ticket(bh_phase_t *phase, const bh_host_t *host);
 void bh_phase_clear_advice(bh_phase_t *phase);
 
+/* sched.c */
+
+/**
+ * bh_sched_count_shares() - sum up the use of capacity by groups of jobs
+ */
+void bh_sched_count_shares(const bh_sched_t *s, bh_shares_t *out,
+			   bh_usec_t now);
+
 /* place.c */
 
 /**
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -307,6 +307,8 @@
 	} else {
 		a.percent = (uint32_t)(run->done_ms * 100 / run->total_ms);
 		a.gauge = (uint32_t)(run->speed * run->kind->cpu_milli);
+		if (w->pattern->has_shares && run->saved_ms > 0)
+			a.checkpoint = g_strdup_printf("%.0f", run->saved_ms);
 	}
 	return a;
 }
@@ -339,8 +341,10 @@
 	h->report_at = w->ms + (w->pattern->report_ms ? w->pattern->report_ms
 						      : REPORT_MS);
 	bh_sched_report(w->sched, h->key, &info, &lists, true, now_us(w));
-	for (guint i = 0; i < active->len; i++)
+	for (guint i = 0; i < active->len; i++) {
 		g_free(g_array_index(active, bh_active_t, i).task);
+		g_free(g_array_index(active, bh_active_t, i).checkpoint);
+	}
 }
 
 static bh_job_t *make_job(const lw_world_t *w, const lw_job_t *j)
@@ -349,7 +353,8 @@
 	bh_job_t *job = g_new0(bh_job_t, 1);
 
 	g_strlcpy(job->id, j->id, sizeof(job->id));
-	job->queue = g_strdup(kind->name);
+	job->queue = g_strdup(kind->queue ? kind->queue : kind->name);
+	job->zone = g_strdup(kind->zone);
 	job->spec = g_strdup("spec");
 	job->accepted_ms = UNIX_MS + (uint64_t)w->ms;
 	job->terms.service = g_strdup("svc");
--- a/tests/loadworld.h
+++ b/tests/loadworld.h
@@ -21,6 +21,8 @@
  * @slack_percent: part of the objective that is proportional to the critical
  *	path, in percent of it; 0: 200
  * @target_ms: constant part of the job's objective
+ * @queue: its queue; NULL: @name
+ * @zone: of its callers, may be NULL
  * @flags: letters: c checkpointing, l long-running, f filler, g gang
  * @headroom: mean headroom of a long-running task without fillers
  * @amplitude: of the sine by which @headroom varies with the load, as a part of
@@ -42,6 +44,8 @@
 	uint32_t spread_percent;
 	uint32_t slack_percent;
 	uint32_t target_ms;
+	const char *queue;
+	const char *zone;
 	const char *flags;
 	double headroom;
 	double amplitude;
--- a/tests/test_forecast.c
+++ b/tests/test_forecast.c
@@ -20,7 +20,8 @@
 {
 	*j = (job_t){
 		.step = {.count = 10, .cpu_milli = 1000, .estimate_ms = 1000},
-		.job = {.id = "00000000000000aa",
+		.job = {.queue = (char *)"q",
+			.id = "00000000000000aa",
 			.n_steps = 1,
 			.accepted_ms = UNIX_MS,
 			.terms = {.slack_percent = 150, .target_ms = 300}},
--- a/tests/test_holds.c
+++ b/tests/test_holds.c
@@ -21,7 +21,8 @@
 {
 	*j = (job_t){
 		.step = {.count = 10, .cpu_milli = 1000, .estimate_ms = 1000},
-		.job = {.n_steps = 1,
+		.job = {.queue = (char *)"q",
+			.n_steps = 1,
 			.terms = {.slack_percent = 100, .target_ms = 4000}},
 	};
 	g_snprintf(j->job.id, sizeof(j->job.id), "%016x", id);
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -194,6 +194,7 @@
 	.kinds =
 		{
 			{.name = "returning",
+			 .queue = "quick",
 			 .interval_ms = 5,
 			 .until_ms = 200,
 			 .steps = 2,
@@ -264,6 +265,7 @@
 			 .until_ms = 40000,
 			 LARGE},
 			{.name = "burst",
+			 .queue = "large",
 			 .interval_ms = 940,
 			 .from_ms = 10000,
 			 .until_ms = 16000,
@@ -274,6 +276,7 @@
 			 .until_ms = 40000,
 			 QUICK},
 			{.name = "q-burst",
+			 .queue = "quick",
 			 .interval_ms = 105,
 			 .from_ms = 16000,
 			 .until_ms = 21000,
@@ -309,6 +312,7 @@
 			 .until_ms = 30000,
 			 QUICK},
 			{.name = "q-burst",
+			 .queue = "quick",
 			 .interval_ms = 165,
 			 .from_ms = 10000,
 			 .until_ms = 15000,
@@ -327,6 +331,83 @@
 		},
 };
 
+/* More quick jobs of zone a than the hosts can process, among them a few of
+ * zone b and a few of a queue with a lower priority. */
+static const lw_pattern_t starving_queue = {
+	.hosts = 4,
+	.cpu_milli = 32000,
+	.memory_mb = 125000,
+	.seconds = 40,
+	.has_shares = true,
+	.n_kinds = 3,
+	.kinds =
+		{
+			{.name = "minor",
+			 .interval_ms = 2000,
+			 .from_ms = 3000,
+			 .until_ms = 25000,
+			 .priority = 3,
+			 .steps = 1,
+			 .count = 4,
+			 .cpu_milli = 1000,
+			 .memory_mb = 100,
+			 .ms = 500,
+			 .estimate_percent = 100,
+			 .target_ms = 5000,
+			 .flags = ""},
+			{.name = "rare",
+			 .queue = "quick",
+			 .zone = "b",
+			 .interval_ms = 3000,
+			 .from_ms = 3000,
+			 .until_ms = 25000,
+			 QUICK},
+			{.name = "quick",
+			 .zone = "a",
+			 .interval_ms = 70,
+			 .until_ms = 30000,
+			 QUICK},
+		},
+};
+
+/* Fillers that run for 20 s were lent all of the capacity when small ones of a
+ * lower priority arrive. */
+static const lw_pattern_t lent_to_fillers = {
+	.hosts = 4,
+	.cpu_milli = 32000,
+	.memory_mb = 125000,
+	.seconds = 40,
+	.has_shares = true,
+	.n_kinds = 2,
+	.kinds =
+		{
+			{.name = "small",
+			 .interval_ms = 2000,
+			 .from_ms = 3000,
+			 .until_ms = 8000,
+			 .priority = 2,
+			 .steps = 1,
+			 .count = 1,
+			 .cpu_milli = 2000,
+			 .memory_mb = 100,
+			 .ms = 1000,
+			 .estimate_percent = 100,
+			 .target_ms = 5000,
+			 .flags = "fc"},
+			{.name = "hog",
+			 .interval_ms = 100,
+			 .until_ms = 400,
+			 .priority = 1,
+			 .steps = 1,
+			 .count = 16,
+			 .cpu_milli = 4000,
+			 .memory_mb = 500,
+			 .ms = 20000,
+			 .estimate_percent = 100,
+			 .flags = "fc"},
+		},
+};
+
 static const struct {
 	const char *name;
 	const lw_pattern_t *pattern;
@@ -338,6 +419,8 @@
 	{"total-loss", &total_loss},
 	{"large-then-quick", &large_then_quick},
 	{"burst-of-quick", &burst_of_quick},
+	{"starving-queue", &starving_queue},
+	{"lent-to-fillers", &lent_to_fillers},
 };
 
 /* Without reservations a wide long-running task waits until the last narrow
@@ -517,6 +600,28 @@
 	}
 }
 
+/* Without a minimum share a queue with a lower priority than one that has more
+ * work than capacity gets none: all 11 of its jobs are refused or wait. */
+static void test_low_priority_queue_does_not_starve(void **state)
+{
+	(void)state;
+	assert_true(part_in_time(&starving_queue, 0) > 0.9);
+}
+
+/* Without reclaiming, what was lent is back only once the fillers have ended,
+ * at 20 s. Little of their work is lost, as they are stopped after a
+ * checkpoint. */
+static void test_lent_capacity_is_reclaimed(void **state)
+{
+	lw_report_t r;
+
+	(void)state;
+	assert_true(part_in_time(&lent_to_fillers, 0) > 0.9);
+	lw_replay(&lent_to_fillers, 1, &r);
+	assert_in_range(r.stops, 1, 3);
+	assert_true(r.wasted < 0.01 * r.worked);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -528,6 +633,8 @@
 		cmocka_unit_test(test_burst_of_quick_is_refused_in_time),
 		cmocka_unit_test(test_burst_of_large_is_refused_in_time),
 		cmocka_unit_test(test_returning_callers_are_not_refused_again),
+		cmocka_unit_test(test_low_priority_queue_does_not_starve),
+		cmocka_unit_test(test_lent_capacity_is_reclaimed),
 	};
 
 	for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS(patterns); i++) {
--- a/tests/test_sched_codec.c
+++ b/tests/test_sched_codec.c
@@ -184,6 +184,9 @@
 	bh_forecast_add_capacity(&f, BH_WORK_FILLER, 7000, 0);
 	*bh_forecast_demand(&f, 2) = (bh_demand_t){2, {1, 2}, {3, 4}, {5, 6}};
 	*bh_forecast_demand(&f, 0) = (bh_demand_t){0, {9, 8}, {7, 6}, {5, 4}};
+	f.shares.min_milli = 11;
+	f.shares.n = 1;
+	f.shares.groups[0] = (bh_share_t){12, 13, 14, -1};
 	bh_forecast_encode(&f, &message);
 	ping.forecast = &message.message;
 	frame.body_case = BH__SCHED__FRAME__BODY_PING;
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &bh__sched__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__share__init
+                     (Bh__Sched__Share         *message)
+{
+  static const Bh__Sched__Share init_value = BH__SCHED__SHARE__INIT;
+  *message = init_value;
+}
+size_t bh__sched__share__get_packed_size
+                     (const Bh__Sched__Share *message)
+{
+  assert(message->base.descriptor == &bh__sched__share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__share__pack
+                     (const Bh__Sched__Share *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__share__pack_to_buffer
+                     (const Bh__Sched__Share *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Share *
+       bh__sched__share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Share *)
+     protobuf_c_message_unpack (&bh__sched__share__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__share__free_unpacked
+                     (Bh__Sched__Share *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__forecast__init
                      (Bh__Sched__Forecast         *message)
 {
@@ -1866,7 +1911,7 @@
   (ProtobufCMessageInit) bh__sched__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__job__field_descriptors[14] =
+static const ProtobufCFieldDescriptor bh__sched__job__field_descriptors[15] =
 {
   {
     "id",
@@ -2036,6 +2081,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Job, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__job__field_indices_by_name[] = {
   4,   /* field[4] = accepted_ms */
@@ -2052,11 +2109,12 @@
   2,   /* field[2] = spec */
   3,   /* field[3] = steps */
   13,   /* field[13] = target_ms */
+  14,   /* field[14] = zone */
 };
 static const ProtobufCIntRange bh__sched__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor bh__sched__job__descriptor =
 {
@@ -2066,7 +2124,7 @@
   "Bh__Sched__Job",
   "bh.sched",
   sizeof(Bh__Sched__Job),
-  14,
+  15,
   bh__sched__job__field_descriptors,
   bh__sched__job__field_indices_by_name,
   1,  bh__sched__job__number_ranges,
@@ -4103,7 +4161,71 @@
   (ProtobufCMessageInit) bh__sched__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__forecast__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bh__sched__share__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Share, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Share, running_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Share, waiting_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__share__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = running_milli */
+  2,   /* field[2] = waiting_milli */
+};
+static const ProtobufCIntRange bh__sched__share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bh__sched__share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Share",
+  "Share",
+  "Bh__Sched__Share",
+  "bh.sched",
+  sizeof(Bh__Sched__Share),
+  3,
+  bh__sched__share__field_descriptors,
+  bh__sched__share__field_indices_by_name,
+  1,  bh__sched__share__number_ranges,
+  (ProtobufCMessageInit) bh__sched__share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__forecast__field_descriptors[7] =
 {
   {
     "free_plain",
@@ -4165,6 +4287,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "min_share_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Forecast, min_share_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Forecast, n_shares),
+    offsetof(Bh__Sched__Forecast, shares),
+    &bh__sched__share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__forecast__field_indices_by_name[] = {
   4,   /* field[4] = demands */
@@ -4172,11 +4318,13 @@
   0,   /* field[0] = free_plain */
   3,   /* field[3] = largest_filler */
   2,   /* field[2] = largest_plain */
+  5,   /* field[5] = min_share_milli */
+  6,   /* field[6] = shares */
 };
 static const ProtobufCIntRange bh__sched__forecast__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bh__sched__forecast__descriptor =
 {
@@ -4186,7 +4334,7 @@
   "Bh__Sched__Forecast",
   "bh.sched",
   sizeof(Bh__Sched__Forecast),
-  5,
+  7,
   bh__sched__forecast__field_descriptors,
   bh__sched__forecast__field_indices_by_name,
   1,  bh__sched__forecast__number_ranges,
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Bh__Sched__QueryReply Bh__Sched__QueryReply;
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
 typedef struct Bh__Sched__Demand Bh__Sched__Demand;
+typedef struct Bh__Sched__Share Bh__Sched__Share;
 typedef struct Bh__Sched__Forecast Bh__Sched__Forecast;
 typedef struct Bh__Sched__JobHold Bh__Sched__JobHold;
 typedef struct Bh__Sched__Holds Bh__Sched__Holds;
@@ -104,10 +105,14 @@
   uint32_t max_attempts;
   uint32_t slack_percent;
   uint32_t target_ms;
+  /*
+   * Availability zone of the entry that accepted it, if it has one.
+   */
+  char *zone;
 };
 #define BH__SCHED__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Bh__Sched__TaskNote
@@ -532,6 +537,21 @@
     , 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Use of capacity by a group of jobs, as in struct bh_share.
+ */
+struct  Bh__Sched__Share
+{
+  ProtobufCMessage base;
+  uint32_t key;
+  uint64_t running_milli;
+  uint64_t waiting_milli;
+};
+#define BH__SCHED__SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__share__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * The leader's forecast, as in struct bh_forecast.
  */
@@ -546,10 +566,13 @@
   uint64_t largest_filler;
   size_t n_demands;
   Bh__Sched__Demand **demands;
+  uint64_t min_share_milli;
+  size_t n_shares;
+  Bh__Sched__Share **shares;
 };
 #define BH__SCHED__FORECAST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__forecast__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1248,6 +1271,25 @@
 void   bh__sched__demand__free_unpacked
                      (Bh__Sched__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__Share methods */
+void   bh__sched__share__init
+                     (Bh__Sched__Share         *message);
+size_t bh__sched__share__get_packed_size
+                     (const Bh__Sched__Share   *message);
+size_t bh__sched__share__pack
+                     (const Bh__Sched__Share   *message,
+                      uint8_t             *out);
+size_t bh__sched__share__pack_to_buffer
+                     (const Bh__Sched__Share   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Share *
+       bh__sched__share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__share__free_unpacked
+                     (Bh__Sched__Share *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Forecast methods */
 void   bh__sched__forecast__init
                      (Bh__Sched__Forecast         *message);
@@ -1537,6 +1579,9 @@
 typedef void (*Bh__Sched__Demand_Closure)
                  (const Bh__Sched__Demand *message,
                   void *closure_data);
+typedef void (*Bh__Sched__Share_Closure)
+                 (const Bh__Sched__Share *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Forecast_Closure)
                  (const Bh__Sched__Forecast *message,
                   void *closure_data);
@@ -1602,6 +1647,7 @@
 extern const ProtobufCMessageDescriptor bh__sched__query_reply__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__demand__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__share__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__forecast__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__job_hold__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__holds__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -101,6 +101,7 @@
 	job->first_due_ms = from->first_due_ms;
 	job->interval_ms = from->interval_ms;
 	job->repeat = from->repeat;
+	job->zone = *from->zone ? g_strdup(from->zone) : NULL;
 	job->is_cancelled = from->is_cancelled;
 	job->terms.service = g_strdup(from->service);
 	job->terms.priority = from->priority;
@@ -277,6 +278,7 @@
 	m.first_due_ms = job->first_due_ms;
 	m.interval_ms = job->interval_ms;
 	m.repeat = job->repeat;
+	m.zone = text_or_empty(job->zone);
 	m.is_cancelled = job->is_cancelled;
 	m.service = text_or_empty(job->terms.service);
 	m.priority = job->terms.priority;
@@ -410,6 +412,40 @@
 	bh__sched__learned__free_unpacked(m, NULL);
 }
 
+static void encode_shares(const bh_shares_t *shares, bh_forecast_frame_t *out)
+{
+	out->message.min_share_milli = shares->min_milli;
+	out->message.n_shares = shares->n;
+	out->message.shares = out->share_refs;
+	for (uint32_t i = 0; i < shares->n; i++) {
+		Bh__Sched__Share *to = &out->shares[i];
+
+		bh__sched__share__init(to);
+		out->share_refs[i] = to;
+		to->key = shares->groups[i].key;
+		to->running_milli = shares->groups[i].running_milli;
+		to->waiting_milli = shares->groups[i].waiting_milli;
+	}
+}
+
+static void decode_shares(const Bh__Sched__Forecast *from, bh_shares_t *out)
+{
+	out->min_milli = MIN(from->min_share_milli, BH_JOB_WORK_MAX_MS);
+	out->n = (uint32_t)MIN(from->n_shares, BH_SHARES_MAX);
+	for (uint32_t i = 0; i < out->n; i++) {
+		const Bh__Sched__Share *share = from->shares[i];
+
+		out->groups[i] = (bh_share_t){
+			.key = share->key,
+			.running_milli =
+				MIN(share->running_milli, BH_JOB_WORK_MAX_MS),
+			.waiting_milli =
+				MIN(share->waiting_milli, BH_JOB_WORK_MAX_MS),
+			.waited_ms = -1,
+		};
+	}
+}
+
 void bh_forecast_encode(const bh_forecast_t *f, bh_forecast_frame_t *out)
 {
 	Bh__Sched__Forecast *m = &out->message;
@@ -422,6 +458,7 @@
 	m->n_free_filler = BH_FORECAST_POINTS;
 	m->largest_plain = f->largest_milli[BH_WORK_PLAIN];
 	m->largest_filler = f->largest_milli[BH_WORK_FILLER];
+	encode_shares(&f->shares, out);
 	m->n_demands = f->n_demands;
 	m->demands = out->refs;
 	for (uint32_t i = 0; i < f->n_demands; i++) {
@@ -456,6 +493,7 @@
 		     out->free_milli[BH_WORK_FILLER], BH_FORECAST_POINTS);
 	out->largest_milli[BH_WORK_PLAIN] = from->largest_plain;
 	out->largest_milli[BH_WORK_FILLER] = from->largest_filler;
+	decode_shares(from, &out->shares);
 	for (size_t i = 0; i < from->n_demands; i++) {
 		const Bh__Sched__Demand *d = from->demands[i];
 		bh_demand_t *to = bh_forecast_demand(out, d->priority);
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -56,6 +56,8 @@
 	bh_forecast_t forecast;
 	Bh__Sched__Demand demands[BH_FORECAST_PRIORITIES];
 	Bh__Sched__Demand *refs[BH_FORECAST_PRIORITIES];
+	Bh__Sched__Share shares[BH_SHARES_MAX];
+	Bh__Sched__Share *share_refs[BH_SHARES_MAX];
 } bh_forecast_frame_t;
 
 /**
