--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -8,7 +8,8 @@
 "target-duration-ms":1000,"priority":0}],
 "services":[{"name":"svc","admission-check":true}],"limits":{}}'
 
-# start_job_entry N [STORE]
+# start_job_entry N [STORE]: with the settings in ENTRY_OPTIONS, such as
+# ", \"room_shares\": \"on\""
 start_job_entry() {
 	cat >"$WORK/jobentry-$1.json" <<-END
 	{"role": "entry", "name": "jobentry-$1", "zone": "z",
@@ -16,7 +17,8 @@
 	 "listen_ready": "$(addr $((150 + $1)))",
 	 "metrics": "$(addr $((170 + $1)))",
 	 "listen_frames": "$(addr $((200 + $1)))", "log_format": "json",
-	 "lease_ms": 3000, "stop_within_s": 5, "store": "${2:-$TABLE}"}
+	 "lease_ms": 3000, "stop_within_s": 5,
+	 "store": "${2:-$TABLE}"${ENTRY_OPTIONS:-}}
 	END
 	start "jobentry-$1" "$BUILD/daemon/borageholdd" "$WORK/jobentry-$1.json"
 }
