--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -98,6 +98,7 @@
 	uint64_t last_query;
 	bh_backlog_t loads[LOADS_MAX];
 	uint32_t n_loads;
+	bh_predictions_t predictions;
 	bh_usec_t loads_updated_at;
 	bh_usec_t pinged_at;
 	uint64_t terms_won;
@@ -163,6 +164,7 @@
 		}
 		ping.n_load = hub->n_loads;
 		ping.load = refs;
+		bh_predictions_to_ping(&hub->predictions, &ping);
 	} else {
 		ping.renewed_ago_ms =
 			(uint64_t)bh_follow_answered_ago_ms(hub->operator_rows);
@@ -170,6 +172,7 @@
 	frame.body_case = BH__SCHED__FRAME__BODY_PING;
 	frame.ping = &ping;
 	bh_link_send(link, &frame);
+	bh_predictions_release(&ping);
 }
 
 /* Leader side: frames from other entries. */
@@ -417,6 +420,7 @@
 		hub->loads[i].wait_ms = ping->load[i]->wait_ms;
 		hub->loads[i].wait_filler_ms = ping->load[i]->wait_filler_ms;
 	}
+	bh_predictions_from_ping(&hub->predictions, ping);
 }
 
 static void on_reply(bh_hub_t *hub, const Bh__Sched__QueryReply *reply)
@@ -684,6 +688,8 @@
 	if (hub->sched_leader) {
 		hub->n_loads = bh_sched_leader_load(hub->sched_leader,
 						    hub->loads, LOADS_MAX);
+		bh_sched_leader_predictions(hub->sched_leader,
+					    &hub->predictions);
 		hub->loads_updated_at = now;
 	}
 	TAILQ_FOREACH_SAFE(peer, &hub->peers, entry, next) {
@@ -791,6 +797,7 @@
 	bh_relay_free(hub->relay);
 	g_hash_table_destroy(hub->pending_queries);
 	bh_configs_free(hub->configs);
+	bh_predictions_clear(&hub->predictions);
 	g_free(hub->link_address);
 	g_free(hub);
 }
@@ -808,6 +815,11 @@
 	return hub->n_loads;
 }
 
+const bh_predictions_t *bh_hub_predictions(const bh_hub_t *hub)
+{
+	return &hub->predictions;
+}
+
 void bh_hub_query_state(bh_hub_t *hub, const char *id, bh_hub_query_cb_t cb,
 			void *user)
 {
--- a/daemon/hub.h
+++ b/daemon/hub.h
@@ -31,6 +31,11 @@
 uint32_t bh_hub_loads(const bh_hub_t *hub, const bh_backlog_t **out,
 		      int64_t *age_ms);
 
+/**
+ * bh_hub_predictions() - learned run times, as the leader last sent them
+ */
+const bh_predictions_t *bh_hub_predictions(const bh_hub_t *hub);
+
 /**
  * bh_hub_query_state() - ask the leader for a job's state
  *
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -231,6 +231,22 @@
 			 (double)st->stops);
 	bh_metrics_value(out, "boragehold_copies_total", NULL,
 			 (double)st->copies);
+	bh_metrics_value(out, "boragehold_straggler_moves_total", NULL,
+			 (double)st->moves);
+	bh_metrics_value(out, "boragehold_straggler_budget_core_seconds", NULL,
+			 st->straggler_budget_ms / 1000);
+	bh_metrics_value(out, "boragehold_straggler_chance", NULL,
+			 st->straggler_chance);
+	bh_metrics_value(out, "boragehold_run_time_ends_total", NULL,
+			 (double)st->run_times.ends);
+	bh_metrics_value(out, "boragehold_run_time_progress_total", NULL,
+			 (double)st->run_times.progress);
+	bh_metrics_value(out, "boragehold_run_time_evicted_total", NULL,
+			 (double)st->run_times.evicted);
+	bh_metrics_value(out, "boragehold_run_time_keys", NULL,
+			 st->run_times.keys);
+	bh_metrics_value(out, "boragehold_run_time_keys_learned", NULL,
+			 st->run_times.learned);
 	bh_metrics_value(out, "boragehold_quarantines_total", NULL,
 			 (double)st->quarantines);
 	bh_metrics_value(out, "boragehold_worker_crashes_total", NULL,
--- a/daemon/sched_entry.c
+++ b/daemon/sched_entry.c
@@ -426,11 +426,16 @@
 	const bh_backlog_t *loads;
 	int64_t age;
 	uint32_t n = bh_hub_loads(p->entry->hub, &loads, &age);
+	g_autofree bh_step_t *steps =
+		bh_predictions_apply(bh_hub_predictions(p->entry->hub), job);
+	bh_job_t predicted = *job;
 	uint64_t retry_ms;
 
+	predicted.steps = steps;
+
 	/* A job that may be stored already must not be refused. */
 	if (g_hash_table_contains(p->entry->unclear, p->id) ||
-	    bh_admit(job, loads, n, age, &retry_ms))
+	    bh_admit(&predicted, loads, n, age, &retry_ms))
 		return false;
 	p->entry->refused++;
 	log_answer(p, 429, "it would end too late to count");
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -870,6 +870,7 @@
 		.restore_ms = (int64_t)set->restore_ms,
 		.impact_ms = (int64_t)set->impact_ms,
 		.status_ms = (int64_t)(set->status_s * 1000),
+		.learn_run_times = strcmp(set->learn_run_times, "on") == 0,
 	};
 
 	l->rt = rt;
@@ -975,6 +976,11 @@
 		       : bh_sched_load(l->sched, out, max, bh_runtime_now());
 }
 
+void bh_sched_leader_predictions(bh_sched_leader_t *l, bh_predictions_t *out)
+{
+	bh_sched_predictions(l->sched, out);
+}
+
 void bh_sched_leader_tick(bh_sched_leader_t *l)
 {
 	bh_usec_t now = bh_runtime_now();
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -54,6 +54,11 @@
 uint32_t bh_sched_leader_load(bh_sched_leader_t *l, bh_backlog_t *out,
 			      uint32_t max);
 
+/**
+ * bh_sched_leader_predictions() - learned run times; @out is cleared before
+ */
+void bh_sched_leader_predictions(bh_sched_leader_t *l, bh_predictions_t *out);
+
 /**
  * bh_sched_leader_tick() - call every 100 ms
  */
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -105,6 +105,9 @@
 	       "because of fillers, with store"),
 	NUMBER(status_s, "s", "120", 1, 86400,
 	       "time that a job's final state is kept, with store"),
+	CHOICE(learn_run_times, "\"off\"", "on|off",
+	       "whether run times of tasks are predicted from those of earlier "
+	       "runs where estimates are wrong, with store"),
 	NUMBER(stop_within_s, "s", "6", 0.1, 600,
 	       "time from SIGTERM to SIGKILL, with store"),
 	NUMBER(processor_share, "cores", "1", 0.001, 1024,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -73,6 +73,7 @@
 	double restore_ms;
 	double impact_ms;
 	double status_s;
+	char *learn_run_times;
 	double stop_within_s;
 	double processor_share;
 } bh_settings_t;
--- a/sched/health.c
+++ b/sched/health.c
@@ -36,6 +36,13 @@
 /* Weight of a new value in a host's average speed. */
 #define SPEED_WEIGHT 0.2
 
+/* A run is no straggler before the usual run time or this time has passed: its
+ * progress is reported in whole percent and up to a report interval late. */
+#define STRAGGLER_SAMPLE_MAX_MS 1000.0
+
+/* A filler on a crowded host is slowed by up to half without being paced. */
+#define STRAGGLER_FILLER_FACTOR 2
+
 /* Time for which a run is observed before its speed is used. */
 #define SPEED_SAMPLE_MIN_US (1000 * BH_USEC_PER_MS)
 
@@ -58,6 +65,8 @@
 static bool run_is_stalled(const bh_run_t *run, bh_usec_t now)
 {
 	const bh_step_t *step = run->task->phase->step;
+	uint32_t expected_ms =
+		MAX(step->estimate_ms, bh_phase_expected_ms(run->task->phase));
 
 	if (run->state != BH_RUN_ACTIVE || !run->seen_at)
 		return false;
@@ -69,7 +78,7 @@
 	return run->percent < 100 &&
 	       now - run->progressed_at >
 		       MAX(STALL_TIMEOUT_US,
-			   (bh_usec_t)step->estimate_ms * BH_USEC_PER_MS / 4);
+			   (bh_usec_t)expected_ms * BH_USEC_PER_MS / 4);
 }
 
 /* Predicts the time until a run ends from its progress so far.
@@ -85,15 +94,21 @@
 	       progress;
 }
 
-static bool is_worth_moving(bh_sched_t *s, const bh_run_t *run, bh_usec_t now)
+/* Predicts the time until a new attempt elsewhere would end. */
+static int64_t time_elsewhere_ms(const bh_sched_t *s, const bh_run_t *run)
 {
-	const bh_step_t *step = run->task->phase->step;
-	int64_t here = time_left_ms(run, now);
-	int64_t there = step->is_checkpointing ? bh_run_remaining_ms(run) +
-							 s->bounds.restore_ms
-					       : (int64_t)step->estimate_ms;
+	const bh_phase_t *phase = run->task->phase;
+
+	return MOVE_OVERHEAD_MS +
+	       (phase->step->is_checkpointing
+			? bh_run_usual_remaining_ms(run) + s->bounds.restore_ms
+			: bh_phase_expected_ms(phase));
+}
 
-	return here > (there + MOVE_OVERHEAD_MS) * MOVE_GAIN_MIN;
+static bool is_worth_moving(bh_sched_t *s, const bh_run_t *run, bh_usec_t now)
+{
+	return time_left_ms(run, now) >
+	       time_elsewhere_ms(s, run) * MOVE_GAIN_MIN;
 }
 
 static void start_copy(bh_sched_t *s, bh_task_t *task, const bh_run_t *run,
@@ -110,6 +125,66 @@
 	bh_run_start(s, task, host, bh_task_next_attempt(s, task), now);
 }
 
+static bool is_straggler(const bh_run_t *run)
+{
+	const bh_phase_t *phase = run->task->phase;
+	double elapsed_ms = run->work_us / 1000;
+
+	if (!run->has_left || run->percent >= 100 || run->task->second_at ||
+	    (phase->step->is_filler && run->pace < 100) ||
+	    elapsed_ms <
+		    MIN(bh_phase_expected_ms(phase), STRAGGLER_SAMPLE_MAX_MS))
+		return false;
+	return elapsed_ms + run->left_ms >
+	       (double)bh_phase_long_ms(phase) *
+		       (phase->step->is_filler ? STRAGGLER_FILLER_FACTOR : 1);
+}
+
+/* Gives a straggler whose run time is predicted a second attempt: a copy if the
+ * step is speculative; otherwise its run is stopped, so that it starts
+ * elsewhere. */
+static void check_straggler(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
+{
+	bh_task_t *task = run->task;
+	const bh_step_t *step = task->phase->step;
+	int64_t elapsed = (int64_t)(run->work_us / 1000);
+	int64_t left = run->left_ms;
+	int64_t there = time_elsewhere_ms(s, run);
+	bool is_copy = step->is_speculative;
+	int64_t cost = is_copy			? there
+		       : step->is_checkpointing ? MOVE_OVERHEAD_MS
+						: elapsed;
+	char name[BH_TASK_NAME_BYTES];
+
+	/* A run that resumes does not lose what it has done. */
+	if (!bh_stragglers_gains(&s->stragglers,
+				 step->is_checkpointing ? 0 : elapsed, left,
+				 there, is_copy) ||
+	    (task->runs[0] && task->runs[1]) ||
+	    !bh_sched_find_host(s, task, run->host, now) ||
+	    !bh_stragglers_take(&s->stragglers,
+				(double)cost * step->cpu_milli / 1000))
+		return;
+	task->second_at = now;
+	task->second_left_ms = left;
+	bh_task_full_name(task, name);
+	bh_sched_log(
+		s, "straggler", task->phase->rec->job->id,
+		"task=%s attempt=%u worker=%s how=%s ran_ms=%" G_GINT64_FORMAT
+		" percent=%u left_ms=%" G_GINT64_FORMAT
+		" elsewhere_ms=%" G_GINT64_FORMAT " chance=%.2f budget_ms=%.0f",
+		name + BH_JOB_ID_LEN + 1, run->attempt, run->host->info.id,
+		is_copy ? "copy" : "move", elapsed, run->percent, left, there,
+		bh_stragglers_chance(&s->stragglers), s->stragglers.budget_ms);
+	if (is_copy) {
+		start_copy(s, task, run, now);
+		return;
+	}
+	s->stats.moves++;
+	task->avoided_host = run->host;
+	bh_run_stop(s, run, "takes longer than others", now);
+}
+
 static void check_run(bh_sched_t *s, bh_run_t *run, bh_usec_t now)
 {
 	bh_task_t *task = run->task;
@@ -128,10 +203,17 @@
 		return;
 	}
 	if (run->state != BH_RUN_ACTIVE || task->phase->step->is_long_running ||
-	    task->phase->step->is_filler || task->phase->step->is_gang ||
+	    task->phase->step->is_gang)
+		return;
+	if (is_straggler(run))
+		check_straggler(s, run, now);
+	if (run->state != BH_RUN_ACTIVE || task->phase->step->is_filler ||
 	    !is_worth_moving(s, run, now))
 		return;
 	if (task->phase->step->is_speculative) {
+		/* Where run times are learned, copies have a budget. */
+		if (run->has_left)
+			return;
 		start_copy(s, task, run, now);
 	} else if (run->host->speed < SLOW_SPEED &&
 		   bh_sched_find_host(s, task, run->host, now)) {
@@ -156,7 +238,7 @@
 		    phase->step->is_long_running || phase->step->is_filler ||
 		    left < 0 || run->percent >= 100)
 			continue;
-		rate_sum += (double)(bh_run_remaining_ms(run) + 1) /
+		rate_sum += (double)(bh_run_usual_remaining_ms(run) + 1) /
 			    (double)(left + 1);
 		n++;
 	}
@@ -200,14 +282,17 @@
 void bh_health_check_runs(bh_sched_t *s, bh_usec_t now)
 {
 	bh_host_t *host;
+	double speeds = 0;
 
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		bh_run_t *run;
 		bh_run_t *next;
 
 		update_speed(host, now);
+		speeds += host->speed;
 		bh_host_clear_suspects(s, host, now);
 		TAILQ_FOREACH_SAFE(run, &host->runs, link, next)
 			check_run(s, run, now);
 	}
+	s->mean_speed = s->n_hosts ? speeds / s->n_hosts : 0;
 }
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -172,8 +172,10 @@
 		adopt_checkpoint(s, task, e->checkpoint);
 	}
 	note_started(task);
-	if (run && e->how == BH_END_DONE)
+	if (run && e->how == BH_END_DONE) {
 		update_rate(run, host, now);
+		bh_run_learn_end(s, run, now);
+	}
 	if (run && (e->how == BH_END_DONE || !bh_run_keep(s, run, now)))
 		bh_run_drop(s, run);
 	if (e->how == BH_END_DONE) {
@@ -417,6 +419,7 @@
 {
 	bh_run_t *run = match_active(s, host, a, now);
 	const bh_task_t *task;
+	bool is_first;
 
 	if (!run) {
 		task = bh_task_find(s, a->task);
@@ -435,7 +438,8 @@
 		run->state = BH_RUN_ACTIVE;
 	if (run->is_kept)
 		bh_run_revive(s, run, now);
-	if (!run->seen_at) {
+	is_first = !run->seen_at;
+	if (is_first) {
 		run->seen_at = now;
 		run->first_percent = a->percent;
 		run->progressed_at = now;
@@ -444,6 +448,7 @@
 		run->progressed_at = now;
 	run->percent = a->percent;
 	run->gauge = a->gauge;
+	bh_run_observe(s, run, is_first, now);
 	bh_run_set_checkpoint(run, a->checkpoint);
 	if (run->state == BH_RUN_STOPPING &&
 	    now - run->stop_ordered_at > STOP_RETRY_US)
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -32,6 +32,7 @@
 	for (uint32_t i = 0; i < rec->n_phases; i++)
 		phase_clear(&rec->phases[i]);
 	g_free(rec->phases);
+	g_free(rec->chain_ms);
 	bh_job_free(rec->job);
 	g_free(rec);
 }
@@ -353,6 +354,7 @@
 	bh_rec_add_segments(rec);
 	update_terms(s, rec);
 	rec->critical_path_ms = bh_job_critical_path_ms(job);
+	rec->times = s->times;
 	TAILQ_INSERT_TAIL(&s->recs, rec, link);
 	g_hash_table_insert(s->by_id, job->id, rec);
 	if (progress)
--- a/sched/order.c
+++ b/sched/order.c
@@ -17,15 +17,6 @@
  * task. Tasks of a step differ by about a third. */
 #define LONGEST_TASK_PERCENT 130
 
-static int64_t remaining_chain_ms(const bh_phase_t *phase)
-{
-	const bh_rec_t *rec = phase->rec;
-	uint64_t steps = MAX(rec->job->n_steps, 1);
-	uint64_t done = rec->phases_done % steps;
-
-	return (int64_t)(rec->critical_path_ms * (steps - done) / steps);
-}
-
 /* Time that failed attempts add to the chain of the phase's occurrence. Callers
  * are owed the result that much later. */
 static uint64_t retries_ms(const bh_phase_t *phase)
@@ -37,7 +28,7 @@
 
 	for (uint32_t i = 0; i < job->n_steps; i++)
 		ms += (uint64_t)first[i].most_failed *
-		      first[i].step->estimate_ms;
+		      bh_phase_expected_ms(&first[i]);
 	return ms;
 }
 
@@ -58,7 +49,7 @@
 	uint64_t rank = (uint64_t)phase->rec->job->terms.priority
 			<< RANK_PRIORITY_SHIFT;
 	uint64_t due = due_ms(phase);
-	int64_t left = remaining_chain_ms(phase);
+	int64_t left = (int64_t)bh_phase_chain_ms(phase);
 
 	if (phase->step->is_long_running)
 		return rank;
--- a/sched/place.c
+++ b/sched/place.c
@@ -221,7 +221,8 @@
 
 	*spare = 0;
 	if (!bh_host_is_suitable(task, host, now) ||
-	    !has_free_resources(host, step) || !bh_reserve_allows(host, step))
+	    !has_free_resources(host, step) ||
+	    !bh_reserve_allows(host, task->phase))
 		return false;
 	if (!step->is_filler)
 		return true;
@@ -448,7 +449,7 @@
 			memory++;
 		else if (!has_free_resources(host, step))
 			cpu++;
-		else if (!bh_reserve_allows(host, step))
+		else if (!bh_reserve_allows(host, phase))
 			reserved++;
 		else if (must_wait_as_suspect(task, host, now))
 			suspects++;
@@ -587,6 +588,7 @@
 			phase->is_queued = false;
 			continue;
 		}
+		bh_rec_update_path(s, phase->rec);
 		phase->rank = bh_phase_rank(s, phase);
 		g_ptr_array_add(phases, phase);
 	}
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -9,9 +9,6 @@
 
 #include <stdlib.h>
 
-/* Estimated run times are wrong by a factor of up to two. */
-#define ESTIMATE_MARGIN 2
-
 /* Runs of a host that are considered; further ones count as never ending. */
 #define COMPLETIONS_MAX 64
 
@@ -139,16 +136,16 @@
 	return best;
 }
 
-bool bh_reserve_allows(const bh_host_t *host, const bh_step_t *step)
+bool bh_reserve_allows(const bh_host_t *host, const bh_phase_t *phase)
 {
+	const bh_step_t *step = phase->step;
 	bh_host_resources_t used = committed_resources(host);
 	bh_step_t wanted = *step;
 
 	if (!host->reserved.cpu && !host->reserved.memory)
 		return true;
 	if (!step->is_long_running &&
-	    (int64_t)step->estimate_ms * ESTIMATE_MARGIN <=
-		    host->reserved_free_in_ms)
+	    (int64_t)bh_phase_long_ms(phase) <= host->reserved_free_in_ms)
 		return true;
 	/* Fillers run on processor time that is reserved but idle, so only
 	 * memory and accelerators matter. */
--- a/sched/runs.c
+++ b/sched/runs.c
@@ -139,6 +139,7 @@
 {
 	const bh_job_t *job = task->phase->rec->job;
 	char name[BH_TASK_NAME_BYTES];
+	bh_run_t *run;
 	bh_start_t start = {
 		.task = name,
 		.attempt = attempt,
@@ -161,7 +162,9 @@
 		     (now - host->heard_at) / 1000,
 		     (int64_t)host->info.cpu_milli - (int64_t)host->used_cpu -
 			     (int64_t)host->filler_cpu);
-	bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
+	run = bh_run_new(task, host, attempt, BH_RUN_ORDERED, now);
+	run->is_restored = task->checkpoint != NULL;
+	run->counted_at = now;
 	host->started_at = now;
 	s->stats.starts++;
 	s->ops->start(s->ctx, host->key, &start);
@@ -215,11 +218,3 @@
 	g_free(run->checkpoint);
 	run->checkpoint = g_strdup(checkpoint);
 }
-
-int64_t bh_run_remaining_ms(const bh_run_t *run)
-{
-	uint32_t percent = MIN(run->percent, 100);
-
-	return (int64_t)run->task->phase->step->estimate_ms * (100 - percent) /
-	       100;
-}
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -54,7 +54,7 @@
 /* Remaining work of a phase in core milliseconds. */
 static uint64_t phase_work(const bh_phase_t *phase)
 {
-	return bh_step_work_ms(phase->step, phase->step->count - phase->n_done);
+	return bh_phase_work_ms(phase, phase->step->count - phase->n_done);
 }
 
 static void add_backlog(const bh_rec_t *rec, uint64_t *fillers,
@@ -82,6 +82,8 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->pairs = bh_pairs_new();
+	if (bounds->learn_run_times)
+		s->times = bh_run_times_new();
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&s->recs);
@@ -112,6 +114,7 @@
 	while ((rec = TAILQ_FIRST(&s->recs)) != NULL)
 		bh_sched_drop_job(s, rec->job->id);
 	bh_pairs_free(s->pairs);
+	bh_run_times_free(s->times);
 	g_hash_table_destroy(s->by_id);
 	g_hash_table_destroy(s->by_key);
 	g_free(s);
@@ -151,6 +154,26 @@
 	bh_pairs_set(s->pairs, filler, lasting, interference, stddev);
 }
 
+void bh_sched_each_run_time(const bh_sched_t *s, bh_run_times_cb_t cb,
+			    void *ctx)
+{
+	if (s->times)
+		bh_run_times_each(s->times, cb, ctx);
+}
+
+void bh_sched_set_run_time(bh_sched_t *s, const bh_run_time_state_t *state)
+{
+	if (s->times)
+		bh_run_times_set(s->times, state);
+}
+
+void bh_sched_predictions(const bh_sched_t *s, bh_predictions_t *out)
+{
+	bh_predictions_clear(out);
+	if (s->times)
+		bh_run_times_predictions(s->times, out);
+}
+
 uint32_t bh_sched_expired(const bh_sched_t *s, uint64_t unix_ms,
 			  const char **ids, uint32_t max)
 {
@@ -227,6 +250,10 @@
 	const bh_phase_t *phase;
 
 	*out = s->stats;
+	if (s->times)
+		bh_run_times_stats(s->times, &out->run_times);
+	out->straggler_budget_ms = s->stragglers.budget_ms;
+	out->straggler_chance = bh_stragglers_chance(&s->stragglers);
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		out->tasks_running += host->n_runs;
 		if (host->info.state == BH_WORKER_READY && host->is_linked)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -11,6 +11,7 @@
 #include "sched/blame.h"
 #include "sched/job.h"
 #include "sched/queues.h"
+#include "sched/run_times.h"
 #include "sched/worker.h"
 
 typedef struct bh_sched bh_sched_t;
@@ -70,6 +71,7 @@
  * @impact_ms: longest time that a long-running task may miss its objective
  *	because of fillers
  * @status_ms: time for which the state of a job that has ended is kept
+ * @learn_run_times: whether run times are predicted from those of earlier runs
  */
 typedef struct bh_sched_bounds {
 	uint64_t term;
@@ -79,6 +81,7 @@
 	int64_t restore_ms;
 	int64_t impact_ms;
 	int64_t status_ms;
+	bool learn_run_times;
 } bh_sched_bounds_t;
 
 bh_sched_t *bh_sched_new(const bh_sched_bounds_t *bounds,
@@ -307,6 +310,23 @@
 void bh_sched_set_pair(bh_sched_t *s, const char *filler, const char *lasting,
 		       double interference, double stddev);
 
+/**
+ * bh_sched_each_run_time() - iterate over the learned run times, the most
+ * recently used key first
+ *
+ * They are stored for the next leader, which passes them to
+ * bh_sched_set_run_time(). Without learn_run_times neither does anything.
+ */
+void bh_sched_each_run_time(const bh_sched_t *s, bh_run_times_cb_t cb,
+			    void *ctx);
+void bh_sched_set_run_time(bh_sched_t *s, const bh_run_time_state_t *state);
+
+/**
+ * bh_sched_predictions() - list the learned predictions for the entries
+ * @out: is cleared before
+ */
+void bh_sched_predictions(const bh_sched_t *s, bh_predictions_t *out);
+
 /**
  * bh_sched_expired() - list jobs that ended more than status_ms ago, whose rows
  * may be removed
@@ -373,12 +393,16 @@
  * @ends_missing: ends that workers forgot before they were seen
  * @stops: attempts that were ordered to stop, orphans excluded
  * @copies: speculative copies started
+ * @moves: stragglers stopped so that they start elsewhere
  * @quarantines: times that a host was quarantined
  * @crashes: crashes of workers on which tasks ran
  * @given_up: jobs given up because of a task that crashes its workers
  * @paces: orders that changed a task's pace
  * @jobs: jobs that ended, by enum bh_job_state
  * @hosts_ready: hosts whose agent is connected and whose worker is ready
+ * @run_times: of the learned run times
+ * @straggler_budget_ms: core milliseconds that copies and moves may cost
+ * @straggler_chance: share of second attempts that took the usual time
  * @wait: time that tasks waited before they were started
  */
 typedef struct bh_sched_stats {
@@ -388,6 +412,7 @@
 	uint64_t ends_missing;
 	uint64_t stops;
 	uint64_t copies;
+	uint64_t moves;
 	uint64_t quarantines;
 	uint64_t crashes;
 	uint64_t given_up;
@@ -396,6 +421,9 @@
 	uint32_t hosts_ready;
 	uint32_t tasks_waiting;
 	uint32_t tasks_running;
+	bh_run_times_stats_t run_times;
+	double straggler_budget_ms;
+	double straggler_chance;
 	bh_hist_t wait;
 } bh_sched_stats_t;
 
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -6,7 +6,9 @@
 
 #include "sched/headroom.h"
 #include "sched/pairs.h"
+#include "sched/run_times.h"
 #include "sched/sched.h"
+#include "sched/stragglers.h"
 
 typedef struct bh_run bh_run_t;
 typedef struct bh_task bh_task_t;
@@ -72,6 +74,13 @@
  * @is_kept: it is over or its process has ended, and it is kept only because it
  *	may start late
  * @checkpoint: the last one reported; the task takes it over if the run is lost
+ * @is_restored: it resumed from a checkpoint
+ * @base_percent: its progress at which @work_us was 0
+ * @counted_at: time up to which @work_us and @wall_us are counted; 0: not yet
+ * @work_us: its run time, weighted by its speed
+ * @wall_us: its run time
+ * @is_progress_learned: a run time was learned from its progress
+ * @left_ms: predicted remaining run time, if @has_left is set
  */
 struct bh_run {
 	TAILQ_ENTRY(bh_run) link;
@@ -99,6 +108,14 @@
 	bh_usec_t late_until;
 	bool is_kept;
 	char *checkpoint;
+	bool is_restored;
+	uint32_t base_percent;
+	bh_usec_t counted_at;
+	double work_us;
+	double wall_us;
+	bool is_progress_learned;
+	bool has_left;
+	uint32_t left_ms;
 };
 
 typedef TAILQ_HEAD(bh_runs, bh_run) bh_runs_t;
@@ -115,6 +132,9 @@
  *	crash there would not tell whether it is at fault; 0: it is not
  * @avoided_host: host of its last failure, stall or refused start; others are
  *	preferred
+ * @second_at: when a straggler was last copied or moved; 0: it was not, or the
+ *	task has ended since
+ * @second_left_ms: predicted remaining time of the straggler then
  * @runs: its attempts that may be running; unused entries are NULL
  */
 struct bh_task {
@@ -130,6 +150,8 @@
 	bh_usec_t held_since;
 	const bh_host_t *avoided_host;
 	bh_usec_t waiting_since;
+	bh_usec_t second_at;
+	int64_t second_left_ms;
 	bh_run_t *runs[BH_RUNS_MAX];
 };
 
@@ -155,6 +177,11 @@
  * @explained_at: when the reason why one of its tasks waits was last logged
  * @image: number of the step's image
  * @headroom: of its serving tasks if no fillers ran
+ * @predicted_version: version of the run times that the next three are of;
+ *	used in the first occurrence only
+ * @is_learned: its run time is predicted, otherwise it is the declared estimate
+ * @predicted_ms: predicted mean run time of a task
+ * @long_ms: predicted run time of a task that takes long
  */
 struct bh_phase {
 	TAILQ_ENTRY(bh_phase) link;
@@ -180,6 +207,10 @@
 	bh_usec_t explained_at;
 	bh_image_id_t image;
 	bh_headroom_t headroom;
+	uint64_t predicted_version;
+	bool is_learned;
+	uint32_t predicted_ms;
+	uint32_t long_ms;
 };
 
 typedef TAILQ_HEAD(bh_phases, bh_phase) bh_phases_t;
@@ -219,6 +250,10 @@
  * @ended_ms: unix time at which it ended; 0: it has not
  * @critical_path_ms: estimated critical path of one occurrence
  * @is_inherited: an earlier leader may have started its tasks
+ * @times: learned run times, which the scheduler owns, or NULL
+ * @chain_ms: by step, predicted time from its start to the end of the
+ *	occurrence; NULL while no step's run time is learned
+ * @path_at_ms: unix time at which the critical path was last predicted
  */
 struct bh_rec {
 	TAILQ_ENTRY(bh_rec) link;
@@ -235,6 +270,9 @@
 	uint64_t ended_ms;
 	uint64_t critical_path_ms;
 	bool is_inherited;
+	bh_run_times_t *times;
+	uint64_t *chain_ms;
+	uint64_t path_at_ms;
 };
 
 typedef TAILQ_HEAD(bh_recs, bh_rec) bh_recs_t;
@@ -437,6 +475,9 @@
  * @must_place: a placement may have become possible since the last pass
  * @jobs_read_at: all jobs that were in the store then are known
  * @checked_at: when hosts and runs were last checked for timeouts
+ * @times: learned run times; NULL: they are not learned
+ * @stragglers: evidence and budget of second attempts
+ * @mean_speed: mean speed of the hosts; 0: not known yet
  */
 struct bh_sched {
 	bh_sched_bounds_t bounds;
@@ -460,6 +501,9 @@
 	bool must_place;
 	uint32_t n_reservations;
 	bh_pairs_t *pairs;
+	bh_run_times_t *times;
+	bh_stragglers_t stragglers;
+	double mean_speed;
 	bh_usec_t steered_at;
 	bh_usec_t jobs_read_at;
 	bh_usec_t checked_at;
@@ -576,11 +620,62 @@
  */
 void bh_run_set_checkpoint(bh_run_t *run, const char *checkpoint);
 
+/* predict.c */
+
+/**
+ * bh_phase_is_learned() - whether run times of its tasks are predicted;
+ * otherwise they are the declared estimate
+ */
+bool bh_phase_is_learned(const bh_phase_t *phase);
+
+/**
+ * bh_phase_expected_ms() - expected run time of a task
+ */
+uint32_t bh_phase_expected_ms(const bh_phase_t *phase);
+
+/**
+ * bh_phase_long_ms() - run time that nine of ten tasks do not exceed
+ */
+uint64_t bh_phase_long_ms(const bh_phase_t *phase);
+
+/**
+ * bh_phase_work_ms() - expected work of a number of a phase's tasks, in core
+ * milliseconds
+ */
+uint64_t bh_phase_work_ms(const bh_phase_t *phase, uint32_t tasks);
+
+/**
+ * bh_phase_chain_ms() - expected time from the start of a phase to the end of
+ * its occurrence
+ */
+uint64_t bh_phase_chain_ms(const bh_phase_t *phase);
+
+/**
+ * bh_rec_update_path() - predict a job's critical path
+ */
+void bh_rec_update_path(const bh_sched_t *s, bh_rec_t *rec);
+
+/**
+ * bh_run_observe() - learn from the reported state of a run
+ * @is_first: no report has listed it before
+ */
+void bh_run_observe(bh_sched_t *s, bh_run_t *run, bool is_first, bh_usec_t now);
+
+/**
+ * bh_run_learn_end() - learn from a run that has succeeded
+ */
+void bh_run_learn_end(bh_sched_t *s, bh_run_t *run, bh_usec_t now);
+
 /**
- * bh_run_remaining_ms() - estimated remaining run time, at average speed
+ * bh_run_remaining_ms() - predicted remaining run time, at average speed
  */
 int64_t bh_run_remaining_ms(const bh_run_t *run);
 
+/**
+ * bh_run_usual_remaining_ms() - the same for a run that takes the usual time
+ */
+int64_t bh_run_usual_remaining_ms(const bh_run_t *run);
+
 /* hosts.c */
 
 /**
@@ -786,10 +881,10 @@
 bh_host_t *bh_reserve(bh_sched_t *s, const bh_task_t *task, bh_usec_t now);
 
 /**
- * bh_reserve_allows() - whether a task of a step can start on a host without
+ * bh_reserve_allows() - whether a task of a phase can start on a host without
  * delaying the tasks that have reservations there
  */
-bool bh_reserve_allows(const bh_host_t *host, const bh_step_t *step);
+bool bh_reserve_allows(const bh_host_t *host, const bh_phase_t *phase);
 
 /* gauges.c */
 
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -2,6 +2,7 @@
 
 #include "sched/admit.h"
 #include "sched/sched.h"
+#include "wire/sched_codec.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -18,6 +19,9 @@
 #define CHECKPOINT_INTERVAL_MS 1000
 #define STARTUP_MS	       500
 #define LOAD_PERIOD_MS	       14000
+#define SLOW_FACTOR	       7
+#define ROW_BYTES_MAX	       65536
+#define REPLACE_INTERVAL_MS    1000
 
 /* Part of the requested processor time that a long-running task uses. */
 #define SERVING_CPU_SHARE 0.45
@@ -79,6 +83,7 @@
 	uint32_t seed;
 	bh_backlog_t loads[16];
 	uint32_t n_loads;
+	bh_predictions_t predictions;
 	int64_t loads_ms;
 	int64_t commit_ms;
 	GHashTable *saved;
@@ -111,14 +116,44 @@
 	return &w->pattern->kinds[id[0] - '0'];
 }
 
-/* Run time of a task, which is the same for each attempt. */
+static bool has_flag(const lw_kind_t *kind, char flag)
+{
+	return strchr(kind->flags, flag) != NULL;
+}
+
+/* Return: a number from -1 to 1. */
+static double draw(const lw_world_t *w, const char *name, uint32_t salt)
+{
+	guint n = (g_str_hash(name) ^ w->seed ^ salt) * 2654435761u >> 8;
+
+	return n % 2001 / 1000.0 - 1;
+}
+
+/* Run time of an attempt at a task. */
 static double run_ms(const lw_world_t *w, const lw_kind_t *kind,
-		     const char *task)
+		     const char *task, uint32_t attempt)
 {
-	guint draw = (g_str_hash(task) ^ w->seed) * 2654435761u >> 8;
-	double part = draw % 2001 / 1000.0 - 1;
+	double ms =
+		kind->ms * (1 + draw(w, task, 0) * kind->spread_percent / 100);
 
-	return kind->ms * (1 + part * kind->spread_percent / 100);
+	if ((draw(w, task, 77) + 1) * 500 < kind->slow_permille &&
+	    (attempt == 1 || !has_flag(kind, 'a')))
+		ms *= SLOW_FACTOR;
+	return ms;
+}
+
+/* The factor by which a job's estimate differs from the mean run time. */
+static double estimate_factor(const lw_world_t *w, const lw_kind_t *kind,
+			      const char *id)
+{
+	return kind->estimate_percent / 100.0 *
+	       (1 + draw(w, id, 55) * kind->estimate_off_percent / 100);
+}
+
+static void trace(lw_world_t *w, const char *key, const char *task)
+{
+	w->report->trace += (uint64_t)w->ms * g_str_hash(task) ^
+			    ((uint64_t)g_str_hash(key) << 20);
 }
 
 static void on_start(void *ctx, const char *key, const bh_start_t *start)
@@ -130,7 +165,7 @@
 	run->kind = kind_of(w, start->task);
 	g_strlcpy(run->name, start->task, sizeof(run->name));
 	run->attempt = start->attempt;
-	run->total_ms = run_ms(w, run->kind, start->task);
+	run->total_ms = run_ms(w, run->kind, start->task, start->attempt);
 	if (start->checkpoint)
 		run->done_ms = g_ascii_strtod(start->checkpoint, NULL);
 	run->saved_ms = run->done_ms;
@@ -138,11 +173,7 @@
 	run->began_ms = (double)w->ms;
 	TAILQ_INSERT_TAIL(&h->runs, run, link);
 	w->report->starts++;
-}
-
-static bool has_flag(const lw_kind_t *kind, char flag)
-{
-	return strchr(kind->flags, flag) != NULL;
+	trace(w, key, start->task);
 }
 
 static void end_run(lw_world_t *w, lw_host_t *h, lw_run_t *run, bh_end_t how)
@@ -181,6 +212,7 @@
 		return;
 	end_run(w, h, run, BH_END_STOPPED);
 	w->report->stops++;
+	trace(w, key, task);
 }
 
 static void on_pace(void *ctx, const char *key, uint64_t boot, const char *task,
@@ -358,7 +390,9 @@
 		s->count = kind->count;
 		s->cpu_milli = kind->cpu_milli;
 		s->memory_mb = kind->memory_mb;
-		s->estimate_ms = kind->ms * kind->estimate_percent / 100;
+		s->estimate_ms =
+			(uint32_t)(kind->ms * estimate_factor(w, kind, j->id));
+		s->is_speculative = has_flag(kind, 's');
 		s->is_long_running = has_flag(kind, 'l');
 		s->is_filler = has_flag(kind, 'f');
 		s->is_gang = has_flag(kind, 'g');
@@ -375,12 +409,19 @@
 static void try_job(lw_world_t *w, lw_job_t *j)
 {
 	bh_job_t *job = make_job(w, j);
+	g_autofree bh_step_t *steps =
+		bh_predictions_apply(&w->predictions, job);
+	bh_job_t predicted = *job;
 	uint64_t retry_ms;
 
+	predicted.steps = steps;
+
 	j->tries++;
-	j->objective_ms =
-		(int64_t)bh_job_objective_ms(job, bh_job_critical_path_ms(job));
-	if (bh_admit(job, w->loads, w->n_loads, w->ms - w->loads_ms,
+	j->objective_ms = (int64_t)bh_job_objective_ms(
+		job, j->kind->estimate_off_percent
+			     ? (uint64_t)j->kind->ms * j->kind->steps
+			     : bh_job_critical_path_ms(job));
+	if (bh_admit(&predicted, w->loads, w->n_loads, w->ms - w->loads_ms,
 		     &retry_ms)) {
 		j->is_accepted = true;
 		bh_sched_add_job(w->sched, job, NULL, now_us(w));
@@ -446,6 +487,7 @@
 		w->loads_ms = w->ms;
 		w->n_loads = bh_sched_load(w->sched, w->loads,
 					   G_N_ELEMENTS(w->loads), now_us(w));
+		bh_sched_predictions(w->sched, &w->predictions);
 	}
 	submit_jobs(w);
 	bh_sched_note_leading(w->sched, now_us(w));
@@ -511,6 +553,35 @@
 	}
 }
 
+/* Run times of all kinds that are wrong by a factor, with full confidence. */
+static void set_wrong_run_times(lw_world_t *w)
+{
+	for (uint32_t k = 0; k < w->pattern->n_kinds; k++) {
+		const lw_kind_t *kind = &w->pattern->kinds[k];
+		bh_run_time_state_t state = {
+			.key = {kind->name, kind->name, 0},
+			.ends = 100,
+			.log_duration =
+				log(kind->ms * w->pattern->wrong_factor),
+			.errors = {4, 0.01, 4},
+			.deviations = {[BH_RUN_TIMES_CLASSES / 2] = 255},
+		};
+
+		for (uint32_t i = 0; i < kind->steps; i++) {
+			state.key.step = i;
+			bh_sched_set_run_time(w->sched, &state);
+		}
+	}
+}
+
+static void read_row(lw_world_t *w)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(w->pattern->row, &len);
+
+	bh_learned_unpack(data, len, w->sched);
+}
+
 static void init_world(lw_world_t *w)
 {
 	bh_sched_bounds_t bounds = {.term = 1,
@@ -518,11 +589,14 @@
 				    .predecessor_grant_ms = 1500,
 				    .restore_ms = 100,
 				    .impact_ms = 4000,
-				    .status_ms = 120000};
+				    .status_ms = 120000,
+				    .learn_run_times = w->pattern->learns};
 
 	w->config = bh_config_new(0, 0);
 	w->sched = bh_sched_new(&bounds, &ops, w, 0, UNIX_MS);
 	bh_sched_set_config(w->sched, w->config);
+	if (w->pattern->row)
+		read_row(w);
 	w->jobs = g_array_new(FALSE, FALSE, sizeof(lw_job_t));
 	w->hosts = g_new0(lw_host_t, w->pattern->hosts);
 	for (uint32_t i = 0; i < w->pattern->hosts; i++) {
@@ -540,6 +614,7 @@
 static void clear_world(lw_world_t *w)
 {
 	bh_sched_free(w->sched);
+	bh_predictions_clear(&w->predictions);
 	bh_config_free(w->config);
 	for (uint32_t i = 0; i < w->pattern->hosts; i++) {
 		lw_host_t *h = &w->hosts[i];
@@ -566,6 +641,9 @@
 	init_world(&w);
 	while (w.ms < (int64_t)pattern->seconds * 1000) {
 		step(&w);
+		if (pattern->wrong_factor > 0 &&
+		    w.ms % REPLACE_INTERVAL_MS < STEP_MS)
+			set_wrong_run_times(&w);
 		if (w.ms % 100 < STEP_MS)
 			sample_serving(&w, wanted, served);
 	}
@@ -574,9 +652,16 @@
 		if (wanted[k] > 0)
 			out->kinds[k].serving = served[k] / wanted[k];
 	}
+	bh_sched_stats(w.sched, &out->stats);
+	out->row = bh_learned_pack(w.sched, ROW_BYTES_MAX);
 	clear_world(&w);
 }
 
+void lw_report_clear(lw_report_t *report)
+{
+	g_clear_pointer(&report->row, g_bytes_unref);
+}
+
 void lw_print(const lw_pattern_t *pattern, const lw_report_t *report)
 {
 	printf("kind         jobs in time   late   open refused   p50 ms   "
@@ -592,4 +677,10 @@
 	       "over the objective %.1f task s\n",
 	       report->starts, report->stops, report->worked, report->wasted,
 	       report->over_objective);
+	printf("run times learned for %u of %u keys, copies %u, moves %u, "
+	       "chance %.2f\n",
+	       report->stats.run_times.learned, report->stats.run_times.keys,
+	       (unsigned int)report->stats.copies,
+	       (unsigned int)report->stats.moves,
+	       report->stats.straggler_chance);
 }
--- a/tests/loadworld.h
+++ b/tests/loadworld.h
@@ -6,7 +6,7 @@
 #ifndef BH_TESTS_LOADWORLD_H
 #define BH_TESTS_LOADWORLD_H
 
-#include "core/types.h"
+#include "sched/sched.h"
 
 #define LW_KINDS_MAX 6
 
@@ -17,9 +17,13 @@
  * @count: tasks of each step
  * @ms: mean run time of a task
  * @estimate_percent: estimated run time, in percent of @ms
+ * @estimate_off_percent: greatest deviation of a job's estimate from that; if
+ *	set, the objective goes by @ms instead of the estimate
+ * @slow_permille: tasks that take 7 times as long
  * @spread_percent: greatest deviation of a run time from @ms
  * @target_ms: constant part of the job's objective
- * @flags: letters: c checkpointing, l long-running, f filler, g gang
+ * @flags: letters: c checkpointing, l long-running, f filler, g gang, s
+ *	speculative, a: a second attempt at a slow task takes the usual time
  * @headroom: mean headroom of a long-running task without fillers
  * @amplitude: of the sine by which @headroom varies with the load, as a part of
  *	it
@@ -37,6 +41,8 @@
 	uint32_t memory_mb;
 	uint32_t ms;
 	uint32_t estimate_percent;
+	uint32_t estimate_off_percent;
+	uint32_t slow_permille;
 	uint32_t spread_percent;
 	uint32_t target_ms;
 	const char *flags;
@@ -49,6 +55,10 @@
  * struct lw_pattern - a load and the hosts that it runs on
  * @seconds: its duration
  * @report_ms: interval of a worker's reports; 0: that of the daemon
+ * @learns: run times are learned
+ * @wrong_factor: what was learned is replaced each second by run times that are
+ *	wrong by this factor; 0: it is not
+ * @row: row of an earlier leader with what it learned, or NULL
  */
 typedef struct lw_pattern {
 	uint32_t hosts;
@@ -56,6 +66,9 @@
 	uint32_t memory_mb;
 	uint32_t seconds;
 	uint32_t report_ms;
+	bool learns;
+	double wrong_factor;
+	GBytes *row;
 	uint32_t n_kinds;
 	lw_kind_t kinds[LW_KINDS_MAX];
 } lw_pattern_t;
@@ -88,6 +101,10 @@
  * @worked: core seconds of work that was done
  * @over_objective: seconds for which a tail latency was above its objective,
  *	summed over the long-running tasks
+ * @trace: sum over all starts and stops of their task, host and time, which
+ *	tells whether two replays decided alike
+ * @stats: of the scheduler at the end
+ * @row: what was learned, as stored for the next leader; owned by the caller
  */
 typedef struct lw_report {
 	lw_result_t kinds[LW_KINDS_MAX];
@@ -96,9 +113,18 @@
 	double worked;
 	double wasted;
 	double over_objective;
+	uint64_t trace;
+	bh_sched_stats_t stats;
+	GBytes *row;
 } lw_report_t;
 
+/**
+ * lw_replay() - replay a pattern
+ *
+ * lw_report_clear() frees what @out holds.
+ */
 void lw_replay(const lw_pattern_t *pattern, uint32_t seed, lw_report_t *out);
+void lw_report_clear(lw_report_t *report);
 void lw_print(const lw_pattern_t *pattern, const lw_report_t *report);
 
 #endif
--- a/tests/schedworld.c
+++ b/tests/schedworld.c
@@ -203,6 +203,8 @@
 struct sw_world {
 	GRand *rand;
 	sw_disabled_t disabled;
+	bool learns_run_times;
+	GBytes *learned;
 	bh_usec_t now;
 	sw_worker_t workers[SW_WORKERS];
 	GHashTable *jobs;
@@ -476,6 +478,12 @@
 		report_violation(w, "LIMIT", k->id);
 }
 
+/* Run time of a task divided by its estimate, from a fifth to two. */
+static double estimate_factor(const char *task)
+{
+	return 0.2 + g_str_hash(task) % 181 / 100.0;
+}
+
 static void start_run(sw_world_t *w, sw_worker_t *k, const sw_message_t *m)
 {
 	sw_run_rec_t *run = g_new0(sw_run_rec_t, 1);
@@ -492,6 +500,8 @@
 	g_strlcpy(run->name, m->name, sizeof(run->name));
 	run->attempt = m->attempt;
 	run->need_ms = step->is_long_running ? 1e12 : step->estimate_ms;
+	if (w->learns_run_times && !step->is_long_running)
+		run->need_ms *= estimate_factor(m->name);
 	run->pace = 100;
 	run->started_at = w->now;
 	if (m->checkpoint && strrchr(m->checkpoint, '@'))
@@ -1220,12 +1230,19 @@
 		.restore_ms = 100,
 		.impact_ms = 4000,
 		.status_ms = 120000,
+		.learn_run_times = w->learns_run_times,
 	};
 	GHashTableIter it;
 	gpointer id;
 
 	w->sched = bh_sched_new(&bounds, &ops, w, w->now, unix_ms(w));
 	bh_sched_set_config(w->sched, w->config);
+	if (w->learned) {
+		gsize len;
+		const void *data = g_bytes_get_data(w->learned, &len);
+
+		bh_learned_unpack(data, len, w->sched);
+	}
 	w->is_leading = true;
 	w->led_since = w->now;
 	w->renewed_at = w->now;
@@ -1247,6 +1264,8 @@
 
 static void end_term(sw_world_t *w)
 {
+	g_clear_pointer(&w->learned, g_bytes_unref);
+	w->learned = bh_learned_pack(w->sched, ROW_BYTES_MAX);
 	bh_sched_free(w->sched);
 	w->sched = NULL;
 	w->is_leading = false;
@@ -1398,11 +1417,13 @@
 	commit(w);
 }
 
-sw_world_t *sw_new(uint32_t seed, sw_disabled_t disabled)
+static sw_world_t *new_world(uint32_t seed, sw_disabled_t disabled,
+			     bool learns_run_times)
 {
 	sw_world_t *w = g_new0(sw_world_t, 1);
 
 	w->rand = g_rand_new_with_seed(seed);
+	w->learns_run_times = learns_run_times;
 	w->disabled = disabled;
 	w->now = 1000 * BH_USEC_PER_SEC;
 	w->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -1458,8 +1479,19 @@
 	return w;
 }
 
+sw_world_t *sw_new(uint32_t seed, sw_disabled_t disabled)
+{
+	return new_world(seed, disabled, false);
+}
+
+sw_world_t *sw_new_learning(uint32_t seed, sw_disabled_t disabled)
+{
+	return new_world(seed, disabled, true);
+}
+
 void sw_free(sw_world_t *w)
 {
+	g_clear_pointer(&w->learned, g_bytes_unref);
 	bh_sched_free(w->sched);
 	for (int i = 0; i < SW_WORKERS; i++) {
 		sw_worker_t *k = &w->workers[i];
--- a/tests/schedworld.h
+++ b/tests/schedworld.h
@@ -85,6 +85,11 @@
 } sw_disabled_t;
 
 sw_world_t *sw_new(uint32_t seed, sw_disabled_t disabled);
+
+/**
+ * sw_new_learning() - the same with wrong estimates and learned run times
+ */
+sw_world_t *sw_new_learning(uint32_t seed, sw_disabled_t disabled);
 void sw_free(sw_world_t *w);
 
 /**
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -191,6 +191,7 @@
 
 		lw_replay(&wide_among_narrow, seed, &r);
 		assert_true(r.kinds[1].serving > 0.8);
+		lw_report_clear(&r);
 	}
 }
 
@@ -208,9 +209,11 @@
 
 		lw_replay(&swing_under_fillers, seed, &r);
 		over_frequent += r.over_objective;
+		lw_report_clear(&r);
 		slow.report_ms = 400;
 		lw_replay(&slow, seed, &r);
 		over_rare += r.over_objective;
+		lw_report_clear(&r);
 	}
 	assert_true(over_frequent < over_rare);
 }
@@ -232,6 +235,7 @@
 
 		lw_replay(pattern, seed, &r);
 		over += r.over_objective;
+		lw_report_clear(&r);
 	}
 	return over / (5 * jobs * serving->count * pattern->seconds);
 }
@@ -272,6 +276,7 @@
 			  argc > 2 ? (uint32_t)strtoul(argv[2], NULL, 10) : 1,
 			  &r);
 		lw_print(patterns[i].pattern, &r);
+		lw_report_clear(&r);
 		return 0;
 	}
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -518,7 +518,8 @@
 				    .lease_ms = 3000,
 				    .restore_ms = 100,
 				    .impact_ms = 100,
-				    .status_ms = 60000};
+				    .status_ms = 60000,
+				    .learn_run_times = true};
 	bh_sched_t *s = bh_sched_new(&bounds, &ops, NULL, NOW, UNIX_NOW_MS);
 
 	bh_sched_add_host(s, "127.0.0.1:9", false, NOW);
@@ -583,12 +584,23 @@
 	assert_true(doubt >= 0 && doubt < 1e6);
 }
 
+static void check_run_time(void *ctx, const bh_run_time_state_t *state)
+{
+	(void)ctx;
+	assert_true(state->ends >= 0 && state->ends <= 1e9);
+	assert_true(fabs(state->log_duration) < 50);
+	assert_true(fabs(state->log_ratio) < 50);
+	for (int i = 0; i < BH_PREDICTORS; i++)
+		assert_true(state->errors[i] >= 0 && state->errors[i] < 1e6);
+}
+
 static void read_learned_row(const uint8_t *data, size_t len)
 {
 	bh_sched_t *s = sched_open();
 
 	bh_learned_unpack(data, len, s);
 	bh_sched_each_pair(s, check_pair, NULL);
+	bh_sched_each_run_time(s, check_run_time, NULL);
 	sched_close(s);
 }
 
@@ -693,10 +705,17 @@
 
 static GBytes *make_learned(void)
 {
+	const bh_run_time_state_t state = {.key = {"q", "i", 1},
+					   .ends = 20,
+					   .log_duration = 7,
+					   .log_ratio = 1,
+					   .errors = {1, 0.1, 0.2},
+					   .deviations = {0, 1, 255}};
 	bh_sched_t *s = sched_open();
 	GBytes *bytes;
 
 	bh_sched_set_pair(s, "j", "i", 0.5, 0.1);
+	bh_sched_set_run_time(s, &state);
 	bytes = bh_learned_pack(s, 1000);
 	sched_close(s);
 	return bytes;
@@ -749,12 +768,27 @@
 		Bh__Sched__Pair pair = BH__SCHED__PAIR__INIT;
 		Bh__Sched__Pair *pairs[] = {&pair};
 
+		Bh__Sched__RunTimes times = BH__SCHED__RUN_TIMES__INIT;
+		Bh__Sched__RunTimes *run_times[] = {&times};
+		float errors[BH_PREDICTORS] = {odd[i], odd[i], odd[i]};
+		uint8_t deviations[BH_RUN_TIMES_CLASSES] = {0};
+
 		pair.filler = (char *)"j";
 		pair.lasting = (char *)"i";
 		pair.harm = odd[i];
 		pair.doubt = odd[i];
 		m.n_pairs = 1;
 		m.pairs = pairs;
+		times.queue = (char *)"q";
+		times.ends = odd[i];
+		times.log_duration = odd[i];
+		times.log_ratio = odd[i];
+		times.n_errors = BH_PREDICTORS;
+		times.errors = errors;
+		times.deviations.len = sizeof(deviations);
+		times.deviations.data = deviations;
+		m.n_run_times = 1;
+		m.run_times = run_times;
 		read_and_free(pack(&m.base), read_learned_row);
 	}
 }
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -830,7 +830,8 @@
 			      bool must_end)
 {
 	static char why[128];
-	sw_world_t *w = sw_new(seed, disabled);
+	sw_world_t *w = seed % 2 ? sw_new_learning(seed, disabled)
+				 : sw_new(seed, disabled);
 	GRand *r = g_rand_new_with_seed(seed * 2654435761u);
 	const char *violation = NULL;
 
--- a/wire/sched.pb-c.c
+++ b/wire/sched.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &bh__sched__pair__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__run_times__init
+                     (Bh__Sched__RunTimes         *message)
+{
+  static const Bh__Sched__RunTimes init_value = BH__SCHED__RUN_TIMES__INIT;
+  *message = init_value;
+}
+size_t bh__sched__run_times__get_packed_size
+                     (const Bh__Sched__RunTimes *message)
+{
+  assert(message->base.descriptor == &bh__sched__run_times__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__run_times__pack
+                     (const Bh__Sched__RunTimes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__run_times__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__run_times__pack_to_buffer
+                     (const Bh__Sched__RunTimes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__run_times__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__RunTimes *
+       bh__sched__run_times__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__RunTimes *)
+     protobuf_c_message_unpack (&bh__sched__run_times__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__run_times__free_unpacked
+                     (Bh__Sched__RunTimes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__run_times__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__learned__init
                      (Bh__Sched__Learned         *message)
 {
@@ -1132,6 +1177,51 @@
   assert(message->base.descriptor == &bh__sched__queue_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bh__sched__prediction__init
+                     (Bh__Sched__Prediction         *message)
+{
+  static const Bh__Sched__Prediction init_value = BH__SCHED__PREDICTION__INIT;
+  *message = init_value;
+}
+size_t bh__sched__prediction__get_packed_size
+                     (const Bh__Sched__Prediction *message)
+{
+  assert(message->base.descriptor == &bh__sched__prediction__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bh__sched__prediction__pack
+                     (const Bh__Sched__Prediction *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bh__sched__prediction__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bh__sched__prediction__pack_to_buffer
+                     (const Bh__Sched__Prediction *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bh__sched__prediction__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bh__Sched__Prediction *
+       bh__sched__prediction__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bh__Sched__Prediction *)
+     protobuf_c_message_unpack (&bh__sched__prediction__descriptor,
+                                allocator, len, data);
+}
+void   bh__sched__prediction__free_unpacked
+                     (Bh__Sched__Prediction *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bh__sched__prediction__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bh__sched__ping__init
                      (Bh__Sched__Ping         *message)
 {
@@ -2317,7 +2407,136 @@
   (ProtobufCMessageInit) bh__sched__pair__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__learned__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bh__sched__run_times__field_descriptors[8] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_duration",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, log_duration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_ratio",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, log_ratio),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "errors",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Bh__Sched__RunTimes, n_errors),
+    offsetof(Bh__Sched__RunTimes, errors),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deviations",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__RunTimes, deviations),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__run_times__field_indices_by_name[] = {
+  7,   /* field[7] = deviations */
+  3,   /* field[3] = ends */
+  6,   /* field[6] = errors */
+  1,   /* field[1] = image */
+  4,   /* field[4] = log_duration */
+  5,   /* field[5] = log_ratio */
+  0,   /* field[0] = queue */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange bh__sched__run_times__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor bh__sched__run_times__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.RunTimes",
+  "RunTimes",
+  "Bh__Sched__RunTimes",
+  "bh.sched",
+  sizeof(Bh__Sched__RunTimes),
+  8,
+  bh__sched__run_times__field_descriptors,
+  bh__sched__run_times__field_indices_by_name,
+  1,  bh__sched__run_times__number_ranges,
+  (ProtobufCMessageInit) bh__sched__run_times__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__learned__field_descriptors[2] =
 {
   {
     "pairs",
@@ -2331,14 +2550,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_times",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Learned, n_run_times),
+    offsetof(Bh__Sched__Learned, run_times),
+    &bh__sched__run_times__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__learned__field_indices_by_name[] = {
   0,   /* field[0] = pairs */
+  1,   /* field[1] = run_times */
 };
 static const ProtobufCIntRange bh__sched__learned__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor bh__sched__learned__descriptor =
 {
@@ -2348,7 +2580,7 @@
   "Bh__Sched__Learned",
   "bh.sched",
   sizeof(Bh__Sched__Learned),
-  1,
+  2,
   bh__sched__learned__field_descriptors,
   bh__sched__learned__field_indices_by_name,
   1,  bh__sched__learned__number_ranges,
@@ -3846,7 +4078,97 @@
   (ProtobufCMessageInit) bh__sched__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bh__sched__prediction__field_descriptors[5] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Prediction, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Prediction, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Prediction, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_scale",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Prediction, log_scale),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "exponent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Bh__Sched__Prediction, exponent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bh__sched__prediction__field_indices_by_name[] = {
+  4,   /* field[4] = exponent */
+  1,   /* field[1] = image */
+  3,   /* field[3] = log_scale */
+  0,   /* field[0] = queue */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange bh__sched__prediction__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bh__sched__prediction__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bh.sched.Prediction",
+  "Prediction",
+  "Bh__Sched__Prediction",
+  "bh.sched",
+  sizeof(Bh__Sched__Prediction),
+  5,
+  bh__sched__prediction__field_descriptors,
+  bh__sched__prediction__field_indices_by_name,
+  1,  bh__sched__prediction__number_ranges,
+  (ProtobufCMessageInit) bh__sched__prediction__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bh__sched__ping__field_descriptors[6] =
 {
   {
     "term",
@@ -3908,18 +4230,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "predictions",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bh__Sched__Ping, n_predictions),
+    offsetof(Bh__Sched__Ping, predictions),
+    &bh__sched__prediction__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bh__sched__ping__field_indices_by_name[] = {
   4,   /* field[4] = address */
   1,   /* field[1] = config_version */
   3,   /* field[3] = load */
+  5,   /* field[5] = predictions */
   2,   /* field[2] = renewed_ago_ms */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange bh__sched__ping__number_ranges[1 + 1] =
+static const ProtobufCIntRange bh__sched__ping__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 9, 5 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bh__sched__ping__descriptor =
 {
@@ -3929,10 +4265,10 @@
   "Bh__Sched__Ping",
   "bh.sched",
   sizeof(Bh__Sched__Ping),
-  5,
+  6,
   bh__sched__ping__field_descriptors,
   bh__sched__ping__field_indices_by_name,
-  1,  bh__sched__ping__number_ranges,
+  2,  bh__sched__ping__number_ranges,
   (ProtobufCMessageInit) bh__sched__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/wire/sched.pb-c.h
+++ b/wire/sched.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Bh__Sched__Progress Bh__Sched__Progress;
 typedef struct Bh__Sched__Leader Bh__Sched__Leader;
 typedef struct Bh__Sched__Pair Bh__Sched__Pair;
+typedef struct Bh__Sched__RunTimes Bh__Sched__RunTimes;
 typedef struct Bh__Sched__Learned Bh__Sched__Learned;
 typedef struct Bh__Sched__AgentRow Bh__Sched__AgentRow;
 typedef struct Bh__Sched__Active Bh__Sched__Active;
@@ -40,6 +41,7 @@
 typedef struct Bh__Sched__Query Bh__Sched__Query;
 typedef struct Bh__Sched__QueryReply Bh__Sched__QueryReply;
 typedef struct Bh__Sched__QueueLoad Bh__Sched__QueueLoad;
+typedef struct Bh__Sched__Prediction Bh__Sched__Prediction;
 typedef struct Bh__Sched__Ping Bh__Sched__Ping;
 typedef struct Bh__Sched__Entries Bh__Sched__Entries;
 typedef struct Bh__Sched__LeaderQuery Bh__Sched__LeaderQuery;
@@ -202,17 +204,46 @@
 
 
 /*
- * The interference estimates, stored for the next leader.
+ * What was learned of the run times of a step of a queue's jobs.
+ */
+struct  Bh__Sched__RunTimes
+{
+  ProtobufCMessage base;
+  char *queue;
+  char *image;
+  uint32_t step;
+  float ends;
+  float log_duration;
+  float log_ratio;
+  /*
+   * Mean squared errors of the estimate, the duration and the ratio.
+   */
+  size_t n_errors;
+  float *errors;
+  /*
+   * Relative frequencies of deviations from the prediction, by class.
+   */
+  ProtobufCBinaryData deviations;
+};
+#define BH__SCHED__RUN_TIMES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__run_times__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, {0,NULL} }
+
+
+/*
+ * The interference estimates and run times, stored for the next leader.
  */
 struct  Bh__Sched__Learned
 {
   ProtobufCMessage base;
   size_t n_pairs;
   Bh__Sched__Pair **pairs;
+  size_t n_run_times;
+  Bh__Sched__RunTimes **run_times;
 };
 #define BH__SCHED__LEARNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__learned__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
@@ -508,6 +539,24 @@
     , 0, 0, 0 }
 
 
+/*
+ * The run time of a step's tasks is exp(log_scale) times the estimate, in ms, to
+ * the power of exponent.
+ */
+struct  Bh__Sched__Prediction
+{
+  ProtobufCMessage base;
+  char *queue;
+  char *image;
+  uint32_t step;
+  float log_scale;
+  float exponent;
+};
+#define BH__SCHED__PREDICTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bh__sched__prediction__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * in both directions on every connection
  */
@@ -523,10 +572,15 @@
    * Of an entry, in its first ping on a connection: its address for frames.
    */
   char *address;
+  /*
+   * Of the leader: learned run times.
+   */
+  size_t n_predictions;
+  Bh__Sched__Prediction **predictions;
 };
 #define BH__SCHED__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bh__sched__ping__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -802,6 +856,25 @@
 void   bh__sched__pair__free_unpacked
                      (Bh__Sched__Pair *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__RunTimes methods */
+void   bh__sched__run_times__init
+                     (Bh__Sched__RunTimes         *message);
+size_t bh__sched__run_times__get_packed_size
+                     (const Bh__Sched__RunTimes   *message);
+size_t bh__sched__run_times__pack
+                     (const Bh__Sched__RunTimes   *message,
+                      uint8_t             *out);
+size_t bh__sched__run_times__pack_to_buffer
+                     (const Bh__Sched__RunTimes   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__RunTimes *
+       bh__sched__run_times__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__run_times__free_unpacked
+                     (Bh__Sched__RunTimes *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Learned methods */
 void   bh__sched__learned__init
                      (Bh__Sched__Learned         *message);
@@ -1144,6 +1217,25 @@
 void   bh__sched__queue_load__free_unpacked
                      (Bh__Sched__QueueLoad *message,
                       ProtobufCAllocator *allocator);
+/* Bh__Sched__Prediction methods */
+void   bh__sched__prediction__init
+                     (Bh__Sched__Prediction         *message);
+size_t bh__sched__prediction__get_packed_size
+                     (const Bh__Sched__Prediction   *message);
+size_t bh__sched__prediction__pack
+                     (const Bh__Sched__Prediction   *message,
+                      uint8_t             *out);
+size_t bh__sched__prediction__pack_to_buffer
+                     (const Bh__Sched__Prediction   *message,
+                      ProtobufCBuffer     *buffer);
+Bh__Sched__Prediction *
+       bh__sched__prediction__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bh__sched__prediction__free_unpacked
+                     (Bh__Sched__Prediction *message,
+                      ProtobufCAllocator *allocator);
 /* Bh__Sched__Ping methods */
 void   bh__sched__ping__init
                      (Bh__Sched__Ping         *message);
@@ -1319,6 +1411,9 @@
 typedef void (*Bh__Sched__Pair_Closure)
                  (const Bh__Sched__Pair *message,
                   void *closure_data);
+typedef void (*Bh__Sched__RunTimes_Closure)
+                 (const Bh__Sched__RunTimes *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Learned_Closure)
                  (const Bh__Sched__Learned *message,
                   void *closure_data);
@@ -1373,6 +1468,9 @@
 typedef void (*Bh__Sched__QueueLoad_Closure)
                  (const Bh__Sched__QueueLoad *message,
                   void *closure_data);
+typedef void (*Bh__Sched__Prediction_Closure)
+                 (const Bh__Sched__Prediction *message,
+                  void *closure_data);
 typedef void (*Bh__Sched__Ping_Closure)
                  (const Bh__Sched__Ping *message,
                   void *closure_data);
@@ -1410,6 +1508,7 @@
 extern const ProtobufCMessageDescriptor bh__sched__progress__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__leader__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__pair__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__run_times__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__learned__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__agent_row__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__active__descriptor;
@@ -1428,6 +1527,7 @@
 extern const ProtobufCMessageDescriptor bh__sched__query__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__query_reply__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__queue_load__descriptor;
+extern const ProtobufCMessageDescriptor bh__sched__prediction__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__ping__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__entries__descriptor;
 extern const ProtobufCMessageDescriptor bh__sched__leader_query__descriptor;
--- a/wire/sched_codec.c
+++ b/wire/sched_codec.c
@@ -332,9 +332,9 @@
 	return out;
 }
 
-/* Bytes of a pair's tag and length in a message: names are shorter than 2 MB.
- */
-#define PAIR_HEADER_BYTES 5
+/* Bytes of a submessage's tag and length in a message: names are shorter than
+ * 2 MB. */
+#define SUBMESSAGE_HEADER_BYTES 5
 
 /**
  * struct pair_list - pairs to encode
@@ -360,7 +360,7 @@
 	m->lasting = g_strdup(lasting);
 	m->harm = (float)harm;
 	m->doubt = (float)doubt;
-	bytes = bh__sched__pair__get_packed_size(m) + PAIR_HEADER_BYTES;
+	bytes = bh__sched__pair__get_packed_size(m) + SUBMESSAGE_HEADER_BYTES;
 	if (list->bytes + bytes > list->max_bytes) {
 		free_pair(m);
 		return;
@@ -378,16 +378,94 @@
 	g_free(m);
 }
 
+/**
+ * struct run_times_list - run times to encode
+ * @bytes: size of these
+ */
+typedef struct run_times_list {
+	GPtrArray *run_times;
+	size_t bytes;
+	size_t max_bytes;
+} run_times_list_t;
+
+static void free_run_times(gpointer data)
+{
+	Bh__Sched__RunTimes *m = data;
+
+	g_free(m->queue);
+	g_free(m->image);
+	g_free(m->errors);
+	g_free(m->deviations.data);
+	g_free(m);
+}
+
+static void add_run_times(void *ctx, const bh_run_time_state_t *state)
+{
+	run_times_list_t *list = ctx;
+	size_t bytes;
+	Bh__Sched__RunTimes *m = g_new0(Bh__Sched__RunTimes, 1);
+
+	bh__sched__run_times__init(m);
+	m->queue = g_strdup(state->key.queue);
+	m->image = g_strdup(text_or_empty(state->key.image));
+	m->step = state->key.step;
+	m->ends = (float)state->ends;
+	m->log_duration = (float)state->log_duration;
+	m->log_ratio = (float)state->log_ratio;
+	m->n_errors = BH_PREDICTORS;
+	m->errors = g_new(float, BH_PREDICTORS);
+	for (int i = 0; i < BH_PREDICTORS; i++)
+		m->errors[i] = (float)state->errors[i];
+	m->deviations.len = sizeof(state->deviations);
+	m->deviations.data =
+		g_memdup2(state->deviations, sizeof(state->deviations));
+	bytes = bh__sched__run_times__get_packed_size(m) +
+		SUBMESSAGE_HEADER_BYTES;
+	if (list->bytes + bytes > list->max_bytes) {
+		free_run_times(m);
+		return;
+	}
+	list->bytes += bytes;
+	g_ptr_array_add(list->run_times, m);
+}
+
+/* A run time's row of another build may have fewer or more errors or classes:
+ * it is ignored. */
+static void read_run_times(const Bh__Sched__RunTimes *m, bh_sched_t *sched)
+{
+	bh_run_time_state_t state = {
+		.key = {m->queue, *m->image ? m->image : NULL, m->step},
+		.ends = m->ends,
+		.log_duration = m->log_duration,
+		.log_ratio = m->log_ratio,
+	};
+
+	if (m->n_errors != BH_PREDICTORS ||
+	    m->deviations.len != sizeof(state.deviations))
+		return;
+	for (int i = 0; i < BH_PREDICTORS; i++)
+		state.errors[i] = m->errors[i];
+	memcpy(state.deviations, m->deviations.data, sizeof(state.deviations));
+	bh_sched_set_run_time(sched, &state);
+}
+
 GBytes *bh_learned_pack(const bh_sched_t *sched, size_t max_bytes)
 {
 	Bh__Sched__Learned m = BH__SCHED__LEARNED__INIT;
 	g_autoptr(GPtrArray) pairs = g_ptr_array_new_with_free_func(free_pair);
-
-	pair_list_t list = {.pairs = pairs, .max_bytes = max_bytes};
-
+	g_autoptr(GPtrArray) run_times =
+		g_ptr_array_new_with_free_func(free_run_times);
+	run_times_list_t times = {.run_times = run_times,
+				  .max_bytes = max_bytes / 2};
+	pair_list_t list = {.pairs = pairs};
+
+	bh_sched_each_run_time(sched, add_run_times, &times);
+	list.max_bytes = max_bytes - times.bytes;
 	bh_sched_each_pair(sched, add_pair, &list);
 	m.n_pairs = pairs->len;
 	m.pairs = (Bh__Sched__Pair **)pairs->pdata;
+	m.n_run_times = run_times->len;
+	m.run_times = (Bh__Sched__RunTimes **)run_times->pdata;
 	return pack(&m.base);
 }
 
@@ -404,9 +482,55 @@
 			bh_sched_set_pair(sched, pair->filler, pair->lasting,
 					  pair->harm, pair->doubt);
 	}
+	/* The most recently used key comes first in the row. */
+	for (size_t i = m->n_run_times; i-- > 0;)
+		read_run_times(m->run_times[i], sched);
 	bh__sched__learned__free_unpacked(m, NULL);
 }
 
+void bh_predictions_to_ping(const bh_predictions_t *p, Bh__Sched__Ping *ping)
+{
+	ping->n_predictions = p->n;
+	ping->predictions = g_new0(Bh__Sched__Prediction *, p->n + 1);
+	for (uint32_t i = 0; i < p->n; i++) {
+		const bh_prediction_t *row = &p->rows[i];
+		Bh__Sched__Prediction *m = g_new(Bh__Sched__Prediction, 1);
+
+		bh__sched__prediction__init(m);
+		m->queue = row->queue;
+		m->image = text_or_empty(row->image);
+		m->step = row->step;
+		m->log_scale = (float)row->log_scale;
+		m->exponent = (float)row->exponent;
+		ping->predictions[i] = m;
+	}
+}
+
+void bh_predictions_release(Bh__Sched__Ping *ping)
+{
+	for (size_t i = 0; i < ping->n_predictions; i++)
+		g_free(ping->predictions[i]);
+	g_clear_pointer(&ping->predictions, g_free);
+	ping->n_predictions = 0;
+}
+
+void bh_predictions_from_ping(bh_predictions_t *p, const Bh__Sched__Ping *ping)
+{
+	bh_predictions_clear(p);
+	for (size_t i = 0; i < ping->n_predictions; i++) {
+		const Bh__Sched__Prediction *m = ping->predictions[i];
+		bh_prediction_t row = {
+			.queue = m->queue,
+			.image = *m->image ? m->image : NULL,
+			.step = m->step,
+			.log_scale = m->log_scale,
+			.exponent = m->exponent,
+		};
+
+		bh_predictions_add(p, &row);
+	}
+}
+
 GBytes *bh_leader_row_pack(const bh_leader_row_t *row)
 {
 	Bh__Sched__Leader m = BH__SCHED__LEADER__INIT;
--- a/wire/sched_codec.h
+++ b/wire/sched_codec.h
@@ -27,12 +27,26 @@
 bh_progress_t *bh_progress_unpack(const void *data, size_t len);
 
 /**
- * bh_learned_pack() - encode the interference estimates for the next leader, as
- * many as fit
+ * bh_learned_pack() - encode the interference estimates and the learned run
+ * times for the next leader, as many as fit; the run times take up to half of
+ * @max_bytes
  */
 GBytes *bh_learned_pack(const bh_sched_t *sched, size_t max_bytes);
 void bh_learned_unpack(const void *data, size_t len, bh_sched_t *sched);
 
+/**
+ * bh_predictions_to_ping() - add predictions to a ping; the ping refers to the
+ * texts of @p and is released by bh_predictions_release()
+ */
+void bh_predictions_to_ping(const bh_predictions_t *p, Bh__Sched__Ping *ping);
+void bh_predictions_release(Bh__Sched__Ping *ping);
+
+/**
+ * bh_predictions_from_ping() - replace predictions by those of a ping; odd ones
+ * are left out
+ */
+void bh_predictions_from_ping(bh_predictions_t *p, const Bh__Sched__Ping *ping);
+
 /**
  * struct bh_leader_row - the current leader
  * @address: its address for frames; empty when there is no leader
