Test that predictions reach the entries in pings

Cause: the frame's predictions were read by no test; odd ones must be left out. Change: a round trip with two odd rows.

--- a/tests/test_run_times.c
+++ b/tests/test_run_times.c
@@ -544,6 +544,28 @@
 	bh_run_times_free(s.times);
 }
 
+/* Predictions reach the entries with a ping. Odd ones, of another build, must
+ * not become estimates. */
+static void test_predictions_travel_in_pings(void **state)
+{
+	bh_predictions_t sent = {
+		.n = 3,
+		.rows = {{.queue = (char *)"q", .step = 1, .log_scale = 3},
+			 {.queue = (char *)"q", .log_scale = NAN},
+			 {.queue = (char *)"q", .exponent = -1}}};
+	bh_predictions_t read = {0};
+	Bh__Sched__Ping ping = BH__SCHED__PING__INIT;
+
+	(void)state;
+	bh_predictions_to_ping(&sent, &ping);
+	bh_predictions_from_ping(&read, &ping);
+	bh_predictions_release(&ping);
+	assert_int_equal(read.n, 1);
+	assert_int_equal(read.rows[0].step, 1);
+	assert_null(read.rows[0].image);
+	bh_predictions_clear(&read);
+}
+
 static void count_learned(void *ctx, const bh_run_time_state_t *state)
 {
 	(void)state;
@@ -688,6 +710,7 @@
 		cmocka_unit_test(test_long_tasks_leave_reservations),
 		cmocka_unit_test(test_admission_goes_by_predictions),
 		cmocka_unit_test(test_paced_fillers_are_learned_at_full_pace),
+		cmocka_unit_test(test_predictions_travel_in_pings),
 		cmocka_unit_test(test_next_leader_knows_run_times),
 		cmocka_unit_test(test_odd_rows_are_harmless),
 		cmocka_unit_test(test_row_is_bounded),
