Cases on real processes and the soak learn run times

Cause: no real process ran with learn_run_times on. Change: entries of demo/jobs.sh and soak/world.sh have it on.

--- a/demo/jobs.sh
+++ b/demo/jobs.sh
@@ -16,7 +16,8 @@
 	 "listen_ready": "$(addr $((150 + $1)))",
 	 "metrics": "$(addr $((170 + $1)))",
 	 "listen_frames": "$(addr $((200 + $1)))", "log_format": "json",
-	 "lease_ms": 3000, "stop_within_s": 5, "store": "${2:-$TABLE}"}
+	 "lease_ms": 3000, "stop_within_s": 5, "learn_run_times": "on",
+	 "store": "${2:-$TABLE}"}
 	END
 	start "jobentry-$1" "$BUILD/daemon/borageholdd" "$WORK/jobentry-$1.json"
 }
--- a/soak/world.sh
+++ b/soak/world.sh
@@ -153,6 +153,7 @@
 	 "metrics": "$(addr $((170 + n)))",
 	 "listen_frames": "$(addr $((200 + n)))", "log_format": "json",
 	 "lease_ms": $LEASE_MS, "stop_within_s": 5,
+	 "learn_run_times": "on",
 	 "store": "$(addr $((700 + n)))"}
 	END
 	echo "$(now_ms) boot entry-$n" >>"$WORK/faults"
