--- a/review/standins-2/runner.c
+++ b/review/standins-2/runner.c
@@ -27,6 +27,7 @@
 	int64_t mem;
 	int64_t began_us;
 	int64_t duration_ms;
+	bool is_failing;
 } run_t;
 
 typedef struct runner runner_t;
@@ -54,6 +55,7 @@
 	int64_t token;
 	int64_t last_end;
 	int64_t seq;
+	int64_t grey_until_ms;
 	GPtrArray *runs;
 	GPtrArray *waiters;
 	JsonArray *ended;
@@ -266,6 +268,7 @@
 	run->mem = spec_int(spec, "mem=", 0);
 	run->duration_ms = MAX(spec_int(spec, "ms=", 500), DURATION_MIN_MS);
 	run->began_us = standin_now_us();
+	run->is_failing = standin_unix_ms() < r->grey_until_ms;
 	g_ptr_array_add(r->runs, run);
 	record(r, "start", task, attempt);
 	return 200;
@@ -358,6 +361,15 @@
 	g_bytes_unref(bytes);
 }
 
+/* ?until=MS: tasks that it starts before that Unix time fail at once. */
+static void on_grey(struct evhttp_request *req, void *ctx)
+{
+	runner_t *r = ctx;
+
+	r->grey_until_ms = standin_param_int(req, "until", 0);
+	standin_reply(req, 200, json_object_new());
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	runner_t *r = arg;
@@ -369,7 +381,9 @@
 	for (guint i = r->runs->len; i > 0; i--) {
 		const run_t *run = r->runs->pdata[i - 1];
 
-		if ((now - run->began_us) / 1000 >= run->duration_ms)
+		if (run->is_failing)
+			end_run(r, i - 1, "failed");
+		else if ((now - run->began_us) / 1000 >= run->duration_ms)
 			end_run(r, i - 1, "done");
 	}
 	answer_waiters(r, false, now);
@@ -447,6 +461,7 @@
 		{EVHTTP_REQ_POST, "/run-stop", on_call},
 		{EVHTTP_REQ_POST, "/pace", on_call},
 		{EVHTTP_REQ_POST, "/hold", on_call},
+		{EVHTTP_REQ_POST, "/grey", on_grey},
 	};
 	runner_t r = {
 		.base = standin_precise_base(),
