--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -39,7 +39,10 @@
 
 # verdict TEXT: not empty: the rule was broken
 verdict() {
-	sort -n "$WORK"/*.events 2>/dev/null >>"$RECORD"
+	# Of the starts that were rejected for want of a ticket, their number.
+	sort -n "$WORK"/*.events 2>/dev/null | awk '$2 != "no-ticket"
+		$2 == "no-ticket" { n[$3 " on " $5]++ }
+		END { for (t in n) print "no-ticket", t, n[t], "times" }' >>"$RECORD"
 	note "${1:-held}"
 	echo "${1:-held}"
 	[ -z "$1" ]
