Few calls to the adviser are under way, and no answer is dropped

Cause: a step's call was sent again after 1.5 s while the first one waited in the adviser's queue, which is served in turn; and an answer that took more than 4 s was dropped, though the adviser had done the work. Once more than 4 s of calls waited, each answer was too late, and the repeated calls kept the queue that long. Two more faults of the same part showed in the replays: steps that no worker may run, or that have no room, came first again and again; and an answer marked the workers of the latest call, not those of its own, as refused.

Evidence: the replay of the load without a network shows it on the former code: job 31 of 40 and later ones never run. Counters of calls, failures and late answers did not exist; they do now.

Change: sched/advice_line.c keeps two calls under way, more only if the adviser would be done with them within 100 ms, by the figures of the configuration and the observed time of calls. It predicts when each answer comes; a call that is overdue holds back no other, but its answer counts. An answer shows that calls sent long before it are lost. An adviser that does not answer is probed, one that refuses is left alone for 0.1 to 1 s. sched/tickets.c chooses the step when a call can be sent: those whose tasks could start at once first. Calls have numbers, and platform/advice.c tells the end of each.

Why this works: the queue at the adviser is never longer than what keeps it busy, so that no call waits there for longer than two take, and each answer is used.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -218,11 +218,9 @@
 	bh_metrics_value(out, count, labels, (double)hist->count);
 }
 
-void bh_metrics_sched(GString *out, const bh_sched_t *sched)
+/* Orders to start, and calls to the adviser. */
+static void add_orders(GString *out, const bh_sched_stats_t *st)
 {
-	bh_sched_stats_t *st = g_new0(bh_sched_stats_t, 1);
-
-	bh_sched_stats(sched, st);
 	bh_metrics_value(out, "boragehold_starts_total", NULL,
 			 (double)st->starts);
 	bh_metrics_value(out, "boragehold_starts_refused_total", NULL,
@@ -231,6 +229,20 @@
 			 (double)st->starts_unreported);
 	bh_metrics_value(out, "boragehold_starts_repeated_total", NULL,
 			 (double)st->starts_repeated);
+	bh_metrics_value(out, "boragehold_advice_calls_total", NULL,
+			 (double)st->advice_calls);
+	bh_metrics_value(out, "boragehold_advice_failed_total", NULL,
+			 (double)st->advice_failed);
+	bh_metrics_value(out, "boragehold_advice_late_total", NULL,
+			 (double)st->advice_late);
+}
+
+void bh_metrics_sched(GString *out, const bh_sched_t *sched)
+{
+	bh_sched_stats_t *st = g_new0(bh_sched_stats_t, 1);
+
+	bh_sched_stats(sched, st);
+	add_orders(out, st);
 	bh_metrics_value(out, "boragehold_stops_total", NULL,
 			 (double)st->stops);
 	bh_metrics_value(out, "boragehold_copies_total", NULL,
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -336,13 +336,12 @@
 		bh_link_send_bytes(m->link, bytes->data, bytes->len);
 }
 
-static void op_advise(void *ctx, const char *phase, const char **workers,
-		      uint32_t n)
+static void op_advise(void *ctx, const bh_advice_request_t *request)
 {
 	bh_sched_leader_t *l = ctx;
 
 	if (l->advice)
-		bh_advice_ask(l->advice, phase, workers, n);
+		bh_advice_ask(l->advice, request);
 }
 
 static void op_event(void *ctx, const char *what, const char *job,
@@ -363,13 +362,12 @@
 	.event = op_event,
 };
 
-static void on_advised(void *ctx, const char *phase, const bh_ticket_t *tickets,
-		       uint32_t n, uint32_t valid_ms)
+static void on_advised(void *ctx, uint64_t number,
+		       const bh_advice_reply_t *reply)
 {
 	bh_sched_leader_t *l = ctx;
 
-	bh_sched_advised(l->sched, phase, tickets, n, valid_ms,
-			 bh_runtime_now());
+	bh_sched_advised(l->sched, number, reply, bh_runtime_now());
 	schedule_run(l);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -90,8 +90,10 @@
 	return 0;
 }
 
-static bool has_label(const bh_host_t *host, const char *label)
+bool bh_host_has_label(const bh_host_t *host, const char *label)
 {
+	if (!label)
+		return true;
 	for (uint32_t i = 0; i < host->info.n_labels; i++) {
 		if (strcmp(host->info.labels[i], label) == 0)
 			return true;
@@ -99,7 +101,7 @@
 	return false;
 }
 
-static bool has_free_resources(const bh_host_t *host, const bh_step_t *step)
+bool bh_host_has_room(const bh_host_t *host, const bh_step_t *step)
 {
 	if (host->used_memory + step->memory_mb > host->info.memory_mb ||
 	    host->used_accelerators + step->accelerators >
@@ -148,7 +150,7 @@
 
 	if (g_strcmp0(host->info.service, phase->rec->job->terms.service) != 0)
 		return false;
-	if (step->label && !has_label(host, step->label))
+	if (!bh_host_has_label(host, step->label))
 		return false;
 	if (step->max_per_host &&
 	    bh_phase_runs_on(phase, host) >= step->max_per_host)
@@ -233,7 +235,7 @@
 
 	*spare = 0;
 	if (!bh_host_is_suitable(task, host, now) ||
-	    !has_free_resources(host, step) || !bh_reserve_allows(host, step))
+	    !bh_host_has_room(host, step) || !bh_reserve_allows(host, step))
 		return false;
 	if (!step->is_filler)
 		return true;
@@ -491,7 +493,7 @@
 		else if (host->used_memory + step->memory_mb >
 			 host->info.memory_mb)
 			memory++;
-		else if (!has_free_resources(host, step))
+		else if (!bh_host_has_room(host, step))
 			cpu++;
 		else if (!bh_reserve_allows(host, step))
 			reserved++;
@@ -678,6 +680,7 @@
 	bh_reserve_clear(s);
 	s->n_reservations = 0;
 	bh_racks_begin_pass(s, now);
+	bh_advice_begin_pass(s);
 	TAILQ_FOREACH(host, &s->hosts, link)
 		bh_host_update_suspicion(host);
 	TAILQ_FOREACH_SAFE(phase, &s->open, link, next) {
@@ -706,10 +709,11 @@
 				    ? place_together(s, phase, NULL, now)
 				    : place_phase(s, phase, now);
 		if (!is_placed) {
-			bh_phase_ask_advice(s, phase, now);
+			bh_phase_want_advice(s, phase, now);
 			reserve_for_phase(s, phase, now);
 			unplaced++;
 		}
 	}
+	bh_advice_end_pass(s, now);
 	g_ptr_array_free(phases, TRUE);
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -82,6 +82,8 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->pairs = bh_pairs_new();
+	s->advice = bh_advice_line_new();
+	s->wants_advice = g_array_new(FALSE, FALSE, sizeof(bh_advice_wish_t));
 	bh_racks_init(s);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_key = g_hash_table_new(g_str_hash, g_str_equal);
@@ -113,6 +115,8 @@
 	while ((rec = TAILQ_FIRST(&s->recs)) != NULL)
 		bh_sched_drop_job(s, rec->job->id);
 	bh_pairs_free(s->pairs);
+	bh_advice_line_free(s->advice);
+	g_array_free(s->wants_advice, TRUE);
 	bh_racks_clear(s);
 	g_hash_table_destroy(s->by_id);
 	g_hash_table_destroy(s->by_key);
@@ -142,6 +146,8 @@
 	bh_steer_fillers(s, now);
 	if (s->racks_review_at && now >= s->racks_review_at)
 		s->must_place = true;
+	if (bh_advice_line_review(s->advice, now))
+		s->must_place = true;
 	if (!s->must_place || !s->config || s->are_starts_held)
 		return;
 	s->must_place = false;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -42,6 +42,21 @@
 	bool is_repeated;
 } bh_start_t;
 
+/**
+ * struct bh_advice_request - a call to the adviser
+ * @number: passed to bh_sched_advised()
+ * @phase: names a step of an occurrence of a job
+ * @workers: ids
+ * @timeout: the call may be given up after this time
+ */
+typedef struct bh_advice_request {
+	uint64_t number;
+	const char *phase;
+	const char **workers;
+	uint32_t n_workers;
+	bh_usec_t timeout;
+} bh_advice_request_t;
+
 /**
  * struct bh_sched_ops - orders to the caller; @host is the key of a host
  * @start: start a task
@@ -51,8 +66,7 @@
  *	numbers up to @ack are acknowledged, so the worker may drop them
  * @late_starts: tell the agent which starts of its earlier processes may still
  *	be carried out; the operation may be NULL
- * @advise: ask the adviser for tickets for @phase, which names a step of an
- *	occurrence of a job, on these workers; NULL if there is no adviser
+ * @advise: ask the adviser for tickets; NULL if there is no adviser
  * @event: log a decision; @job may be NULL; the operation may be NULL
  */
 typedef struct bh_sched_ops {
@@ -65,8 +79,7 @@
 		      uint64_t expires_ms, uint64_t ack);
 	void (*late_starts)(void *ctx, const char *host,
 			    const bh_late_starts_t *starts);
-	void (*advise)(void *ctx, const char *phase, const char **workers,
-		       uint32_t n);
+	void (*advise)(void *ctx, const bh_advice_request_t *request);
 	void (*event)(void *ctx, const char *what, const char *job,
 		      const char *detail);
 } bh_sched_ops_t;
@@ -301,13 +314,32 @@
 } bh_ticket_t;
 
 /**
- * bh_sched_advised() - handle the adviser's answer to an @advise order
- * @tickets: replace those of @phase; its tasks start only on these workers
- * @valid_ms: time for which the tickets are valid
+ * enum bh_advice_outcome - what became of a call to the adviser
+ * @BH_ADVICE_FAILED: it was refused, or got no answer that can be read
+ */
+typedef enum bh_advice_outcome {
+	BH_ADVICE_ANSWERED,
+	BH_ADVICE_FAILED,
+} bh_advice_outcome_t;
+
+/**
+ * struct bh_advice_reply - the end of a call to the adviser
+ * @tickets: for those of the workers that may run the step
+ * @valid_ms: time for which these are valid
+ */
+typedef struct bh_advice_reply {
+	bh_advice_outcome_t outcome;
+	const bh_ticket_t *tickets;
+	uint32_t n_tickets;
+	uint32_t valid_ms;
+} bh_advice_reply_t;
+
+/**
+ * bh_sched_advised() - handle the end of the call that an @advise order asked
+ * for
  */
-void bh_sched_advised(bh_sched_t *s, const char *phase,
-		      const bh_ticket_t *tickets, uint32_t n, uint32_t valid_ms,
-		      bh_usec_t now);
+void bh_sched_advised(bh_sched_t *s, uint64_t number,
+		      const bh_advice_reply_t *reply, bh_usec_t now);
 
 /**
  * bh_sched_run() - place waiting tasks and adjust running ones
@@ -431,6 +463,9 @@
  * @starts_unreported: start orders whose outcome an agent that was replaced had
  *	not told
  * @starts_repeated: of these, those that were sent again
+ * @advice_calls: calls to the adviser
+ * @advice_failed: those that were refused or not answered
+ * @advice_late: those whose answer came later than predicted
  * @ends: reported ends, by enum bh_end
  * @ends_missing: ends that workers forgot before they were seen
  * @stops: attempts that were ordered to stop, orphans excluded
@@ -454,6 +489,9 @@
 	uint64_t rejected;
 	uint64_t starts_unreported;
 	uint64_t starts_repeated;
+	uint64_t advice_calls;
+	uint64_t advice_failed;
+	uint64_t advice_late;
 	uint64_t ends[BH_END_ALONE + 1];
 	uint64_t ends_missing;
 	uint64_t stops;
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -4,6 +4,7 @@
 #ifndef BH_SCHED_SCHED_IMPL_H
 #define BH_SCHED_SCHED_IMPL_H
 
+#include "sched/advice_line.h"
 #include "sched/headroom.h"
 #include "sched/locality.h"
 #include "sched/pairs.h"
@@ -180,9 +181,6 @@
  *	each host
  * @advice: the adviser's answers by worker id, see tickets.c, or NULL; used
  *	only if the queue needs advice
- * @advised_on: ids of the workers that the adviser was last asked about, or
- *	NULL
- * @advice_asked_at: when that was; 0: it has answered
  * @preempted_at: when fillers were last stopped to make room for it
  * @vacated_at: when one of its tasks was last stopped to leave an evacuated
  *	zone
@@ -215,8 +213,6 @@
 	uint64_t rank;
 	GHashTable *runs_on;
 	GHashTable *advice;
-	GPtrArray *advised_on;
-	bh_usec_t advice_asked_at;
 	bh_usec_t preempted_at;
 	bh_usec_t vacated_at;
 	bh_usec_t stayed_at;
@@ -552,6 +548,10 @@
  * @evacuation_changes: changes of that set which the hosts show
  * @n_evacuated: hosts in evacuated zones
  * @are_starts_held: no task may be started
+ * @advice: calls to the adviser
+ * @wants_advice: of struct bh_advice_wish: phases that need more advice, as the
+ *	present placement pass has found them
+ * @wishes_from: the first of them that the next choice looks at
  * @checked_at: when hosts and runs were last checked for timeouts
  */
 struct bh_sched {
@@ -589,6 +589,9 @@
 	uint64_t evacuation_changes;
 	uint32_t n_evacuated;
 	bool are_starts_held;
+	bh_advice_line_t *advice;
+	GArray *wants_advice;
+	guint wishes_from;
 	bh_usec_t checked_at;
 	uint64_t unix_ms;
 	bh_sched_stats_t stats;
@@ -1060,16 +1063,36 @@
 /* tickets.c */
 
 /**
- * bh_phase_awaits_advice() - whether a phase has to wait for the adviser, which
- * is asked if it has not been yet
+ * struct bh_advice_wish - a phase that needs more advice
+ * @is_blocked: it has no ticket at all
+ */
+typedef struct bh_advice_wish {
+	bh_phase_t *phase;
+	bool is_blocked;
+} bh_advice_wish_t;
+
+/**
+ * bh_phase_awaits_advice() - whether a phase has to wait for the adviser; if so
+ * it may be asked about in this pass
  */
 bool bh_phase_awaits_advice(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now);
 
 /**
- * bh_phase_ask_advice() - ask the adviser about workers of which it has not
- * said anything that is still valid, if the queue needs its advice
+ * bh_phase_want_advice() - a phase has tickets and could not be placed: the
+ * adviser may be asked about other workers in this pass
+ */
+void bh_phase_want_advice(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now);
+
+/**
+ * bh_advice_begin_pass() - forget what the last placement pass found
+ */
+void bh_advice_begin_pass(bh_sched_t *s);
+
+/**
+ * bh_advice_end_pass() - send the calls that are of use now, those first by
+ * which tasks can start at once
  */
-void bh_phase_ask_advice(bh_sched_t *s, bh_phase_t *phase, bh_usec_t now);
+void bh_advice_end_pass(bh_sched_t *s, bh_usec_t now);
 
 /**
  * bh_phase_ticket() - the ticket for a host
@@ -1103,6 +1126,17 @@
  */
 int64_t bh_host_usable_in_ms(const bh_host_t *host, bh_usec_t now);
 
+/**
+ * bh_host_has_label() - whether a host has a label; all have NULL
+ */
+bool bh_host_has_label(const bh_host_t *host, const char *label);
+
+/**
+ * bh_host_has_room() - whether the free resources of a host are enough for a
+ * task of a step
+ */
+bool bh_host_has_room(const bh_host_t *host, const bh_step_t *step);
+
 /**
  * bh_host_matches() - whether a host meets a phase's requirements, its state
  * and free resources aside
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -437,13 +437,10 @@
 	(void)ack;
 }
 
-static void op_advise(void *ctx, const char *phase, const char **workers,
-		      uint32_t n)
+static void op_advise(void *ctx, const bh_advice_request_t *request)
 {
 	(void)ctx;
-	(void)phase;
-	(void)workers;
-	(void)n;
+	(void)request;
 }
 
 static void op_event(void *ctx, const char *what, const char *job,
--- a/tests/test_tickets.c
+++ b/tests/test_tickets.c
@@ -11,6 +11,7 @@
 
 typedef struct orders {
 	int asked;
+	uint64_t number;
 	GHashTable *names;
 	int starts;
 	char worker[16];
@@ -37,17 +38,30 @@
 	(void)ack;
 }
 
-static void on_advise(void *ctx, const char *phase, const char **workers,
-		      uint32_t n)
+static void on_advise(void *ctx, const bh_advice_request_t *request)
 {
 	orders_t *o = ctx;
 
-	assert_string_equal(phase, JOB ".0.0");
-	assert_true(n <= ASK_MAX);
+	assert_string_equal(request->phase, JOB ".0.0");
+	assert_true(request->n_workers <= ASK_MAX);
 	o->asked++;
+	o->number = request->number;
 	g_hash_table_remove_all(o->names);
-	for (uint32_t i = 0; i < n; i++)
-		g_hash_table_add(o->names, g_strdup(workers[i]));
+	for (uint32_t i = 0; i < request->n_workers; i++)
+		g_hash_table_add(o->names, g_strdup(request->workers[i]));
+}
+
+/* The adviser's answer to its last call. */
+static void advised(bh_sched_t *s, const orders_t *o,
+		    const bh_ticket_t *tickets, uint32_t n, uint32_t valid_ms,
+		    bh_usec_t now)
+{
+	bh_advice_reply_t reply = {.outcome = BH_ADVICE_ANSWERED,
+				   .tickets = tickets,
+				   .n_tickets = n,
+				   .valid_ms = valid_ms};
+
+	bh_sched_advised(s, o->number, &reply, now);
 }
 
 static const bh_sched_ops_t ops = {
@@ -128,12 +142,12 @@
 	assert_int_equal(o.asked, 1);
 	assert_int_equal(g_hash_table_size(o.names), ASK_MAX);
 	assert_false(g_hash_table_contains(o.names, "w36"));
-	bh_sched_advised(s, JOB ".0.0", NULL, 0, VALID_MS, MS(100));
+	advised(s, &o, NULL, 0, VALID_MS, MS(100));
 	bh_sched_run(s, MS(100), 1100);
 	assert_int_equal(o.asked, 2);
 	assert_int_equal(g_hash_table_size(o.names), HOSTS - ASK_MAX);
 	assert_true(g_hash_table_contains(o.names, "w36"));
-	bh_sched_advised(s, JOB ".0.0", &ticket, 1, VALID_MS, MS(200));
+	advised(s, &o, &ticket, 1, VALID_MS, MS(200));
 	bh_sched_run(s, MS(200), 1200);
 	assert_int_equal(o.starts, 1);
 	assert_string_equal(o.worker, "w36");
@@ -156,7 +170,7 @@
 	report_all(s, MS(10));
 	bh_sched_add_job(s, make_job(), NULL, MS(20));
 	bh_sched_run(s, MS(20), 1020);
-	bh_sched_advised(s, JOB ".0.0", NULL, 0, 0, MS(100));
+	advised(s, &o, NULL, 0, 0, MS(100));
 	report_all(s, MS(110));
 	bh_sched_run(s, MS(110), 1110);
 	assert_int_equal(o.asked, 1);
