--- a/sched/sent_starts.c
+++ b/sched/sent_starts.c
@@ -214,7 +214,7 @@
 		if (!sent->is_pending || sent->sent_at >= host->linked_at)
 			continue;
 		note_late(s, host, sent, until, now);
-		if (gone_at - sent->sent_at <= ANSWER_MAX_US && gone_at)
+		if (gone_at && gone_at - sent->sent_at <= ANSWER_MAX_US)
 			mark_for_repeat(s, host, sent);
 		n++;
 	}
