--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -960,13 +960,14 @@
 }
 
 /* Agents are killed while orders that they have passed on are late, in place of
- * leaders. */
-static const char *run_agent_kills(uint32_t seed, sw_disabled_t disabled)
+ * leaders or as well as these. */
+static const char *run_agent_kills(uint32_t seed, sw_disabled_t disabled,
+				   bool kills_leaders)
 {
 	sw_world_t *w = sw_new(seed, disabled);
 
 	sw_kill_agents_with_late_orders(w);
-	return run_relives_of(w, seed, true, false);
+	return run_relives_of(w, seed, true, kills_leaders);
 }
 
 /* KNOWN-RED.txt */
@@ -1016,7 +1017,7 @@
 
 		if (seed == KNOWN_RED_AGENT_KILL && !g_getenv("BH_KNOWN_RED"))
 			continue;
-		violation = run_agent_kills(seed, SW_ALL_ON);
+		violation = run_agent_kills(seed, SW_ALL_ON, false);
 		if (violation)
 			fail_msg("seed %u: %s", seed, violation);
 	}
@@ -1049,9 +1050,9 @@
 
 	for (uint32_t seed = 1; seed <= n; seed++) {
 		sw_disabled_t d = (sw_disabled_t)atoi(disabled);
-		const char *violation = has_agent_kills
-						? run_agent_kills(seed, d)
-						: run_relives(seed, d, true);
+		const char *violation =
+			has_agent_kills ? run_agent_kills(seed, d, false)
+					: run_relives(seed, d, true);
 
 		failed += violation != NULL;
 		if (violation)
@@ -1134,9 +1135,10 @@
 		return count_relives(argv[2], argv[3], false);
 	if (argc == 4 && strcmp(argv[1], "count-kills") == 0)
 		return count_relives(argv[2], argv[3], true);
-	if (argc == 3 && strcmp(argv[1], "kills") == 0) {
-		const char *violation = run_agent_kills(
-			(uint32_t)strtoul(argv[2], NULL, 10), SW_ALL_ON);
+	if (argc >= 3 && strcmp(argv[1], "kills") == 0) {
+		const char *violation =
+			run_agent_kills((uint32_t)strtoul(argv[2], NULL, 10),
+					SW_ALL_ON, argc == 4);
 
 		puts(violation ? violation : "all guarantees held");
 		return violation != NULL;
