Refused connections to a leader do not end its grants

Cause: two refused connections to the leader's address counted as the end of its process. The entry that replaced it waited for a lease, but not for the leases that the leader went on granting behind the partition: in the trace it started their tasks 5.1 s after its election, while the hosts' leases lasted for up to 3.4 s more. Ruled out: grants beyond their bound, a lease counted too short (docs/incidents/twice-refused-leader.md).

Change: bh_term_suspect() is told whether the leader is silent, refuses connections or has ended. Refusals start a campaign at once, as before; only a later process at the leader's address ends its grants, and that holds until another leader is known. "leading" logs how long earlier leaders may still grant. standins/cut.c can refuse connections.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -47,9 +47,9 @@
  * election most of them are not connected yet. */
 #define LIST_ENTRIES_INTERVAL_US (2 * BH_USEC_PER_SEC)
 
-/* Consecutive refused connections after which the leader's process counts as
- * ended. */
-#define REFUSALS_UNTIL_DOWN 2
+/* Consecutive refused connections after which the leader's process has probably
+ * ended, and a campaign starts at once. */
+#define REFUSALS_UNTIL_CAMPAIGN 2
 
 typedef struct pending_query {
 	bh_hub_query_cb_t cb;
@@ -613,7 +613,7 @@
 		return;
 	bh_log_event(&hub->rt->log, BH_LOG_WARN, "leader has restarted",
 		     "address", hub->link_address, NULL);
-	bh_term_suspect(hub->term, true);
+	bh_term_suspect(hub->term, BH_TERM_ENDED);
 	bh_term_tick(hub->term);
 }
 
@@ -679,7 +679,9 @@
 			     hub->link_address, NULL);
 	hub->refusals = is_refused ? hub->refusals + 1 : 0;
 	clear_leader_link(hub);
-	bh_term_suspect(hub->term, hub->refusals >= REFUSALS_UNTIL_DOWN);
+	bh_term_suspect(hub->term, hub->refusals >= REFUSALS_UNTIL_CAMPAIGN
+					   ? BH_TERM_REFUSED
+					   : BH_TERM_SILENT);
 	hub->dialled_at = bh_runtime_now() - RECONNECT_INTERVAL_US +
 			  RECONNECT_AFTER_CLOSE_US;
 }
@@ -717,8 +719,11 @@
 {
 	bh_hub_t *hub = ctx;
 	g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, term);
+	g_autofree char *grants = g_strdup_printf(
+		"%" G_GINT64_FORMAT, bh_term_predecessor_grant_ms(hub->term));
 
-	bh_log_event(&hub->rt->log, BH_LOG_INFO, "leading", "term", text, NULL);
+	bh_log_event(&hub->rt->log, BH_LOG_INFO, "leading", "term", text,
+		     "predecessor_grant_ms", grants, NULL);
 	close_leader_link(hub);
 	bh_sched_leader_free(hub->sched_leader);
 	hub->is_leadership_lost = false;
@@ -811,7 +816,7 @@
 		bh_log_event(&hub->rt->log, BH_LOG_WARN, "leader timed out",
 			     "address", hub->link_address, NULL);
 		close_leader_link(hub);
-		bh_term_suspect(hub->term, false);
+		bh_term_suspect(hub->term, BH_TERM_SILENT);
 	}
 	if (now - hub->dialled_at < RECONNECT_INTERVAL_US)
 		return;
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -53,7 +53,8 @@
  * @version: version of the row in the store
  * @is_write_unclear: the outcome of the last write is unknown
  * @is_confirmed: the store confirmed this leader since the last pause
- * @is_gone: the leader's process has ended
+ * @is_suspect: the leader does not respond, or does not renew its row
+ * @doubt: why, as last reported
  * @is_responsive: the suspect leader responds, but does not renew its row
  * @suspect_since: when the leader became suspect
  * @unchanged_since: when the row was first seen at @version
@@ -88,7 +89,7 @@
 	bool is_resigned;
 	bool is_confirmed;
 	bool is_suspect;
-	bool is_gone;
+	bh_term_doubt_t doubt;
 	bool is_responsive;
 	bh_usec_t suspect_since;
 	bh_usec_t unchanged_since;
@@ -141,19 +142,24 @@
 	t->ops->lost(t->ctx, why);
 }
 
+static void trust_leader(bh_term_t *t)
+{
+	t->is_suspect = false;
+	t->doubt = BH_TERM_SILENT;
+}
+
 static void replace_row(bh_term_t *t, bh_leader_row_t *next)
 {
 	bh_leader_row_clear(&t->row);
 	t->row = *next;
-	t->is_suspect = false;
-	t->is_gone = false;
+	trust_leader(t);
 	t->campaign_at = 0;
 }
 
 /* Whether the process that the row names can grant no more leases. */
 static bool is_leader_gone(const bh_term_t *t)
 {
-	return t->is_gone || (is_vacant(t) && !t->is_row_odd);
+	return t->doubt == BH_TERM_ENDED || (is_vacant(t) && !t->is_row_odd);
 }
 
 /* A leader that has been replaced may grant leases for some time, whatever
@@ -452,8 +458,9 @@
 		return true;
 	if (!t->is_suspect)
 		return false;
-	return t->is_gone || now - MAX(t->unchanged_since, t->suspect_since) >
-				     leader_timeout(t);
+	return t->doubt != BH_TERM_SILENT ||
+	       now - MAX(t->unchanged_since, t->suspect_since) >
+		       leader_timeout(t);
 }
 
 static void tick_follower(bh_term_t *t, bh_usec_t now)
@@ -520,22 +527,22 @@
 	return t->row.term;
 }
 
-void bh_term_suspect(bh_term_t *t, bool is_gone)
+void bh_term_suspect(bh_term_t *t, bh_term_doubt_t why)
 {
 	if (!t->is_suspect)
 		t->suspect_since = bh_runtime_now();
 	t->is_suspect = true;
-	t->is_gone = is_gone;
+	if (t->doubt != BH_TERM_ENDED)
+		t->doubt = why;
 	t->is_responsive = false;
 }
 
 void bh_term_note_leader_ping(bh_term_t *t, int64_t renewed_ago_ms)
 {
 	if (renewed_ago_ms < SUSPECT_AFTER_MS) {
-		t->is_suspect = false;
-		t->is_gone = false;
+		trust_leader(t);
 	} else {
-		bh_term_suspect(t, false);
+		bh_term_suspect(t, BH_TERM_SILENT);
 		t->is_responsive = true;
 	}
 }
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -35,11 +35,27 @@
 bool bh_term_is_leader(const bh_term_t *t);
 uint64_t bh_term_number(const bh_term_t *t);
 
+/**
+ * enum bh_term_doubt - why the leader is suspect
+ * @BH_TERM_SILENT: it does not respond
+ * @BH_TERM_REFUSED: connections to its address are refused. Its process has
+ *	probably ended, and its row may be taken over at once; but a partition
+ *	may refuse them too, behind which it still grants leases.
+ * @BH_TERM_ENDED: the next process at its address says that it does not lead:
+ *	the leader grants no more leases
+ */
+typedef enum bh_term_doubt {
+	BH_TERM_SILENT,
+	BH_TERM_REFUSED,
+	BH_TERM_ENDED,
+} bh_term_doubt_t;
+
 /**
  * bh_term_suspect() - the leader does not respond
- * @is_gone: its process has ended: connections to its address are refused
+ *
+ * BH_TERM_ENDED holds until another leader is known.
  */
-void bh_term_suspect(bh_term_t *t, bool is_gone);
+void bh_term_suspect(bh_term_t *t, bh_term_doubt_t why);
 
 /**
  * bh_term_note_leader_ping() - the leader responds
--- a/standins/cut.c
+++ b/standins/cut.c
@@ -9,6 +9,9 @@
  * connections are held up, each between spaces: PORT both ways, PORTw what it
  * sends, PORTr what it receives. No new one is established then. What was sent
  * before arrives when the cut ends, as TCP would send it again.
+ *
+ * With CUT_REFUSES set, connections that the cut prevents are refused, as if no
+ * process listened at the address.
  */
 #include <dlfcn.h>
 #include <errno.h>
@@ -156,7 +159,7 @@
 
 	if (!is_unreachable((const struct sockaddr_in *)address))
 		return next(fd, address, len);
-	errno = EHOSTUNREACH;
+	errno = getenv("CUT_REFUSES") ? ECONNREFUSED : EHOSTUNREACH;
 	return -1;
 }
 
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -408,7 +408,7 @@
 	setup(&f, 3);
 	f.fake.commit_reply_ms = 400;
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	run_for(&f.fake, f.term, 1500);
 	assert_true(bh_term_is_leader(f.term));
 	assert_int_equal(f.fake.won, 4);
@@ -434,7 +434,7 @@
 	(void)state;
 	setup(&f, 3);
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	for (int i = 0; i < 200 && !bh_term_can_commit(f.term); i++)
 		run_for(&f.fake, f.term, 10);
 	assert_true(bh_term_can_commit(f.term));
@@ -483,7 +483,7 @@
 	(void)state;
 	setup(&f, 3);
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	for (int i = 0; i < 200 && !bh_term_can_commit(f.term); i++)
 		run_for(&f.fake, f.term, 10);
 	f.fake.commit_reply_ms = 50;
@@ -514,7 +514,7 @@
 	(void)state;
 	setup(&f, 3);
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	run_for(&f.fake, f.term, 300);
 	assert_true(bh_term_is_leader(f.term));
 	adopt(f.term, 3);
@@ -537,7 +537,7 @@
 	setup(&f, 3);
 	f.fake.commit_reply_ms = 400;
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	for (int i = 0; i < 200 && f.fake.version == 10; i++)
 		run_for(&f.fake, f.term, 10);
 	adopt(f.term, 9);
@@ -632,7 +632,7 @@
 	(void)state;
 	setup(&f, 3);
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, false);
+	bh_term_suspect(f.term, BH_TERM_SILENT);
 	f.fake.drops = 1;
 	for (int i = 0; i < 400 && !bh_term_is_leader(f.term); i++)
 		run_for(&f.fake, f.term, 10);
@@ -642,6 +642,42 @@
 	teardown(&f);
 }
 
+/* Connections to the leader are refused, as they are after its end, but also in
+ * a partition that rejects them. Its successor took it for ended, and did not
+ * wait for the leases that it may still grant behind the partition. */
+static void test_refused_leader_may_still_grant(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 3);
+	/* An entry that has just started waits for leaders before. */
+	run_for(&f.fake, f.term, 5000);
+	f.fake.version++; /* The leader renews its row. */
+	bh_term_suspect(f.term, BH_TERM_REFUSED);
+	run_for(&f.fake, f.term, 500);
+	assert_true(bh_term_is_leader(f.term));
+	assert_true(bh_term_predecessor_grant_ms(f.term) > 3000);
+	teardown(&f);
+}
+
+/* The next process of the leader has said that it does not lead, and is gone
+ * itself: nothing is left to wait for. */
+static void test_leader_that_has_ended_stays_ended(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	setup(&f, 3);
+	run_for(&f.fake, f.term, 5000);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
+	bh_term_suspect(f.term, BH_TERM_REFUSED);
+	run_for(&f.fake, f.term, 500);
+	assert_true(bh_term_is_leader(f.term));
+	assert_int_equal(bh_term_predecessor_grant_ms(f.term), 0);
+	teardown(&f);
+}
+
 /* A successor that ends soon after its election does not end the grants of the
  * leader that it replaced. */
 static void test_end_of_a_successor_keeps_the_wait(void **state)
@@ -652,9 +688,9 @@
 	setup(&f, 3);
 	run_for(&f.fake, f.term, 100);
 	put_leader_row(&f.fake, 4, "127.0.0.1:7");
-	bh_term_suspect(f.term, false);
+	bh_term_suspect(f.term, BH_TERM_SILENT);
 	run_for(&f.fake, f.term, 700);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	for (int i = 0; i < 400 && !bh_term_is_leader(f.term); i++)
 		run_for(&f.fake, f.term, 10);
 	assert_true(bh_term_is_leader(f.term));
@@ -675,7 +711,7 @@
 	memset(bytes, 0xff, sizeof(bytes));
 	setup(&f, 41);
 	run_for(&f.fake, f.term, 100);
-	bh_term_suspect(f.term, true);
+	bh_term_suspect(f.term, BH_TERM_ENDED);
 	run_for(&f.fake, f.term, 1000);
 	assert_true(bh_term_is_leader(f.term));
 	assert_int_equal(bh_term_number(f.term), 42);
@@ -721,6 +757,8 @@
 		cmocka_unit_test(test_unreadable_leader_row_resets_the_term),
 		cmocka_unit_test(test_lost_answer_to_a_campaign_keeps_the_wait),
 		cmocka_unit_test(test_end_of_a_successor_keeps_the_wait),
+		cmocka_unit_test(test_refused_leader_may_still_grant),
+		cmocka_unit_test(test_leader_that_has_ended_stays_ended),
 		cmocka_unit_test(
 			test_entry_starts_beside_unreadable_leader_row),
 		cmocka_unit_test(test_restarted_leader_does_not_lead),
