A new leader starts new jobs while it waits for silent hosts

New work waited on free hosts that had answered long before, and fillers there ran unpaced.

Cause: placement and pacing were held as a whole, since a task that no host lists may run on one that is silent. That is so only for jobs that an earlier leader can have started. No rule said which those are: a leader that is cut off from the store may read a job, through an entry or with its writes refused, after its successor was elected.

Change: a leader starts tasks of a job only if the store has confirmed that it led at most 0.7 s before it read the job, and commits at once if it waits for that. So earlier leaders start no job that is stored 0.72 s (with 2 % of drift) after the election or later; the new one starts these without a wait, and paces fillers on the hosts it hears. Tasks of other jobs wait as before, and find no host for a copy or a move either.

--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -235,6 +235,7 @@
 	if (!bh_term_is_leader(l->term))
 		return;
 	note_pause(l, bh_runtime_now());
+	bh_sched_note_jobs_read(l->sched, bh_follow_current_at(l->jobs));
 	bh_sched_note_leading(l->sched, bh_term_confirmed_at(l->term));
 	update_hold(l);
 	tell_agents(l);
@@ -1148,6 +1149,8 @@
 	if (l->n_tables_loading)
 		return;
 	note_pause(l, now);
+	if (bh_sched_wants_jobs_read(l->sched, now))
+		bh_follow_refresh(l->jobs);
 	g_hash_table_iter_init(&it, l->agent_links);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		agent_link_tick(value, now);
--- a/sched/grants.h
+++ b/sched/grants.h
@@ -1,8 +1,8 @@
 /*
- * Whether a leader may still grant leases to workers while it cannot renew its
- * leader row. In an outage of the store no lease should expire, but in a
- * network partition an entry that this leader cannot hear may have been
- * elected.
+ * What a leader may still do while it cannot renew its leader row: grant leases
+ * to workers, and start tasks of jobs that it has not read before. In an outage
+ * of the store no lease should expire, but in a network partition an entry that
+ * this leader cannot hear may have been elected.
  */
 #ifndef BH_SCHED_GRANTS_H
 #define BH_SCHED_GRANTS_H
@@ -17,6 +17,12 @@
  * have been elected. */
 #define BH_GRANT_IN_DOUBT_MS ((int64_t)1500)
 
+/* A leader starts tasks of a job only if the store has confirmed that it led at
+ * most this long before it read the job. Longer than a renewal interval and a
+ * slow answer, so that a leader that renews its row does not wait. A successor
+ * relies on this bound. */
+#define BH_JOB_AFTER_RENEWAL_MS ((int64_t)700)
+
 /* Greatest difference between the clock rates of two hosts. */
 #define BH_GRANT_DRIFT_PERCENT 2
 
@@ -55,4 +61,18 @@
  */
 bh_usec_t bh_grants_over_at(bh_usec_t replaced_at);
 
+/**
+ * bh_job_is_covered() - whether a leader may start tasks of a job
+ * @read_at: when it had read the job
+ * @led_at: a time at which the store has confirmed that it led
+ */
+bool bh_job_is_covered(bh_usec_t read_at, bh_usec_t led_at);
+
+/**
+ * bh_jobs_over_at() - from when on the jobs that are stored are not started by
+ * leaders that have been replaced, on the caller's clock
+ * @replaced_at: a time by which their row had been replaced
+ */
+bh_usec_t bh_jobs_over_at(bh_usec_t replaced_at);
+
 #endif
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -636,12 +636,14 @@
 
 void bh_sched_note_leading(bh_sched_t *s, bh_usec_t at)
 {
+	if (at > s->led_at && s->has_uncovered_job)
+		s->must_place = true;
 	s->led_at = MAX(s->led_at, at);
 }
 
 bool bh_sched_awaits_confirmation(const bh_sched_t *s)
 {
-	return s->awaits_confirmation;
+	return s->awaits_confirmation || s->has_uncovered_job;
 }
 
 static bool may_hold_runs(const bh_host_t *host)
@@ -773,13 +775,10 @@
 	host->heard_at = now;
 	host->lease_ends_at = now;
 	host->is_synced = !may_hold_work;
-	if (may_hold_work) {
+	if (may_hold_work)
 		host->lease_ends_at +=
 			bh_sched_lease_bound(s) +
 			s->bounds.predecessor_grant_ms * BH_USEC_PER_MS;
-		s->predecessor_over_at =
-			MAX(s->predecessor_over_at, host->lease_ends_at);
-	}
 	host->speed = 1;
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -347,7 +347,7 @@
 	rec->state = BH_JOB_QUEUED;
 	rec->added_at = now;
 	rec->added_unix_ms = s->unix_ms;
-	rec->is_inherited = s->jobs_read_at < s->predecessor_over_at;
+	rec->is_inherited = s->jobs_read_at < s->inherits_until;
 	rec->n_phases = bh_job_occurrences(job) * job->n_steps;
 	rec->phases = g_new0(bh_phase_t, rec->n_phases);
 	for (uint32_t i = 0; i < rec->n_phases; i++)
@@ -375,6 +375,12 @@
 	s->jobs_read_at = MAX(s->jobs_read_at, at);
 }
 
+bool bh_sched_wants_jobs_read(const bh_sched_t *s, bh_usec_t now)
+{
+	return s->is_recovering && now >= s->inherits_until &&
+	       s->jobs_read_at < s->inherits_until;
+}
+
 void bh_sched_cancel(bh_sched_t *s, const char *id, bh_usec_t now)
 {
 	bh_rec_t *rec = bh_rec_find(s, id);
--- a/sched/place.c
+++ b/sched/place.c
@@ -6,6 +6,7 @@
  * compete with narrow ones; data that is local to one rack; tasks of which some
  * may crash their workers, see crash.c.
  */
+#include "sched/grants.h"
 #include "sched/sched_impl.h"
 
 #include <stdlib.h>
@@ -338,6 +339,13 @@
 	       !must_wait_as_suspect(task, host, now);
 }
 
+/* Whether an earlier leader may have started its tasks, and some host has not
+ * been heard of since. */
+static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
+{
+	return s->is_recovering && phase->rec->is_inherited;
+}
+
 /* @rack: the host has to be there; NULL: anywhere */
 static bh_host_t *find_host_in(bh_sched_t *s, bh_task_t *task,
 			       const bh_host_t *excluded, const char *rack,
@@ -348,7 +356,7 @@
 	double best_score = 0;
 	bool must_wait = false;
 
-	if (s->are_starts_held)
+	if (s->are_starts_held || may_run_unseen(s, task->phase))
 		return NULL;
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		double spare;
@@ -662,11 +670,14 @@
 	return bh_racks_defer_group(s, phase, rack, wait_ms, now);
 }
 
-/* Whether an earlier leader may have started its tasks, and some host has not
- * been heard of since. */
-static bool may_run_unseen(const bh_sched_t *s, const bh_phase_t *phase)
+/* Whether a later leader may have been elected before the job was stored, and
+ * have started its tasks. */
+static bool is_uncovered(bh_sched_t *s, const bh_phase_t *phase)
 {
-	return s->is_recovering && phase->rec->is_inherited;
+	if (bh_job_is_covered(phase->rec->added_at, s->led_at))
+		return false;
+	s->has_uncovered_job = true;
+	return true;
 }
 
 void bh_sched_place_all(bh_sched_t *s, bh_usec_t now)
@@ -679,6 +690,7 @@
 
 	bh_reserve_clear(s);
 	s->n_reservations = 0;
+	s->has_uncovered_job = false;
 	bh_racks_begin_pass(s, now);
 	bh_advice_begin_pass(s);
 	TAILQ_FOREACH(host, &s->hosts, link)
@@ -699,7 +711,7 @@
 		bool is_placed;
 
 		phase = phases->pdata[i];
-		if (may_run_unseen(s, phase) ||
+		if (may_run_unseen(s, phase) || is_uncovered(s, phase) ||
 		    bh_phase_awaits_advice(s, phase, now))
 			continue;
 		if (bh_racks_is_group(s, phase) &&
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -1,3 +1,4 @@
+#include "sched/grants.h"
 #include "sched/sched_impl.h"
 
 /* Interval of the checks for timeouts and due times, which go over all hosts,
@@ -94,8 +95,7 @@
 	TAILQ_INIT(&s->committing);
 	s->steered_at = now;
 	s->unix_ms = unix_ms;
-	s->predecessor_over_at = now + bh_sched_lease_bound(s) +
-				 bounds->predecessor_grant_ms * BH_USEC_PER_MS;
+	s->inherits_until = bh_jobs_over_at(now);
 	return s;
 }
 
@@ -137,8 +137,6 @@
 		open_due_phases(s, now);
 	}
 	bh_hosts_adopt_orphans(s, now);
-	if (s->is_recovering && now < s->predecessor_over_at)
-		return;
 	if (is_due) {
 		bh_health_check_runs(s, now);
 		bh_vacate_hosts(s, now);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -227,6 +227,12 @@
  */
 void bh_sched_note_jobs_read(bh_sched_t *s, bh_usec_t at);
 
+/**
+ * bh_sched_wants_jobs_read() - whether jobs that are stored from now on could
+ * be started, while hosts have not been heard of, once the jobs were read again
+ */
+bool bh_sched_wants_jobs_read(const bh_sched_t *s, bh_usec_t now);
+
 /**
  * bh_sched_note_leading() - the store has confirmed that this leader led at
  * @at, so that no later one had granted leases by then
@@ -235,14 +241,16 @@
 
 /**
  * bh_sched_awaits_confirmation() - whether what is known to be over by leases
- * alone waits for bh_sched_note_leading()
+ * alone, or a job that was read long after the last confirmation, waits for
+ * bh_sched_note_leading()
  */
 bool bh_sched_awaits_confirmation(const bh_sched_t *s);
 
 /**
  * bh_sched_add_host() - add a host whose agent has a row in the store
- * @may_hold_work: an earlier leader may have started tasks there; nothing is
- *	placed anywhere until such a host has reported or its lease has expired
+ * @may_hold_work: an earlier leader may have started tasks there; until such a
+ *	host has reported or its lease has expired, only tasks of jobs are
+ *placed that no earlier leader can have started
  *
  * Does nothing if the host is known.
  */
--- a/sched/sched_impl.h
+++ b/sched/sched_impl.h
@@ -527,11 +527,13 @@
  * @change: number of the last change to a job's progress
  * @is_recovering: the state of some host is not known yet, see @is_synced of
  *	struct bh_host; nothing is placed meanwhile that may run there
- * @predecessor_over_at: by when the leases of earlier leaders are over, if no
- *	call is late; jobs that are stored later have no tasks of theirs
+ * @inherits_until: jobs that are stored later are not started by earlier
+ *	leaders
  * @led_at: no other leader had granted leases by then
  * @awaits_confirmation: the lease of a host that may hold runs has ended after
  *	@led_at
+ * @has_uncovered_job: the last pass of placement left out a job that a later
+ *	leader may have started
  * @call_lost_at: when a call to some worker last got no answer although the
  *	worker's process lived; 0: never
  * @must_place: a placement may have become possible since the last pass
@@ -569,9 +571,10 @@
 	bh_segments_t committing;
 	uint64_t change;
 	bool is_recovering;
-	bh_usec_t predecessor_over_at;
+	bh_usec_t inherits_until;
 	bh_usec_t led_at;
 	bool awaits_confirmation;
+	bool has_uncovered_job;
 	bh_usec_t call_lost_at;
 	bool must_place;
 	uint32_t n_reservations;
--- a/tests/leadersworld.c
+++ b/tests/leadersworld.c
@@ -1205,6 +1205,7 @@
 	bh_sched_note_leading(e->sched, e->w->disabled == LW_EARLY_CONFIRMATION
 						? now
 						: e->confirmed_at);
+	bh_sched_note_jobs_read(e->sched, e->jobs_read_at);
 	if (e->is_confirmed)
 		bh_sched_run(e->sched, now, unix_ms(e->w));
 	commit(e, now);
--- a/tests/test_advice_load.c
+++ b/tests/test_advice_load.c
@@ -213,6 +213,7 @@
 		report_all(w);
 	serve(w);
 	waiting = MIN(waiting, g_queue_get_length(&w->queue));
+	bh_sched_note_leading(w->s, MS(w->ms));
 	bh_sched_run(w->s, MS(w->ms), 1000 + (uint64_t)w->ms);
 	admit_calls(w, waiting);
 }
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -59,6 +59,18 @@
 	assert_false(bh_grant_is_allowed(&paused));
 }
 
+/* A successor starts a job without waiting if it was stored after a certain
+ * time. No leader before may start such a job, however its clock runs. */
+static void test_successor_starts_what_others_may_not(void **state)
+{
+	bh_usec_t over_at = bh_jobs_over_at(0);
+
+	(void)state;
+	for (int64_t rate = 98; rate <= 100; rate++)
+		assert_false(bh_job_is_covered(over_at * rate / 100 + 1, 0));
+	assert_true(bh_job_is_covered(MS(600), 0));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -66,6 +78,7 @@
 		cmocka_unit_test(test_successor_waits_for_last_grant),
 		cmocka_unit_test(test_grants_continue_in_outage),
 		cmocka_unit_test(test_grants_end_sooner_if_others_reach_store),
+		cmocka_unit_test(test_successor_starts_what_others_may_not),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_two_leaders.c
+++ b/tests/test_two_leaders.c
@@ -9,6 +9,7 @@
 #define FAR_HOST  "10.0.0.2:1"
 #define JOB	  "00000000000000aa"
 #define TASK	  JOB ".0.0.0"
+#define NEW_JOB	  "00000000000000bb"
 #define LEASE_MS  5000
 
 /* A leader grants leases for this long after its last renewal. */
@@ -18,6 +19,7 @@
 	bh_sched_t *sched;
 	int starts;
 	char host[32];
+	char task[BH_TASK_NAME_BYTES];
 	uint32_t attempt;
 } leader_t;
 
@@ -28,6 +30,7 @@
 	l->starts++;
 	l->attempt = start->attempt;
 	g_strlcpy(l->host, host, sizeof(l->host));
+	g_strlcpy(l->task, start->task, sizeof(l->task));
 }
 
 static void on_stop(void *ctx, const char *host, uint64_t boot,
@@ -53,11 +56,11 @@
 static const bh_sched_ops_t ops = {
 	.start = on_start, .stop = on_stop, .grant = on_grant};
 
-static bh_job_t *make_job(void)
+static bh_job_t *make_job(const char *id)
 {
 	bh_job_t *job = g_new0(bh_job_t, 1);
 
-	g_strlcpy(job->id, JOB, sizeof(job->id));
+	g_strlcpy(job->id, id, sizeof(job->id));
 	job->queue = g_strdup("q");
 	job->spec = g_strdup("s");
 	job->n_steps = 1;
@@ -89,7 +92,7 @@
 	bh_sched_add_host(l->sched, FAR_HOST, term > 1, now);
 	bh_sched_host_linked(l->sched, NEAR_HOST, true, now);
 	bh_sched_host_linked(l->sched, FAR_HOST, true, now);
-	bh_sched_add_job(l->sched, make_job(), NULL, now);
+	bh_sched_add_job(l->sched, make_job(JOB), NULL, now);
 }
 
 static void report(leader_t *l, const char *host, bh_active_t *active,
@@ -163,11 +166,73 @@
 	bh_config_free(config);
 }
 
+/* Hosts that a new leader did not hear held up all work on the others for a
+ * lease, and longer where an earlier leader may still grant some. Jobs that no
+ * earlier leader can have started do not wait. */
+static void test_new_leader_starts_new_jobs_while_it_waits(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	leader_t next = {0};
+	int waited_ms = 0;
+
+	(void)state;
+	begin_term(&next, 2, config, MS(1));
+	for (int ms = 100; ms < 15000 && next.starts < 2; ms += 100) {
+		bh_sched_note_leading(next.sched, MS(ms));
+		report(&next, NEAR_HOST, NULL, true, MS(ms));
+		bh_sched_note_jobs_read(next.sched, MS(ms - 50));
+		if (ms == 1000)
+			bh_sched_add_job(next.sched, make_job(NEW_JOB), NULL,
+					 MS(ms));
+		run(&next, MS(ms));
+		if (ms < 1000)
+			assert_int_equal(next.starts, 0);
+		else if (next.starts < 2)
+			assert_string_equal(next.task, NEW_JOB ".0.0.0");
+		waited_ms = ms;
+	}
+	assert_string_equal(next.task, TASK);
+	assert_true(waited_ms > LEASE_MS + GRANTS_MS);
+	bh_sched_free(next.sched);
+	bh_config_free(config);
+}
+
+/* A leader that cannot renew its row reads a job that was stored after the
+ * election of another one, which starts the job without asking. */
+static void test_leader_in_doubt_starts_no_new_job(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	leader_t old = {0};
+
+	(void)state;
+	begin_term(&old, 1, config, MS(1));
+	report(&old, NEAR_HOST, NULL, true, MS(10));
+	run(&old, MS(11));
+	assert_int_equal(old.starts, 1);
+	assert_false(bh_sched_awaits_confirmation(old.sched));
+	bh_sched_add_job(old.sched, make_job(NEW_JOB), NULL, MS(800));
+	for (int ms = 800; ms < 3000; ms += 100) {
+		report(&old, NEAR_HOST, NULL, true, MS(ms));
+		run(&old, MS(ms));
+		assert_int_equal(old.starts, 1);
+		assert_true(bh_sched_awaits_confirmation(old.sched));
+	}
+	bh_sched_note_leading(old.sched, MS(3000));
+	run(&old, MS(3001));
+	assert_int_equal(old.starts, 2);
+	assert_false(bh_sched_awaits_confirmation(old.sched));
+	bh_sched_free(old.sched);
+	bh_config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_cut_off_leader_does_not_start_what_others_run),
+		cmocka_unit_test(
+			test_new_leader_starts_new_jobs_while_it_waits),
+		cmocka_unit_test(test_leader_in_doubt_starts_no_new_job),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
