A former leader that follows the new one ends the wait for its grants

Cause: the new leader is elected within 0.4 s, before anything can show that its predecessor has ended, and did not learn of it later. A killed process starts again within a second and says so: it follows.

Change: an entry that follows this leader, in its term, at the address of the predecessor is the predecessor, which has stepped down, or its next process. From then on the predecessor grants nothing, and hosts that were never heard of are waited for a lease from then at most. Leaders before the predecessor are another matter and are waited for as before.

--- a/daemon/hub.c
+++ b/daemon/hub.c
@@ -418,6 +418,24 @@
 				   never ? 0 : MAX(bh_runtime_now() - ago, 0));
 }
 
+/* An entry that knows this term from the store, or from this leader, does not
+ * lead an earlier one. */
+static void note_follower(bh_hub_t *hub, const Bh__Sched__Ping *ping)
+{
+	g_autofree char *grants = NULL;
+
+	if (!hub->sched_leader || !*ping->address ||
+	    ping->term != bh_term_number(hub->term) ||
+	    !bh_term_note_follower(hub->term, ping->address))
+		return;
+	grants = g_strdup_printf("%" G_GINT64_FORMAT,
+				 bh_term_predecessor_grant_ms(hub->term));
+	bh_log_event(&hub->rt->log, BH_LOG_INFO, "former leader follows",
+		     "address", ping->address, "predecessor_grant_ms", grants,
+		     NULL);
+	bh_sched_leader_limit_grants(hub->sched_leader);
+}
+
 static void on_peer_ping(bh_hub_t *hub, peer_t *peer,
 			 const Bh__Sched__Ping *ping)
 {
@@ -430,6 +448,7 @@
 	bh_configs_on_report(hub->configs, peer->link, ping->config_version,
 			     is_store_lost(hub));
 	bh_term_observe(hub->term, ping->term);
+	note_follower(hub, ping);
 	adopt_evacuation(hub, ping->evacuation, true, "entry");
 	if (hub->sched_leader && ping->renewed_ago_ms < STORE_FRESH_MS)
 		bh_sched_leader_note_store_reachable(hub->sched_leader);
--- a/daemon/sched_leader.c
+++ b/daemon/sched_leader.c
@@ -1083,6 +1083,12 @@
 			     g_memdup2(&now, sizeof(now)));
 }
 
+void bh_sched_leader_limit_grants(bh_sched_leader_t *l)
+{
+	bh_sched_limit_grants(l->sched, bh_term_predecessor_grant_ms(l->term),
+			      bh_runtime_now());
+}
+
 bool bh_sched_leader_wants_evacuation(const bh_sched_leader_t *l)
 {
 	int64_t evacuate_ms = (int64_t)l->rt->settings->evacuate_ms;
--- a/daemon/sched_leader.h
+++ b/daemon/sched_leader.h
@@ -46,6 +46,11 @@
  */
 void bh_sched_leader_note_entry_lost(bh_sched_leader_t *l, const char *address);
 
+/**
+ * bh_sched_leader_limit_grants() - bh_term_predecessor_grant_ms() has changed
+ */
+void bh_sched_leader_limit_grants(bh_sched_leader_t *l);
+
 /**
  * bh_sched_leader_wants_evacuation() - whether its copy of the evacuated zones
  * is getting too old to start tasks
--- a/daemon/term.c
+++ b/daemon/term.c
@@ -70,8 +70,10 @@
  *	neither the last term nor who leads is known
  * @seen_term: the latest term that others have reported
  * @is_predecessor_gone: the previous leader can grant no more leases
+ * @predecessor: its address, while it may; else NULL
  * @earlier_grants_until: by then the leaders before the one that the row names
  *	can grant no more leases
+ * @before_predecessor_until: the same for those before the predecessor
  */
 struct bh_term {
 	bh_runtime_t *rt;
@@ -106,8 +108,10 @@
 	bool is_row_odd;
 	uint64_t seen_term;
 	bool is_predecessor_gone;
+	char *predecessor;
 	int64_t predecessor_grant_ms;
 	bh_usec_t earlier_grants_until;
+	bh_usec_t before_predecessor_until;
 	bh_term_cb_t cb;
 	void *user;
 };
@@ -280,6 +284,13 @@
 	g_bytes_unref(bytes);
 }
 
+static void update_predecessor_grant(bh_term_t *t)
+{
+	t->predecessor_grant_ms =
+		MAX(t->earlier_grants_until - bh_runtime_now() + 999, 0) /
+		BH_USEC_PER_MS;
+}
+
 /* A read may have returned the new row before the write was acknowledged, so
  * the term is taken from the campaign and not counted up from the known row. */
 static void become_leader(bh_term_t *t, uint64_t version)
@@ -301,13 +312,12 @@
 		t->is_row_odd = false;
 	t->confirmed_at = t->sent_at;
 	t->row_written_at = t->sent_at;
+	t->before_predecessor_until = t->earlier_grants_until;
 	if (!t->is_predecessor_gone)
 		t->earlier_grants_until =
 			MAX(t->earlier_grants_until,
 			    bh_grants_over_at(t->unchanged_since));
-	t->predecessor_grant_ms =
-		MAX(t->earlier_grants_until - bh_runtime_now() + 999, 0) /
-		BH_USEC_PER_MS;
+	update_predecessor_grant(t);
 	t->ops->won(t->ctx, row.term);
 }
 
@@ -332,6 +342,9 @@
 
 	t->campaign_term = MAX(t->row.term, t->seen_term) + 1;
 	t->is_predecessor_gone = is_leader_gone(t);
+	g_free(t->predecessor);
+	t->predecessor =
+		t->is_predecessor_gone ? NULL : g_strdup(t->row.address);
 	bh_store_tx_check(tx, TABLE, PART, KEY, t->version);
 	put_row(t, tx, t->campaign_term, t->rt->settings->listen_frames);
 	t->is_writing = true;
@@ -498,6 +511,7 @@
 	if (!t)
 		return;
 	bh_leader_row_clear(&t->row);
+	g_free(t->predecessor);
 	g_free(t);
 }
 
@@ -547,6 +561,16 @@
 	}
 }
 
+bool bh_term_note_follower(bh_term_t *t, const char *address)
+{
+	if (!t->is_leader || g_strcmp0(t->predecessor, address) != 0)
+		return false;
+	g_clear_pointer(&t->predecessor, g_free);
+	t->earlier_grants_until = t->before_predecessor_until;
+	update_predecessor_grant(t);
+	return true;
+}
+
 void bh_term_observe(bh_term_t *t, uint64_t term)
 {
 	if (term > TERM_MAX)
--- a/daemon/term.h
+++ b/daemon/term.h
@@ -63,6 +63,15 @@
  */
 void bh_term_note_leader_ping(bh_term_t *t, int64_t renewed_ago_ms);
 
+/**
+ * bh_term_note_follower() - the process at @address follows this leader: if it
+ * is the predecessor, or its next process, the predecessor grants no more
+ * leases
+ *
+ * Return: whether bh_term_predecessor_grant_ms() has changed.
+ */
+bool bh_term_note_follower(bh_term_t *t, const char *address);
+
 /**
  * bh_term_observe() - another process reported this term
  */
@@ -143,7 +152,8 @@
 
 /**
  * bh_term_predecessor_grant_ms() - how long earlier leaders may go on granting
- * leases, counted from when this process won the election
+ * leases, counted from when this process won the election, or from the last
+ * bh_term_note_follower() that has changed it
  */
 int64_t bh_term_predecessor_grant_ms(const bh_term_t *t);
 
--- a/sched/hosts.c
+++ b/sched/hosts.c
@@ -763,6 +763,25 @@
 		      host->acked);
 }
 
+/* @grant_ms: time for which earlier leaders may still grant leases */
+static bh_usec_t inherited_lease_end(const bh_sched_t *s, int64_t grant_ms,
+				     bh_usec_t now)
+{
+	return now + grant_ms * BH_USEC_PER_MS + bh_sched_lease_bound(s);
+}
+
+void bh_sched_limit_grants(bh_sched_t *s, int64_t grant_ms, bh_usec_t now)
+{
+	bh_usec_t end = inherited_lease_end(s, grant_ms, now);
+	bh_host_t *host;
+
+	s->bounds.predecessor_grant_ms = grant_ms;
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (!host->is_synced)
+			host->lease_ends_at = MIN(host->lease_ends_at, end);
+	}
+}
+
 void bh_sched_add_host(bh_sched_t *s, const char *key, bool may_hold_work,
 		       bh_usec_t now)
 {
@@ -776,9 +795,8 @@
 	host->lease_ends_at = now;
 	host->is_synced = !may_hold_work;
 	if (may_hold_work)
-		host->lease_ends_at +=
-			bh_sched_lease_bound(s) +
-			s->bounds.predecessor_grant_ms * BH_USEC_PER_MS;
+		host->lease_ends_at = inherited_lease_end(
+			s, s->bounds.predecessor_grant_ms, now);
 	host->speed = 1;
 	host->filler_share = FILLER_SHARE_PRIOR;
 	TAILQ_INIT(&host->runs);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -257,6 +257,13 @@
 void bh_sched_add_host(bh_sched_t *s, const char *host, bool may_hold_work,
 		       bh_usec_t now);
 
+/**
+ * bh_sched_limit_grants() - earlier leaders grant leases for @grant_ms from now
+ * at most; hosts that have not been heard of are waited for no longer than that
+ * and a lease
+ */
+void bh_sched_limit_grants(bh_sched_t *s, int64_t grant_ms, bh_usec_t now);
+
 /**
  * bh_sched_host_linked() - the connection to an agent was made or lost
  */
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -15,6 +15,9 @@
 
 #define READ_REPLY_MS 30
 
+/* In the first row. */
+#define LEADER_ADDRESS "127.0.0.1:9"
+
 /* Simulated time goes on in steps of at most this. */
 #define STEP_MS 10
 
@@ -288,7 +291,7 @@
 static void fake_store_open(fake_store_t *fake, uint64_t term)
 {
 	bh_leader_row_t row = {.term = term,
-			       .address = (char *)"127.0.0.1:9",
+			       .address = (char *)LEADER_ADDRESS,
 			       .name = (char *)"another"};
 	GBytes *bytes = bh_leader_row_pack(&row);
 	gsize len;
@@ -661,6 +664,35 @@
 	teardown(&f);
 }
 
+/* The predecessor was killed, and its next process follows the new leader,
+ * which waited for its grants all the same. Leaders before it are another
+ * matter. */
+static void test_predecessor_that_follows_has_ended(void **state)
+{
+	fixture_t f;
+
+	(void)state;
+	for (int is_young = 0; is_young <= 1; is_young++) {
+		setup(&f, 3);
+		run_for(&f.fake, f.term, is_young ? 100 : 5000);
+		f.fake.version++;
+		bh_term_suspect(f.term, BH_TERM_REFUSED);
+		run_for(&f.fake, f.term, 500);
+		assert_true(bh_term_predecessor_grant_ms(f.term) > 3000);
+		assert_false(bh_term_note_follower(f.term, "127.0.0.1:7"));
+		assert_true(bh_term_predecessor_grant_ms(f.term) > 3000);
+		assert_true(bh_term_note_follower(f.term, LEADER_ADDRESS));
+		if (is_young)
+			assert_in_range(bh_term_predecessor_grant_ms(f.term),
+					3000, 3700);
+		else
+			assert_int_equal(bh_term_predecessor_grant_ms(f.term),
+					 0);
+		assert_false(bh_term_note_follower(f.term, LEADER_ADDRESS));
+		teardown(&f);
+	}
+}
+
 /* The next process of the leader has said that it does not lead, and is gone
  * itself: nothing is left to wait for. */
 static void test_leader_that_has_ended_stays_ended(void **state)
@@ -759,6 +791,7 @@
 		cmocka_unit_test(test_end_of_a_successor_keeps_the_wait),
 		cmocka_unit_test(test_refused_leader_may_still_grant),
 		cmocka_unit_test(test_leader_that_has_ended_stays_ended),
+		cmocka_unit_test(test_predecessor_that_follows_has_ended),
 		cmocka_unit_test(
 			test_entry_starts_beside_unreadable_leader_row),
 		cmocka_unit_test(test_restarted_leader_does_not_lead),
--- a/tests/test_two_leaders.c
+++ b/tests/test_two_leaders.c
@@ -197,6 +197,29 @@
 	bh_config_free(config);
 }
 
+/* The predecessor was killed and has started again: hosts that died with it
+ * are waited for no longer than a lease. */
+static void test_silent_hosts_are_waited_for_until_grants_are_over(void **state)
+{
+	bh_config_t *config = bh_config_new(0, 0);
+	leader_t next = {0};
+	int waited_ms = 0;
+
+	(void)state;
+	begin_term(&next, 2, config, MS(1));
+	for (int ms = 100; ms < 15000 && !next.starts; ms += 100) {
+		bh_sched_note_leading(next.sched, MS(ms));
+		report(&next, NEAR_HOST, NULL, true, MS(ms));
+		if (ms == 1000)
+			bh_sched_limit_grants(next.sched, 0, MS(ms));
+		run(&next, MS(ms));
+		waited_ms = ms;
+	}
+	assert_in_range(waited_ms, 1000 + LEASE_MS, 1300 + LEASE_MS);
+	bh_sched_free(next.sched);
+	bh_config_free(config);
+}
+
 /* A leader that cannot renew its row reads a job that was stored after the
  * election of another one, which starts the job without asking. */
 static void test_leader_in_doubt_starts_no_new_job(void **state)
@@ -232,6 +255,8 @@
 			test_cut_off_leader_does_not_start_what_others_run),
 		cmocka_unit_test(
 			test_new_leader_starts_new_jobs_while_it_waits),
+		cmocka_unit_test(
+			test_silent_hosts_are_waited_for_until_grants_are_over),
 		cmocka_unit_test(test_leader_in_doubt_starts_no_new_job),
 	};
 
