Late fillers get their turn while most of the processors are free

Cause: a job of which nothing runs was started beside serving tasks that it may disturb only after 20 s, and again 20 s after each move. That holds back starts that are paused at once while load swings; at a low load there is nothing to wait for. `no host` now shows the job's runs and the load of its service, which tells this from a lack of room and from the order of the queue.

Change: below a load of 60 % of the service's processors, fillers aside, the limit is 2 s. Callers take a job for lost after 3 s at under half. Hosts over their objective stay excluded.

--- a/sched/place.c
+++ b/sched/place.c
@@ -4,7 +4,8 @@
  *
  * Load patterns: serving tasks next to interfering fillers; wide tasks that
  * compete with narrow ones; data that is local to one rack; tasks of which some
- * may crash their workers, see crash.c.
+ * may crash their workers, see crash.c; late fillers for which no host has the
+ * headroom, although little processor time is in use.
  */
 #include "sched/grants.h"
 #include "sched/sched_impl.h"
@@ -32,6 +33,12 @@
  * half a period of its swing. */
 #define STARVED_AFTER_US (20 * BH_USEC_PER_SEC)
 
+/* The same while other tasks than fillers request less than IDLE_LOAD_MAX of
+ * the service's processors. Callers take a job for lost of which nothing runs
+ * for 3 s while under half of the capacity is in use. */
+#define STARVED_IDLE_AFTER_US (2 * BH_USEC_PER_SEC)
+#define IDLE_LOAD_MAX	      0.6
+
 /* A task with a higher priority waits this long before it preempts fillers, and
  * as long for them to stop before it preempts more. */
 #define PREEMPT_AFTER_US (300 * BH_USEC_PER_MS)
@@ -114,12 +121,38 @@
 	return host->used_cpu + step->cpu_milli <= host->info.cpu_milli;
 }
 
+/* Part of the processors of a service's hosts that other tasks than fillers
+ * request. */
+static double service_load(const bh_sched_t *s, const char *service,
+			   bh_usec_t now)
+{
+	uint64_t used = 0;
+	uint64_t total = 0;
+	const bh_host_t *host;
+
+	TAILQ_FOREACH(host, &s->hosts, link) {
+		if (g_strcmp0(host->info.service, service) != 0 ||
+		    !bh_host_is_usable(host, now))
+			continue;
+		used += MIN(host->used_cpu, host->info.cpu_milli);
+		total += host->info.cpu_milli;
+	}
+	return total ? (double)used / (double)total : 1;
+}
+
 /* A job without any run must not wait forever for a host where it does not
  * interfere. */
-static bool is_starved(const bh_task_t *task, bh_usec_t now)
+static bool is_starved(const bh_sched_t *s, const bh_task_t *task,
+		       bh_usec_t now)
 {
-	return task->phase->rec->n_runs == 0 &&
-	       now - task->waiting_since > STARVED_AFTER_US;
+	const bh_rec_t *rec = task->phase->rec;
+	bh_usec_t waited = now - task->waiting_since;
+
+	if (!task->phase->step->is_filler || rec->n_runs ||
+	    waited <= STARVED_IDLE_AFTER_US)
+		return false;
+	return waited > STARVED_AFTER_US ||
+	       service_load(s, rec->job->terms.service, now) < IDLE_LOAD_MAX;
 }
 
 /* A host on probation gets one new task at a time. Runs that started before its
@@ -227,10 +260,12 @@
 	       (task->held_since && now - task->held_since < SUSPECT_WAIT_US);
 }
 
-/* @spare: set to the headroom above the goal that a filler would leave, 0 for
- * other tasks */
+/* @starved: see is_starved()
+ * @spare: set to the headroom above the goal that a filler would leave, 0 for
+ *	other tasks */
 static bool is_eligible(const bh_sched_t *s, const bh_task_t *task,
-			const bh_host_t *host, double *spare, bh_usec_t now)
+			const bh_host_t *host, bool starved, double *spare,
+			bh_usec_t now)
 {
 	const bh_step_t *step = task->phase->step;
 
@@ -243,7 +278,7 @@
 	if (host->is_over_objective)
 		return false;
 	*spare = bh_plan_spare_headroom(s, host, task->phase);
-	return is_starved(task, now) || *spare >= 0;
+	return starved || *spare >= 0;
 }
 
 static double cpu_share(const bh_host_t *host, uint64_t cpu)
@@ -335,7 +370,8 @@
 {
 	double spare;
 
-	return is_eligible(s, task, host, &spare, now) &&
+	return is_eligible(s, task, host, is_starved(s, task, now), &spare,
+			   now) &&
 	       !must_wait_as_suspect(task, host, now);
 }
 
@@ -355,16 +391,18 @@
 	bh_host_t *host;
 	double best_score = 0;
 	bool must_wait = false;
+	bool starved;
 
 	if (s->are_starts_held || may_run_unseen(s, task->phase))
 		return NULL;
+	starved = is_starved(s, task, now);
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		double spare;
 		double value;
 
 		if (host == excluded ||
 		    (rack && g_strcmp0(rack, host->rack) != 0) ||
-		    !is_eligible(s, task, host, &spare, now))
+		    !is_eligible(s, task, host, starved, &spare, now))
 			continue;
 		if (must_wait_as_suspect(task, host, now)) {
 			must_wait = true;
@@ -487,12 +525,14 @@
 	uint32_t reserved = 0;
 	uint32_t suspects = 0;
 	uint32_t would_disturb = 0;
+	double load;
 	const bh_host_t *host;
 	char name[BH_TASK_NAME_BYTES];
 
 	if (now - phase->explained_at < EXPLAIN_EVERY_US)
 		return;
 	phase->explained_at = now;
+	load = service_load(s, phase->rec->job->terms.service, now);
 	TAILQ_FOREACH(host, &s->hosts, link) {
 		if (!bh_host_is_usable(host, now))
 			unusable++;
@@ -511,15 +551,16 @@
 			would_disturb++;
 	}
 	bh_task_full_name(task, name);
-	bh_sched_log(s, "no host", phase->rec->job->id,
-		     "task=%s waited_ms=%" G_GINT64_FORMAT
-		     " cpu=%u memory_mb=%u waiting=%u unusable=%u"
-		     " unsuitable=%u no_memory=%u no_cpu=%u reserved=%u"
-		     " suspects=%u would_disturb=%u",
-		     name + BH_JOB_ID_LEN + 1,
-		     (now - task->waiting_since) / 1000, step->cpu_milli,
-		     step->memory_mb, phase->waiting, unusable, unsuitable,
-		     memory, cpu, reserved, suspects, would_disturb);
+	bh_sched_log(
+		s, "no host", phase->rec->job->id,
+		"task=%s waited_ms=%" G_GINT64_FORMAT
+		" cpu=%u memory_mb=%u waiting=%u runs=%u load_percent=%u"
+		" unusable=%u unsuitable=%u no_memory=%u no_cpu=%u reserved=%u"
+		" suspects=%u would_disturb=%u",
+		name + BH_JOB_ID_LEN + 1, (now - task->waiting_since) / 1000,
+		step->cpu_milli, step->memory_mb, phase->waiting,
+		phase->rec->n_runs, (uint32_t)(100 * load), unusable,
+		unsuitable, memory, cpu, reserved, suspects, would_disturb);
 }
 
 /* Reserves resources for the first task that waits, or for all members of a
--- a/tests/loadworld.c
+++ b/tests/loadworld.c
@@ -59,6 +59,7 @@
  * @next_ms: when the caller submits it next
  * @ended_ms: 0 while it has not ended
  * @is_refused: the caller has given up
+ * @ran_ms: when a task of it last ran
  */
 typedef struct lw_job {
 	const lw_kind_t *kind;
@@ -72,6 +73,7 @@
 	bool is_refused;
 	int64_t accepted_ms;
 	bool is_started;
+	int64_t ran_ms;
 } lw_job_t;
 
 typedef struct lw_world {
@@ -135,22 +137,27 @@
 }
 
 /* Notes the time to the first start of a job's tasks. */
-static void note_first_start(lw_world_t *w, const char *task)
+static lw_job_t *job_of(const lw_world_t *w, const char *task)
 {
-	lw_result_t *r = &w->report->kinds[task[0] - '0'];
-
 	for (guint i = w->jobs->len; i-- > 0;) {
 		lw_job_t *j = &g_array_index(w->jobs, lw_job_t, i);
 
-		if (strncmp(j->id, task, BH_JOB_ID_LEN) != 0)
-			continue;
-		if (!j->is_started)
-			r->first_wait_ms =
-				MAX(r->first_wait_ms,
-				    (uint32_t)(w->ms - j->accepted_ms));
-		j->is_started = true;
-		return;
+		if (strncmp(j->id, task, BH_JOB_ID_LEN) == 0)
+			return j;
 	}
+	g_assert_not_reached();
+}
+
+static void note_first_start(lw_world_t *w, const char *task)
+{
+	lw_result_t *r = &w->report->kinds[task[0] - '0'];
+
+	lw_job_t *j = job_of(w, task);
+
+	if (!j->is_started)
+		r->first_wait_ms = MAX(r->first_wait_ms,
+				       (uint32_t)(w->ms - j->accepted_ms));
+	j->is_started = true;
 }
 
 static void on_start(void *ctx, const char *key, const bh_start_t *start)
@@ -514,6 +521,7 @@
 		     &retry_ms)) {
 		j->is_accepted = true;
 		j->accepted_ms = w->ms;
+		j->ran_ms = w->ms;
 		bh_sched_add_job(w->sched, job, NULL, now_us(w));
 		return;
 	}
@@ -667,6 +675,25 @@
 	}
 }
 
+/* Notes for how long nothing of a job has run. */
+static void sample_idle(const lw_world_t *w)
+{
+	for (uint32_t i = 0; i < w->pattern->hosts; i++) {
+		const lw_run_t *run;
+
+		TAILQ_FOREACH(run, &w->hosts[i].runs, link)
+			job_of(w, run->name)->ran_ms = w->ms;
+	}
+	for (guint i = 0; i < w->jobs->len; i++) {
+		const lw_job_t *j = &g_array_index(w->jobs, lw_job_t, i);
+		lw_result_t *r = &w->report->kinds[j->kind - w->pattern->kinds];
+
+		if (j->is_accepted && !j->ended_ms)
+			r->idle_ms =
+				MAX(r->idle_ms, (uint32_t)(w->ms - j->ran_ms));
+	}
+}
+
 static void init_world(lw_world_t *w)
 {
 	bh_sched_bounds_t bounds = {.term = 1,
@@ -731,6 +758,7 @@
 		step(&w);
 		if (w.ms % 100 < STEP_MS)
 			sample_serving(&w, wanted, served);
+		sample_idle(&w);
 	}
 	for (uint32_t k = 0; k < pattern->n_kinds; k++) {
 		count_kind(&w, &pattern->kinds[k], &out->kinds[k]);
@@ -744,13 +772,14 @@
 void lw_print(const lw_pattern_t *pattern, const lw_report_t *report)
 {
 	printf("kind         jobs in time   late   open refused   p50 ms   "
-	       "p99 ms serving\n");
+	       "p99 ms serving idle ms\n");
 	for (uint32_t k = 0; k < pattern->n_kinds; k++) {
 		const lw_result_t *r = &report->kinds[k];
 
-		printf("%-10s %6u %7u %6u %6u %7u %8u %8u %7.3f\n",
+		printf("%-10s %6u %7u %6u %6u %7u %8u %8u %7.3f %7u\n",
 		       pattern->kinds[k].name, r->jobs, r->in_time, r->late,
-		       r->open, r->refused, r->p50_ms, r->p99_ms, r->serving);
+		       r->open, r->refused, r->p50_ms, r->p99_ms, r->serving,
+		       r->idle_ms);
 	}
 	printf("starts %u stops %u worked %.1f wasted %.1f core s, "
 	       "over the objective %.1f task s\n",
--- a/tests/loadworld.h
+++ b/tests/loadworld.h
@@ -90,6 +90,7 @@
  * @local: runs that ended in the rack of their data, or together in one rack
  * @remote: the other ones of a kind that prefers a rack
  * @first_wait_ms: longest time from acceptance to the first start of a task
+ * @idle_ms: longest time for which no task of an accepted job ran
  */
 typedef struct lw_result {
 	uint32_t jobs;
@@ -103,6 +104,7 @@
 	uint32_t local;
 	uint32_t remote;
 	uint32_t first_wait_ms;
+	uint32_t idle_ms;
 } lw_result_t;
 
 /**
