--- a/daemon/link.h
+++ b/daemon/link.h
@@ -20,7 +20,8 @@
  * @frame: a frame was received; it belongs to the link
  * @opened: an outgoing connection was established
  * @closed: the connection failed; the link is freed after the call
- *	(@is_refused: no process listens at the address)
+ *	(@is_refused: the address refused the connection; its process may live
+ *	behind a partition)
  */
 typedef struct bh_link_ops {
 	void (*frame)(void *ctx, bh_link_t *link, const bh_frame_t *frame);
