--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -171,44 +171,6 @@
 		},
 };
 
-/* The same fillers beside one serving task on each host, which leaves half of
- * its processor time free. */
-static const lw_pattern_t fillers_beside_idle = {
-	.hosts = 11,
-	.cpu_milli = 64000,
-	.memory_mb = 250000,
-	.seconds = 40,
-	.n_kinds = 2,
-	.kinds =
-		{
-			{.name = "serving",
-			 .interval_ms = 100,
-			 .until_ms = 150,
-			 .steps = 1,
-			 .count = 11,
-			 .cpu_milli = 33000,
-			 .memory_mb = 20000,
-			 .ms = 500,
-			 .estimate_percent = 100,
-			 .flags = "l",
-			 .headroom = 1.6},
-			{.name = "heavy",
-			 .interval_ms = 1000,
-			 .from_ms = 4000,
-			 .until_ms = 10000,
-			 .priority = 1,
-			 .steps = 1,
-			 .count = 8,
-			 .cpu_milli = 10000,
-			 .memory_mb = 2000,
-			 .ms = 2700,
-			 .estimate_percent = 100,
-			 .target_ms = 1000,
-			 .flags = "fc",
-			 .harm = 12},
-		},
-};
-
 /* All processes are back after a total loss: callers of the last seconds return
  * at once, and all serving tasks, which request four fifths of the processor
  * time, wait too. */
@@ -283,7 +245,6 @@
 	{"burst-of-large", &burst_of_large},
 	{"swing-under-fillers", &swing_under_fillers},
 	{"filler-without-room", &filler_without_room},
-	{"fillers-beside-idle", &fillers_beside_idle},
 	{"total-loss", &total_loss},
 };
 
@@ -364,19 +325,26 @@
  * capacity. */
 #define IDLE_MAX_MS 3000
 
-/* Late fillers waited for 20 s, and again after each move, while half of the
- * processor time was free. */
+/* Late fillers waited for 20 s, and again after each move, beside one serving
+ * task on each host that left half of its processor time free. */
 static void test_held_fillers_get_their_turn(void **state)
 {
+	lw_pattern_t idle = filler_without_room;
+
 	(void)state;
+	idle.seconds = 40;
+	idle.kinds[0].until_ms = 150;
+	idle.kinds[0].count = idle.hosts;
+	idle.kinds[0].cpu_milli = 33000;
+	idle.kinds[1].interval_ms = 1000;
+	idle.kinds[1].until_ms = 10000;
 	for (uint32_t seed = 1; seed <= 5; seed++) {
 		lw_report_t r;
 
-		lw_replay(&fillers_beside_idle, seed, &r);
+		lw_replay(&idle, seed, &r);
 		assert_true(r.kinds[1].idle_ms < IDLE_MAX_MS);
 		assert_true(r.over_objective <
-			    OVER_OBJECTIVE_MAX * fillers_beside_idle.seconds *
-				    fillers_beside_idle.kinds[0].count);
+			    OVER_OBJECTIVE_MAX * idle.seconds * idle.hosts);
 	}
 }
 
